--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -27,9 +27,11 @@
   fleet_wait 20 "the start of the stand-ins" curl -sf "http://127.0.0.1:$port/machines"
 }
 
-# fleet_write_settings NODE COUNT: settings of one of COUNT daemons; 0: alone.
+# fleet_write_settings NODE REPLICAS [ROLE]: settings of a daemon; 0 replicas:
+# alone. ROLE is both, state or gateway; gateways without state have numbers
+# above the replicas'.
 fleet_write_settings() {
-  local node="$1" count="$2" other
+  local node="$1" count="$2" role="${3:-both}" other
   {
     echo "cluster: demo"
     echo "node: $node"
@@ -37,7 +39,10 @@
     echo "data: $FOLDER/node-$node"
     echo "caller_address: 127.0.0.1:$((CALLER_PORT + node - 1))"
     echo "operator_address: 127.0.0.1:$((OPERATOR_PORT + node - 1))"
-    echo "threads: 64"
+    echo "threads: 256"
+    [ "$role" = state ] && echo "gateway_role: false"
+    [ "$role" = gateway ] && echo "state_role: false"
+    [ -n "${FLEET_EXTRA:-}" ] && echo "$FLEET_EXTRA"
     if [ "$count" -gt 0 ]; then
       echo "peer_address: 127.0.0.1:$((PEER_PORT + node - 1))"
       echo "replicas:"
@@ -56,7 +61,7 @@
 }
 
 fleet_wait_ready() { # NODE
-  fleet_wait 30 "readiness of node $1" curl -sf "http://127.0.0.1:$((CALLER_PORT + $1 - 1))/readyz"
+  fleet_wait 30 "readiness of node $1" curl -sf "http://127.0.0.1:$((OPERATOR_PORT + $1 - 1))/readyz"
 }
 
 fleet_kill() { # NAME SIGNAL
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -271,6 +271,21 @@
     return true;
 }
 
+uint64_t raft_tail_start(const struct raft *raft, uint64_t entries, size_t bytes)
+{
+    uint64_t index = raft->applied;
+    size_t kept = 0;
+    while (raft->applied - index < entries) {
+        const struct raft_entry *entry = raft_log_get(&raft->log, index);
+        if (entry == NULL || kept + entry->length > bytes) {
+            break;
+        }
+        kept += entry->length;
+        index--;
+    }
+    return index;
+}
+
 void raft_compact(struct raft *raft, uint64_t index)
 {
     if (index <= raft->log.base_index || index > raft->applied) {
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -227,6 +227,12 @@
 /** Whether this replica leads. */
 bool raft_is_leader(const struct raft *raft);
 
+/** Index after which at most `entries` applied entries of at most `bytes` in all follow. */
+uint64_t raft_tail_start(const struct raft *raft, uint64_t entries, size_t bytes);
+
+/** Whether a leader heard of the member at `position` within an election timeout. */
+bool raft_hears_member(const struct raft *raft, uint32_t position, uint64_t now_ms);
+
 /** Converts to and from the wire form. */
 bool raft_members_decode(struct view data, struct raft_members *members);
 void raft_members_encode(const struct raft_members *members, struct buffer *out);
--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -126,14 +126,17 @@
     }
 }
 
+bool raft_hears_member(const struct raft *raft, uint32_t position, uint64_t now_ms)
+{
+    return now_ms <= raft->progress[position].last_heard_ms + raft->config.election_timeout_ms;
+}
+
 bool raft_heard_from_quorum(const struct raft *raft, uint64_t now_ms)
 {
     uint32_t heard = 0;
     for (uint32_t i = 0; i < raft->members.count; i++) {
-        const struct raft_progress *progress = &raft->progress[i];
-        bool self = progress->node == raft->config.node;
-        bool recent = now_ms <= progress->last_heard_ms + raft->config.election_timeout_ms;
-        heard += (self || recent) && !raft->members.learners[i] ? 1 : 0;
+        bool self = raft->progress[i].node == raft->config.node;
+        heard += (self || raft_hears_member(raft, i, now_ms)) && !raft->members.learners[i] ? 1 : 0;
     }
     return heard > raft_voter_count(&raft->members) / 2;
 }
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -290,19 +290,25 @@
     replica_flush(replica, now_ms);
 }
 
+/* Log bytes that a group may keep in memory before a snapshot is due. */
+static size_t replica_log_share(const struct replica *replica)
+{
+    size_t share = REPLICA_LOG_BYTES / replica->config.groups;
+    return share < REPLICA_LOG_BYTES_LEAST ? REPLICA_LOG_BYTES_LEAST : share;
+}
+
 static void replica_snapshot_if_due(struct replica *replica, uint32_t group)
 {
     struct replica_group *state = &replica->groups[group];
     struct raft *raft = &state->raft;
     uint64_t fresh = raft->applied - raft->log.base_index;
     uint64_t trailing = REPLICA_TRAILING_ENTRIES < replica->config.snapshot_entries ? REPLICA_TRAILING_ENTRIES : 0;
-    bool due = fresh >= replica->config.snapshot_entries + trailing ||
-               (raft->log.bytes >= REPLICA_SNAPSHOT_BYTES && fresh > 0);
+    size_t share = replica_log_share(replica);
+    bool due = fresh >= replica->config.snapshot_entries + trailing || (raft->log.bytes >= share && fresh > 0);
     if (!due) {
         return;
     }
-    bool by_size = raft->log.bytes >= REPLICA_SNAPSHOT_BYTES;
-    uint64_t keep_after = by_size || trailing == 0 ? raft->applied : raft->applied - trailing;
+    uint64_t keep_after = raft_tail_start(raft, trailing, share / 2);
     struct buffer local = {0};
     state_machine_export(&state->machine, false, &local);
     bool saved = replica->io.save_snapshot(replica->io.context, group, raft->applied, raft_term_at(raft, raft->applied),
@@ -352,24 +358,15 @@
     replica_maintain(replica);
 }
 
-bool replica_leads_any(const struct replica *replica)
-{
-    for (uint32_t group = 0; group < replica->config.groups; group++) {
-        if (raft_is_leader(&replica->groups[group].raft)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* The voter heard last, other than this node. */
+/* The voter with the longest log among those heard of lately, other than this node. */
 static uint32_t replica_best_successor(const struct replica *replica, const struct raft *raft)
 {
     uint32_t best = RAFT_NO_NODE;
     uint64_t match = 0;
     for (uint32_t i = 0; i < raft->members.count; i++) {
         const struct raft_progress *progress = &raft->progress[i];
-        bool candidate = !raft->members.learners[i] && progress->node != replica->config.node;
+        bool candidate = !raft->members.learners[i] && progress->node != replica->config.node &&
+                         raft_hears_member(raft, i, replica->now_ms);
         if (candidate && (best == RAFT_NO_NODE || progress->match > match)) {
             best = progress->node;
             match = progress->match;
@@ -378,13 +375,20 @@
     return best;
 }
 
-void replica_transfer_all(struct replica *replica, uint64_t now_ms)
+bool replica_transfer_all(struct replica *replica, uint64_t now_ms)
 {
+    bool possible = false;
     replica->now_ms = now_ms;
     for (uint32_t group = 0; group < replica->config.groups; group++) {
         struct raft *raft = &replica->groups[group].raft;
-        if (raft_is_leader(raft) && raft->transfer_target == RAFT_NO_NODE) {
-            raft_transfer(raft, now_ms, replica_best_successor(replica, raft));
+        uint32_t successor = raft_is_leader(raft) ? replica_best_successor(replica, raft) : RAFT_NO_NODE;
+        if (successor == RAFT_NO_NODE) {
+            continue;
+        }
+        possible = true;
+        if (raft->transfer_target == RAFT_NO_NODE) {
+            raft_transfer(raft, now_ms, successor);
         }
     }
+    return possible;
 }
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -16,8 +16,9 @@
 
 enum {
     REPLICA_MAX_GROUPS = 64,           /**< Groups of one system. */
-    REPLICA_SNAPSHOT_ENTRIES = 8192,   /**< Log entries that trigger a snapshot. */
-    REPLICA_SNAPSHOT_BYTES = 32 << 20, /**< Log bytes that trigger a snapshot. */
+    REPLICA_SNAPSHOT_ENTRIES = 8192,   /**< Log entries of a group that trigger a snapshot. */
+    REPLICA_LOG_BYTES = 64 << 20,      /**< Log kept in memory by all groups together; each has an equal share. */
+    REPLICA_LOG_BYTES_LEAST = 1 << 20, /**< Least share of a group. */
     REPLICA_TRAILING_ENTRIES = 1024,   /**< Entries kept behind a snapshot for slow followers. */
     REPLICA_MAINTENANCE_MS = 200,      /**< Period of lease and expiry checks. */
     REPLICA_BALANCE_MS = 2000,         /**< Period of leader placement checks. */
@@ -130,10 +131,11 @@
 /** Syncs pending writes and releases what waited for them. */
 void replica_flush(struct replica *replica, uint64_t now_ms);
 
-/** Gives all leaderships away; call again until replica_leads_any() is false or time is up. */
-void replica_transfer_all(struct replica *replica, uint64_t now_ms);
+/**
+ * Gives all leaderships away. Returns whether one is still held that another
+ * replica can take: call again until it is false or time is up.
+ */
+bool replica_transfer_all(struct replica *replica, uint64_t now_ms);
 
-/** Whether any group is led here. */
-bool replica_leads_any(const struct replica *replica);
 
 #endif
--- a/src/core/replica_maintenance.c
+++ b/src/core/replica_maintenance.c
@@ -124,7 +124,7 @@
     for (uint32_t i = 0; i < raft->members.count; i++) {
         const struct raft_progress *progress = &raft->progress[i];
         bool healthy = progress->match + RAFT_MAX_INFLIGHT_ENTRIES > raft_last_index(raft) &&
-                       replica->now_ms < progress->last_heard_ms + raft->config.election_timeout_ms;
+                       raft_hears_member(raft, i, replica->now_ms);
         if (progress->node == preferred && healthy) {
             raft_transfer(raft, replica->now_ms, preferred);
         }
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -300,9 +300,10 @@
 static void control_hand_back(struct control *control)
 {
     uint64_t deadline_ms = clock_monotonic_ms() + CONTROL_HANDOVER_MS;
-    bool alone = control->settings->replicas.count <= 1;
-    while (control->has_replica && !alone && replica_leads_any(&control->replica) && control->now_ms < deadline_ms) {
-        replica_transfer_all(&control->replica, control->now_ms);
+    if (!control->has_replica) {
+        return;
+    }
+    while (control->now_ms < deadline_ms && replica_transfer_all(&control->replica, control->now_ms)) {
         control_round(control, CONTROL_TICK_MS);
     }
 }
--- /dev/null
+++ b/src/measure/scrape.c
@@ -0,0 +1,42 @@
+#include "measure/scrape.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/http_client.h"
+
+enum { SCRAPE_TIMEOUT_MS = 2000 };
+
+static bool scrape_append(void *context, int status, struct view data)
+{
+    (void)status;
+    buffer_append(context, data.data, data.length);
+    return true;
+}
+
+void scrape_fetch(const char *base_url, struct buffer *page)
+{
+    struct buffer url = {0};
+    int status = 0;
+    buffer_printf(&url, "%s/metrics", base_url);
+    struct http_request request = {
+        .method = "GET",
+        .url = buffer_text(&url),
+        .timeout_ms = SCRAPE_TIMEOUT_MS,
+        .connect_timeout_ms = SCRAPE_TIMEOUT_MS,
+        .context = page,
+        .on_data = scrape_append,
+    };
+    http_client_run(&request, &status);
+    buffer_close(&url);
+}
+
+double scrape_value(struct buffer *page, const char *name)
+{
+    struct buffer line = {0};
+    buffer_printf(&line, "\n%s ", name);
+    const char *found = strstr(buffer_text(page), buffer_text(&line));
+    double value = found == NULL ? 0 : strtod(found + line.length, NULL);
+    buffer_close(&line);
+    return value;
+}
