--- a/src/bench/program.c
+++ b/src/bench/program.c
@@ -81,7 +81,7 @@
         if (created) {
             snprintf(program->id, sizeof(program->id), "%s", id);
         } else {
-            clock_sleep_us(PROGRAM_RETRY_MS * 1000U);
+            clock_sleep_us((uint64_t)PROGRAM_RETRY_MS * 1000U);
         }
         json_decref(reply);
         buffer_close(&answer);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -79,16 +79,29 @@
     return best;
 }
 
+/* The engine that holds the program's prefix, else the first in the order. */
+static int placement_home(const struct placement_call *call, const struct placement_candidate *candidates, size_t count)
+{
+    int best = PLACEMENT_NONE;
+    for (size_t i = 0; i < count; i++) {
+        bool holds = candidates[i].usable && candidates[i].cached_tokens > 0;
+        if (holds && (best == PLACEMENT_NONE || candidates[i].cached_tokens > candidates[best].cached_tokens)) {
+            best = (int)i;
+        }
+    }
+    return best == PLACEMENT_NONE ? placement_first(call, candidates, count) : best;
+}
+
 static int placement_affinity(const struct placement_call *call, const struct placement_candidate *candidates,
                               size_t count)
 {
-    int first = placement_first(call, candidates, count);
-    if (first == PLACEMENT_NONE) {
+    int home = placement_home(call, candidates, count);
+    if (home == PLACEMENT_NONE) {
         return PLACEMENT_NONE;
     }
-    int best = first;
-    double first_cost = placement_cost_ms(&candidates[first], call->prompt_tokens);
-    double best_cost = first_cost;
+    int best = home;
+    double home_cost = placement_cost_ms(&candidates[home], call->prompt_tokens);
+    double best_cost = home_cost;
     for (size_t i = 0; i < count; i++) {
         double cost = candidates[i].usable ? placement_cost_ms(&candidates[i], call->prompt_tokens) : 0;
         if (candidates[i].usable && cost < best_cost) {
@@ -96,7 +109,7 @@
             best_cost = cost;
         }
     }
-    return first_cost - best_cost > PLACEMENT_LEAVE_MARGIN_MS ? best : first;
+    return home_cost - best_cost > PLACEMENT_LEAVE_MARGIN_MS ? best : home;
 }
 
 int placement_choose(const struct placement_call *call, const struct placement_candidate *candidates, size_t count)
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -5,8 +5,10 @@
  * Cache affinity: every daemon orders the engines of a pool by weighted
  * rendezvous hashing of the program, so that all agree without talking. The
  * cost of an engine is its expected wait plus the time to compute the part of
- * the prompt that it does not hold; the first in the order is left only when
- * another one is cheaper by more than PLACEMENT_LEAVE_MARGIN_MS.
+ * the prompt that it does not hold. A program's home is the engine that holds
+ * its prefix, else the first in the order; it is left only when another one is
+ * cheaper by more than PLACEMENT_LEAVE_MARGIN_MS, and the other one is the home
+ * from then on.
  *
  * Source: Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
  * Rates" (1998), for rendezvous hashing.
@@ -19,7 +21,7 @@
 #include <stdint.h>
 
 enum {
-    PLACEMENT_LEAVE_MARGIN_MS = 20, /**< Advantage that justifies leaving the first choice. */
+    PLACEMENT_LEAVE_MARGIN_MS = 20, /**< Advantage that justifies leaving the home. */
     PLACEMENT_REMOTE_ZONE_MS = 2,   /**< Cost of an engine in another zone. */
     PLACEMENT_NONE = -1             /**< No usable engine. */
 };
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -137,5 +137,4 @@
  */
 bool replica_transfer_all(struct replica *replica, uint64_t now_ms);
 
-
 #endif
--- a/src/daemon/endpoints.c
+++ b/src/daemon/endpoints.c
@@ -15,6 +15,16 @@
     pthread_mutex_init(&endpoints->lock, NULL);
 }
 
+static void endpoints_clear_leaving(struct endpoints *endpoints)
+{
+    while (endpoints->leaving != NULL) {
+        struct leaving_machine *machine = endpoints->leaving;
+        HASH_DEL(endpoints->leaving, machine);
+        free(machine->address);
+        free(machine);
+    }
+}
+
 void endpoints_close(struct endpoints *endpoints)
 {
     struct endpoint *endpoint;
@@ -23,11 +33,34 @@
     {
         HASH_DEL(endpoints->by_url, endpoint);
         free(endpoint->url);
+        free(endpoint->host);
         free(endpoint);
     }
+    endpoints_clear_leaving(endpoints);
     pthread_mutex_destroy(&endpoints->lock);
 }
 
+/* Takes "IP:PORT" out of a URL. */
+static void endpoint_set_host(struct endpoint *endpoint)
+{
+    const char *start = strstr(endpoint->url, "://");
+    start = start == NULL ? endpoint->url : start + 3;
+    endpoint->host = text_copy(start);
+    endpoint->host[strcspn(endpoint->host, "/")] = '\0';
+    endpoint->ip_length = strcspn(endpoint->host, ":");
+}
+
+/* Call with the lock held. */
+static bool endpoints_is_leaving(const struct endpoints *endpoints, const struct endpoint *endpoint)
+{
+    struct leaving_machine *machine = NULL;
+    HASH_FIND(hh, endpoints->leaving, endpoint->host, strlen(endpoint->host), machine);
+    if (machine == NULL) {
+        HASH_FIND(hh, endpoints->leaving, endpoint->host, endpoint->ip_length, machine);
+    }
+    return machine != NULL;
+}
+
 /* Call with the lock held. */
 static struct endpoint *endpoints_get(struct endpoints *endpoints, const char *url)
 {
@@ -36,6 +69,7 @@
     if (endpoint == NULL) {
         endpoint = memory_new(sizeof(*endpoint));
         endpoint->url = text_copy(url);
+        endpoint_set_host(endpoint);
         HASH_ADD_KEYPTR(hh, endpoints->by_url, endpoint->url, strlen(endpoint->url), endpoint);
     }
     return endpoint;
@@ -51,8 +85,8 @@
     candidate->own_calls_then = endpoint->own_calls_then;
     candidate->slots = endpoint->slots;
     candidate->mean_call_ms = endpoint->mean_call_ms;
-    bool available =
-        !endpoint->leaving && now_ms >= endpoint->draining_until_ms && circuit_allows(&endpoint->circuit, now_ms);
+    bool available = !endpoints_is_leaving(endpoints, endpoint) && now_ms >= endpoint->draining_until_ms &&
+                     circuit_allows(&endpoint->circuit, now_ms);
     candidate->usable = candidate->usable && available;
     pthread_mutex_unlock(&endpoints->lock);
 }
@@ -91,21 +125,14 @@
     pthread_mutex_unlock(&endpoints->lock);
 }
 
-static bool endpoint_is_on_host(const char *url, const char *host)
-{
-    const char *start = strstr(url, "://");
-    start = start == NULL ? url : start + 3;
-    size_t length = strlen(host);
-    return strncmp(start, host, length) == 0 && strchr(":/", start[length]) != NULL;
-}
-
-void endpoints_set_leaving(struct endpoints *endpoints, const char *host, bool leaving)
+void endpoints_replace_leaving(struct endpoints *endpoints, const char *const *addresses, size_t count)
 {
     pthread_mutex_lock(&endpoints->lock);
-    for (struct endpoint *endpoint = endpoints->by_url; endpoint != NULL; endpoint = endpoint->hh.next) {
-        if (endpoint_is_on_host(endpoint->url, host)) {
-            endpoint->leaving = leaving;
-        }
+    endpoints_clear_leaving(endpoints);
+    for (size_t i = 0; i < count; i++) {
+        struct leaving_machine *machine = memory_new(sizeof(*machine));
+        machine->address = text_copy(addresses[i]);
+        HASH_ADD_KEYPTR(hh, endpoints->leaving, machine->address, strlen(machine->address), machine);
     }
     pthread_mutex_unlock(&endpoints->lock);
 }
--- a/src/daemon/endpoints.h
+++ b/src/daemon/endpoints.h
@@ -26,16 +26,24 @@
     uint32_t slots;             /**< Slots by its last report. */
     double mean_call_ms;        /**< Moving mean of call times. */
     uint64_t draining_until_ms; /**< It said that it drains; 0: no. */
-    bool leaving;               /**< The platform's machine list calls it leaving. */
+    char *host;                 /**< "IP:PORT" of the URL. */
+    size_t ip_length;           /**< Leading part of `host` without the port. */
     UT_hash_handle hh;          /**< By URL. */
 };
 
+/** A machine that the platform calls leaving. */
+struct leaving_machine {
+    char *address;     /**< "IP:PORT", or "IP" for every port. */
+    UT_hash_handle hh; /**< By address. */
+};
+
 /** All endpoints. */
 struct endpoints {
-    pthread_mutex_t lock;       /**< Guards everything below. */
-    struct endpoint *by_url;    /**< By URL. */
-    struct retry_budget budget; /**< Retries of this daemon. */
-    uint64_t rotation;          /**< Counter for round robin. */
+    pthread_mutex_t lock;            /**< Guards everything below. */
+    struct endpoint *by_url;         /**< By URL. */
+    struct leaving_machine *leaving; /**< Machines on their way out, whether used here or not. */
+    struct retry_budget budget;      /**< Retries of this daemon. */
+    uint64_t rotation;               /**< Counter for round robin. */
 };
 
 /** Load that an engine reports in its answer's headers. */
@@ -64,8 +72,8 @@
 void endpoints_end(struct endpoints *endpoints, const char *url, enum endpoint_outcome outcome, uint64_t now_ms,
                    uint64_t duration_ms, const struct endpoint_report *report);
 
-/** Sets what the machine list says of all endpoints on `host` ("IP:PORT" or "IP"). */
-void endpoints_set_leaving(struct endpoints *endpoints, const char *host, bool leaving);
+/** Replaces the machines that are leaving; each is "IP:PORT" or "IP". */
+void endpoints_replace_leaving(struct endpoints *endpoints, const char *const *addresses, size_t count);
 
 /** Notes a request and takes a retry, see retry_budget. */
 void endpoints_note_request(struct endpoints *endpoints);
--- a/src/daemon/machine_list.c
+++ b/src/daemon/machine_list.c
@@ -1,5 +1,6 @@
 #include "daemon/machine_list.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -22,14 +23,19 @@
 
 static void machine_list_apply(struct gateway *gateway, const json_t *machines)
 {
-    for (size_t i = 0; i < json_array_size(machines); i++) {
+    size_t size = json_array_size(machines);
+    const char **leaving = memory_new(size * sizeof(*leaving));
+    size_t count = 0;
+    for (size_t i = 0; i < size; i++) {
         const json_t *machine = json_array_get(machines, i);
         const char *address = json_string_value(json_object_get(machine, "address"));
         const char *state = json_string_value(json_object_get(machine, "state"));
-        if (address != NULL && state != NULL) {
-            endpoints_set_leaving(&gateway->endpoints, address, strcmp(state, "leaving") == 0);
+        if (address != NULL && state != NULL && strcmp(state, "leaving") == 0) {
+            leaving[count++] = address;
         }
     }
+    endpoints_replace_leaving(&gateway->endpoints, leaving, count);
+    free(leaving);
 }
 
 void machine_list_run(void *context)
--- a/src/daemon/server.c
+++ b/src/daemon/server.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -95,12 +96,24 @@
     return true;
 }
 
+static void *server_stop_operators(void *context)
+{
+    mg_stop(context);
+    return NULL;
+}
+
+/* CivetWeb looks for the stop each two seconds; both servers are stopped at once. */
 void server_stop(struct server *server)
 {
+    pthread_t thread;
+    bool beside =
+        server->operators != NULL && pthread_create(&thread, NULL, server_stop_operators, server->operators) == 0;
     if (server->callers != NULL) {
         mg_stop(server->callers);
     }
-    if (server->operators != NULL) {
+    if (beside) {
+        pthread_join(thread, NULL);
+    } else if (server->operators != NULL) {
         mg_stop(server->operators);
     }
     memset(server, 0, sizeof(*server));
--- /dev/null
+++ b/tests/integration/test_fleet.c
@@ -0,0 +1,258 @@
+/* Three real daemons: lost and restarted replicas, racing operators, hand-over, leaving back ends. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "../unit/suite.h"
+#include "fleet.h"
+
+enum { NODES = 3, CHANGES = 300 };
+
+static struct fleet fleet;
+static char program[128];
+
+static void setup(void)
+{
+    fleet_start(&fleet, NODES);
+    fleet_create_program(&fleet, 1, program, sizeof(program));
+}
+
+static void teardown(void)
+{
+    fleet_stop(&fleet);
+}
+
+/* Node that leads the configuration group as `node` sees it, 0: none. */
+static uint32_t configuration_leader(uint32_t node)
+{
+    static const char *const words[] = {"status", "--json", NULL};
+    char *output = NULL;
+    fleet_ctl(&fleet, node, words, &output);
+    json_t *status = json_loads(output, 0, NULL);
+    const json_t *group = json_array_get(json_object_get(status, "groups"), 0);
+    uint32_t leader = (uint32_t)json_integer_value(json_object_get(group, "leader"));
+    json_decref(status);
+    free(output);
+    return leader;
+}
+
+static json_int_t revision_at(uint32_t node)
+{
+    static const char *const words[] = {"status", "--json", NULL};
+    char *output = NULL;
+    fleet_ctl(&fleet, node, words, &output);
+    json_t *status = json_loads(output, 0, NULL);
+    json_int_t revision = json_integer_value(json_object_get(status, "revision"));
+    json_decref(status);
+    free(output);
+    return revision;
+}
+
+static uint32_t another(uint32_t node)
+{
+    return node % NODES + 1;
+}
+
+START_TEST(a_lost_leader_costs_a_pause_only)
+{
+    free(fleet_must_answer(&fleet, 1, program, 1, "one"));
+    free(fleet_must_answer(&fleet, 2, program, 2, "two"));
+    uint32_t leader = configuration_leader(1);
+    ck_assert_uint_ne(leader, 0);
+    fleet_end_node(&fleet, leader, SIGKILL);
+    uint32_t second = another(leader);
+    free(fleet_must_answer(&fleet, second, program, 3, "three"));
+    free(fleet_must_answer(&fleet, another(second), program, 4, "four"));
+    fleet_must_verify(&fleet, second, program, 4);
+    fleet_start_node(&fleet, leader);
+    fleet_wait_ready(&fleet, leader);
+    /* A second machine right after the repair. */
+    fleet_end_node(&fleet, second, SIGKILL);
+    free(fleet_must_answer(&fleet, leader, program, 5, "five"));
+    fleet_must_verify(&fleet, leader, program, 5);
+}
+END_TEST
+
+START_TEST(without_a_quorum_calls_are_refused_as_not_run)
+{
+    free(fleet_must_answer(&fleet, 1, program, 1, "one"));
+    fleet_end_node(&fleet, 2, SIGKILL);
+    fleet_end_node(&fleet, 3, SIGKILL);
+    struct fleet_answer answer;
+    fleet_ask(&fleet, 1, program, 2, "two", false, NULL, &answer);
+    ck_assert_int_eq(answer.status, 503);
+    ck_assert_str_ne(answer.run_state, "run");
+    ck_assert_str_ne(answer.retry_after, "");
+    fleet_answer_close(&answer);
+    fleet_start_node(&fleet, 2);
+    fleet_wait_ready(&fleet, 2);
+    free(fleet_must_answer(&fleet, 2, program, 2, "two"));
+    fleet_must_verify(&fleet, 2, program, 2);
+}
+END_TEST
+
+START_TEST(of_two_equal_changes_one_wins)
+{
+    char revision[32];
+    char *first = NULL;
+    char *second = NULL;
+    snprintf(revision, sizeof(revision), "%lld", (long long)revision_at(1));
+    const char *const one[] = {"create", "tenant", "bank", "api_key=key-of-aaa", "--expected-revision", revision, NULL};
+    const char *const other[] = {"create", "tenant", "council", "api_key=key-of-bbb", "--expected-revision",
+                                 revision, NULL};
+    int won = fleet_ctl(&fleet, 1, one, &first);
+    int lost = fleet_ctl(&fleet, 2, other, &second);
+    ck_assert_int_eq(won, 0);
+    ck_assert_int_ne(lost, 0);
+    ck_assert_ptr_nonnull(strstr(second, "aborted"));
+    free(first);
+    free(second);
+    const char *const resent[] = {"create", "tenant", "shop", "api_key=key-of-ccc", "--request-id", "r-1", NULL};
+    ck_assert_int_eq(fleet_ctl(&fleet, 1, resent, &first), 0);
+    ck_assert_int_eq(fleet_ctl(&fleet, 3, resent, &second), 0);
+    ck_assert_str_eq(first, second);
+    free(first);
+    free(second);
+}
+END_TEST
+
+START_TEST(a_replica_catches_up_after_hundreds_of_changes)
+{
+    fleet_end_node(&fleet, 3, SIGKILL);
+    static const char *const create[] = {"create", "tenant", "bank", "api_key=key-of-aaa", NULL};
+    ck_assert_int_eq(fleet_ctl(&fleet, 1, create, NULL), 0);
+    json_int_t before = revision_at(1);
+    for (int i = 0; i < CHANGES; i++) {
+        char weight[32];
+        snprintf(weight, sizeof(weight), "weight=%d", 1 + i % 9);
+        const char *const update[] = {"update", "tenant", "bank", "api_key=key-of-aaa", weight, NULL};
+        ck_assert_int_eq(fleet_ctl(&fleet, 1 + (uint32_t)(i % 2), update, NULL), 0);
+    }
+    fleet_start_node(&fleet, 3);
+    fleet_wait_ready(&fleet, 3);
+    ck_assert_int_ge(revision_at(3), before + CHANGES);
+    free(fleet_must_answer(&fleet, 3, program, 1, "one"));
+}
+END_TEST
+
+static json_t *old_site_post(const char *path, const char *body, int *status)
+{
+    struct fleet_answer answer;
+    fleet_request(fleet.emulator_port, "POST", path, body, NULL, &answer);
+    *status = answer.status;
+    json_t *reply = json_loads(buffer_text(&answer.body), 0, NULL);
+    fleet_answer_close(&answer);
+    return reply;
+}
+
+START_TEST(a_program_is_handed_over_once)
+{
+    int status = 0;
+    char old_site[96];
+    struct fleet_answer answer;
+    json_decref(old_site_post("/old-site/programs",
+                              "{\"program_id\":\"old-1\",\"tenant\":\"anonymous\",\"policy\":\"default\","
+                              "\"budget_tokens\":5000,\"spent_tokens\":100,\"next_call\":2,\"context_tokens\":50,"
+                              "\"history\":[{\"role\":\"user\",\"content\":\"q\"},"
+                              "{\"role\":\"assistant\",\"content\":\"a\"}]}",
+                              &status));
+    ck_assert_int_eq(status, 200);
+    snprintf(old_site, sizeof(old_site), "http://127.0.0.1:%d/old-site", fleet.emulator_port);
+    const char *const prepare[] = {"handover", "prepare", "old-1", NULL};
+    const char *const run[] = {"handover", "run", "old-1", "--old-site", old_site, NULL};
+    ck_assert_int_eq(fleet_ctl(&fleet, 1, prepare, NULL), 0);
+    fleet_ask(&fleet, 2, "old-1", 2, "before the commit", false, NULL, &answer);
+    ck_assert_int_eq(answer.status, 421);
+    ck_assert_str_eq(answer.run_state, "not-run");
+    ck_assert_ptr_nonnull(strstr(buffer_text(&answer.body), "old-site"));
+    fleet_answer_close(&answer);
+    ck_assert_int_eq(fleet_ctl(&fleet, 1, run, NULL), 0);
+    fleet_end_node(&fleet, 1, SIGKILL);
+    ck_assert_int_eq(fleet_ctl(&fleet, 2, run, NULL), 0);
+    free(fleet_must_answer(&fleet, 3, "old-1", 2, "after the commit"));
+    fleet_request(fleet.nodes[1].caller_port, "GET", "/v1/programs/old-1/history", NULL, NULL, &answer);
+    json_t *history = json_loads(buffer_text(&answer.body), 0, NULL);
+    ck_assert_uint_eq(json_array_size(json_object_get(history, "messages")), 4);
+    json_decref(history);
+    fleet_answer_close(&answer);
+}
+END_TEST
+
+static json_int_t backend_requests(void)
+{
+    json_t *stats = fleet_stats(&fleet);
+    json_int_t requests = 0;
+    size_t i;
+    json_t *backend;
+    json_array_foreach(json_object_get(stats, "backends"), i, backend)
+    {
+        requests += json_integer_value(json_object_get(backend, "requests"));
+    }
+    json_decref(stats);
+    return requests;
+}
+
+/* Sends plain requests; true once none of a round reached a back end. */
+static bool no_backend_is_used(void *context)
+{
+    json_int_t before = backend_requests();
+    (void)context;
+    for (int i = 0; i < 10; i++) {
+        struct fleet_answer answer;
+        fleet_request(fleet.nodes[i % NODES].caller_port, "POST", "/services/calculator/x", "x", NULL, &answer);
+        fleet_answer_close(&answer);
+    }
+    return backend_requests() == before;
+}
+
+START_TEST(a_machine_on_its_way_out_gets_no_new_work)
+{
+    char body[96];
+    struct fleet_answer answer;
+    ck_assert(!no_backend_is_used(NULL));
+    snprintf(body, sizeof(body), "{\"address\":\"127.0.0.1:%d\",\"state\":\"leaving\"}", fleet.emulator_port);
+    fleet_request(fleet.emulator_port, "POST", "/control/machine", body, NULL, &answer);
+    ck_assert_int_eq(answer.status, 200);
+    fleet_answer_close(&answer);
+    ck_assert(fleet_wait_for(no_backend_is_used, NULL));
+    fleet_ask(&fleet, 1, program, 1, "one", false, NULL, &answer);
+    ck_assert_int_eq(answer.status, 503);
+    ck_assert_str_eq(answer.run_state, "not-run");
+    fleet_answer_close(&answer);
+}
+END_TEST
+
+START_TEST(daemons_are_restarted_one_by_one_under_load)
+{
+    uint32_t call = 1;
+    for (uint32_t node = 1; node <= NODES; node++) {
+        free(fleet_must_answer(&fleet, node, program, call++, "before the stop"));
+        int status = fleet_end_node(&fleet, node, SIGTERM);
+        ck_assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+        free(fleet_must_answer(&fleet, another(node), program, call++, "while it is down"));
+        fleet_start_node(&fleet, node);
+        fleet_wait_ready(&fleet, node);
+    }
+    fleet_must_verify(&fleet, 1, program, call - 1);
+}
+END_TEST
+
+int main(int argc, char **argv)
+{
+    fleet_build = argc > 1 ? argv[1] : "build";
+    Suite *suite = suite_create("fleet");
+    TCase *tests = tcase_create("three daemons");
+    tcase_set_timeout(tests, 180);
+    tcase_add_checked_fixture(tests, setup, teardown);
+    tcase_add_test(tests, a_lost_leader_costs_a_pause_only);
+    tcase_add_test(tests, without_a_quorum_calls_are_refused_as_not_run);
+    tcase_add_test(tests, of_two_equal_changes_one_wins);
+    tcase_add_test(tests, a_replica_catches_up_after_hundreds_of_changes);
+    tcase_add_test(tests, a_program_is_handed_over_once);
+    tcase_add_test(tests, a_machine_on_its_way_out_gets_no_new_work);
+    tcase_add_test(tests, daemons_are_restarted_one_by_one_under_load);
+    suite_add_tcase(suite, tests);
+    return suite_run(suite);
+}
--- /dev/null
+++ b/tests/integration/test_inputs.c
@@ -0,0 +1,209 @@
+/* Malformed and hostile input to a real daemon: typed errors, a true run state, no crash. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../unit/suite.h"
+#include "fleet.h"
+
+static struct fleet fleet;
+static char program[128];
+
+static void start(void)
+{
+    static const char *const tenant[] = {"create", "tenant", "bank", "api_key=bank-key", NULL};
+    fleet_start(&fleet, 1);
+    ck_assert_int_eq(fleet_ctl(&fleet, 1, tenant, NULL), 0);
+}
+
+static void setup(void)
+{
+    fleet_create_program(&fleet, 1, program, sizeof(program));
+}
+
+static void stop(void)
+{
+    fleet_stop(&fleet);
+}
+
+/* One request that must be refused. */
+struct refusal {
+    const char *name;
+    const char *path;
+    const char *headers[4];
+    const char *body;
+    int status;
+};
+
+static const struct refusal refusals[] = {
+    {"no JSON", "/v1/chat/completions", {NULL}, "{\"messages\":", 400},
+    {"not an object", "/v1/chat/completions", {NULL}, "[]", 400},
+    {"empty body", "/v1/chat/completions", {NULL}, "", 400},
+    {"no messages", "/v1/chat/completions", {NULL}, "{\"model\":\"agent-model\"}", 400},
+    {"messages of a wrong type", "/v1/chat/completions", {NULL}, "{\"model\":\"m\",\"messages\":\"hello\"}", 400},
+    {"max_tokens of a wrong type",
+     "/v1/chat/completions",
+     {NULL},
+     "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"max_tokens\":\"many\"}",
+     400},
+    {"negative max_tokens",
+     "/v1/chat/completions",
+     {NULL},
+     "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"max_tokens\":-3}",
+     400},
+    {"stream of a wrong type",
+     "/v1/chat/completions",
+     {NULL},
+     "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"stream\":7}",
+     400},
+    {"unknown program",
+     "/v1/chat/completions",
+     {"X-Program-Id: p00000000-none", "X-Program-Call: 1", NULL},
+     "{\"model\":\"agent-model\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+     404},
+    {"call number of a wrong type",
+     "/v1/chat/completions",
+     {"X-Program-Id: p00000000-none", "X-Program-Call: first", NULL},
+     "{\"model\":\"agent-model\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+     400},
+    {"unknown field of a program", "/v1/programs", {NULL}, "{\"budget\":1}", 400},
+    {"unknown policy", "/v1/programs", {NULL}, "{\"policy\":\"none\"}", 400},
+    {"budget of a wrong type", "/v1/programs", {NULL}, "{\"budget_tokens\":\"much\"}", 400},
+    {"unknown service", "/services/none/x", {NULL}, "x", 404},
+    {"unknown path", "/v2/anything", {NULL}, "x", 404},
+    {"unknown key", "/v1/programs", {"Authorization: Bearer no-such-key", NULL}, "{}", 401},
+};
+
+START_TEST(malformed_requests_are_refused_as_not_run)
+{
+    const struct refusal *refusal = &refusals[_i];
+    struct fleet_answer answer;
+    fleet_request(fleet.nodes[0].caller_port, "POST", refusal->path, refusal->body, refusal->headers, &answer);
+    if (answer.status != refusal->status || strcmp(answer.run_state, "not-run") != 0) {
+        ck_abort_msg("%s: %d %s %s", refusal->name, answer.status, answer.run_state, buffer_text(&answer.body));
+    }
+    json_t *body = json_loads(buffer_text(&answer.body), 0, NULL);
+    const json_t *error = json_object_get(body, "error");
+    ck_assert_ptr_nonnull(json_string_value(json_object_get(error, "message")));
+    ck_assert_ptr_nonnull(json_string_value(json_object_get(error, "code")));
+    json_decref(body);
+    fleet_answer_close(&answer);
+}
+END_TEST
+
+START_TEST(call_numbers_must_follow)
+{
+    struct fleet_answer answer;
+    fleet_ask(&fleet, 1, program, 3, "too early", false, NULL, &answer);
+    ck_assert_int_eq(answer.status, 409);
+    ck_assert_str_eq(answer.run_state, "not-run");
+    fleet_answer_close(&answer);
+    free(fleet_must_answer(&fleet, 1, program, 1, "first"));
+    fleet_ask(&fleet, 1, program, 1, "another text", false, NULL, &answer);
+    ck_assert_int_eq(answer.status, 409);
+    fleet_answer_close(&answer);
+    fleet_must_verify(&fleet, 1, program, 1);
+}
+END_TEST
+
+/* Sends raw bytes; the daemon must answer something of the 4xx kind or close. */
+static void expect_survival(const char *bytes, size_t length, bool half_close)
+{
+    char *reply = fleet_raw(fleet.nodes[0].caller_port, bytes, length, half_close);
+    ck_assert(reply[0] == '\0' || strstr(reply, "HTTP/1.1 4") == reply);
+    free(reply);
+    free(fleet_must_answer(&fleet, 1, program, 1, "still serving"));
+}
+
+/* Requests that the engines ran. */
+static json_int_t engine_requests(void)
+{
+    json_t *stats = fleet_stats(&fleet);
+    json_int_t requests = 0;
+    size_t i;
+    json_t *engine;
+    json_array_foreach(json_object_get(stats, "engines"), i, engine)
+    {
+        requests += json_integer_value(json_object_get(engine, "requests"));
+    }
+    json_decref(stats);
+    return requests;
+}
+
+START_TEST(a_body_cut_off_runs_nothing)
+{
+    json_int_t before = engine_requests();
+    static const char cut[] =
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n{\"messages\":";
+    expect_survival(cut, sizeof(cut) - 1, true);
+    ck_assert_int_eq(engine_requests(), before + 1); /* the one that shows the survival */
+}
+END_TEST
+
+START_TEST(oversized_bodies_and_headers_are_refused)
+{
+    static const char head[] = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n{";
+    expect_survival(head, sizeof(head) - 1, true);
+    struct buffer headers = {0};
+    buffer_append_text(&headers, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Long: ");
+    for (int i = 0; i < 100000; i++) {
+        buffer_append(&headers, "a", 1);
+    }
+    buffer_append_text(&headers, "\r\n\r\n");
+    expect_survival((const char *)headers.data, headers.length, true);
+    buffer_close(&headers);
+}
+END_TEST
+
+START_TEST(garbage_is_survived)
+{
+    char bytes[4096];
+    uint32_t state = 12345;
+    for (int round = 0; round < 20; round++) {
+        for (size_t i = 0; i < sizeof(bytes); i++) {
+            state = state * 1664525U + 1013904223U;
+            bytes[i] = (char)(state >> 24);
+        }
+        free(fleet_raw(fleet.nodes[0].caller_port, bytes, sizeof(bytes), true));
+        free(fleet_raw(fleet.nodes[0].operator_port, bytes, sizeof(bytes), true));
+    }
+    free(fleet_must_answer(&fleet, 1, program, 1, "still serving"));
+}
+END_TEST
+
+START_TEST(malformed_operator_requests_are_typed_errors)
+{
+    static const char *const proto[] = {"Content-Type: application/proto", NULL};
+    struct fleet_answer answer;
+    fleet_request(fleet.nodes[0].operator_port, "POST", "/bankbank.v1.OperatorService/CreatePool", "\xff\xff\xff",
+                  proto, &answer);
+    ck_assert_int_eq(answer.status, 400);
+    json_t *body = json_loads(buffer_text(&answer.body), 0, NULL);
+    ck_assert_str_eq(json_string_value(json_object_get(body, "code")), "invalid_argument");
+    json_decref(body);
+    fleet_answer_close(&answer);
+    fleet_request(fleet.nodes[0].operator_port, "POST", "/bankbank.v1.OperatorService/NoSuchMethod", "", proto,
+                  &answer);
+    ck_assert_int_ge(answer.status, 400);
+    fleet_answer_close(&answer);
+}
+END_TEST
+
+int main(int argc, char **argv)
+{
+    fleet_build = argc > 1 ? argv[1] : "build";
+    Suite *suite = suite_create("inputs");
+    TCase *tests = tcase_create("one daemon");
+    tcase_set_timeout(tests, 120);
+    tcase_add_unchecked_fixture(tests, start, stop);
+    tcase_add_checked_fixture(tests, setup, NULL);
+    tcase_add_loop_test(tests, malformed_requests_are_refused_as_not_run, 0,
+                        (int)(sizeof(refusals) / sizeof(refusals[0])));
+    tcase_add_test(tests, call_numbers_must_follow);
+    tcase_add_test(tests, a_body_cut_off_runs_nothing);
+    tcase_add_test(tests, oversized_bodies_and_headers_are_refused);
+    tcase_add_test(tests, garbage_is_survived);
+    tcase_add_test(tests, malformed_operator_requests_are_typed_errors);
+    suite_add_tcase(suite, tests);
+    return suite_run(suite);
+}
--- a/tests/unit/decisions.c
+++ b/tests/unit/decisions.c
@@ -64,6 +64,16 @@
 }
 END_TEST
 
+START_TEST(a_moved_program_stays_where_its_prefix_is)
+{
+    struct placement_call call = {.program_hash = 42, .prompt_tokens = 200};
+    int first = placement_choose(&call, engines, ENGINES);
+    int other = (first + 1) % ENGINES;
+    engines[other].cached_tokens = 200; /* computing anew would take 10 ms, less than the margin */
+    ck_assert_int_eq(placement_choose(&call, engines, ENGINES), other);
+}
+END_TEST
+
 START_TEST(a_lagged_report_is_corrected_by_own_calls)
 {
     struct placement_candidate candidate = {
@@ -169,6 +179,7 @@
     tcase_add_test(tests, programs_spread_and_stay);
     tcase_add_test(tests, losing_an_engine_moves_only_its_programs);
     tcase_add_test(tests, a_cached_prefix_is_left_only_for_a_longer_wait);
+    tcase_add_test(tests, a_moved_program_stays_where_its_prefix_is);
     tcase_add_test(tests, a_lagged_report_is_corrected_by_own_calls);
     tcase_add_test(tests, no_usable_engine_is_told);
     tcase_add_test(tests, retries_are_a_share_of_the_traffic);
