--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -63,7 +63,7 @@
 uint8_t *buffer_reserve(struct buffer *buffer, size_t extra)
 {
     size_t needed = buffer->length + extra;
-    if (needed > buffer->capacity) {
+    if (needed > buffer->capacity || buffer->data == NULL) {
         size_t capacity = buffer->capacity < BUFFER_MIN_CAPACITY ? BUFFER_MIN_CAPACITY : buffer->capacity;
         while (capacity < needed) {
             capacity *= 2;
--- a/src/sim/sim.c
+++ b/src/sim/sim.c
@@ -36,7 +36,13 @@
 
 uint32_t sim_random(struct sim *sim, uint32_t limit)
 {
-    return limit == 0 ? 0 : (uint32_t)gsl_rng_uniform_int(sim->random, limit);
+    if (limit == 0) {
+        return 0;
+    }
+    if (sim->choices_used < sim->options.choice_count) {
+        return sim->options.choices[sim->choices_used++] * (limit / 256 + 1) % limit;
+    }
+    return (uint32_t)gsl_rng_uniform_int(sim->random, limit);
 }
 
 bool sim_chance(struct sim *sim, uint32_t percent)
--- a/src/sim/sim.h
+++ b/src/sim/sim.h
@@ -44,6 +44,8 @@
     uint32_t calm_ms;          /**< Time to settle afterwards. */
     bool faults;               /**< Whether faults happen at all. */
     uint32_t snapshot_entries; /**< Entries between snapshots. */
+    const uint8_t *choices;    /**< Decide instead of the seed until they are used up; NULL: none. */
+    size_t choice_count;       /**< Their number. */
 };
 
 /** Storage of a replica. */
@@ -181,6 +183,7 @@
 struct sim {
     struct sim_options options;                             /**< The schedule. */
     gsl_rng *random;                                        /**< Seeded. */
+    size_t choices_used;                                    /**< Choices taken from the options. */
     uint64_t now_ms;                                        /**< Virtual time. */
     struct sim_network network;                             /**< Messages in flight. */
     struct sim_node *nodes;                                 /**< By id - 1: replicas, then gateways. */
