Add and remove state replicas while the fleet runs

A replica with a lost disk could not be replaced: the core knew membership changes, but no operator could ask for one, and a request carried the whole new member list, so two operators could undo each other.

A request now names one step (add a learner, promote, remove) that the leader applies to the group's own members; a step that is done already succeeds, one that cannot be taken yet is refused and repeated by the daemon. A learner is promoted only when it has caught up; a leader that is to be removed gives its seat away first. bankbankctl replica add|remove does it for all groups; replicas marked spare in the settings are known but are no members at first; status shows voters and learners.

On real processes a disk is lost, its node removed, a spare added, another node killed, and the conversation goes on with its history whole.

--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -227,9 +227,15 @@
 /** Whether this replica leads. */
 bool raft_is_leader(const struct raft *raft);
 
+/** Whether a member was heard of lately and lacks only what is in flight. */
+bool raft_has_caught_up(const struct raft *raft, uint32_t node, uint64_t now_ms);
+
 /** Index after which at most `entries` applied entries of at most `bytes` in all follow. */
 uint64_t raft_tail_start(const struct raft *raft, uint64_t entries, size_t bytes);
 
+/** Members with a vote. */
+uint32_t raft_voter_count(const struct raft_members *members);
+
 /** Whether a leader heard of the member at `position` within an election timeout. */
 bool raft_hears_member(const struct raft *raft, uint32_t position, uint64_t now_ms);
 
--- a/src/core/raft_internal.h
+++ b/src/core/raft_internal.h
@@ -26,7 +26,6 @@
 void raft_adopt_entry(struct raft *raft, const struct raft_entry *entry);
 int raft_member_position(const struct raft_members *members, uint32_t node);
 bool raft_is_voter(const struct raft_members *members, uint32_t node);
-uint32_t raft_voter_count(const struct raft_members *members);
 void raft_set_members(struct raft *raft, const struct raft_members *members, uint64_t index);
 
 /* raft_election.c */
--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -131,6 +131,18 @@
     return now_ms <= raft->progress[position].last_heard_ms + raft->config.election_timeout_ms;
 }
 
+bool raft_has_caught_up(const struct raft *raft, uint32_t node, uint64_t now_ms)
+{
+    for (uint32_t i = 0; i < raft->members.count; i++) {
+        const struct raft_progress *progress = &raft->progress[i];
+        if (progress->node == node) {
+            return raft_hears_member(raft, i, now_ms) &&
+                   progress->match + RAFT_MAX_INFLIGHT_ENTRIES > raft_last_index(raft);
+        }
+    }
+    return false;
+}
+
 bool raft_heard_from_quorum(const struct raft *raft, uint64_t now_ms)
 {
     uint32_t heard = 0;
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -358,8 +358,7 @@
     replica_maintain(replica);
 }
 
-/* The voter with the longest log among those heard of lately, other than this node. */
-static uint32_t replica_best_successor(const struct replica *replica, const struct raft *raft)
+uint32_t replica_best_successor(const struct replica *replica, const struct raft *raft)
 {
     uint32_t best = RAFT_NO_NODE;
     uint64_t match = 0;
--- a/src/core/replica_internal.h
+++ b/src/core/replica_internal.h
@@ -29,4 +29,7 @@
 void replica_announce_revision(struct replica *replica);
 void replica_handle_heartbeat(struct replica *replica, uint32_t from, const Heartbeat *heartbeat);
 
+/** The voter with the longest log among those heard of lately, other than this node; RAFT_NO_NODE: none. */
+uint32_t replica_best_successor(const struct replica *replica, const struct raft *raft);
+
 #endif
--- a/src/core/replica_maintenance.c
+++ b/src/core/replica_maintenance.c
@@ -121,13 +121,8 @@
     if (!raft_is_leader(raft) || preferred == RAFT_NO_NODE || preferred == replica->config.node) {
         return;
     }
-    for (uint32_t i = 0; i < raft->members.count; i++) {
-        const struct raft_progress *progress = &raft->progress[i];
-        bool healthy = progress->match + RAFT_MAX_INFLIGHT_ENTRIES > raft_last_index(raft) &&
-                       raft_hears_member(raft, i, replica->now_ms);
-        if (progress->node == preferred && healthy) {
-            raft_transfer(raft, replica->now_ms, preferred);
-        }
+    if (raft_has_caught_up(raft, preferred, replica->now_ms)) {
+        raft_transfer(raft, replica->now_ms, preferred);
     }
 }
 
--- a/src/core/replica_requests.c
+++ b/src/core/replica_requests.c
@@ -187,12 +187,57 @@
     }
 }
 
+/* Applies a change to a list of members; false: it is as wanted already. */
+static bool replica_edit_members(struct raft_members *members, const MemberChange *change)
+{
+    uint32_t position = 0;
+    while (position < members->count && members->nodes[position] != change->node) {
+        position++;
+    }
+    bool listed = position < members->count;
+    switch (change->action) {
+    case MEMBER_ADD_LEARNER:
+        if (listed || members->count == RAFT_MAX_MEMBERS) {
+            return false;
+        }
+        members->nodes[members->count] = change->node;
+        members->learners[members->count++] = true;
+        return true;
+    case MEMBER_PROMOTE:
+        if (!listed || !members->learners[position]) {
+            return false;
+        }
+        members->learners[position] = false;
+        return true;
+    default:
+        if (!listed) {
+            return false;
+        }
+        members->count--;
+        members->nodes[position] = members->nodes[members->count];
+        members->learners[position] = members->learners[members->count];
+        return true;
+    }
+}
+
+/* Whether the leader may propose the change now; it gives its own seat to another first. */
+static bool replica_may_change(struct replica *replica, uint32_t group, const MemberChange *change)
+{
+    struct raft *raft = &replica->groups[group].raft;
+    if (change->action == MEMBER_REMOVE && change->node == replica->config.node) {
+        raft_transfer(raft, replica->now_ms, replica_best_successor(replica, raft));
+        return false;
+    }
+    return change->action != MEMBER_PROMOTE || raft_has_caught_up(raft, change->node, replica->now_ms);
+}
+
 static void replica_change_members(struct replica *replica, uint32_t group, const Request *request,
-                                   const struct replica_waiter *waiter)
+                                   struct replica_waiter *waiter)
 {
     struct replica_group *state = &replica->groups[group];
-    struct raft_members members;
-    if (!raft_members_decode(request->body, &members)) {
+    struct raft_members members = state->raft.members;
+    MemberChange change = {0};
+    if (!message_decode(request->body, MemberChange_fields, &change) || change.node == RAFT_NO_NODE) {
         replica_reply(replica, group, waiter, RESULT_INVALID, view_of(NULL, 0));
         return;
     }
@@ -200,15 +245,20 @@
         replica_reply(replica, group, waiter, RESULT_NOT_LEADER, view_of(NULL, 0));
         return;
     }
-    uint64_t index = raft_propose_members(&state->raft, replica->now_ms, &members);
+    bool committed = state->raft.members_index <= state->raft.commit;
+    if (!replica_edit_members(&members, &change)) {
+        replica_reply(replica, group, waiter, committed ? RESULT_OK : RESULT_ABORTED, view_of(NULL, 0));
+        return;
+    }
+    bool possible = replica_may_change(replica, group, &change);
+    uint64_t index = possible ? raft_propose_members(&state->raft, replica->now_ms, &members) : 0;
     if (index == 0) {
         replica_reply(replica, group, waiter, RESULT_ABORTED, view_of(NULL, 0));
         return;
     }
-    struct replica_waiter copy = *waiter;
-    copy.key = index;
-    copy.term = state->raft.term;
-    replica_waiters_add(&state->proposals, &copy);
+    waiter->key = index;
+    waiter->term = state->raft.term;
+    replica_waiters_add(&state->proposals, waiter);
 }
 
 void replica_handle_request(struct replica *replica, uint32_t from, uint32_t group, const Request *request)
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -20,6 +20,7 @@
                                    "  update KIND NAME [FIELD=VALUE...]\n"
                                    "  delete KIND NAME\n"
                                    "  wait REVISION\n"
+                                   "  replica add|remove NODE\n"
                                    "  handover run|prepare|commit|abort PROGRAM...\n"
                                    "KIND is service, pool, policy or tenant. Lists repeat their field:\n"
                                    "  engine=NAME,URL[,ZONE[,WEIGHT[,draining]]]\n"
@@ -186,10 +187,11 @@
     json_t *groups = json_array();
     for (pb_size_t i = 0; i < status.groups_count; i++) {
         const GroupStatus *group = &status.groups[i];
-        json_array_append_new(groups, json_pack("{s:i,s:I,s:i,s:I,s:I,s:b}", "group", (int)group->group, "term",
+        json_array_append_new(groups, json_pack("{s:i,s:I,s:i,s:I,s:I,s:b,s:i,s:i}", "group", (int)group->group, "term",
                                                 (json_int_t)group->term, "leader", (int)group->leader, "commit_index",
                                                 (json_int_t)group->commit_index, "applied_index",
-                                                (json_int_t)group->applied_index, "is_leader", group->is_leader));
+                                                (json_int_t)group->applied_index, "is_leader", group->is_leader,
+                                                "voters", (int)group->voters, "learners", (int)group->learners));
     }
     if (options->json) {
         ctl_print_json(json_pack("{s:i,s:s,s:I,s:b,s:o}", "node", (int)status.node, "zone", text_or_empty(status.zone),
@@ -197,11 +199,13 @@
     } else {
         printf("node %u in %s, revision %llu, %s\n", status.node, text_or_empty(status.zone),
                (unsigned long long)status.revision, status.ready ? "ready" : "not ready");
-        printf("%-6s %-6s %-7s %-10s %-10s\n", "group", "term", "leader", "committed", "applied");
+        printf("%-6s %-6s %-7s %-10s %-10s %-7s %-8s\n", "group", "term", "leader", "committed", "applied", "voters",
+               "learners");
         for (pb_size_t i = 0; i < status.groups_count; i++) {
             const GroupStatus *group = &status.groups[i];
-            printf("%-6u %-6llu %-7u %-10llu %-10llu\n", group->group, (unsigned long long)group->term, group->leader,
-                   (unsigned long long)group->commit_index, (unsigned long long)group->applied_index);
+            printf("%-6u %-6llu %-7u %-10llu %-10llu %-7u %-8u\n", group->group, (unsigned long long)group->term,
+                   group->leader, (unsigned long long)group->commit_index, (unsigned long long)group->applied_index,
+                   group->voters, group->learners);
         }
         json_decref(groups);
     }
@@ -236,6 +240,24 @@
     return response.in_force ? 0 : CTL_EXIT_FAILURE;
 }
 
+static int ctl_replica(const struct ctl_options *options, const char *action, const char *node)
+{
+    bool add = strcmp(action, "add") == 0;
+    ChangeReplicaRequest request = ChangeReplicaRequest_init_zero;
+    ChangeReplicaResponse response = ChangeReplicaResponse_init_zero;
+    struct buffer reply = {0};
+    request.node = (uint32_t)strtoul(node, NULL, 10);
+    request.action = add ? REPLICA_ADD : REPLICA_REMOVE;
+    request.timeout_ms = options->timeout_ms;
+    bool done = ctl_call(options, "ChangeReplica", ChangeReplicaRequest_fields, &request, &reply) &&
+                message_decode(buffer_view(&reply), ChangeReplicaResponse_fields, &response);
+    buffer_close(&reply);
+    if (done) {
+        printf("node %u is %s all %u groups\n", request.node, add ? "a voter of" : "out of", response.groups);
+    }
+    return done ? 0 : CTL_EXIT_FAILURE;
+}
+
 static int ctl_usage(void)
 {
     fprintf(stderr, "bankbankctl: the command is not known or incomplete\n%s", CTL_COMMANDS);
@@ -278,6 +300,10 @@
     if (strcmp(words[0], "wait") == 0 && count == 2) {
         return ctl_wait(options, words[1]);
     }
+    bool replica = strcmp(words[0], "replica") == 0 && count == 3;
+    if (replica && (strcmp(words[1], "add") == 0 || strcmp(words[1], "remove") == 0)) {
+        return ctl_replica(options, words[1], words[2]);
+    }
     if (strcmp(words[0], "handover") == 0) {
         return ctl_handover(options, count - 1, words + 1);
     }
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -232,6 +232,8 @@
     status->commit_index = raft->commit;
     status->applied_index = raft->applied;
     status->is_leader = raft_is_leader(raft);
+    status->voters = raft_voter_count(&raft->members);
+    status->learners = raft->members.count - status->voters;
 }
 
 static void control_publish_status(struct control *control)
@@ -419,15 +421,19 @@
 
 static void control_open_client(struct control *control, uint64_t boot_id)
 {
-    struct raft_members members;
-    settings_members(control->settings, &members);
+    const struct settings *settings = control->settings;
+    const struct settings_replica *replicas = settings->replicas.items;
     struct control_client_config config = {
-        .node = (uint32_t)control->settings->node,
+        .node = (uint32_t)settings->node,
         .boot_id = boot_id,
-        .groups = (uint32_t)control->settings->groups,
-        .replica_count = members.count,
+        .groups = (uint32_t)settings->groups,
     };
-    memcpy(config.replicas, members.nodes, sizeof(config.replicas));
+    for (size_t i = 0; i < settings->replicas.count; i++) {
+        config.replicas[config.replica_count++] = (uint32_t)replicas[i].node;
+    }
+    if (config.replica_count == 0) {
+        config.replicas[config.replica_count++] = config.node;
+    }
     struct control_client_io io = {
         .context = control,
         .send = control_send,
--- a/src/daemon/operator.c
+++ b/src/daemon/operator.c
@@ -399,6 +399,59 @@
     buffer_close(&reply);
 }
 
+/* ---- Replicas ------------------------------------------------------------------------------ */
+
+/* One step in one group, repeated while the group cannot take it yet. */
+static ResultCode operator_change_member(struct operator_call *call, uint32_t group, uint32_t node, MemberAction action,
+                                         uint64_t deadline_ms)
+{
+    MemberChange change = {.node = node, .action = action};
+    struct buffer body = {0};
+    struct buffer reply = {0};
+    message_encode(&body, MemberChange_fields, &change);
+    ResultCode code = RESULT_ABORTED;
+    while (code != RESULT_OK && code != RESULT_INVALID && clock_monotonic_ms() < deadline_ms) {
+        buffer_clear(&reply);
+        code = control_call(call->gateway->control, group, REQUEST_MEMBERS, buffer_view(&body), GATEWAY_CONTROL_MS,
+                            &reply);
+        if (code != RESULT_OK) {
+            clock_sleep_us(OPERATOR_WAIT_STEP_US);
+        }
+    }
+    buffer_close(&body);
+    buffer_close(&reply);
+    return code;
+}
+
+static void operator_change_replica(struct operator_call *call)
+{
+    ChangeReplicaRequest request = {0};
+    if (!message_decode(call->body, ChangeReplicaRequest_fields, &request) || request.node == 0) {
+        operator_send_error(call, "invalid_argument", RUN_STATE_NOT_RUN, "node: a replica's id is needed");
+        return;
+    }
+    uint32_t timeout_ms = request.timeout_ms == 0 ? OPERATOR_WAIT_MAX_MS : request.timeout_ms;
+    uint64_t deadline_ms = clock_monotonic_ms() + timeout_ms;
+    bool add = request.action == REPLICA_ADD;
+    uint32_t groups = (uint32_t)call->gateway->settings->groups;
+    for (uint32_t group = 0; group < groups; group++) {
+        ResultCode code =
+            operator_change_member(call, group, request.node, add ? MEMBER_ADD_LEARNER : MEMBER_REMOVE, deadline_ms);
+        if (code == RESULT_OK && add) {
+            code = operator_change_member(call, group, request.node, MEMBER_PROMOTE, deadline_ms);
+        }
+        if (code != RESULT_OK) {
+            struct buffer text = {0};
+            buffer_printf(&text, "group %u of %u could not be changed in time; repeat the command", group, groups);
+            operator_send_error(call, "deadline_exceeded", RUN_STATE_UNKNOWN, buffer_text(&text));
+            buffer_close(&text);
+            return;
+        }
+    }
+    ChangeReplicaResponse response = {.groups = groups};
+    operator_send_message(call, ChangeReplicaResponse_fields, &response);
+}
+
 /* ---- Dispatch --------------------------------------------------------------------------------- */
 
 static void operator_run_create(struct operator_call *call)
@@ -461,6 +514,7 @@
     {"CommitHandover", operator_run_commit, 0},
     {"AbortHandover", operator_run_abort, 0},
     {"GetStatus", operator_status, 0},
+    {"ChangeReplica", operator_change_replica, 0},
     {"WaitRevision", operator_wait, 0},
 };
 
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -15,6 +15,7 @@
      .maximum = UINT32_MAX,
      .required = true},
     {.key = "address", .type = YAML_TEXT, .offset = offsetof(struct settings_replica, address), .required = true},
+    {.key = "spare", .type = YAML_FLAG, .offset = offsetof(struct settings_replica, spare)},
     {.key = NULL},
 };
 
@@ -117,15 +118,20 @@
 {
     const struct settings_replica *replicas = settings->replicas.items;
     bool listed = false;
+    size_t members = 0;
     for (size_t i = 0; i < settings->replicas.count; i++) {
         settings_check_address(path, "replicas.address", replicas[i].address, false, findings);
         listed = listed || replicas[i].node == settings->node;
+        members += replicas[i].spare ? 0 : 1;
         for (size_t j = 0; j < i; j++) {
             if (replicas[j].node == replicas[i].node) {
                 findings_add(findings, path, "replicas: node %llu stands twice", (unsigned long long)replicas[i].node);
             }
         }
     }
+    if (settings->replicas.count > 0 && members == 0) {
+        findings_add(findings, path, "replicas: at least one must not be spare");
+    }
     if (settings->replicas.count > RAFT_MAX_MEMBERS) {
         findings_add(findings, path, "replicas: at most %d are allowed", RAFT_MAX_MEMBERS);
     }
@@ -167,9 +173,11 @@
     const struct settings_replica *replicas = settings->replicas.items;
     memset(members, 0, sizeof(*members));
     for (size_t i = 0; i < settings->replicas.count && i < RAFT_MAX_MEMBERS; i++) {
-        members->nodes[members->count++] = (uint32_t)replicas[i].node;
+        if (!replicas[i].spare) {
+            members->nodes[members->count++] = (uint32_t)replicas[i].node;
+        }
     }
-    if (members->count == 0) {
+    if (settings->replicas.count == 0) {
         members->nodes[members->count++] = (uint32_t)settings->node;
     }
 }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -18,6 +18,7 @@
 struct settings_replica {
     uint64_t node; /**< Node id. */
     char *address; /**< IP:PORT of its peer link. */
+    bool spare;    /**< Known, but not a member at first; added by an operator. */
 };
 
 /** All settings of one daemon. */
@@ -55,7 +56,7 @@
 /** Frees the settings. */
 void settings_close(struct settings *settings);
 
-/** Bootstrap members: the listed replicas, or this daemon alone. */
+/** Bootstrap members: the listed replicas that are not spare, or this daemon alone. */
 void settings_members(const struct settings *settings, struct raft_members *members);
 
 /** Address of a state replica, or NULL. */
--- a/src/sim/sim.c
+++ b/src/sim/sim.c
@@ -17,6 +17,8 @@
     SIM_CLIENT_HEARTBEAT_MS = 200,
     SIM_REQUEST_MS = 1500,
     SIM_POST_MS = 3600000,
+    SIM_RESTORE_MS = 500, /* period of putting a removed replica back after the faults */
+    SIM_NOBODY = 2,       /* token of requests that no caller or operator waits for */
     SIM_FAULT_PERCENT = 2 /* chance of a new fault in a step */
 };
 
@@ -306,12 +308,42 @@
 
 void sim_post(struct sim *sim, uint32_t gateway, uint32_t group, const Entry *entry)
 {
-    enum { NOBODY = 2 }; /* no caller's or operator's ticket */
-    sim_send_request(sim, gateway, group, REQUEST_PROPOSE, Entry_fields, entry, NOBODY, SIM_POST_MS);
+    sim_send_request(sim, gateway, group, REQUEST_PROPOSE, Entry_fields, entry, SIM_NOBODY, SIM_POST_MS);
 }
 
 /* ---- Faults --------------------------------------------------------------------------------- */
 
+static void sim_request_member(struct sim *sim, uint32_t group, MemberAction action)
+{
+    uint32_t gateway = sim_pick_gateway(sim);
+    MemberChange change = {.node = sim->options.replicas, .action = action};
+    if (sim_node(sim, gateway)->up) {
+        sim_send_request(sim, gateway, group, REQUEST_MEMBERS, MemberChange_fields, &change, SIM_NOBODY,
+                         SIM_REQUEST_MS);
+    }
+}
+
+/* An operator removes the last replica from a group, or puts it back; of five
+ * replicas the others keep a quorum. */
+static void sim_change_member(struct sim *sim)
+{
+    if (sim->options.replicas >= SIM_MAX_REPLICAS) {
+        sim_request_member(sim, sim_random(sim, sim->options.groups), (MemberAction)sim_random(sim, 3));
+    }
+}
+
+/* After the faults the last replica is put back into all groups. */
+static void sim_restore_members(struct sim *sim)
+{
+    if (sim->options.replicas < SIM_MAX_REPLICAS || sim->now_ms % SIM_RESTORE_MS != 0) {
+        return;
+    }
+    for (uint32_t group = 0; group < sim->options.groups; group++) {
+        sim_request_member(sim, group, MEMBER_ADD_LEARNER);
+        sim_request_member(sim, group, MEMBER_PROMOTE);
+    }
+}
+
 static void sim_crash(struct sim *sim, struct sim_node *node, uint32_t pause_ms)
 {
     if (!node->up) {
@@ -372,6 +404,7 @@
 {
     struct sim_node *any = &sim->nodes[sim_random(sim, sim->node_count)];
     struct sim_node *replica = &sim->nodes[sim_random(sim, sim->options.replicas)];
+    sim_change_member(sim);
     switch (sim_random(sim, 8)) {
     case 0: sim_crash(sim, replica, 1500); break;
     case 1: sim_crash(sim, any, 1500); break;
@@ -455,6 +488,9 @@
         sim_end_chaos(sim);
     }
     sim_heal_due(sim);
+    if (sim->calm) {
+        sim_restore_members(sim);
+    }
     sim_deliver_due(sim);
     for (uint32_t i = 0; i < sim->node_count && !sim->failed; i++) {
         if (sim->nodes[i].up && !sim->nodes[i].frozen) {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -31,6 +31,7 @@
     pid_t emulator;                     /**< Stand-ins. */
     int emulator_port;                  /**< Their port. */
     uint32_t count;                     /**< Daemons. */
+    uint32_t spares;                    /**< The last ones, not members at first; set before fleet_start(). */
     struct fleet_node nodes[FLEET_MAX]; /**< Daemons, node 1 first. */
 };
 
@@ -46,6 +47,9 @@
 /** Folder of the programs under test; set by fleet_main(). */
 extern const char *fleet_build;
 
+/** Removes a stopped daemon's data. */
+void fleet_lose_disk(const struct fleet *fleet, uint32_t node);
+
 /** Starts stand-ins and `count` daemons, ready and with a pool, a policy and a service. */
 void fleet_start(struct fleet *fleet, uint32_t count);
 
--- a/tests/integration/support_fleet.c
+++ b/tests/integration/support_fleet.c
@@ -79,6 +79,9 @@
         fprintf(file, "peer_address: 127.0.0.1:%d\nreplicas:\n", self->peer_port);
         for (uint32_t i = 0; i < fleet->count; i++) {
             fprintf(file, "  - node: %u\n    address: 127.0.0.1:%d\n", i + 1, fleet->nodes[i].peer_port);
+            if (i + fleet->spares >= fleet->count) {
+                fprintf(file, "    spare: true\n");
+            }
         }
     }
     fclose(file);
@@ -168,9 +171,18 @@
     ck_assert_int_eq(fleet_ctl(fleet, 1, wait_for_all, NULL), 0);
 }
 
+void fleet_lose_disk(const struct fleet *fleet, uint32_t node)
+{
+    char command[512];
+    snprintf(command, sizeof(command), "rm -rf '%s/node-%u'", fleet->folder, node);
+    ck_assert_int_eq(system(command), 0);
+}
+
 void fleet_start(struct fleet *fleet, uint32_t count)
 {
+    uint32_t spares = fleet->spares;
     memset(fleet, 0, sizeof(*fleet));
+    fleet->spares = spares;
     snprintf(fleet->folder, sizeof(fleet->folder), "/tmp/bankbank-test-XXXXXX");
     ck_assert_ptr_nonnull(mkdtemp(fleet->folder));
     signal(SIGPIPE, SIG_IGN);
--- a/tests/integration/test_fleet.c
+++ b/tests/integration/test_fleet.c
@@ -239,6 +239,31 @@
 }
 END_TEST
 
+static void setup_with_spare(void)
+{
+    fleet.spares = 1;
+    fleet_start(&fleet, NODES + 1);
+    fleet_create_program(&fleet, 1, program, sizeof(program));
+}
+
+START_TEST(a_lost_disk_is_replaced_by_a_spare_replica)
+{
+    static const char *const remove_lost[] = {"replica", "remove", "3", NULL};
+    static const char *const add_spare[] = {"replica", "add", "4", NULL};
+    free(fleet_must_answer(&fleet, 1, program, 1, "one"));
+    fleet_end_node(&fleet, 3, SIGKILL);
+    fleet_lose_disk(&fleet, 3);
+    ck_assert_int_eq(fleet_ctl(&fleet, 1, remove_lost, NULL), 0);
+    ck_assert_int_eq(fleet_ctl(&fleet, 2, remove_lost, NULL), 0); /* repeated */
+    ck_assert_int_eq(fleet_ctl(&fleet, 2, add_spare, NULL), 0);
+    free(fleet_must_answer(&fleet, 4, program, 2, "two"));
+    /* The new replica makes the quorum with one of the old ones. */
+    fleet_end_node(&fleet, 1, SIGKILL);
+    free(fleet_must_answer(&fleet, 2, program, 3, "three"));
+    fleet_must_verify(&fleet, 4, program, 3);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
     fleet_build = argc > 1 ? argv[1] : "build";
@@ -254,5 +279,10 @@
     tcase_add_test(tests, a_machine_on_its_way_out_gets_no_new_work);
     tcase_add_test(tests, daemons_are_restarted_one_by_one_under_load);
     suite_add_tcase(suite, tests);
+    TCase *spare = tcase_create("three daemons and a spare");
+    tcase_set_timeout(spare, 180);
+    tcase_add_checked_fixture(spare, setup_with_spare, teardown);
+    tcase_add_test(spare, a_lost_disk_is_replaced_by_a_spare_replica);
+    suite_add_tcase(suite, spare);
     return suite_run(suite);
 }
