Tell a lost call without budget as unknown, not as not run

A call whose attempt was lost and whose budget does not cover another one was refused with budget_exceeded and X-Run-State: not-run, although the lost attempt may have run. The entry's result is now unknown. Ruled out: the refusal of a first begin for lack of budget, which never reaches an engine.

The simulator's oracle had no check for "not run"; it has one now. Unit test: a_lost_call_without_budget_for_another_attempt_is_unknown.

--- a/src/core/ledger_calls.c
+++ b/src/core/ledger_calls.c
@@ -135,7 +135,7 @@
     if (!ledger_grant(program, begin, call)) {
         call->state = LEDGER_CALL_UNKNOWN;
         program->next_call = call->number + 1;
-        ledger_fail(result, RESULT_BUDGET, "the budget does not allow another attempt");
+        ledger_fail(result, RESULT_UNKNOWN, "the budget does not allow another attempt");
         return;
     }
     ledger_assign_attempt(ledger, call, begin);
--- a/src/sim/sim_callers.c
+++ b/src/sim/sim_callers.c
@@ -8,6 +8,7 @@
  *   answer      every answer for a call is the same, and of this program
  *   history     the stored history is exactly the acknowledged calls in order
  *   budget      tokens that engines really used never exceed the budget
+ *   not run     a call that was refused as not run never ran
  *   memory      an ended program leaves no engine memory without a release
  */
 #include <inttypes.h>
@@ -273,6 +274,9 @@
         return;
     case RESULT_BUDGET:
         sim->counters.budget_refusals++;
+        if (caller->calls[caller->call].runs > 0) {
+            sim_fail(sim, "not run: %s call %u was refused as not run and ran", caller->program, caller->call);
+        }
         caller->state = SIM_CALLER_READ;
         return;
     case RESULT_IN_PROGRESS:
--- a/tests/unit/ledger.c
+++ b/tests/unit/ledger.c
@@ -198,6 +198,18 @@
 }
 END_TEST
 
+/* The lost attempt may have run, so a refusal for lack of budget must not say otherwise. */
+START_TEST(a_lost_call_without_budget_for_another_attempt_is_unknown)
+{
+    create("p1-a", NULL, 35);
+    ck_assert_int_eq(begin("p1-a", 1, 1), RESULT_OK);
+    Entry again = begin_entry("p1-a", 1, 2);
+    ck_assert_int_eq(apply(&again, true), RESULT_UNKNOWN);
+    ck_assert_int_eq(begin("p1-a", 1, 3), RESULT_UNKNOWN);
+    ck_assert_int_eq(begin("p1-a", 2, 4), RESULT_BUDGET);
+}
+END_TEST
+
 START_TEST(an_aborted_attempt_cannot_begin_late)
 {
     create("p1-a", NULL, 0);
@@ -383,6 +395,7 @@
     tcase_add_test(tests, a_child_spends_its_parents_budget);
     tcase_add_test(tests, a_lost_gateways_call_is_taken_over_only_if_repeatable);
     tcase_add_test(tests, an_aborted_attempt_cannot_begin_late);
+    tcase_add_test(tests, a_lost_call_without_budget_for_another_attempt_is_unknown);
     tcase_add_test(tests, an_overdue_attempt_is_taken_over);
     tcase_add_test(tests, ending_releases_engine_memory_of_the_whole_tree);
     tcase_add_test(tests, a_program_of_one_leaves_nothing_behind);
