--- a/src/ctl/resources.c
+++ b/src/ctl/resources.c
@@ -27,7 +27,6 @@
     {"max_turns", CTL_UINT32, offsetof(Policy, max_turns)},
     {"default_budget_tokens", CTL_UINT64, offsetof(Policy, default_budget_tokens)},
     {"max_attempts", CTL_UINT32, offsetof(Policy, max_attempts)},
-    {"idle_expiry_s", CTL_UINT32, offsetof(Policy, idle_expiry_s)},
     {"call_timeout_ms", CTL_UINT32, offsetof(Policy, call_timeout_ms)},
     {"max_identical_calls", CTL_UINT32, offsetof(Policy, max_identical_calls)},
     {NULL, CTL_TEXT, 0},
--- a/src/daemon/chat.c
+++ b/src/daemon/chat.c
@@ -16,6 +16,7 @@
     CHAT_HANDLED = 200,
     CHAT_ID_DIGITS = 24,
     CHAT_ROOT_DIGITS = 8,
+    CHAT_DEFAULT_ATTEMPTS = 3,
     CHAT_MAX_ENGINE_TRIES = 8,
     CHAT_MAX_ENGINES = 1024,
     CHAT_ATTEMPT_ROOM = 48,
@@ -381,7 +382,8 @@
  * ledger refused another attempt and call->begun tells why. */
 static bool chat_run(struct chat_call *call)
 {
-    uint32_t limit = call->policy == NULL || call->policy->max_attempts == 0 ? 3 : call->policy->max_attempts;
+    bool given = call->policy != NULL && call->policy->max_attempts != 0;
+    uint32_t limit = given ? call->policy->max_attempts : CHAT_DEFAULT_ATTEMPTS;
     limit = limit > CHAT_MAX_ENGINE_TRIES ? CHAT_MAX_ENGINE_TRIES : limit;
     endpoints_note_request(&call->gateway->endpoints);
     call->answer.outcome = CHAT_NOT_RUN;
@@ -531,6 +533,16 @@
     return code == RESULT_OK;
 }
 
+/* The policy may allow a call less time than the daemon does. */
+static void chat_apply_policy_timeout(struct chat_call *call)
+{
+    uint32_t limit_ms = call->policy == NULL ? 0 : call->policy->call_timeout_ms;
+    uint64_t end_ms = clock_monotonic_ms() + limit_ms;
+    if (limit_ms != 0 && end_ms < call->deadline_ms) {
+        call->deadline_ms = end_ms;
+    }
+}
+
 static void chat_serve_begun(struct chat_call *call)
 {
     static const struct http_error no_pool = {503, "no_pool", RUN_STATE_NOT_RUN, 1};
@@ -541,6 +553,7 @@
         chat_refuse(call, &no_pool, "no pool with engines serves the policy or model");
         return;
     }
+    chat_apply_policy_timeout(call);
     if (!chat_load_history(call)) {
         chat_post_abort(call, ABORT_NOT_RUN);
         chat_refuse(call, &no_state, "the stored history cannot be read now");
--- a/tests/integration/test_restart.c
+++ b/tests/integration/test_restart.c
@@ -165,6 +165,21 @@
 }
 END_TEST
 
+START_TEST(a_hanging_engine_is_given_up_at_the_policys_limit)
+{
+    static const char *const policy[] = {"update", "policy", "default", "pool=agents", "call_timeout_ms=300", NULL};
+    struct fleet_answer answer;
+    ck_assert_int_eq(fleet_ctl(&fleet, 1, policy, NULL), 0);
+    fleet_set_fault(&fleet, "hang", 0, 0);
+    fleet_ask(&fleet, 1, program, 1, "hangs", false, NULL, &answer);
+    ck_assert_int_eq(answer.status, 502);
+    ck_assert_str_eq(answer.run_state, "unknown");
+    fleet_answer_close(&answer);
+    fleet_set_fault(&fleet, "none", 0, 0);
+    free(fleet_must_answer(&fleet, 1, program, 2, "goes on"));
+}
+END_TEST
+
 START_TEST(engine_memory_of_an_ended_program_is_released)
 {
     free(fleet_must_answer(&fleet, 1, program, 1, "first"));
@@ -205,6 +220,7 @@
     tcase_add_test(tests, a_call_that_may_not_repeat_ends_as_unknown);
     tcase_add_test(tests, a_planned_stop_finishes_what_is_in_flight);
     tcase_add_test(tests, lost_answers_of_engines_are_made_good_or_told);
+    tcase_add_test(tests, a_hanging_engine_is_given_up_at_the_policys_limit);
     tcase_add_test(tests, engine_memory_of_an_ended_program_is_released);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
