Keep only what a settled call needs in its record

A replica holds one record a call until the program ends, 1.6 million at full size. Lease, expiry, reservation and grant matter only to the running call, of which a program has one: they stand in the program now. Well-known finish reasons are no longer copied for each call (32 bytes of heap).

--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -11,12 +11,38 @@
     ledger->history = *history;
 }
 
+/* Reasons that engines give; kept once instead of with every call. */
+static const char *const ledger_known_reasons[] = {"stop", "length", "tool_calls", "content_filter", "function_call"};
+
+static const char *ledger_known_reason(const char *reason)
+{
+    for (size_t i = 0; reason != NULL && i < sizeof(ledger_known_reasons) / sizeof(ledger_known_reasons[0]); i++) {
+        if (strcmp(ledger_known_reasons[i], reason) == 0) {
+            return ledger_known_reasons[i];
+        }
+    }
+    return NULL;
+}
+
+char *ledger_reason_keep(const char *reason)
+{
+    const char *known = ledger_known_reason(reason);
+    return known != NULL ? (char *)(uintptr_t)known : text_copy(reason);
+}
+
+static void ledger_reason_free(char *reason)
+{
+    if (ledger_known_reason(reason) != reason) {
+        free(reason);
+    }
+}
+
 void ledger_call_close(struct ledger *ledger, struct ledger_call *call)
 {
     ledger->history.drop(ledger->history.context, &call->messages);
     ledger->history.drop(ledger->history.context, &call->answer);
     free(call->idempotency_key);
-    free(call->finish_reason);
+    ledger_reason_free(call->finish_reason);
 }
 
 static void ledger_unlink(struct ledger *ledger, struct ledger_program *program)
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -38,26 +38,33 @@
     LEDGER_PROGRAM_ABORTED = 4   /**< Hand-over aborted: the old site owns it. */
 };
 
-/** One call of a program. */
+/**
+ * One call of a program. There are many of these (100 turns of 16,000 programs),
+ * so what only a running call needs stands once in the program.
+ */
 struct ledger_call {
     uint32_t number;                         /**< Position in the program, from 1. */
     enum ledger_call_state state;            /**< Current state. */
-    char attempt[LEDGER_ATTEMPT_LENGTH + 1]; /**< Attempt that may finish the call. */
-    bool repeatable;                         /**< Another attempt may run after a loss. */
-    uint32_t gateway;                        /**< Daemon that runs the attempt. */
-    uint64_t gateway_epoch;                  /**< That daemon's lease epoch. */
-    uint64_t expires_ms;                     /**< Wall clock after which the running attempt counts as lost. */
     uint64_t body_hash;                      /**< Hash of the request, for resends. */
-    uint64_t reserved;                       /**< Tokens reserved while running. */
-    uint64_t granted;                        /**< Completion tokens allowed. */
+    struct history_ref messages;             /**< The caller's new messages. */
+    struct history_ref answer;               /**< The assistant's message. */
+    char *idempotency_key;                   /**< Caller's key, or NULL. */
+    char *finish_reason;                     /**< Engine's reason, or NULL; see ledger_reason_keep(). */
     uint32_t prompt_tokens;                  /**< Usage as the engine reported it. */
     uint32_t completion_tokens;              /**< Usage as the engine reported it. */
     uint32_t cached_tokens;                  /**< Prompt tokens served from the engine's cache. */
     uint32_t finished_s;                     /**< Wall clock of the finish, seconds. */
-    char *idempotency_key;                   /**< Caller's key, or NULL. */
-    char *finish_reason;                     /**< Engine's reason, or NULL. */
-    struct history_ref messages;             /**< The caller's new messages. */
-    struct history_ref answer;               /**< The assistant's message. */
+    char attempt[LEDGER_ATTEMPT_LENGTH + 1]; /**< Attempt that may finish the call, or did. */
+    bool repeatable;                         /**< Another attempt may run after a loss. */
+};
+
+/** What is known of the running call besides its record. */
+struct ledger_running {
+    uint32_t gateway;       /**< Daemon that runs the attempt. */
+    uint64_t gateway_epoch; /**< That daemon's lease epoch. */
+    uint64_t expires_ms;    /**< Wall clock after which the attempt counts as lost; 0: never. */
+    uint64_t reserved;      /**< Tokens reserved. */
+    uint64_t granted;       /**< Completion tokens allowed. */
 };
 
 /** One program. */
@@ -85,6 +92,7 @@
     uint32_t identical_calls;                        /**< Consecutive finished calls with one body hash. */
     struct ledger_call *calls;                       /**< Calls first_call ..., a running one last. */
     uint32_t call_count;                             /**< Number of calls. */
+    struct ledger_running running;                   /**< Valid while the last call runs. */
     char aborted_attempt[LEDGER_ATTEMPT_LENGTH + 1]; /**< Last attempt that did not run; it may not begin late. */
     struct history_ref imported;                     /**< History brought by a hand-over. */
     char **held_engines;                             /**< Engines that may hold memory of it. */
--- a/src/core/ledger_calls.c
+++ b/src/core/ledger_calls.c
@@ -28,14 +28,15 @@
     }
 }
 
-static void ledger_settle(struct ledger_program *program, struct ledger_call *call, uint64_t spent)
+/* Replaces the running call's reservation by what was spent. */
+static void ledger_settle(struct ledger_program *program, uint64_t spent)
 {
     for (struct ledger_program *p = program; p != NULL; p = p->parent_program) {
-        p->reserved -= call->reserved;
+        p->reserved -= program->running.reserved;
         p->spent += spent;
     }
     ledger_root(program)->attained += spent;
-    call->reserved = 0;
+    program->running.reserved = 0;
 }
 
 /* ---- Lookup ---------------------------------------------------------------- */
@@ -65,7 +66,7 @@
 static void ledger_describe(struct ledger_program *program, const struct ledger_call *call, EntryResult *result)
 {
     result->call = call->number;
-    result->granted_tokens = call->granted;
+    result->granted_tokens = program->running.granted;
     result->context_tokens = program->context_tokens;
     result->engine = program->engine;
     result->policy = program->policy;
@@ -92,31 +93,34 @@
 }
 
 /* Reserves the bound of prompt and completion; false if the budget is short. */
-static bool ledger_grant(struct ledger_program *program, const CallBegin *begin, struct ledger_call *call)
+static bool ledger_grant(struct ledger_program *program, const CallBegin *begin)
 {
+    struct ledger_running *running = &program->running;
     uint64_t remaining = ledger_remaining(program);
     uint64_t prompt_bound = program->context_tokens + begin->new_tokens_bound;
     if (remaining <= prompt_bound) {
         return false;
     }
     uint64_t completion = remaining - prompt_bound;
-    call->granted = begin->max_tokens < completion ? begin->max_tokens : completion;
-    call->reserved = prompt_bound + call->granted;
-    ledger_reserve(program, call->reserved);
+    running->granted = begin->max_tokens < completion ? begin->max_tokens : completion;
+    running->reserved = prompt_bound + running->granted;
+    ledger_reserve(program, running->reserved);
     return true;
 }
 
-static void ledger_assign_attempt(const struct ledger *ledger, struct ledger_call *call, const CallBegin *begin)
+static void ledger_assign_attempt(const struct ledger *ledger, struct ledger_program *program,
+                                  struct ledger_call *call, const CallBegin *begin)
 {
-    call->expires_ms = begin->timeout_ms == 0 ? 0 : ledger->time_ms + begin->timeout_ms;
+    struct ledger_running *running = &program->running;
     snprintf(call->attempt, sizeof(call->attempt), "%s", text_or_empty(begin->attempt));
-    call->gateway = begin->gateway;
-    call->gateway_epoch = begin->gateway_epoch;
+    running->expires_ms = begin->timeout_ms == 0 ? 0 : ledger->time_ms + begin->timeout_ms;
+    running->gateway = begin->gateway;
+    running->gateway_epoch = begin->gateway_epoch;
 }
 
 static void ledger_mark_unknown(struct ledger_program *program, struct ledger_call *call)
 {
-    ledger_settle(program, call, call->reserved);
+    ledger_settle(program, program->running.reserved);
     call->state = LEDGER_CALL_UNKNOWN;
     program->next_call = call->number + 1;
 }
@@ -131,14 +135,14 @@
         ledger_fail(result, RESULT_UNKNOWN, "the attempt was lost and the call may not be repeated");
         return;
     }
-    ledger_settle(program, call, call->reserved);
-    if (!ledger_grant(program, begin, call)) {
+    ledger_settle(program, program->running.reserved);
+    if (!ledger_grant(program, begin)) {
         call->state = LEDGER_CALL_UNKNOWN;
         program->next_call = call->number + 1;
         ledger_fail(result, RESULT_UNKNOWN, "the budget does not allow another attempt");
         return;
     }
-    ledger_assign_attempt(ledger, call, begin);
+    ledger_assign_attempt(ledger, program, call, begin);
     ledger_describe(program, call, result);
 }
 
@@ -164,7 +168,8 @@
     }
     bool replaces = text_or_empty(begin->replaces)[0] != '\0' && text_equal(call->attempt, begin->replaces);
     /* A delayed copy of a begin can start an attempt that nobody runs any more. */
-    bool overdue = call->expires_ms != 0 && ledger->time_ms > call->expires_ms;
+    uint64_t expires_ms = program->running.expires_ms;
+    bool overdue = expires_ms != 0 && ledger->time_ms > expires_ms;
     if (owner_expired || replaces || overdue) {
         ledger_take_over(ledger, program, call, begin, result);
         return;
@@ -199,11 +204,11 @@
     if (!ledger_limits_allow(ledger, program, begin, result)) {
         return;
     }
-    if (!ledger_grant(program, begin, &call)) {
+    if (!ledger_grant(program, begin)) {
         ledger_fail(result, RESULT_BUDGET, "the budget does not cover the prompt and one token of answer");
         return;
     }
-    ledger_assign_attempt(ledger, &call, begin);
+    ledger_assign_attempt(ledger, program, &call, begin);
     call.repeatable = begin->repeatable;
     call.body_hash = begin->body_hash;
     call.idempotency_key = text_or_empty(begin->idempotency_key)[0] == '\0' ? NULL : text_copy(begin->idempotency_key);
@@ -307,13 +312,13 @@
 static void ledger_finish_running(struct ledger *ledger, struct ledger_program *program, struct ledger_call *call,
                                   const CallFinish *finish)
 {
-    ledger_settle(program, call, finish->prompt_tokens + finish->completion_tokens);
+    ledger_settle(program, finish->prompt_tokens + finish->completion_tokens);
     call->state = LEDGER_CALL_FINISHED;
     call->finished_s = (uint32_t)(ledger->time_ms / 1000U);
     call->prompt_tokens = (uint32_t)finish->prompt_tokens;
     call->completion_tokens = (uint32_t)finish->completion_tokens;
     call->cached_tokens = (uint32_t)finish->cached_tokens;
-    call->finish_reason = text_copy(finish->finish_reason);
+    call->finish_reason = ledger_reason_keep(finish->finish_reason);
     ledger->history.append(ledger->history.context, view_of_string(finish->answer), &call->answer);
     program->next_call = call->number + 1;
     program->context_tokens = finish->prompt_tokens + finish->completion_tokens;
@@ -360,7 +365,7 @@
 static void ledger_forget_last_call(struct ledger *ledger, struct ledger_program *program)
 {
     struct ledger_call *call = &program->calls[program->call_count - 1];
-    ledger_settle(program, call, 0);
+    ledger_settle(program, 0);
     ledger_call_close(ledger, call);
     program->call_count--;
 }
--- a/src/core/ledger_internal.h
+++ b/src/core/ledger_internal.h
@@ -23,6 +23,8 @@
 void ledger_add_release(struct ledger *ledger, const char *program, const char *engine);
 void ledger_create(struct ledger *ledger, const ProgramCreate *create, EntryResult *result);
 void ledger_call_close(struct ledger *ledger, struct ledger_call *call);
+/* Keeps a finish reason; well-known ones cost no memory. */
+char *ledger_reason_keep(const char *reason);
 void ledger_fail(EntryResult *result, ResultCode code, const char *message);
 
 /* ledger_calls.c */
--- a/src/core/ledger_snapshot.c
+++ b/src/core/ledger_snapshot.c
@@ -45,18 +45,31 @@
     }
 }
 
+static void export_running(const struct ledger_running *running, CallRecord *record)
+{
+    record->gateway = running->gateway;
+    record->gateway_epoch = running->gateway_epoch;
+    record->reserved = running->reserved;
+    record->granted = running->granted;
+    record->expires_ms = running->expires_ms;
+}
+
+static void import_running(const CallRecord *record, struct ledger_running *running)
+{
+    running->gateway = record->gateway;
+    running->gateway_epoch = record->gateway_epoch;
+    running->reserved = record->reserved;
+    running->granted = record->granted;
+    running->expires_ms = record->expires_ms;
+}
+
 static void export_call(const struct ledger *ledger, bool with_text, const struct ledger_call *call, CallRecord *record)
 {
     record->number = call->number;
     record->attempt = text_copy(call->attempt);
     record->state = call->state;
     record->repeatable = call->repeatable;
-    record->gateway = call->gateway;
-    record->gateway_epoch = call->gateway_epoch;
     record->body_hash = call->body_hash;
-    record->reserved = call->reserved;
-    record->granted = call->granted;
-    record->expires_ms = call->expires_ms;
     record->prompt_tokens = call->prompt_tokens;
     record->completion_tokens = call->completion_tokens;
     record->cached_tokens = call->cached_tokens;
@@ -100,6 +113,9 @@
     record->calls = memory_new(program->call_count * sizeof(*record->calls));
     for (uint32_t i = 0; i < program->call_count; i++) {
         export_call(ledger, with_text, &program->calls[i], &record->calls[i]);
+        if (program->calls[i].state == LEDGER_CALL_RUNNING) {
+            export_running(&program->running, &record->calls[i]);
+        }
     }
     record->held_engines_count = (pb_size_t)program->held_count;
     record->held_engines = memory_new(program->held_count * sizeof(*record->held_engines));
@@ -130,18 +146,13 @@
     snprintf(call->attempt, sizeof(call->attempt), "%s", text_or_empty(record->attempt));
     call->state = (enum ledger_call_state)record->state;
     call->repeatable = record->repeatable;
-    call->gateway = record->gateway;
-    call->gateway_epoch = record->gateway_epoch;
     call->body_hash = record->body_hash;
-    call->reserved = record->reserved;
-    call->granted = record->granted;
-    call->expires_ms = record->expires_ms;
     call->prompt_tokens = (uint32_t)record->prompt_tokens;
     call->completion_tokens = (uint32_t)record->completion_tokens;
     call->cached_tokens = (uint32_t)record->cached_tokens;
     call->finished_s = record->finished_s;
     call->idempotency_key = snapshot_text(record->idempotency_key);
-    call->finish_reason = snapshot_text(record->finish_reason);
+    call->finish_reason = ledger_reason_keep(record->finish_reason);
     snapshot_get(ledger, record->messages, record->has_messages_ref, &record->messages_ref, &call->messages);
     snapshot_get(ledger, record->answer, record->has_answer_ref, &record->answer_ref, &call->answer);
 }
@@ -175,6 +186,9 @@
     program->calls = memory_new(record->calls_count * sizeof(*program->calls));
     for (pb_size_t i = 0; i < record->calls_count; i++) {
         import_call(ledger, &record->calls[i], &program->calls[i]);
+        if (program->calls[i].state == LEDGER_CALL_RUNNING) {
+            import_running(&record->calls[i], &program->running);
+        }
     }
     for (pb_size_t i = 0; i < record->held_engines_count; i++) {
         ledger_hold_engine(program, record->held_engines[i]);
--- a/src/core/state_machine.c
+++ b/src/core/state_machine.c
@@ -51,8 +51,8 @@
     uint8_t flags = 0;
     if (decoded.which_command == Entry_call_begin_tag) {
         struct ledger_program *program = ledger_find(&machine->ledger, decoded.command.call_begin.program);
-        const struct ledger_call *running = program == NULL ? NULL : ledger_running_call(program);
-        if (running != NULL && lease_table_is_over(leases, running->gateway, running->gateway_epoch)) {
+        bool runs = program != NULL && ledger_running_call(program) != NULL;
+        if (runs && lease_table_is_over(leases, program->running.gateway, program->running.gateway_epoch)) {
             flags |= STATE_FLAG_OWNER_EXPIRED;
         }
     }
