--- a/src/core/ledger_calls.c
+++ b/src/core/ledger_calls.c
@@ -108,8 +108,8 @@
     return true;
 }
 
-static void ledger_assign_attempt(const struct ledger *ledger, struct ledger_program *program,
-                                  struct ledger_call *call, const CallBegin *begin)
+static void ledger_assign_attempt(const struct ledger *ledger, struct ledger_program *program, struct ledger_call *call,
+                                  const CallBegin *begin)
 {
     struct ledger_running *running = &program->running;
     snprintf(call->attempt, sizeof(call->attempt), "%s", text_or_empty(begin->attempt));
--- a/tests/fuzz/fuzz_ledger.c
+++ b/tests/fuzz/fuzz_ledger.c
@@ -15,6 +15,7 @@
 
 #include "base/message.h"
 #include "core/ledger.h"
+#include "support/texts.h"
 
 enum { PROGRAMS = 3, MAX_CALLS = 32, BUDGET = 400, PROMPT_BOUND = 10, MAX_TOKENS = 20, ATTEMPTS = 8 };
 
@@ -43,7 +44,6 @@
 static const char *const program_ids[PROGRAMS] = {"p1-a", "p1-b", "p2-c"};
 
 static struct ledger ledger;
-static struct buffer texts;
 static EntryResult result;
 static struct model models[PROGRAMS];
 static unsigned texts_made;
@@ -54,32 +54,6 @@
     abort();
 }
 
-/* ---- Storage of texts ------------------------------------------------------------------ */
-
-static void keep_text(void *context, struct view text, struct history_ref *ref)
-{
-    (void)context;
-    ref->segment = 1;
-    ref->offset = texts.length;
-    ref->length = (uint32_t)text.length;
-    buffer_append(&texts, text.data, text.length);
-}
-
-static bool read_text(void *context, const struct history_ref *ref, struct buffer *out)
-{
-    (void)context;
-    buffer_append(out, texts.data + ref->offset, ref->length);
-    return true;
-}
-
-static void ignore_text(void *context, const struct history_ref *ref)
-{
-    (void)context;
-    (void)ref;
-}
-
-static const struct history_io history = {NULL, keep_text, read_text, ignore_text, ignore_text};
-
 /* ---- Entries ------------------------------------------------------------------------------ */
 
 static ResultCode apply(const Entry *entry, bool owner_expired)
@@ -254,7 +228,7 @@
     message_encode(&encoded, StateSnapshot_fields, &snapshot);
     message_free(StateSnapshot_fields, &snapshot);
     ledger_close(&ledger);
-    ledger_init(&ledger, &history);
+    ledger_init(&ledger, &texts_history);
     if (!message_decode(buffer_view(&encoded), StateSnapshot_fields, &decoded)) {
         fail("snapshot", 0);
     }
@@ -333,7 +307,7 @@
     enum { COMMAND_BYTES = 4 };
     memset(models, 0, sizeof(models));
     texts_made = 0;
-    ledger_init(&ledger, &history);
+    ledger_init(&ledger, &texts_history);
     for (size_t i = 0; i + COMMAND_BYTES <= size; i += COMMAND_BYTES) {
         run_command(data + i);
         check_all();
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -92,8 +92,8 @@
 /** Sets a fault at every engine. */
 void fleet_set_fault(const struct fleet *fleet, const char *fault, int amount, int count);
 
-/** Statistics of the stand-ins. */
-json_t *fleet_stats(const struct fleet *fleet);
+/** Sum of a statistic over the stand-ins of a kind, "engines" or "backends". */
+json_int_t fleet_sum(const struct fleet *fleet, const char *kind, const char *statistic);
 
 /** Runs bankbankctl against a node; words end with NULL. Returns its exit status and output (owned). */
 int fleet_ctl(const struct fleet *fleet, uint32_t node, const char *const *words, char **output);
--- a/tests/integration/support_fleet.c
+++ b/tests/integration/support_fleet.c
@@ -419,14 +419,22 @@
     }
 }
 
-json_t *fleet_stats(const struct fleet *fleet)
+json_int_t fleet_sum(const struct fleet *fleet, const char *kind, const char *statistic)
 {
     struct fleet_answer answer;
+    json_int_t sum = 0;
+    size_t position;
+    json_t *item;
     fleet_request(fleet->emulator_port, "GET", "/control/stats", NULL, NULL, &answer);
     json_t *stats = json_loads(buffer_text(&answer.body), 0, NULL);
     ck_assert_ptr_nonnull(stats);
+    json_array_foreach(json_object_get(stats, kind), position, item)
+    {
+        sum += json_integer_value(json_object_get(item, statistic));
+    }
+    json_decref(stats);
     fleet_answer_close(&answer);
-    return stats;
+    return sum;
 }
 
 double fleet_metric(const struct fleet *fleet, uint32_t node, const char *name)
--- a/tests/integration/test_fleet.c
+++ b/tests/integration/test_fleet.c
@@ -180,31 +180,17 @@
 }
 END_TEST
 
-static json_int_t backend_requests(void)
-{
-    json_t *stats = fleet_stats(&fleet);
-    json_int_t requests = 0;
-    size_t i;
-    json_t *backend;
-    json_array_foreach(json_object_get(stats, "backends"), i, backend)
-    {
-        requests += json_integer_value(json_object_get(backend, "requests"));
-    }
-    json_decref(stats);
-    return requests;
-}
-
 /* Sends plain requests; true once none of a round reached a back end. */
 static bool no_backend_is_used(void *context)
 {
-    json_int_t before = backend_requests();
+    json_int_t before = fleet_sum(&fleet, "backends", "requests");
     (void)context;
     for (int i = 0; i < 10; i++) {
         struct fleet_answer answer;
         fleet_request(fleet.nodes[i % NODES].caller_port, "POST", "/services/calculator/x", "x", NULL, &answer);
         fleet_answer_close(&answer);
     }
-    return backend_requests() == before;
+    return fleet_sum(&fleet, "backends", "requests") == before;
 }
 
 START_TEST(a_machine_on_its_way_out_gets_no_new_work)
--- a/tests/integration/test_inputs.c
+++ b/tests/integration/test_inputs.c
@@ -115,28 +115,13 @@
     free(fleet_must_answer(&fleet, 1, program, 1, "still serving"));
 }
 
-/* Requests that the engines ran. */
-static json_int_t engine_requests(void)
-{
-    json_t *stats = fleet_stats(&fleet);
-    json_int_t requests = 0;
-    size_t i;
-    json_t *engine;
-    json_array_foreach(json_object_get(stats, "engines"), i, engine)
-    {
-        requests += json_integer_value(json_object_get(engine, "requests"));
-    }
-    json_decref(stats);
-    return requests;
-}
-
 START_TEST(a_body_cut_off_runs_nothing)
 {
-    json_int_t before = engine_requests();
+    json_int_t before = fleet_sum(&fleet, "engines", "requests");
     static const char cut[] =
         "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n{\"messages\":";
     expect_survival(cut, sizeof(cut) - 1, true);
-    ck_assert_int_eq(engine_requests(), before + 1); /* the one that shows the survival */
+    ck_assert_int_eq(fleet_sum(&fleet, "engines", "requests"), before + 1); /* the one that shows the survival */
 }
 END_TEST
 
--- a/tests/integration/test_restart.c
+++ b/tests/integration/test_restart.c
@@ -48,16 +48,7 @@
 static bool a_sequence_runs(void *context)
 {
     (void)context;
-    json_t *stats = fleet_stats(&fleet);
-    json_int_t running = 0;
-    size_t i;
-    json_t *engine;
-    json_array_foreach(json_object_get(stats, "engines"), i, engine)
-    {
-        running += json_integer_value(json_object_get(engine, "running"));
-    }
-    json_decref(stats);
-    return running > 0;
+    return fleet_sum(&fleet, "engines", "running") > 0;
 }
 
 /* Starts a slow call and waits until an engine runs it. */
@@ -180,6 +171,12 @@
 }
 END_TEST
 
+static bool no_memory_is_held(void *context)
+{
+    (void)context;
+    return fleet_sum(&fleet, "engines", "held_tokens") == 0;
+}
+
 START_TEST(engine_memory_of_an_ended_program_is_released)
 {
     free(fleet_must_answer(&fleet, 1, program, 1, "first"));
@@ -189,22 +186,7 @@
     fleet_request(fleet.nodes[0].caller_port, "DELETE", path, NULL, NULL, &answer);
     ck_assert_int_eq(answer.status / 100, 2);
     fleet_answer_close(&answer);
-    json_int_t held = 1;
-    for (int i = 0; i < 500 && held > 0; i++) {
-        json_t *stats = fleet_stats(&fleet);
-        size_t position;
-        json_t *engine;
-        held = 0;
-        json_array_foreach(json_object_get(stats, "engines"), position, engine)
-        {
-            held += json_integer_value(json_object_get(engine, "held_tokens"));
-        }
-        json_decref(stats);
-        if (held > 0) {
-            fleet_wait_ready(&fleet, 1);
-        }
-    }
-    ck_assert_int_eq(held, 0);
+    ck_assert(fleet_wait_for(no_memory_is_held, NULL));
 }
 END_TEST
 
--- /dev/null
+++ b/tests/support/texts.h
@@ -0,0 +1,39 @@
+/**
+ * @file texts.h
+ * Text storage of a ledger in memory, for tests.
+ */
+#ifndef BANKBANK_TESTS_TEXTS_H
+#define BANKBANK_TESTS_TEXTS_H
+
+#include "base/buffer.h"
+#include "core/history.h"
+
+/** All texts; close it after the ledger. */
+static struct buffer texts;
+
+static void texts_keep(void *context, struct view text, struct history_ref *ref)
+{
+    (void)context;
+    ref->segment = 1;
+    ref->offset = texts.length;
+    ref->length = (uint32_t)text.length;
+    buffer_append(&texts, text.data, text.length);
+}
+
+static bool texts_read(void *context, const struct history_ref *ref, struct buffer *out)
+{
+    (void)context;
+    buffer_append(out, texts.data + ref->offset, ref->length);
+    return true;
+}
+
+static void texts_ignore(void *context, const struct history_ref *ref)
+{
+    (void)context;
+    (void)ref;
+}
+
+/** Storage to start a ledger with. */
+static const struct history_io texts_history = {NULL, texts_keep, texts_read, texts_ignore, texts_ignore};
+
+#endif
--- a/tests/unit/ledger.c
+++ b/tests/unit/ledger.c
@@ -5,37 +5,14 @@
 #include "base/message.h"
 #include "core/ledger.h"
 #include "suite.h"
+#include "support/texts.h"
 
-static struct buffer texts;
 static struct ledger ledger;
 static EntryResult result;
 
-static void keep_text(void *context, struct view text, struct history_ref *ref)
-{
-    (void)context;
-    ref->segment = 1;
-    ref->offset = texts.length;
-    ref->length = (uint32_t)text.length;
-    buffer_append(&texts, text.data, text.length);
-}
-
-static bool read_text(void *context, const struct history_ref *ref, struct buffer *out)
-{
-    (void)context;
-    buffer_append(out, texts.data + ref->offset, ref->length);
-    return true;
-}
-
-static void ignore_text(void *context, const struct history_ref *ref)
-{
-    (void)context;
-    (void)ref;
-}
-
 static void setup(void)
 {
-    struct history_io history = {NULL, keep_text, read_text, ignore_text, ignore_text};
-    ledger_init(&ledger, &history);
+    ledger_init(&ledger, &texts_history);
 }
 
 static void teardown(void)
