Repeat lost calls when asked again; spread request ids over restarts

Causes, each found by a test or the simulator: - a repeatable call whose engine was lost was closed as unknown for good, so a caller that asked again as told got 409. Its attempt now counts as lost and the next one may take it over; a caller may also go on to the next call, which settles the lost one as unknown. Before, it was stuck if it could not repeat its text. Ruled out: the new rule, the abort, a ghost attempt. Cause: a restarted gateway numbered its requests from 1 again and matched a late answer to its earlier start, so a call ran without a committed begin. Request ids start at the boot id times an odd constant. Test: an_answer_to_an_earlier_start_is_ignored (failed before).

--- a/src/core/control_client.c
+++ b/src/core/control_client.c
@@ -7,6 +7,10 @@
 
 enum { CONTROL_OWN_REQUEST_MS = 3000 };
 
+/* Spreads the request ids of different starts, so that a late answer to an
+ * earlier start matches no request of this one. */
+static const uint64_t CONTROL_ID_SPREAD = 0x9e3779b97f4a7c15U;
+
 void control_client_init(struct control_client *client, const struct control_client_config *config,
                          const struct control_client_io *io)
 {
@@ -17,6 +21,7 @@
         client->config.heartbeat_ms = CONTROL_HEARTBEAT_MS;
     }
     client->rotation = config->node;
+    client->next_id = config->boot_id * CONTROL_ID_SPREAD;
     config_store_init(&client->store);
     client->store.revision = 0;
 }
--- a/src/core/ledger_calls.c
+++ b/src/core/ledger_calls.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum { LEDGER_LOST_MS = 1 /* expiry, long past, of an attempt that was given up */ };
+
 /* ---- Budget: charged to the program and all its ancestors ---------------- */
 
 static uint64_t ledger_remaining(const struct ledger_program *program)
@@ -146,6 +148,30 @@
     ledger_describe(program, call, result);
 }
 
+/* Whether nobody runs the running call any more: its gateway is gone, its time
+ * is up (a delayed copy of a begin can start an attempt that nobody runs), or it
+ * was given up with an unknown outcome. */
+static bool ledger_is_lost(const struct ledger *ledger, const struct ledger_program *program, bool owner_expired)
+{
+    uint64_t expires_ms = program->running.expires_ms;
+    return owner_expired || (expires_ms != 0 && ledger->time_ms > expires_ms);
+}
+
+/* A caller that goes on to the next call leaves a lost one behind for good. */
+static void ledger_leave_lost_call(const struct ledger *ledger, struct ledger_program *program, bool owner_expired,
+                                   const CallBegin *begin)
+{
+    struct ledger_call *running = ledger_running_call(program);
+    if (running == NULL || !ledger_is_lost(ledger, program, owner_expired)) {
+        return;
+    }
+    bool next = begin->call == running->number + 1;
+    bool another = begin->call == 0 && begin->body_hash != running->body_hash;
+    if (next || another) {
+        ledger_mark_unknown(program, running);
+    }
+}
+
 static void ledger_begin_known(struct ledger *ledger, struct ledger_program *program, struct ledger_call *call,
                                bool owner_expired, const CallBegin *begin, EntryResult *result)
 {
@@ -167,10 +193,7 @@
         return;
     }
     bool replaces = text_or_empty(begin->replaces)[0] != '\0' && text_equal(call->attempt, begin->replaces);
-    /* A delayed copy of a begin can start an attempt that nobody runs any more. */
-    uint64_t expires_ms = program->running.expires_ms;
-    bool overdue = expires_ms != 0 && ledger->time_ms > expires_ms;
-    if (owner_expired || replaces || overdue) {
+    if (replaces || ledger_is_lost(ledger, program, owner_expired)) {
         ledger_take_over(ledger, program, call, begin, result);
         return;
     }
@@ -251,6 +274,7 @@
         result->owner = program->owner;
         return;
     }
+    ledger_leave_lost_call(ledger, program, owner_expired, begin);
     struct ledger_call *known = ledger_call_by_key(program, begin->idempotency_key);
     if (known != NULL && begin->call != 0 && known->number != begin->call) {
         ledger_fail(result, RESULT_CONFLICT, "the idempotency key was used for another call number");
@@ -390,6 +414,8 @@
     if (abort_entry->outcome == ABORT_NOT_RUN) {
         snprintf(program->aborted_attempt, sizeof(program->aborted_attempt), "%s", call->attempt);
         ledger_forget_last_call(ledger, program);
+    } else if (call->repeatable && !program->single) {
+        program->running.expires_ms = LEDGER_LOST_MS; /* the next attempt may take it over */
     } else {
         ledger_mark_unknown(program, call);
     }
--- a/src/daemon/chat_attempts.c
+++ b/src/daemon/chat_attempts.c
@@ -163,6 +163,7 @@
         chat_run_at(call, engine, attempt_id);
         free(call->begun.engine);
         call->begun.engine = text_copy(engine->base_url);
+        call->lost = call->lost || call->answer.outcome == CHAT_LOST;
         if (call->answer.outcome == CHAT_DONE) {
             return true;
         }
--- a/src/daemon/chat_call.h
+++ b/src/daemon/chat_call.h
@@ -37,6 +37,7 @@
     const Policy *policy;                    /**< Policy of the program, or NULL. */
     const Pool *pool;                        /**< Pool that serves it. */
     struct chat_answer answer;               /**< Outcome of the last attempt. */
+    bool lost;                               /**< An attempt was lost and may have run. */
     char tried[CHAT_MAX_ENGINES];            /**< Engines of the pool that were tried. */
     char headers[256];                       /**< Header lines of the answer. */
 };
--- a/src/daemon/chat_reply.c
+++ b/src/daemon/chat_reply.c
@@ -173,7 +173,7 @@
 void chat_send_failure(struct chat_call *call)
 {
     struct chat_answer *answer = &call->answer;
-    if (answer->outcome == CHAT_LOST) {
+    if (call->lost) {
         struct http_error error = {502, "engine_failed", RUN_STATE_UNKNOWN, 0};
         chat_post_abort(call, ABORT_UNKNOWN);
         gateway_count(call->gateway, calls_unknown);
--- a/tests/integration/test_restart.c
+++ b/tests/integration/test_restart.c
@@ -167,7 +167,9 @@
     ck_assert_str_eq(answer.run_state, "unknown");
     fleet_answer_close(&answer);
     fleet_set_fault(&fleet, "none", 0, 0);
+    free(fleet_must_answer(&fleet, 1, program, 1, "hangs")); /* repeatable: asked again, answered */
     free(fleet_must_answer(&fleet, 1, program, 2, "goes on"));
+    fleet_must_verify(&fleet, 1, program, 2);
 }
 END_TEST
 
@@ -177,6 +179,19 @@
     return fleet_sum(&fleet, "engines", "held_tokens") == 0;
 }
 
+START_TEST(a_refusal_after_a_lost_attempt_does_not_say_not_run)
+{
+    struct fleet_answer answer;
+    /* One engine cuts the answer, the others refuse: whatever the order, an attempt may have run. */
+    fleet_set_fault(&fleet, "refuse", 0, 0);
+    fleet_set_fault_at(&fleet, 1, "cut", 1, 0);
+    fleet_ask(&fleet, 1, program, 1, "cut or refused", false, NULL, &answer);
+    ck_assert_int_ge(answer.status, 500);
+    ck_assert_str_eq(answer.run_state, "unknown");
+    fleet_answer_close(&answer);
+}
+END_TEST
+
 START_TEST(engine_memory_of_an_ended_program_is_released)
 {
     free(fleet_must_answer(&fleet, 1, program, 1, "first"));
@@ -203,6 +218,7 @@
     tcase_add_test(tests, a_planned_stop_finishes_what_is_in_flight);
     tcase_add_test(tests, lost_answers_of_engines_are_made_good_or_told);
     tcase_add_test(tests, a_hanging_engine_is_given_up_at_the_policys_limit);
+    tcase_add_test(tests, a_refusal_after_a_lost_attempt_does_not_say_not_run);
     tcase_add_test(tests, engine_memory_of_an_ended_program_is_released);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
--- /dev/null
+++ b/tests/unit/control_client.c
@@ -0,0 +1,81 @@
+/* A daemon's control client, by itself. */
+#include <string.h>
+
+#include "base/message.h"
+#include "core/control_client.h"
+#include "suite.h"
+
+enum { REPLICA = 1, NODE = 7, NOW_MS = 1000 };
+
+static uint64_t sent_request;
+static uint32_t completed;
+
+static bool note_sent(void *context, uint32_t to, struct view bytes)
+{
+    Frame frame = {0};
+    (void)context;
+    (void)to;
+    if (message_decode(bytes, Frame_fields, &frame) && frame.which_payload == Frame_request_tag) {
+        sent_request = frame.payload.request.id;
+    }
+    message_free(Frame_fields, &frame);
+    return true;
+}
+
+static void note_completed(void *context, void *token, ResultCode code, struct view body)
+{
+    (void)context;
+    (void)token;
+    (void)code;
+    (void)body;
+    completed++;
+}
+
+static void ignore_config(void *context, const struct config_store *config)
+{
+    (void)context;
+    (void)config;
+}
+
+static void start(struct control_client *client, uint64_t boot_id)
+{
+    struct control_client_config config = {
+        .node = NODE, .boot_id = boot_id, .groups = 1, .replica_count = 1, .replicas = {REPLICA}};
+    struct control_client_io io = {NULL, note_sent, note_completed, ignore_config};
+    control_client_init(client, &config, &io);
+}
+
+/* Found by the simulator: a restarted gateway took the late answer to a request
+ * of its earlier start for the answer to its own first request, and ran a call
+ * whose begin was not committed. */
+START_TEST(an_answer_to_an_earlier_start_is_ignored)
+{
+    struct control_client client;
+    start(&client, 1);
+    control_client_submit(&client, NOW_MS, 0, REQUEST_CONFIG, view_of_string("q"), NOW_MS + 5000, &client);
+    uint64_t earlier = sent_request;
+    control_client_close(&client);
+    completed = 0;
+    start(&client, 2);
+    control_client_submit(&client, NOW_MS, 0, REQUEST_CONFIG, view_of_string("q"), NOW_MS + 5000, &client);
+    Frame frame = {0};
+    frame.which_payload = Frame_reply_tag;
+    frame.payload.reply.id = earlier;
+    frame.payload.reply.code = RESULT_OK;
+    control_client_receive(&client, NOW_MS + 1, REPLICA, &frame);
+    ck_assert_uint_eq(completed, 0);
+    frame.payload.reply.id = sent_request;
+    control_client_receive(&client, NOW_MS + 2, REPLICA, &frame);
+    ck_assert_uint_eq(completed, 1);
+    control_client_close(&client);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("control client");
+    TCase *tests = tcase_create("pure");
+    tcase_add_test(tests, an_answer_to_an_earlier_start_is_ignored);
+    suite_add_tcase(suite, tests);
+    return suite_run(suite);
+}
