Keep a lost attempt in mind when its follower does not run

Read out of the code after the last fault: when another attempt takes a lost one over and then certainly does not run, its abort made the ledger forget the call, and the caller was told not-run, although the lost attempt may have run. The ledger now tells a begin that it follows a lost attempt and keeps the call until it is settled; the gateway says unknown. A repeatable program of one with a key may be asked again like any other. Tests: an_abort_after_a_lost_attempt_keeps_the_loss_in_mind, a_repeatable_program_of_one_is_asked_again_by_its_key, slow_clients_hold_nobody_up (16 half-sent requests beside a call).

--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -65,6 +65,7 @@
     uint64_t expires_ms;    /**< Wall clock after which the attempt counts as lost; 0: never. */
     uint64_t reserved;      /**< Tokens reserved. */
     uint64_t granted;       /**< Completion tokens allowed. */
+    bool after_loss;        /**< An attempt before this one was lost and may have run. */
 };
 
 /** One program. */
--- a/src/core/ledger_calls.c
+++ b/src/core/ledger_calls.c
@@ -69,6 +69,7 @@
 {
     result->call = call->number;
     result->granted_tokens = program->running.granted;
+    result->after_loss = program->running.after_loss;
     result->context_tokens = program->context_tokens;
     result->engine = program->engine;
     result->policy = program->policy;
@@ -145,6 +146,7 @@
         return;
     }
     ledger_assign_attempt(ledger, program, call, begin);
+    program->running.after_loss = true;
     ledger_describe(program, call, result);
 }
 
@@ -232,6 +234,7 @@
         return;
     }
     ledger_assign_attempt(ledger, program, &call, begin);
+    program->running.after_loss = false;
     call.repeatable = begin->repeatable;
     call.body_hash = begin->body_hash;
     call.idempotency_key = text_or_empty(begin->idempotency_key)[0] == '\0' ? NULL : text_copy(begin->idempotency_key);
@@ -351,10 +354,10 @@
     ledger_count_identical(program, call);
 }
 
-/* A program of one ends with its answer; without a key nobody can ask again. */
-static void ledger_finish_single(struct ledger *ledger, struct ledger_program *program, const struct ledger_call *call)
+/* Ends a program of one with its only call; without a key nobody can ask again. */
+static void ledger_end_single(struct ledger *ledger, struct ledger_program *program)
 {
-    if (call->idempotency_key == NULL) {
+    if (program->call_count == 0 || program->calls[0].idempotency_key == NULL) {
         ledger_remove(ledger, program);
         return;
     }
@@ -380,7 +383,7 @@
     result->finished_s = call->finished_s;
     ledger_touch(ledger, program);
     if (program->single) {
-        ledger_finish_single(ledger, program, call);
+        ledger_end_single(ledger, program);
         return;
     }
     ledger_hold_engine(program, finish->engine);
@@ -402,6 +405,15 @@
     }
 }
 
+/* Keeps the call for another attempt, as an attempt of it may have run. */
+static void ledger_keep_lost_call(struct ledger_program *program, const CallAbort *abort_entry)
+{
+    if (abort_entry->outcome == ABORT_NOT_RUN) {
+        ledger_settle(program, 0);
+    }
+    program->running.expires_ms = LEDGER_LOST_MS;
+}
+
 void ledger_abort(struct ledger *ledger, const CallAbort *abort_entry)
 {
     struct ledger_program *program = ledger_find(ledger, abort_entry->program);
@@ -411,20 +423,21 @@
         ledger_fence_attempt(program, abort_entry);
         return;
     }
-    if (abort_entry->outcome == ABORT_NOT_RUN) {
+    bool ran_maybe = abort_entry->outcome == ABORT_UNKNOWN || program->running.after_loss;
+    bool can_be_asked_again = !program->single || call->idempotency_key != NULL;
+    ledger_touch(ledger, program);
+    if (ran_maybe && call->repeatable && can_be_asked_again) {
+        ledger_keep_lost_call(program, abort_entry);
+        return;
+    }
+    if (ran_maybe) {
+        ledger_mark_unknown(program, call);
+    } else {
         snprintf(program->aborted_attempt, sizeof(program->aborted_attempt), "%s", call->attempt);
         ledger_forget_last_call(ledger, program);
-    } else if (call->repeatable && !program->single) {
-        program->running.expires_ms = LEDGER_LOST_MS; /* the next attempt may take it over */
-    } else {
-        ledger_mark_unknown(program, call);
     }
-    ledger_touch(ledger, program);
-    bool forget = program->single && (program->call_count == 0 || call->idempotency_key == NULL);
-    if (forget) {
-        ledger_remove(ledger, program);
-    } else if (program->single) {
-        program->state = LEDGER_PROGRAM_ENDED;
+    if (program->single) {
+        ledger_end_single(ledger, program);
     }
 }
 
--- a/src/core/ledger_snapshot.c
+++ b/src/core/ledger_snapshot.c
@@ -52,6 +52,7 @@
     record->reserved = running->reserved;
     record->granted = running->granted;
     record->expires_ms = running->expires_ms;
+    record->after_loss = running->after_loss;
 }
 
 static void import_running(const CallRecord *record, struct ledger_running *running)
@@ -61,6 +62,7 @@
     running->reserved = record->reserved;
     running->granted = record->granted;
     running->expires_ms = record->expires_ms;
+    running->after_loss = record->after_loss;
 }
 
 static void export_call(const struct ledger *ledger, bool with_text, const struct ledger_call *call, CallRecord *record)
--- a/src/daemon/chat_ledger.c
+++ b/src/daemon/chat_ledger.c
@@ -93,6 +93,7 @@
     ResultCode code = gateway_propose(call->gateway, call->program_id, &entry, &call->begun);
     if (code == RESULT_OK) {
         call->number = call->begun.call;
+        call->lost = call->lost || call->begun.after_loss;
     } else if (code == RESULT_TIMEOUT) {
         /* It may still commit; this keeps it from holding the program. */
         call->number = call->single ? 1 : call->request.call;
--- a/tests/fuzz/fuzz_ledger.c
+++ b/tests/fuzz/fuzz_ledger.c
@@ -34,7 +34,8 @@
     bool ended;
     bool running;
     bool repeatable;
-    bool lost; /* given up with an unknown outcome, may be repeated */
+    bool lost;       /* given up with an unknown outcome, may be repeated */
+    bool after_loss; /* an earlier attempt may have run */
     uint32_t next;
     unsigned attempt;
     unsigned message;
@@ -108,6 +109,7 @@
         model->repeatable = repeatable;
         model->message = texts_made;
     }
+    model->after_loss = model->running;
     model->running = true;
     model->lost = false;
     model->attempt = attempt;
@@ -205,12 +207,13 @@
     if (!model->exists || !model->running || attempt != model->attempt) {
         return;
     }
-    if (outcome == ABORT_UNKNOWN && model->repeatable) {
+    bool ran_maybe = outcome == ABORT_UNKNOWN || model->after_loss;
+    if (ran_maybe && model->repeatable) {
         model->lost = true;
         return;
     }
     model->running = false;
-    model->next += outcome == ABORT_UNKNOWN ? 1 : 0;
+    model->next += ran_maybe ? 1 : 0;
 }
 
 /* The end of a parent ends its sub-program too. */
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -67,6 +67,9 @@
 void fleet_request(int port, const char *method, const char *path, const char *body, const char *const *headers,
                    struct fleet_answer *answer);
 
+/** Opens a connection to a port of this machine. */
+int fleet_connect(int port);
+
 /** Sends raw bytes, closes the sending side if `half_close`, and returns what came back. */
 char *fleet_raw(int port, const char *bytes, size_t length, bool half_close);
 
--- a/tests/integration/support_fleet.c
+++ b/tests/integration/support_fleet.c
@@ -310,16 +310,22 @@
     buffer_close(&answer->body);
 }
 
-char *fleet_raw(int port, const char *bytes, size_t length, bool half_close)
+int fleet_connect(int port)
 {
     struct sockaddr_in address = {
         .sin_family = AF_INET, .sin_port = htons((uint16_t)port), .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    struct buffer reply = {0};
-    char part[4096];
     int file = socket(AF_INET, SOCK_STREAM, 0);
     struct timeval limit = {.tv_sec = FLEET_LIMIT_MS / 1000};
     setsockopt(file, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
     ck_assert_int_eq(connect(file, (struct sockaddr *)&address, sizeof(address)), 0);
+    return file;
+}
+
+char *fleet_raw(int port, const char *bytes, size_t length, bool half_close)
+{
+    struct buffer reply = {0};
+    char part[4096];
+    int file = fleet_connect(port);
     ssize_t sent = send(file, bytes, length, MSG_NOSIGNAL);
     (void)sent; /* the daemon may close before it has read everything */
     if (half_close) {
--- a/tests/integration/test_inputs.c
+++ b/tests/integration/test_inputs.c
@@ -2,10 +2,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "../unit/suite.h"
 #include "fleet.h"
 
+enum { SLOW_CLIENTS = 16 };
+
 static struct fleet fleet;
 static char program[128];
 
@@ -140,6 +144,23 @@
 }
 END_TEST
 
+/* Clients that send a part and wait hold a thread each, and nobody else up. */
+START_TEST(slow_clients_hold_nobody_up)
+{
+    static const char part[] = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 200\r\n\r\n{\"mes";
+    int files[SLOW_CLIENTS];
+    for (int i = 0; i < SLOW_CLIENTS; i++) {
+        files[i] = fleet_connect(fleet.nodes[0].caller_port);
+        ck_assert_int_eq(send(files[i], part, sizeof(part) - 1, MSG_NOSIGNAL), sizeof(part) - 1);
+    }
+    free(fleet_must_answer(&fleet, 1, program, 1, "beside slow clients"));
+    for (int i = 0; i < SLOW_CLIENTS; i++) {
+        close(files[i]);
+    }
+    free(fleet_must_answer(&fleet, 1, program, 2, "after them"));
+}
+END_TEST
+
 START_TEST(garbage_is_survived)
 {
     char bytes[4096];
@@ -187,6 +208,7 @@
     tcase_add_test(tests, call_numbers_must_follow);
     tcase_add_test(tests, a_body_cut_off_runs_nothing);
     tcase_add_test(tests, oversized_bodies_and_headers_are_refused);
+    tcase_add_test(tests, slow_clients_hold_nobody_up);
     tcase_add_test(tests, garbage_is_survived);
     tcase_add_test(tests, malformed_operator_requests_are_typed_errors);
     suite_add_tcase(suite, tests);
--- a/tests/unit/ledger.c
+++ b/tests/unit/ledger.c
@@ -216,6 +216,41 @@
 }
 END_TEST
 
+/* An attempt that follows a lost one and does not run itself proves nothing about the lost one. */
+START_TEST(an_abort_after_a_lost_attempt_keeps_the_loss_in_mind)
+{
+    create("p1-a", NULL, 70);
+    ck_assert_int_eq(begin("p1-a", 1, 1), RESULT_OK);
+    ck_assert(!result.after_loss);
+    Entry again = begin_entry("p1-a", 1, 2);
+    ck_assert_int_eq(apply(&again, true), RESULT_OK);
+    ck_assert(result.after_loss);
+    ck_assert_int_eq(abort_call("p1-a", 1, 2, ABORT_NOT_RUN), RESULT_OK);
+    ck_assert_uint_eq(ledger_find(&ledger, "p1-a")->spent, 30);
+    ck_assert_uint_eq(ledger_find(&ledger, "p1-a")->reserved, 0);
+    ck_assert_int_eq(begin("p1-a", 1, 3), RESULT_OK);
+    ck_assert(result.after_loss);
+    ck_assert_int_eq(abort_call("p1-a", 1, 3, ABORT_UNKNOWN), RESULT_OK);
+    ck_assert_int_eq(begin("p1-a", 1, 4), RESULT_UNKNOWN); /* the budget is short, and it may have run */
+}
+END_TEST
+
+START_TEST(a_repeatable_program_of_one_is_asked_again_by_its_key)
+{
+    Entry entry = begin_entry("s1-a", 1, 1);
+    entry.command.call_begin.has_create = true;
+    entry.command.call_begin.create.id = (char *)(uintptr_t) "s1-a";
+    entry.command.call_begin.create.tenant = (char *)(uintptr_t) "t";
+    entry.command.call_begin.idempotency_key = (char *)(uintptr_t) "k";
+    ck_assert_int_eq(apply(&entry, false), RESULT_OK);
+    ck_assert_int_eq(abort_call("s1-a", 1, 1, ABORT_UNKNOWN), RESULT_OK);
+    entry.command.call_begin.attempt = attempt_id(2);
+    ck_assert_int_eq(apply(&entry, false), RESULT_OK);
+    ck_assert_int_eq(finish("s1-a", 1, 2), RESULT_OK);
+    ck_assert_int_eq(apply(&entry, false), RESULT_REPLAY);
+}
+END_TEST
+
 START_TEST(a_lost_call_may_be_left_behind)
 {
     create("p1-a", NULL, 0);
@@ -407,6 +442,8 @@
     tcase_add_test(tests, an_aborted_attempt_cannot_begin_late);
     tcase_add_test(tests, a_lost_call_without_budget_for_another_attempt_is_unknown);
     tcase_add_test(tests, a_call_with_an_unknown_outcome_runs_again_only_if_repeatable);
+    tcase_add_test(tests, an_abort_after_a_lost_attempt_keeps_the_loss_in_mind);
+    tcase_add_test(tests, a_repeatable_program_of_one_is_asked_again_by_its_key);
     tcase_add_test(tests, a_lost_call_may_be_left_behind);
     tcase_add_test(tests, an_overdue_attempt_is_taken_over);
     tcase_add_test(tests, ending_releases_engine_memory_of_the_whole_tree);
