--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -78,7 +78,7 @@
     settings->groups = 5;
     settings->election_timeout_ms = 1000;
     settings->heartbeat_ms = 150;
-    settings->lease_ms = 2000;
+    settings->lease_ms = 3000;
     settings->threads = 256;
     settings->operator_threads = 8;
     settings->max_body_bytes = 16 << 20;
--- a/tests/integration/support_fleet.c
+++ b/tests/integration/support_fleet.c
@@ -16,6 +16,7 @@
 #include "emulator/answer.h"
 #include "net/http_client.h"
 
+enum { FLEET_UNAVAILABLE = 503, FLEET_RETRY_US = 200000 };
 enum { FLEET_STEP_US = 20000, FLEET_TIMEOUT_MS = 30000, FLEET_ENGINES = 3, FLEET_MAX_WORDS = 32 };
 
 const char *fleet_build;
@@ -376,7 +377,13 @@
                         const char *text)
 {
     struct fleet_answer answer;
+    uint64_t limit_ms = clock_monotonic_ms() + FLEET_LIMIT_MS;
     fleet_ask(fleet, node, program, number, text, false, NULL, &answer);
+    while (answer.status == FLEET_UNAVAILABLE && clock_monotonic_ms() < limit_ms) {
+        fleet_answer_close(&answer);
+        clock_sleep_us(FLEET_RETRY_US);
+        fleet_ask(fleet, node, program, number, text, false, NULL, &answer);
+    }
     if (answer.status != 200) {
         ck_abort_msg("call %u through node %u: %d %s", number, node, answer.status, buffer_text(&answer.body));
     }
@@ -396,6 +403,12 @@
     struct fleet_answer answer;
     snprintf(path, sizeof(path), "/v1/programs/%s/history", program);
     fleet_request(fleet->nodes[node - 1].caller_port, "GET", path, NULL, NULL, &answer);
+    uint64_t limit_ms = clock_monotonic_ms() + FLEET_LIMIT_MS;
+    while (answer.status == FLEET_UNAVAILABLE && clock_monotonic_ms() < limit_ms) {
+        fleet_answer_close(&answer);
+        clock_sleep_us(FLEET_RETRY_US);
+        fleet_request(fleet->nodes[node - 1].caller_port, "GET", path, NULL, NULL, &answer);
+    }
     ck_assert_int_eq(answer.status, 200);
     json_t *history = json_loads(buffer_text(&answer.body), 0, NULL);
     ck_assert_uint_eq(answer_verify(json_object_get(history, "messages"), FLEET_MAX_TOKENS, &found), 0);
