--- a/tests/integration/test_restart.c
+++ b/tests/integration/test_restart.c
@@ -195,6 +195,7 @@
 START_TEST(engine_memory_of_an_ended_program_is_released)
 {
     free(fleet_must_answer(&fleet, 1, program, 1, "first"));
+    ck_assert(!no_memory_is_held(NULL));
     char path[256];
     struct fleet_answer answer;
     snprintf(path, sizeof(path), "/v1/programs/%s", program);
