Refuse deep nesting and ambiguous framing; tell an unknown model as 404

Cause: jansson recurses a level of nesting and allows 2,048, more than the stack of a CivetWeb worker holds, so a body of brackets ended the daemon. CivetWeb takes the first of two lengths, blanks before a colon, folded lines and requests without Host. Conclusion: one parser for JSON from outside (json_input, 64 levels), one framing check before each request, 404 model_not_found.

--- a/src/bench/program.c
+++ b/src/bench/program.c
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "bench/bench.h"
 #include "net/http_client.h"
+#include "net/json_input.h"
 
 enum { PROGRAM_CREATE_TRIES = 20, PROGRAM_RETRY_MS = 100, PROGRAM_CONNECT_TIMEOUT_MS = 1000 };
 
@@ -75,7 +76,7 @@
         struct buffer answer = {0};
         int status =
             program_request(config, program->number + attempt, "POST", "/v1/programs", view_of_string(body), &answer);
-        json_t *reply = json_loads(buffer_text(&answer), 0, NULL);
+        json_t *reply = json_input_parse(buffer_view(&answer), NULL);
         const char *id = json_string_value(json_object_get(reply, "id"));
         created = status / 100 == 2 && id != NULL;
         if (created) {
--- a/src/bench/turn.c
+++ b/src/bench/turn.c
@@ -11,6 +11,7 @@
 #include "emulator/answer.h"
 #include "net/http_client.h"
 #include "net/sse.h"
+#include "net/json_input.h"
 
 enum { TURN_MAX_TRIES = 40, TURN_CONNECT_TIMEOUT_MS = 1000, TURN_RETRY_MS = 100, TURN_MIN_QUESTION = 16 };
 
@@ -60,7 +61,7 @@
         turn->done = true;
         return true;
     }
-    json_t *event = json_loadb((const char *)payload.data, payload.length, 0, NULL);
+    json_t *event = json_input_parse(payload, NULL);
     const json_t *choice = json_array_get(json_object_get(event, "choices"), 0);
     const char *content = json_string_value(json_object_get(json_object_get(choice, "delta"), "content"));
     if (content != NULL && content[0] != '\0') {
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -6,6 +6,7 @@
 #include "base/message.h"
 #include "ctl/ctl.h"
 #include "net/http_client.h"
+#include "net/json_input.h"
 
 enum { CTL_TIMEOUT_MS = 70000, CTL_CONNECT_TIMEOUT_MS = 3000, CTL_STATUS_OK = 200 };
 
@@ -42,7 +43,7 @@
         fprintf(stderr, "bankbankctl: unavailable: no answer from the daemon\n");
         return;
     }
-    json_t *error = json_loadb((const char *)reply->data, reply->length, 0, NULL);
+    json_t *error = json_input_parse(buffer_view(reply), NULL);
     const char *code = json_string_value(json_object_get(error, "code"));
     const char *message = json_string_value(json_object_get(error, "message"));
     fprintf(stderr, "bankbankctl: %s: %s\n", code == NULL ? "error" : code, text_or_empty(message));
@@ -70,7 +71,7 @@
     struct buffer reply = {0};
     char *text = json_dumps(body, JSON_COMPACT);
     int status = ctl_post(url, "application/json", view_of_string(text), &reply);
-    json_t *answer = json_loadb((const char *)reply.data, reply.length, 0, NULL);
+    json_t *answer = json_input_parse(buffer_view(&reply), NULL);
     if (status != CTL_STATUS_OK) {
         fprintf(stderr, "bankbankctl: %s answered %d: %s\n", url, status, buffer_text(&reply));
         json_decref(answer);
--- a/src/daemon/chat.c
+++ b/src/daemon/chat.c
@@ -33,10 +33,15 @@
 static void chat_serve_begun(struct chat_call *call)
 {
     static const struct http_error no_pool = {503, "no_pool", RUN_STATE_NOT_RUN, 1};
+    static const struct http_error no_model = {404, "model_not_found", RUN_STATE_NOT_RUN, 0};
     static const struct http_error no_state = {503, "state_unavailable", RUN_STATE_NOT_RUN, 1};
     chat_set_headers(call);
     if (!chat_find_pool(call)) {
         chat_post_abort(call, ABORT_NOT_RUN);
+        if (!chat_model_is_known(call)) {
+            chat_refuse(call, &no_model, "no pool serves the model");
+            return;
+        }
         chat_refuse(call, &no_pool, "no pool with engines serves the policy or model");
         return;
     }
--- a/src/daemon/chat_attempts.c
+++ b/src/daemon/chat_attempts.c
@@ -28,6 +28,12 @@
     return call->pool != NULL && call->pool->engines_count > 0;
 }
 
+bool chat_model_is_known(const struct chat_call *call)
+{
+    bool by_model = text_or_empty(call->begun.policy)[0] == '\0';
+    return !by_model || config_view_pool_of_model(call->view, call->request.model) != NULL;
+}
+
 static uint64_t chat_hash_text(const char *text)
 {
     return XXH64(text_or_empty(text), strlen(text_or_empty(text)), 0);
--- a/src/daemon/chat_call.h
+++ b/src/daemon/chat_call.h
@@ -64,6 +64,9 @@
 /** Finds policy and pool; false: no pool with engines serves the call. */
 bool chat_find_pool(struct chat_call *call);
 
+/** Whether some pool serves the model asked for, or the policy names the pool. */
+bool chat_model_is_known(const struct chat_call *call);
+
 /**
  * Runs the call until it is answered or nothing more may be tried. False: the
  * ledger refused another attempt and call->begun tells why.
--- a/src/daemon/chat_engine.c
+++ b/src/daemon/chat_engine.c
@@ -1,4 +1,5 @@
 #include "daemon/chat_engine.h"
+#include "net/json_input.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -180,7 +181,7 @@
         exchange->done_seen = true;
         return true;
     }
-    json_t *event = json_loadb((const char *)payload.data, payload.length, 0, NULL);
+    json_t *event = json_input_parse(payload, NULL);
     bool usable = event != NULL && chat_id_matches(exchange, event);
     if (usable) {
         const json_t *choice = json_array_get(json_object_get(event, "choices"), 0);
@@ -232,7 +233,7 @@
 static void chat_read_whole(struct chat_exchange *exchange)
 {
     struct chat_answer *answer = exchange->answer;
-    json_t *whole = json_loadb((const char *)exchange->body.data, exchange->body.length, 0, NULL);
+    json_t *whole = json_input_parse(buffer_view(&exchange->body), NULL);
     const json_t *choice = json_array_get(json_object_get(whole, "choices"), 0);
     json_t *message = json_object_get(choice, "message");
     if (!json_is_object(message) || !chat_id_matches(exchange, whole)) {
--- a/src/daemon/chat_reply.c
+++ b/src/daemon/chat_reply.c
@@ -1,5 +1,6 @@
 /* What a caller is sent: the answer, a stored answer, or an error. */
 #include "daemon/chat_call.h"
+#include "net/json_input.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -86,7 +87,7 @@
     gateway_count(call->gateway, calls_replayed);
     call->number = result->call;
     chat_set_headers(call);
-    json_t *message = json_loads(text_or_empty(result->answer), 0, NULL);
+    json_t *message = json_input_parse(view_of_string(text_or_empty(result->answer)), NULL);
     if (message == NULL) {
         struct http_error error = {500, "stored_answer_damaged", RUN_STATE_RUN, 0};
         http_send_error(call->connection, &error, "the stored answer cannot be read");
--- a/src/daemon/chat_request.c
+++ b/src/daemon/chat_request.c
@@ -1,4 +1,5 @@
 #include "daemon/chat_request.h"
+#include "net/json_input.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -138,11 +139,10 @@
 
 static void chat_read_body(struct chat_request *request, struct view body, struct findings *findings)
 {
-    json_error_t error;
-    request->root = json_loadb((const char *)body.data, body.length, JSON_REJECT_DUPLICATES, &error);
+    struct json_input_error error;
+    request->root = json_input_parse(body, &error);
     if (request->root == NULL) {
-        findings_add(findings, "body", "not valid JSON at line %d, column %d: %s", error.line, error.column,
-                     error.text);
+        findings_add(findings, "body", "%s", error.text);
         return;
     }
     if (!json_is_object(request->root)) {
@@ -176,7 +176,7 @@
 {
     struct buffer text = {0};
     buffer_printf(&text, "[%s]", text_or_empty(stored_history));
-    json_t *stored = json_loads(buffer_text(&text), 0, NULL);
+    json_t *stored = json_input_parse(buffer_view(&text), NULL);
     buffer_close(&text);
     size_t count = json_array_size(stored);
     bool extends = count < json_array_size(request->messages);
--- a/src/daemon/machine_list.c
+++ b/src/daemon/machine_list.c
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "net/http_client.h"
+#include "net/json_input.h"
 
 enum { MACHINE_LIST_TIMEOUT_MS = 2000, MACHINE_LIST_MAX_BYTES = 1 << 20 };
 
@@ -52,9 +53,7 @@
     };
     int status = 0;
     enum http_transfer_result result = http_client_run(&request, &status);
-    json_t *list = result == HTTP_TRANSFER_DONE && status == 200
-                       ? json_loadb((const char *)body.data, body.length, 0, NULL)
-                       : NULL;
+    json_t *list = result == HTTP_TRANSFER_DONE && status == 200 ? json_input_parse(buffer_view(&body), NULL) : NULL;
     if (list == NULL) {
         /* The last known list stays in force. */
         log_debug("machines", "the machine list cannot be read");
--- a/src/daemon/operator.c
+++ b/src/daemon/operator.c
@@ -11,6 +11,7 @@
 #include "base/findings.h"
 #include "base/message.h"
 #include "daemon/operator_check.h"
+#include "net/json_input.h"
 
 enum {
     OPERATOR_HANDLED = 200,
@@ -236,7 +237,8 @@
 /* Stored form of the history: JSON messages without the outer brackets. */
 static char *operator_strip_history(const char *history_json, struct findings *findings)
 {
-    json_t *messages = json_loads(text_or_empty(history_json)[0] == '\0' ? "[]" : history_json, 0, NULL);
+    json_t *messages =
+        json_input_parse(view_of_string(text_or_empty(history_json)[0] == '\0' ? "[]" : history_json), NULL);
     char *stripped = NULL;
     if (!json_is_array(messages)) {
         findings_add(findings, "history_json", "must be a JSON list of messages");
--- a/src/daemon/programs.c
+++ b/src/daemon/programs.c
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/message.h"
+#include "net/json_input.h"
 
 enum { PROGRAMS_HANDLED = 200, PROGRAMS_ID_DIGITS = 24, PROGRAMS_ROOT_DIGITS = 8, PROGRAMS_MAX_TEXT = 128 };
 
@@ -157,9 +158,7 @@
 static void programs_create(struct programs_request *request, struct view data)
 {
     struct findings findings = {0};
-    json_error_t error;
-    json_t *body = data.length == 0 ? json_object()
-                                    : json_loadb((const char *)data.data, data.length, JSON_REJECT_DUPLICATES, &error);
+    json_t *body = data.length == 0 ? json_object() : json_input_parse(data, NULL);
     const Policy *policy = NULL;
     if (!json_is_object(body)) {
         findings_add(&findings, "body", "must be a JSON object");
--- a/src/daemon/server.c
+++ b/src/daemon/server.c
@@ -11,6 +11,7 @@
 #include "daemon/operator.h"
 #include "daemon/programs.h"
 #include "daemon/services.h"
+#include "net/http_framing.h"
 
 enum { SERVER_NUMBER_MAX = 24 };
 
@@ -53,6 +54,7 @@
     };
     struct mg_callbacks callbacks;
     memset(&callbacks, 0, sizeof(callbacks));
+    callbacks.begin_request = http_framing_begin;
     callbacks.http_error = http_on_server_error;
     callbacks.log_message = http_on_server_log;
     struct mg_init_data init = {.callbacks = &callbacks, .user_data = gateway, .configuration_options = options};
--- a/src/emulator/emulator.c
+++ b/src/emulator/emulator.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "net/http.h"
+#include "net/json_input.h"
 
 enum { EMULATOR_MAX_BODY = 64 << 20, EMULATOR_NUMBER_MAX = 16 };
 
@@ -13,7 +14,7 @@
     struct buffer body = {0};
     json_t *root = NULL;
     if (http_read_body(connection, EMULATOR_MAX_BODY, &body) == HTTP_BODY_OK) {
-        root = json_loadb((const char *)body.data, body.length, 0, NULL);
+        root = json_input_parse(buffer_view(&body), NULL);
     }
     buffer_close(&body);
     if (!json_is_object(root)) {
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -9,7 +9,13 @@
 
 #include "base/log.h"
 
-enum { HTTP_READ_STEP = 1 << 14, HTTP_MESSAGE_MAX = 512, HTTP_BAD_REQUEST = 400, HTTP_TOO_LARGE = 413 };
+enum {
+    HTTP_READ_STEP = 1 << 14,
+    HTTP_MESSAGE_MAX = 512,
+    HTTP_BAD_REQUEST = 400,
+    HTTP_LENGTH_REQUIRED = 411,
+    HTTP_TOO_LARGE = 413
+};
 
 const char *http_run_state_name(enum run_state state)
 {
@@ -53,7 +59,7 @@
         http_send_error(connection, &error, "the body is larger than %zu bytes", limit);
         break;
     case HTTP_BODY_NO_LENGTH:
-        error.status = 411;
+        error.status = HTTP_LENGTH_REQUIRED;
         error.code = "length_required";
         http_send_error(connection, &error, "Content-Length or chunked encoding is required");
         break;
@@ -139,7 +145,9 @@
 
 int http_on_server_error(struct mg_connection *connection, int status, const char *message)
 {
-    struct http_error error = {status, status == 404 ? "not_found" : "bad_request", RUN_STATE_NOT_RUN, 0};
+    /* CivetWeb answers an unreadable Content-Length with 411; it is malformed, not missing. */
+    int told = status == HTTP_LENGTH_REQUIRED ? HTTP_BAD_REQUEST : status;
+    struct http_error error = {told, told == 404 ? "not_found" : "bad_request", RUN_STATE_NOT_RUN, 0};
     http_send_error(connection, &error, "%s", text_or_empty(message)[0] == '\0' ? "request refused" : message);
     mg_disable_connection_keep_alive(connection);
     return 0;
