--- a/src/base/log.c
+++ b/src/base/log.c
@@ -11,6 +11,20 @@
 
 static const char LOG_LAYOUT_NAME[] = "bankbank-line";
 static log4c_category_t *log_category;
+static void (*log_sink)(enum log_level level, const char *part, const char *text);
+static enum log_level log_sink_level;
+static const char *const log_level_names[] = {"error", "warn", "info", "debug"};
+
+void log_redirect(enum log_level level, void (*sink)(enum log_level level, const char *part, const char *text))
+{
+    log_sink_level = level;
+    log_sink = sink;
+}
+
+const char *log_level_name(enum log_level level)
+{
+    return log_level_names[level];
+}
 
 static const char *log_format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
@@ -62,9 +76,8 @@
 
 bool log_level_parse(const char *name, enum log_level *level)
 {
-    static const char *const names[] = {"error", "warn", "info", "debug"};
     for (int i = 0; i < 4; i++) {
-        if (strcmp(name, names[i]) == 0) {
+        if (strcmp(name, log_level_names[i]) == 0) {
             *level = (enum log_level)i;
             return true;
         }
@@ -75,6 +88,15 @@
 void log_write(enum log_level level, const char *part, const char *format, ...)
 {
     int priority = log_priority(level);
+    if (log_sink != NULL && level <= log_sink_level) {
+        char line[LOG_LINE_MAX];
+        va_list values;
+        va_start(values, format);
+        vsnprintf(line, sizeof(line), format, values);
+        va_end(values);
+        log_sink(level, part, line);
+        return;
+    }
     if (log_category == NULL || !log4c_category_is_priority_enabled(log_category, priority)) {
         return;
     }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -19,6 +19,12 @@
 /** Reads a level name; returns false if it is not one. */
 bool log_level_parse(const char *name, enum log_level *level);
 
+/** Gives every line of at least `level` to `sink` instead of stderr; log_init() is not needed then. */
+void log_redirect(enum log_level level, void (*sink)(enum log_level level, const char *part, const char *text));
+
+/** Name of a level. */
+const char *log_level_name(enum log_level level);
+
 /** Writes one line under the prefix `part`. */
 void log_write(enum log_level level, const char *part, const char *format, ...) __attribute__((format(printf, 3, 4)));
 
--- a/src/base/yaml.c
+++ b/src/base/yaml.c
@@ -8,6 +8,8 @@
 
 #include <yaml.h>
 
+enum { YAML_MS_PER_S = 1000 };
+
 /* The document being checked. */
 struct yaml_reading {
     const char *name;
@@ -60,6 +62,20 @@
     yaml_fault(reading, node, field->key, "must be true or false");
 }
 
+static void yaml_read_seconds(struct yaml_reading *reading, yaml_node_t *node, const struct yaml_field *field,
+                              uint64_t *value)
+{
+    const char *text = text_or_empty(yaml_scalar(node));
+    char *end = NULL;
+    double seconds = strtod(text, &end);
+    bool valid = end != text && *end == '\0' && seconds >= 0 && seconds * YAML_MS_PER_S <= (double)field->maximum;
+    if (!valid) {
+        yaml_fault(reading, node, field->key, "must be a number of seconds within the limits");
+        return;
+    }
+    *value = (uint64_t)(seconds * YAML_MS_PER_S + 0.5);
+}
+
 static void yaml_read_mapping(struct yaml_reading *reading, yaml_node_t *node, const struct yaml_field *fields,
                               void *record);
 
@@ -95,6 +111,7 @@
         return;
     }
     case YAML_NUMBER: yaml_read_number(reading, node, field, place); return;
+    case YAML_SECONDS: yaml_read_seconds(reading, node, field, place); return;
     case YAML_FLAG: yaml_read_flag(reading, node, field, place); return;
     case YAML_LIST: yaml_read_list(reading, node, field, place); return;
     default: return;
--- a/src/base/yaml.h
+++ b/src/base/yaml.h
@@ -17,6 +17,7 @@
 enum yaml_type {
     YAML_TEXT,   /**< char *, owned by the settings. */
     YAML_NUMBER, /**< uint64_t within [minimum, maximum]. */
+    YAML_SECONDS, /**< uint64_t milliseconds, written as decimal seconds; at most `maximum` ms. */
     YAML_FLAG,   /**< bool: true or false. */
     YAML_LIST    /**< Sequence of mappings: a struct yaml_list. */
 };
--- a/src/core/control_client.c
+++ b/src/core/control_client.c
@@ -52,6 +52,9 @@
 
 static uint32_t control_guess(struct control_client *client)
 {
+    if (client->config.replica_count == 0) {
+        return RAFT_NO_NODE;
+    }
     return client->config.replicas[client->rotation++ % client->config.replica_count];
 }
 
@@ -72,7 +75,7 @@
 
 static void control_try(struct control_client *client, uint64_t now_ms, struct control_request *request)
 {
-    uint32_t known = client->leaders[request->group];
+    uint32_t known = request->pinned ? request->target : client->leaders[request->group];
     uint32_t target = known != RAFT_NO_NODE ? known : control_guess(client);
     Frame frame = {0};
     frame.group = request->group;
@@ -83,15 +86,19 @@
     request->target = target;
     if (control_send(client, target, &frame)) {
         request->sent = true;
-        request->next_ms = now_ms + CONTROL_RESEND_MS;
+        request->next_ms = request->pinned ? request->deadline_ms : now_ms + CONTROL_RESEND_MS;
+        return;
+    }
+    if (request->pinned) {
+        request->deadline_ms = now_ms;
         return;
     }
     request->next_ms = now_ms + CONTROL_RETRY_MS;
     client->leaders[request->group] = RAFT_NO_NODE;
 }
 
-void control_client_submit(struct control_client *client, uint64_t now_ms, uint32_t group, RequestKind kind,
-                           struct view body, uint64_t deadline_ms, void *token)
+static struct control_request *control_add(struct control_client *client, uint32_t group, RequestKind kind,
+                                           struct view body, uint64_t deadline_ms, void *token)
 {
     struct control_request *request = memory_new(sizeof(*request));
     request->id = ++client->next_id;
@@ -102,9 +109,44 @@
     request->deadline_ms = deadline_ms;
     request->token = token;
     HASH_ADD(hh, client->requests, id, sizeof(request->id), request);
+    return request;
+}
+
+void control_client_submit(struct control_client *client, uint64_t now_ms, uint32_t group, RequestKind kind,
+                           struct view body, uint64_t deadline_ms, void *token)
+{
+    control_try(client, now_ms, control_add(client, group, kind, body, deadline_ms, token));
+}
+
+void control_client_ask(struct control_client *client, uint64_t now_ms, uint32_t node, uint32_t group, RequestKind kind,
+                        struct view body, uint64_t deadline_ms, void *token)
+{
+    struct control_request *request = control_add(client, group, kind, body, deadline_ms, token);
+    request->pinned = true;
+    request->target = node;
     control_try(client, now_ms, request);
 }
 
+void control_client_set_replicas(struct control_client *client, const uint32_t *nodes, uint32_t count)
+{
+    client->config.replica_count = count < RAFT_MAX_MEMBERS ? count : RAFT_MAX_MEMBERS;
+    for (uint32_t i = 0; i < client->config.replica_count; i++) {
+        client->config.replicas[i] = nodes[i];
+    }
+}
+
+void control_client_forget(struct control_client *client, const void *token)
+{
+    struct control_request *request;
+    struct control_request *next;
+    HASH_ITER(hh, client->requests, request, next)
+    {
+        if (request->token == token) {
+            control_request_free(client, request);
+        }
+    }
+}
+
 static void control_submit_own(struct control_client *client, uint64_t now_ms, RequestKind kind,
                                const pb_msgdesc_t *fields, const void *message)
 {
@@ -192,7 +234,7 @@
         }
     }
     for (struct control_request *request = client->requests; request != NULL; request = request->hh.next) {
-        if (request->target == node) {
+        if (request->target == node && !request->pinned) {
             request->next_ms = now_ms;
         }
     }
@@ -283,7 +325,7 @@
 
 void control_client_tick(struct control_client *client, uint64_t now_ms)
 {
-    if (now_ms >= client->heartbeat_due_ms) {
+    if (!client->config.requests_only && now_ms >= client->heartbeat_due_ms) {
         control_heartbeat(client, now_ms);
     }
     struct control_request *request;
@@ -291,7 +333,8 @@
     HASH_ITER(hh, client->requests, request, next)
     {
         if (now_ms >= request->deadline_ms) {
-            control_complete(client, request, request->sent ? RESULT_TIMEOUT : RESULT_UNAVAILABLE, view_of(NULL, 0));
+            bool open = request->sent && !request->pinned;
+            control_complete(client, request, open ? RESULT_TIMEOUT : RESULT_UNAVAILABLE, view_of(NULL, 0));
             continue;
         }
         if (now_ms >= request->next_ms) {
--- a/src/core/control_client.h
+++ b/src/core/control_client.h
@@ -45,6 +45,7 @@
     uint32_t replica_count;              /**< State replicas. */
     uint32_t replicas[RAFT_MAX_MEMBERS]; /**< Their node ids. */
     uint32_t heartbeat_ms;               /**< 0: CONTROL_HEARTBEAT_MS. */
+    bool requests_only;                  /**< No lease and no operators' resources: sends requests, no heartbeats. */
 };
 
 /** A request that waits for its answer. */
@@ -57,6 +58,7 @@
     uint64_t deadline_ms; /**< Monotonic time of giving up. */
     uint64_t next_ms;     /**< Time of the next send. */
     uint32_t target;      /**< Replica it was last sent to. */
+    bool pinned;          /**< Only `target` is asked, once. */
     bool sent;            /**< It may have been received. */
     void *token;          /**< Caller's handle; NULL for the client's own requests. */
     UT_hash_handle hh;    /**< By id. */
@@ -94,6 +96,16 @@
 void control_client_submit(struct control_client *client, uint64_t now_ms, uint32_t group, RequestKind kind,
                            struct view body, uint64_t deadline_ms, void *token);
 
+/** Asks one replica once; ends as RESULT_UNAVAILABLE if it cannot be reached. */
+void control_client_ask(struct control_client *client, uint64_t now_ms, uint32_t node, uint32_t group, RequestKind kind,
+                        struct view body, uint64_t deadline_ms, void *token);
+
+/** Replaces the replicas to ask. */
+void control_client_set_replicas(struct control_client *client, const uint32_t *nodes, uint32_t count);
+
+/** Forgets a request; it does not complete. */
+void control_client_forget(struct control_client *client, const void *token);
+
 /** Handles a frame from a state replica. */
 void control_client_receive(struct control_client *client, uint64_t now_ms, uint32_t from, const Frame *frame);
 
--- /dev/null
+++ b/src/core/membership.c
@@ -0,0 +1,112 @@
+#include "core/membership.h"
+
+#include <string.h>
+
+/* In touch, and to stay. */
+static bool membership_is_sound(const struct membership_view *view)
+{
+    return view->silent_ms < MEMBERSHIP_SILENT_MS && !view->replaced && !view->retiring;
+}
+
+static uint32_t membership_sound_count(const struct raft_members *members, const struct membership_view *views,
+                                       bool voters_only)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < members->count; i++) {
+        count += membership_is_sound(&views[i]) && !(voters_only && members->learners[i]) ? 1 : 0;
+    }
+    return count;
+}
+
+static uint32_t membership_wanted_voters(const struct raft_members *members, const struct membership_view *views)
+{
+    uint32_t sound = membership_sound_count(members, views, false);
+    return sound >= MEMBERSHIP_VOTERS_LARGE ? MEMBERSHIP_VOTERS_LARGE : MEMBERSHIP_VOTERS;
+}
+
+static struct membership_step membership_step_of(MemberAction action, uint32_t node)
+{
+    struct membership_step step = {.wanted = true, .action = action, .node = node};
+    return step;
+}
+
+static struct membership_step membership_plan_join(const struct raft_members *members,
+                                                   const struct membership_join *joins, size_t join_count,
+                                                   uint64_t now_ms)
+{
+    struct membership_step step = {0};
+    for (size_t i = 0; i < join_count && members->count < RAFT_MAX_MEMBERS; i++) {
+        bool asks = joins[i].node != RAFT_NO_NODE && now_ms < joins[i].asked_ms + MEMBERSHIP_JOIN_VALID_MS;
+        if (asks && raft_member_position(members, joins[i].node) < 0) {
+            step = membership_step_of(MEMBER_ADD_LEARNER, joins[i].node);
+            step.place = joins[i].place;
+            break;
+        }
+    }
+    return step;
+}
+
+static struct membership_step membership_plan_promote(const struct raft_members *members,
+                                                      const struct membership_view *views)
+{
+    struct membership_step step = {0};
+    if (membership_sound_count(members, views, true) >= membership_wanted_voters(members, views)) {
+        return step;
+    }
+    for (uint32_t i = 0; i < members->count; i++) {
+        if (members->learners[i] && membership_is_sound(&views[i]) && views[i].caught_up) {
+            return membership_step_of(MEMBER_PROMOTE, members->nodes[i]);
+        }
+    }
+    return step;
+}
+
+static bool membership_voter_may_leave(const struct raft_members *members, const struct membership_view *views,
+                                       uint32_t position)
+{
+    uint32_t sound = membership_sound_count(members, views, true);
+    const struct membership_view *view = &views[position];
+    if (membership_is_sound(view)) {
+        return raft_voter_count(members) > membership_wanted_voters(members, views) &&
+               sound > membership_wanted_voters(members, views);
+    }
+    return sound >= MEMBERSHIP_VOTERS;
+}
+
+static struct membership_step membership_plan_remove(const struct raft_members *members,
+                                                     const struct membership_view *views)
+{
+    struct membership_step step = {0};
+    for (uint32_t i = 0; i < members->count; i++) {
+        const struct membership_view *view = &views[i];
+        bool leaves = members->learners[i] ? view->replaced || view->retiring || view->silent_ms >= MEMBERSHIP_FORGET_MS
+                                           : membership_voter_may_leave(members, views, i);
+        if (leaves) {
+            return membership_step_of(MEMBER_REMOVE, members->nodes[i]);
+        }
+    }
+    return step;
+}
+
+struct membership_step membership_plan(const struct raft_members *members, const struct membership_view *views,
+                                       const struct membership_join *joins, size_t join_count, uint64_t now_ms)
+{
+    struct membership_step step = membership_plan_join(members, joins, join_count, now_ms);
+    if (!step.wanted) {
+        step = membership_plan_promote(members, views);
+    }
+    if (!step.wanted) {
+        step = membership_plan_remove(members, views);
+    }
+    return step;
+}
+
+bool membership_may_retire(const struct raft_members *members, const struct membership_view *views, const char *machine)
+{
+    uint32_t staying = 0;
+    for (uint32_t i = 0; i < members->count; i++) {
+        bool leaves = strcmp(members->places[i].name, machine) == 0;
+        staying += membership_is_sound(&views[i]) && !leaves ? 1 : 0;
+    }
+    return staying >= MEMBERSHIP_VOTERS;
+}
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -36,28 +36,63 @@
     if (!message_decode(data, Members_fields, &wire)) {
         return false;
     }
-    bool valid = wire.members_count <= RAFT_MAX_MEMBERS;
+    bool valid = raft_members_from_wire(&wire, members);
+    message_free(Members_fields, &wire);
+    return valid;
+}
+
+static void raft_copy_text(char *out, size_t size, const char *text)
+{
+    size_t length = strnlen(text_or_empty(text), size - 1);
+    memcpy(out, text_or_empty(text), length);
+    out[length] = '\0';
+}
+
+void raft_member_place_from_wire(const Member *wire, struct raft_member_place *place)
+{
+    memset(place, 0, sizeof(*place));
+    raft_copy_text(place->name, sizeof(place->name), wire->name);
+    raft_copy_text(place->zone, sizeof(place->zone), wire->zone);
+    place->ip = wire->ip;
+    place->port = (uint16_t)wire->port;
+}
+
+bool raft_members_from_wire(const Members *wire, struct raft_members *members)
+{
     memset(members, 0, sizeof(*members));
-    for (pb_size_t i = 0; valid && i < wire.members_count; i++) {
-        members->nodes[i] = wire.members[i].node;
-        members->learners[i] = wire.members[i].learner;
+    if (wire->members_count > RAFT_MAX_MEMBERS) {
+        return false;
+    }
+    for (pb_size_t i = 0; i < wire->members_count; i++) {
+        members->nodes[i] = wire->members[i].node;
+        members->learners[i] = wire->members[i].learner;
+        raft_member_place_from_wire(&wire->members[i], &members->places[i]);
         members->count++;
     }
-    message_free(Members_fields, &wire);
-    return valid;
+    return true;
 }
 
-void raft_members_encode(const struct raft_members *members, struct buffer *out)
+void raft_members_to_wire(const struct raft_members *members, Member *items, Members *wire)
 {
-    Member items[RAFT_MAX_MEMBERS];
-    memset(items, 0, sizeof(items));
+    memset(items, 0, RAFT_MAX_MEMBERS * sizeof(*items));
     for (uint32_t i = 0; i < members->count; i++) {
+        const struct raft_member_place *place = &members->places[i];
         items[i].node = members->nodes[i];
         items[i].learner = members->learners[i];
+        items[i].name = (char *)(uintptr_t)place->name;
+        items[i].zone = (char *)(uintptr_t)place->zone;
+        items[i].ip = place->ip;
+        items[i].port = place->port;
     }
+    wire->members_count = (pb_size_t)members->count;
+    wire->members = items;
+}
+
+void raft_members_encode(const struct raft_members *members, struct buffer *out)
+{
+    Member items[RAFT_MAX_MEMBERS];
     Members wire = {0};
-    wire.members_count = (pb_size_t)members->count;
-    wire.members = items;
+    raft_members_to_wire(members, items, &wire);
     message_encode(out, Members_fields, &wire);
 }
 
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -27,7 +27,9 @@
 #include "control.pb.h"
 
 enum {
-    RAFT_MAX_MEMBERS = 9,            /**< Voters and learners of one group. */
+    RAFT_MAX_MEMBERS = 16,           /**< Voters and learners of one group. */
+    RAFT_NAME_MAX = 48,              /**< Bytes of a member's machine name, NUL included. */
+    RAFT_ZONE_MAX = 32,              /**< Bytes of a member's zone, NUL included. */
     RAFT_MAX_PENDING_READS = 256,    /**< Reads that wait for a round. */
     RAFT_MAX_INFLIGHT_ENTRIES = 512, /**< Entries sent to a follower beyond its acknowledgement. */
     RAFT_MAX_BATCH_BYTES = 1 << 20,  /**< Entry bytes of one append message. */
@@ -65,11 +67,20 @@
     size_t length;             /**< Payload bytes. */
 };
 
+/** Where a member runs; all zero where the replicas are configured. */
+struct raft_member_place {
+    char name[RAFT_NAME_MAX]; /**< Machine name. */
+    char zone[RAFT_ZONE_MAX]; /**< Zone. */
+    uint32_t ip;              /**< IPv4 address of the peer link, host order. */
+    uint16_t port;            /**< Port of the peer link. */
+};
+
 /** The members of a group. */
 struct raft_members {
-    uint32_t count;                   /**< Number of members. */
-    uint32_t nodes[RAFT_MAX_MEMBERS]; /**< Node ids. */
-    bool learners[RAFT_MAX_MEMBERS];  /**< True: receives the log, has no vote. */
+    uint32_t count;                                    /**< Number of members. */
+    uint32_t nodes[RAFT_MAX_MEMBERS];                  /**< Node ids. */
+    bool learners[RAFT_MAX_MEMBERS];                   /**< True: receives the log, has no vote. */
+    struct raft_member_place places[RAFT_MAX_MEMBERS]; /**< Where they run. */
 };
 
 /** Effects of a group, carried out by its host. */
@@ -236,11 +247,29 @@
 /** Members with a vote. */
 uint32_t raft_voter_count(const struct raft_members *members);
 
+/** Whether a leader heard of a quorum of voters within an election timeout. */
+bool raft_heard_from_quorum(const struct raft *raft, uint64_t now_ms);
+
 /** Whether a leader heard of the member at `position` within an election timeout. */
 bool raft_hears_member(const struct raft *raft, uint32_t position, uint64_t now_ms);
 
-/** Converts to and from the wire form. */
+/** Converts to and from the encoded wire form. */
 bool raft_members_decode(struct view data, struct raft_members *members);
 void raft_members_encode(const struct raft_members *members, struct buffer *out);
 
+/** Fills `wire`, whose texts borrow from `members`, with RAFT_MAX_MEMBERS items of storage. */
+void raft_members_to_wire(const struct raft_members *members, Member *items, Members *wire);
+
+/** Reads the wire form; false: too many members. */
+bool raft_members_from_wire(const Members *wire, struct raft_members *members);
+
+/** Reads one member's place. */
+void raft_member_place_from_wire(const Member *wire, struct raft_member_place *place);
+
+/** Position of a node among the members, or -1. */
+int raft_member_position(const struct raft_members *members, uint32_t node);
+
+/** Whether a node is a member with a vote. */
+bool raft_is_voter(const struct raft_members *members, uint32_t node);
+
 #endif
--- a/src/core/raft_internal.h
+++ b/src/core/raft_internal.h
@@ -24,8 +24,6 @@
 void raft_append_local(struct raft *raft, enum raft_entry_type type, struct view data);
 void raft_truncate(struct raft *raft, uint64_t from_index);
 void raft_adopt_entry(struct raft *raft, const struct raft_entry *entry);
-int raft_member_position(const struct raft_members *members, uint32_t node);
-bool raft_is_voter(const struct raft_members *members, uint32_t node);
 void raft_set_members(struct raft *raft, const struct raft_members *members, uint64_t index);
 
 /* raft_election.c */
@@ -45,6 +43,5 @@
 void raft_advance_commit(struct raft *raft, uint64_t now_ms);
 void raft_apply_committed(struct raft *raft);
 void raft_fail_reads(struct raft *raft);
-bool raft_heard_from_quorum(const struct raft *raft, uint64_t now_ms);
 
 #endif
--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -13,11 +13,6 @@
     size_t left = p->snapshot.length - (size_t)p->snapshot_offset;
     size_t size = left < RAFT_SNAPSHOT_CHUNK ? left : RAFT_SNAPSHOT_CHUNK;
     Member items[RAFT_MAX_MEMBERS];
-    memset(items, 0, sizeof(items));
-    for (uint32_t i = 0; i < p->snapshot_members.count; i++) {
-        items[i].node = p->snapshot_members.nodes[i];
-        items[i].learner = p->snapshot_members.learners[i];
-    }
     RaftMessage message = {0};
     message.type = RAFT_SNAPSHOT;
     message.term = raft->term;
@@ -27,8 +22,7 @@
     message.data = view_of(p->snapshot.data == NULL ? NULL : p->snapshot.data + p->snapshot_offset, size);
     message.last_chunk = size == left;
     message.has_members = true;
-    message.members.members = items;
-    message.members.members_count = (pb_size_t)p->snapshot_members.count;
+    raft_members_to_wire(&p->snapshot_members, items, &message.members);
     p->snapshot_sent_ms = now_ms;
     raft->io.send(raft->io.context, raft->config.group, p->node, &message, false);
 }
@@ -463,11 +457,9 @@
 
 static bool raft_install(struct raft *raft, const RaftMessage *message)
 {
-    struct raft_members members = {0};
-    for (pb_size_t i = 0; i < message->members.members_count && i < RAFT_MAX_MEMBERS; i++) {
-        members.nodes[i] = message->members.members[i].node;
-        members.learners[i] = message->members.members[i].learner;
-        members.count++;
+    struct raft_members members;
+    if (!raft_members_from_wire(&message->members, &members)) {
+        return false;
     }
     bool installed = raft->io.install_state(raft->io.context, raft->config.group, message->index, message->log_term,
                                             &members, buffer_view(&raft->incoming));
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -207,6 +207,8 @@
     if (raft_is_leader(&state->raft)) {
         state->expire_pending = false;
         if (group == STATE_CONFIG_GROUP) {
+            /* Requests to join of an earlier leadership may name identities that are gone. */
+            memset(replica->joins, 0, sizeof(replica->joins));
             replica_renew_all_leases(replica);
         }
         return;
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -11,6 +11,7 @@
 #ifndef BANKBANK_CORE_REPLICA_H
 #define BANKBANK_CORE_REPLICA_H
 
+#include "core/membership.h"
 #include "core/raft.h"
 #include "core/state_machine.h"
 
@@ -22,7 +23,8 @@
     REPLICA_TRAILING_ENTRIES = 1024,   /**< Entries kept behind a snapshot for slow followers. */
     REPLICA_MAINTENANCE_MS = 200,      /**< Period of lease and expiry checks. */
     REPLICA_BALANCE_MS = 2000,         /**< Period of leader placement checks. */
-    REPLICA_EXPIRE_BATCH = 256         /**< Programs expired by one entry. */
+    REPLICA_EXPIRE_BATCH = 256,        /**< Programs expired by one entry. */
+    REPLICA_MAX_JOINS = 16             /**< Machines that may ask to join at once. */
 };
 
 /** Effects of a replica, carried out by its host. */
@@ -51,6 +53,8 @@
     uint32_t lease_ms;            /**< Lease granted by one heartbeat of a daemon. */
     uint64_t seed;                /**< Seed of election jitter. */
     uint32_t snapshot_entries;    /**< 0: REPLICA_SNAPSHOT_ENTRIES. */
+    bool self_organized;          /**< Nobody lists the members: they join, and are replaced when gone. */
+    bool steady_stamps;           /**< Entries are stamped from the steady clock instead of the wall clock. */
 };
 
 /** A proposal or read whose sender waits for the outcome. */
@@ -79,6 +83,9 @@
     struct replica_waiters reads;     /**< Linearizable reads. */
     uint64_t next_read;               /**< Last read id given. */
     bool expire_pending;              /**< An expiry entry is in the log. */
+    uint64_t stamp_term;              /**< Steady stamps: term that the next two belong to. */
+    uint64_t stamp_base_ms;           /**< Latest stamp applied when this replica began to lead. */
+    uint64_t stamp_since_ms;          /**< Steady time then. */
 };
 
 /** Counters, one an event. */
@@ -95,17 +102,18 @@
 
 /** A state replica. */
 struct replica {
-    struct replica_config config;     /**< Fixed settings. */
-    struct replica_io io;             /**< Effects. */
-    struct replica_group *groups;     /**< config.groups of them. */
-    struct buffer held;               /**< Frames that wait for the sync: u32 node, u32 length, bytes. */
-    bool dirty;                       /**< Something was written since the last sync. */
-    bool failed;                      /**< The disk failed; nothing is acknowledged any more. */
-    uint64_t now_ms;                  /**< Time of the current event. */
-    uint64_t wall_offset_ms;          /**< Wall clock minus monotonic clock, set by the host. */
-    uint64_t maintenance_due_ms;      /**< Next lease and expiry check. */
-    uint64_t balance_due_ms;          /**< Next leader placement check. */
-    struct replica_counters counters; /**< Events so far. */
+    struct replica_config config;                    /**< Fixed settings. */
+    struct replica_io io;                            /**< Effects. */
+    struct replica_group *groups;                    /**< config.groups of them. */
+    struct buffer held;                              /**< Frames that wait for the sync: u32 node, u32 length, bytes. */
+    bool dirty;                                      /**< Something was written since the last sync. */
+    bool failed;                                     /**< The disk failed; nothing is acknowledged any more. */
+    uint64_t now_ms;                                 /**< Time of the current event. */
+    uint64_t wall_offset_ms;                         /**< Wall clock minus monotonic clock, set by the host. */
+    uint64_t maintenance_due_ms;                     /**< Next lease and expiry check. */
+    uint64_t balance_due_ms;                         /**< Next leader placement check. */
+    struct replica_counters counters;                /**< Events so far. */
+    struct membership_join joins[REPLICA_MAX_JOINS]; /**< Machines that asked to join. */
 };
 
 /** Starts an empty replica; then restore, then replica_start(). */
@@ -128,6 +136,9 @@
 /** Handles a frame from node `from`. */
 void replica_receive(struct replica *replica, uint64_t now_ms, uint32_t from, const Frame *frame);
 
+/** Whether a group's leader, or a follower that heard of it lately: its state is about current. */
+bool replica_is_fresh(const struct replica *replica, uint32_t group, uint64_t now_ms);
+
 /** Syncs pending writes and releases what waited for them. */
 void replica_flush(struct replica *replica, uint64_t now_ms);
 
--- a/src/core/replica_internal.h
+++ b/src/core/replica_internal.h
@@ -5,6 +5,7 @@
  *   replica.c              lifecycle, effects of consensus, sync, snapshots
  *   replica_requests.c     requests of daemons: proposals, reads
  *   replica_maintenance.c  leases, expiry, placement of leaders
+ *   replica_site.c         a site's document, turns, joining and leaving members
  */
 #ifndef BANKBANK_CORE_REPLICA_INTERNAL_H
 #define BANKBANK_CORE_REPLICA_INTERNAL_H
@@ -23,6 +24,18 @@
 bool replica_propose_entry(struct replica *replica, uint32_t group, const Entry *entry);
 bool replica_propose(struct replica *replica, uint32_t group, struct view entry, const struct replica_waiter *waiter);
 
+/* replica_site.c */
+bool replica_handle_site_request(struct replica *replica, uint32_t from, uint32_t group, const Request *request,
+                                 const struct replica_waiter *waiter);
+bool replica_answer_site_read(struct replica *replica, uint32_t group, const struct replica_waiter *waiter);
+void replica_organize(struct replica *replica);
+uint64_t replica_stamp_ms(struct replica *replica, uint32_t group);
+
+/* replica_requests.c */
+void replica_reply_message(struct replica *replica, uint32_t group, const struct replica_waiter *waiter,
+                           const pb_msgdesc_t *fields, const void *message);
+bool replica_apply_member_step(struct replica *replica, uint32_t group, const struct membership_step *step);
+
 /* replica_maintenance.c */
 void replica_maintain(struct replica *replica);
 void replica_renew_all_leases(struct replica *replica);
--- a/src/core/replica_maintenance.c
+++ b/src/core/replica_maintenance.c
@@ -131,6 +131,9 @@
     if (replica->now_ms >= replica->maintenance_due_ms) {
         replica->maintenance_due_ms = replica->now_ms + REPLICA_MAINTENANCE_MS;
         replica_expire_leases(replica);
+        if (replica->config.self_organized) {
+            replica_organize(replica);
+        }
         for (uint32_t group = 1; group < replica->config.groups; group++) {
             replica_expire_programs(replica, group);
         }
--- a/src/core/replica_requests.c
+++ b/src/core/replica_requests.c
@@ -16,7 +16,7 @@
     }
     uint8_t flags = state_machine_flags(&state->machine, leases, entry);
     struct buffer data = {0};
-    state_machine_stamp(replica->now_ms + replica->wall_offset_ms, flags, entry, &data);
+    state_machine_stamp(replica_stamp_ms(replica, group), flags, entry, &data);
     uint64_t index = raft_propose(&state->raft, replica->now_ms, buffer_view(&data));
     buffer_close(&data);
     if (index == 0) {
@@ -40,8 +40,8 @@
     return proposed;
 }
 
-static void replica_reply_message(struct replica *replica, uint32_t group, const struct replica_waiter *waiter,
-                                  const pb_msgdesc_t *fields, const void *message)
+void replica_reply_message(struct replica *replica, uint32_t group, const struct replica_waiter *waiter,
+                           const pb_msgdesc_t *fields, const void *message)
 {
     struct buffer body = {0};
     if (message_encode(&body, fields, message)) {
@@ -127,6 +127,9 @@
 void replica_answer_read(struct replica *replica, uint32_t group, const struct replica_waiter *waiter)
 {
     struct view body = view_of(waiter->body, waiter->length);
+    if (replica_answer_site_read(replica, group, waiter)) {
+        return;
+    }
     switch (waiter->kind) {
     case REQUEST_PROGRAM: {
         ProgramQuery query = {0};
@@ -188,7 +191,7 @@
 }
 
 /* Applies a change to a list of members; false: it is as wanted already. */
-static bool replica_edit_members(struct raft_members *members, const MemberChange *change)
+static bool replica_edit_members(struct raft_members *members, const struct membership_step *change)
 {
     uint32_t position = 0;
     while (position < members->count && members->nodes[position] != change->node) {
@@ -201,6 +204,7 @@
             return false;
         }
         members->nodes[members->count] = change->node;
+        members->places[members->count] = change->place;
         members->learners[members->count++] = true;
         return true;
     case MEMBER_PROMOTE:
@@ -216,12 +220,13 @@
         members->count--;
         members->nodes[position] = members->nodes[members->count];
         members->learners[position] = members->learners[members->count];
+        members->places[position] = members->places[members->count];
         return true;
     }
 }
 
 /* Whether the leader may propose the change now; it gives its own seat to another first. */
-static bool replica_may_change(struct replica *replica, uint32_t group, const MemberChange *change)
+static bool replica_may_change(struct replica *replica, uint32_t group, const struct membership_step *change)
 {
     struct raft *raft = &replica->groups[group].raft;
     if (change->action == MEMBER_REMOVE && change->node == replica->config.node) {
@@ -236,8 +241,8 @@
 {
     struct replica_group *state = &replica->groups[group];
     struct raft_members members = state->raft.members;
-    MemberChange change = {0};
-    if (!message_decode(request->body, MemberChange_fields, &change) || change.node == RAFT_NO_NODE) {
+    MemberChange wanted = {0};
+    if (!message_decode(request->body, MemberChange_fields, &wanted) || wanted.node == RAFT_NO_NODE) {
         replica_reply(replica, group, waiter, RESULT_INVALID, view_of(NULL, 0));
         return;
     }
@@ -245,6 +250,7 @@
         replica_reply(replica, group, waiter, RESULT_NOT_LEADER, view_of(NULL, 0));
         return;
     }
+    struct membership_step change = {.wanted = true, .action = wanted.action, .node = wanted.node};
     bool committed = state->raft.members_index <= state->raft.commit;
     if (!replica_edit_members(&members, &change)) {
         replica_reply(replica, group, waiter, committed ? RESULT_OK : RESULT_ABORTED, view_of(NULL, 0));
@@ -261,6 +267,14 @@
     replica_waiters_add(&state->proposals, waiter);
 }
 
+bool replica_apply_member_step(struct replica *replica, uint32_t group, const struct membership_step *step)
+{
+    struct raft *raft = &replica->groups[group].raft;
+    struct raft_members members = raft->members;
+    bool possible = replica_edit_members(&members, step) && replica_may_change(replica, group, step);
+    return possible && raft_propose_members(raft, replica->now_ms, &members) != 0;
+}
+
 void replica_handle_request(struct replica *replica, uint32_t from, uint32_t group, const Request *request)
 {
     struct replica_waiter waiter = {.from = from, .request_id = request->id, .kind = request->kind};
@@ -268,6 +282,9 @@
         replica_change_members(replica, group, request, &waiter);
         return;
     }
+    if (replica_handle_site_request(replica, from, group, request, &waiter)) {
+        return;
+    }
     if (request->kind == REQUEST_PROPOSE) {
         if (!replica_propose(replica, group, request->body, &waiter)) {
             replica_reply(replica, group, &waiter, RESULT_NOT_LEADER, view_of(NULL, 0));
--- /dev/null
+++ b/src/core/route_table.c
@@ -0,0 +1,199 @@
+#include "core/route_table.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/buffer.h"
+
+struct route_table *route_table_new(void)
+{
+    struct route_table *table = memory_new(sizeof(*table));
+    table->references = 1;
+    return table;
+}
+
+struct route_table *route_table_hold(struct route_table *table)
+{
+    table->references++;
+    return table;
+}
+
+static void route_close(struct route *route)
+{
+    free(route->name);
+    free(route->host);
+    free(route->prefix);
+    for (uint32_t i = 0; i < route->part_count; i++) {
+        free(route->parts[i].service);
+    }
+    free(route->parts);
+}
+
+void route_table_release(struct route_table *table)
+{
+    if (table == NULL || --table->references > 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < table->route_count; i++) {
+        route_close(&table->routes[i]);
+    }
+    for (uint32_t i = 0; i < table->service_count; i++) {
+        free(table->services[i].name);
+        free(table->services[i].health_path);
+    }
+    free(table->routes);
+    free(table->services);
+    free(table);
+}
+
+/* Grows an array by one zeroed item and returns it. */
+static void *route_grow(void **items, uint32_t *count, size_t size)
+{
+    *items = memory_resize(*items, (*count + 1) * size);
+    void *item = (char *)*items + *count * size;
+    memset(item, 0, size);
+    (*count)++;
+    return item;
+}
+
+struct route *route_table_add_route(struct route_table *table)
+{
+    return route_grow((void **)&table->routes, &table->route_count, sizeof(*table->routes));
+}
+
+struct route_service *route_table_add_service(struct route_table *table)
+{
+    return route_grow((void **)&table->services, &table->service_count, sizeof(*table->services));
+}
+
+struct route_part *route_add_part(struct route *route)
+{
+    return route_grow((void **)&route->parts, &route->part_count, sizeof(*route->parts));
+}
+
+/* ---- Checks ------------------------------------------------------------------- */
+
+static void route_check_parts(const struct route_table *table, const struct route *route, const char *place,
+                              struct findings *findings)
+{
+    uint64_t weights = 0;
+    for (uint32_t i = 0; i < route->part_count; i++) {
+        weights += route->parts[i].weight;
+        if (route_table_service(table, route->parts[i].service) == NULL) {
+            findings_add(findings, place, "names the unknown service '%s'", route->parts[i].service);
+        }
+    }
+    if (weights == 0) {
+        findings_add(findings, place, "its weights add up to 0");
+    }
+}
+
+static void route_check(const struct route_table *table, uint32_t position, struct findings *findings)
+{
+    const struct route *route = &table->routes[position];
+    char place[64];
+    snprintf(place, sizeof(place), "route %u (%.40s)", position, route->name);
+    size_t length = strlen(route->prefix);
+    if (route->host[0] == '\0') {
+        findings_add(findings, place, "has no host");
+    }
+    if (length == 0 || route->prefix[0] != '/' || route->prefix[length - 1] != '/') {
+        findings_add(findings, place, "its prefix must begin and end with a slash");
+    }
+    if (route->timeout_ms == 0) {
+        findings_add(findings, place, "its timeout is 0");
+    }
+    for (uint32_t i = 0; i < position; i++) {
+        const struct route *other = &table->routes[i];
+        if (strcasecmp(other->host, route->host) == 0 && strcmp(other->prefix, route->prefix) == 0) {
+            findings_add(findings, place, "has the host and prefix of route %u", i);
+        }
+    }
+    route_check_parts(table, route, place, findings);
+}
+
+void route_table_check(const struct route_table *table, struct findings *findings)
+{
+    if (table->version == 0) {
+        findings_add(findings, "version", "must be a number above 0");
+    }
+    for (uint32_t i = 0; i < table->route_count; i++) {
+        route_check(table, i, findings);
+    }
+    for (uint32_t i = 0; i < table->service_count; i++) {
+        for (uint32_t k = 0; k < i; k++) {
+            if (strcmp(table->services[i].name, table->services[k].name) == 0) {
+                findings_add(findings, table->services[i].name, "is the name of two services");
+            }
+        }
+    }
+}
+
+/* ---- Look-up ------------------------------------------------------------------- */
+
+static bool route_host_matches(const struct route *route, struct view host)
+{
+    return strlen(route->host) == host.length && strncasecmp(route->host, (const char *)host.data, host.length) == 0;
+}
+
+static struct view route_cut_at(struct view text, char end)
+{
+    const uint8_t *at = text.length == 0 ? NULL : memchr(text.data, end, text.length);
+    return at == NULL ? text : view_of(text.data, (size_t)(at - text.data));
+}
+
+struct route *route_table_find(const struct route_table *table, struct view host, struct view target)
+{
+    struct view name = route_cut_at(host, ':');
+    struct view path = route_cut_at(target, '?');
+    struct route *best = NULL;
+    size_t best_length = 0;
+    for (uint32_t i = 0; i < table->route_count; i++) {
+        struct route *route = &table->routes[i];
+        size_t length = strlen(route->prefix);
+        bool longer = best == NULL || length > best_length;
+        if (longer && length <= path.length && memcmp(route->prefix, path.data, length) == 0 &&
+            route_host_matches(route, name)) {
+            best = route;
+            best_length = length;
+        }
+    }
+    return best;
+}
+
+const struct route_service *route_table_service(const struct route_table *table, const char *name)
+{
+    for (uint32_t i = 0; i < table->service_count; i++) {
+        if (strcmp(table->services[i].name, name) == 0) {
+            return &table->services[i];
+        }
+    }
+    return NULL;
+}
+
+const struct route_part *route_choose_part(struct route *route, bool (*usable)(void *context, const char *service),
+                                           void *context)
+{
+    struct route_part *best = NULL;
+    int64_t total = 0;
+    for (uint32_t i = 0; i < route->part_count; i++) {
+        struct route_part *part = &route->parts[i];
+        if (part->weight == 0 || !usable(context, part->service)) {
+            continue;
+        }
+        part->credit += part->weight;
+        total += part->weight;
+        best = best == NULL || part->credit > best->credit ? part : best;
+    }
+    if (best != NULL) {
+        best->credit -= total;
+    }
+    return best;
+}
+
+bool route_may_repeat(const struct route *route)
+{
+    return route->kind == ROUTE_SAFE || (route->kind == ROUTE_STREAM && route->resumable);
+}
--- /dev/null
+++ b/src/core/route_table.h
@@ -0,0 +1,108 @@
+/**
+ * @file route_table.h
+ * A site's configuration in typed form: routes by host and path prefix,
+ * services, and limits of what clients may send. Immutable once checked; a
+ * request holds a reference to the one it began under.
+ */
+#ifndef BANKBANK_CORE_ROUTE_TABLE_H
+#define BANKBANK_CORE_ROUTE_TABLE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/findings.h"
+#include "base/view.h"
+
+/** What may be repeated. */
+enum route_kind {
+    ROUTE_SAFE,  /**< May run more than once. */
+    ROUTE_ONCE,  /**< At most once for each attempt of a client. */
+    ROUTE_STREAM /**< Answers as a series of events; at most once unless resumable. */
+};
+
+/** One of the services that share a route. */
+struct route_part {
+    char *service;   /**< Name. */
+    uint32_t weight; /**< Relative share. */
+    int64_t credit;  /**< Smooth weighted round robin. */
+};
+
+/** A route. */
+struct route {
+    char *name;                 /**< For logs. */
+    char *host;                 /**< Host it serves. */
+    char *prefix;               /**< Begin of the paths it serves, with slashes at both ends. */
+    enum route_kind kind;       /**< What may be repeated. */
+    uint64_t timeout_ms;        /**< Longest time a request is held. */
+    uint64_t target_latency_ms; /**< Time within which an answer is worth its full credit. */
+    uint64_t target_gap_ms;     /**< Longest pause between events that is in time; 0: none told. */
+    uint32_t priority;          /**< Rank, 0 is the highest. */
+    uint32_t max_attempts;      /**< Most servers that one attempt of a client may run on. */
+    bool turns;                 /**< Its requests are turns of programs. */
+    bool stateful;              /**< What was said is kept here. */
+    uint64_t retention_ms;      /**< How long. */
+    bool sticky;                /**< Prompts share parts: servers keep what they read. */
+    bool resumable;             /**< A broken stream may go on at another server. */
+    struct route_part *parts;   /**< Services. */
+    uint32_t part_count;        /**< Number of those. */
+};
+
+/** A service. */
+struct route_service {
+    char *name;               /**< Unique name. */
+    char *health_path;        /**< Path of the health check. */
+    uint32_t max_connections; /**< Connections that a server accepts from all daemons together. */
+    uint32_t chunk_tokens;    /**< Tokens in an event; 0: not a model engine. */
+    uint32_t slots;           /**< Requests a server runs at once; 0: not told. */
+};
+
+/** Limits of what clients may send; 0: not told. */
+struct route_limits {
+    uint64_t max_header_bytes;  /**< Largest head. */
+    uint64_t max_body_bytes;    /**< Largest body. */
+    uint64_t header_timeout_ms; /**< Longest arrival of a request. */
+    uint64_t idle_timeout_ms;   /**< Longest rest of a connection. */
+};
+
+/** A configuration. */
+struct route_table {
+    uint64_t version;               /**< Orders configurations. */
+    struct route *routes;           /**< Owned array. */
+    uint32_t route_count;           /**< Number of routes. */
+    struct route_service *services; /**< Owned array. */
+    uint32_t service_count;         /**< Number of services. */
+    struct route_limits limits;     /**< Limits. */
+    uint32_t references;            /**< Holders; freed with the last one. */
+};
+
+/** An empty table with one reference. */
+struct route_table *route_table_new(void);
+
+/** Adds a reference. */
+struct route_table *route_table_hold(struct route_table *table);
+
+/** Drops a reference; NULL is allowed. */
+void route_table_release(struct route_table *table);
+
+/** Adds a route, service or part, all zero; valid until the next addition. */
+struct route *route_table_add_route(struct route_table *table);
+struct route_service *route_table_add_service(struct route_table *table);
+struct route_part *route_add_part(struct route *route);
+
+/** Adds every fault of the whole to `findings`. */
+void route_table_check(const struct route_table *table, struct findings *findings);
+
+/** The route of a host (a port in it is ignored) and a target (a query in it is ignored), or NULL. */
+struct route *route_table_find(const struct route_table *table, struct view host, struct view target);
+
+/** A service by name, or NULL. */
+const struct route_service *route_table_service(const struct route_table *table, const char *name);
+
+/** The next part of a route by weight; `usable` tells which parts may be taken. NULL: none. */
+const struct route_part *route_choose_part(struct route *route, bool (*usable)(void *context, const char *service),
+                                           void *context);
+
+/** Whether a request of this route may run more than once. */
+bool route_may_repeat(const struct route *route);
+
+#endif
--- /dev/null
+++ b/src/core/server_table.h
@@ -0,0 +1,75 @@
+/**
+ * @file server_table.h
+ * The servers that a gateway knows, their health as its own traffic shows it,
+ * and the choice among them. Pure.
+ *
+ * A server that leaves gets nothing new, whatever else speaks for it. A list
+ * that lags may still show a server that has answered as another one; that
+ * incarnation is not used again.
+ */
+#ifndef BANKBANK_CORE_SERVER_TABLE_H
+#define BANKBANK_CORE_SERVER_TABLE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "control.pb.h"
+#include "core/retry.h"
+
+enum {
+    SERVER_MAX_TRIED = 8,      /**< Servers one request remembers as tried. */
+    SERVER_SHED_PAUSE_MS = 30, /**< Time a server that was full is passed over. */
+    SERVER_HOME_CALLS = 4      /**< Own calls at its home beyond which a program goes elsewhere. */
+};
+
+/** One incarnation of a server. */
+struct server {
+    char *id;               /**< Incarnation. */
+    char *service;          /**< Service it belongs to. */
+    char *address;          /**< IP:PORT. */
+    char *zone;             /**< Zone. */
+    uint32_t slots;         /**< Requests it works on at once. */
+    bool draining;          /**< It leaves. */
+    bool listed;            /**< It is on the newest list. */
+    bool misplaced;         /**< Another incarnation answered at its address. */
+    uint32_t calls;         /**< Own requests under way there. */
+    uint64_t full_until_ms; /**< Passed over until then, after it refused. */
+    struct circuit circuit; /**< Health by own traffic. */
+    uint64_t hash;          /**< Of its id. */
+    UT_hash_handle hh;      /**< By id. */
+};
+
+/** All servers. */
+struct server_table {
+    struct server *servers; /**< By id. */
+    uint32_t rotation;      /**< Breaks ties. */
+};
+
+/** A request to place. */
+struct server_wish {
+    const char *service;                          /**< Service. */
+    const char *zone;                             /**< The gateway's zone. */
+    uint64_t affinity;                            /**< Hash of what prompts have in common; 0: none. */
+    const struct server *tried[SERVER_MAX_TRIED]; /**< Not these. */
+    uint32_t tried_count;                         /**< Number of those. */
+};
+
+/** Frees everything. */
+void server_table_close(struct server_table *table);
+
+/** Takes a new list. */
+void server_table_update(struct server_table *table, const ServerList *list);
+
+/** Chooses a server, or NULL if none may be used. */
+struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish);
+
+/** Whether a service has a server that may be used. */
+bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service);
+
+/** Notes begin and end of a request. The server may be freed by the end. */
+void server_begin(struct server *server);
+void server_end(struct server_table *table, struct server *server);
+
+#endif
--- /dev/null
+++ b/src/core/site_state.c
@@ -0,0 +1,128 @@
+#include "core/site_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void site_state_close(struct site_state *state)
+{
+    free((void *)(uintptr_t)state->document.content.data);
+    turn_store_close(&state->turns);
+    budget_table_close(&state->budgets);
+    for (uint32_t i = 0; i < state->retired_count; i++) {
+        free(state->retired[i]);
+    }
+    free(state->retired);
+    memset(state, 0, sizeof(*state));
+}
+
+/* The highest version holds; a lower or equal one is acknowledged and changes nothing. */
+static void site_put_document(struct site_state *state, const DocumentPut *put, EntryResult *result)
+{
+    if (put->version > state->document.version) {
+        free((void *)(uintptr_t)state->document.content.data);
+        state->document.version = put->version;
+        state->document.content = view_of(memory_copy(put->content.data, put->content.length), put->content.length);
+    }
+    result->revision = state->document.version;
+}
+
+static void site_finish_turn(struct site_state *state, const TurnFinish *finish, EntryResult *result)
+{
+    if (text_or_empty(finish->program)[0] != '\0') {
+        budget_table_settle(&state->budgets, state->time_ms, finish->program, finish->turn, finish->used_tokens);
+    }
+    if (!finish->keep) {
+        return;
+    }
+    struct turn_content content = {
+        .id = finish->turn,
+        .parent = finish->parent,
+        .input = finish->input,
+        .output = finish->output,
+        .retention_ms = finish->retention_ms + SITE_TURN_SLACK_MS,
+    };
+    if (!turn_store_add(&state->turns, state->time_ms, &content)) {
+        result->code = RESULT_NOT_FOUND;
+    }
+}
+
+bool site_state_is_retired(const struct site_state *state, const char *machine)
+{
+    for (uint32_t i = 0; i < state->retired_count; i++) {
+        if (text_equal(state->retired[i], machine)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void site_start_retire(struct site_state *state, const RetireStart *start)
+{
+    if (site_state_is_retired(state, start->machine)) {
+        return;
+    }
+    state->retired = memory_resize(state->retired, (state->retired_count + 1) * sizeof(*state->retired));
+    state->retired[state->retired_count++] = text_copy(start->machine);
+}
+
+static void site_expire(struct site_state *state)
+{
+    if (state->time_ms < state->expired_ms + SITE_EXPIRE_PERIOD_MS) {
+        return;
+    }
+    state->expired_ms = state->time_ms;
+    turn_store_expire(&state->turns, state->time_ms);
+    budget_table_expire(&state->budgets, state->time_ms);
+}
+
+bool site_state_apply(struct site_state *state, uint64_t stamp_ms, const Entry *entry, EntryResult *result)
+{
+    state->time_ms = stamp_ms > state->time_ms ? stamp_ms : state->time_ms;
+    site_expire(state);
+    switch (entry->which_command) {
+    case Entry_document_put_tag: site_put_document(state, &entry->command.document_put, result); return true;
+    case Entry_turn_begin_tag:
+        if (!budget_table_reserve(&state->budgets, state->time_ms, &entry->command.turn_begin)) {
+            result->code = RESULT_BUDGET;
+        }
+        return true;
+    case Entry_turn_finish_tag: site_finish_turn(state, &entry->command.turn_finish, result); return true;
+    case Entry_retire_start_tag: site_start_retire(state, &entry->command.retire_start); return true;
+    default: return false;
+    }
+}
+
+void site_state_export(const struct site_state *state, SiteSnapshot *snapshot)
+{
+    memset(snapshot, 0, sizeof(*snapshot));
+    snapshot->time_ms = state->time_ms;
+    snapshot->has_document = true;
+    snapshot->document.version = state->document.version;
+    snapshot->document.content = state->document.content;
+    turn_store_export(&state->turns, &snapshot->turns, &snapshot->turns_count);
+    budget_table_export(&state->budgets, &snapshot->budgets, &snapshot->budgets_count);
+    snapshot->retired = state->retired;
+    snapshot->retired_count = (pb_size_t)state->retired_count;
+}
+
+void site_snapshot_close(SiteSnapshot *snapshot)
+{
+    free(snapshot->turns);
+    budget_records_close(snapshot->budgets, snapshot->budgets_count);
+}
+
+void site_state_import(struct site_state *state, const SiteSnapshot *snapshot)
+{
+    state->time_ms = snapshot->time_ms;
+    if (snapshot->has_document) {
+        struct view content = snapshot->document.content;
+        state->document.version = snapshot->document.version;
+        state->document.content = view_of(memory_copy(content.data, content.length), content.length);
+    }
+    turn_store_import(&state->turns, snapshot->turns, snapshot->turns_count);
+    budget_table_import(&state->budgets, snapshot->budgets, snapshot->budgets_count);
+    for (pb_size_t i = 0; i < snapshot->retired_count; i++) {
+        RetireStart start = {.machine = snapshot->retired[i]};
+        site_start_retire(state, &start);
+    }
+}
--- a/src/core/state_machine.c
+++ b/src/core/state_machine.c
@@ -19,6 +19,7 @@
 {
     config_store_close(&machine->config);
     lease_table_close(&machine->leases);
+    site_state_close(&machine->site);
     ledger_close(&machine->ledger);
 }
 
@@ -60,8 +61,12 @@
     return flags;
 }
 
-static void state_machine_apply_config(struct state_machine *machine, const Entry *entry, EntryResult *result)
+static void state_machine_apply_config(struct state_machine *machine, uint64_t stamp_ms, const Entry *entry,
+                                       EntryResult *result)
 {
+    if (site_state_apply(&machine->site, stamp_ms, entry, result)) {
+        return;
+    }
     switch (entry->which_command) {
     case Entry_config_change_tag: config_store_apply(&machine->config, &entry->command.config_change, result); break;
     case Entry_gateway_lease_tag: lease_table_apply(&machine->leases, &entry->command.gateway_lease, result); break;
@@ -79,7 +84,7 @@
     if (!decoded) {
         outcome.code = RESULT_INVALID;
     } else if (machine->group == STATE_CONFIG_GROUP) {
-        state_machine_apply_config(machine, &entry, &outcome);
+        state_machine_apply_config(machine, state_machine_stamp_time(data), &entry, &outcome);
     } else {
         bool owner_expired = (data.data[8] & STATE_FLAG_OWNER_EXPIRED) != 0;
         ledger_apply(&machine->ledger, state_machine_stamp_time(data), owner_expired, &entry, &outcome);
@@ -101,7 +106,10 @@
     }
     config_store_export(&machine->config, &snapshot);
     lease_table_export(&machine->leases, &snapshot);
+    snapshot.has_site = true;
+    site_state_export(&machine->site, &snapshot.site);
     message_encode(out, StateSnapshot_fields, &snapshot);
+    site_snapshot_close(&snapshot.site);
     config_state_close(&snapshot.config);
     free(snapshot.requests);
     free(snapshot.leases);
@@ -116,6 +124,7 @@
     if (machine->group == STATE_CONFIG_GROUP) {
         config_store_import(&machine->config, &snapshot);
         lease_table_import(&machine->leases, &snapshot);
+        site_state_import(&machine->site, &snapshot.site);
     } else {
         ledger_import(&machine->ledger, &snapshot);
     }
--- a/src/core/state_machine.h
+++ b/src/core/state_machine.h
@@ -1,7 +1,7 @@
 /**
  * @file state_machine.h
- * What a group replicates: group 0 holds configuration and leases, every
- * other group one partition of the program ledger.
+ * What a group replicates: group 0 holds configuration, leases and the state
+ * of a site, every other group one partition of the program ledger.
  *
  * Log entry data: 8 bytes wall-clock milliseconds (little endian), 1 byte of
  * flags, both stamped by the leader that proposes it, then the encoded Entry.
@@ -12,6 +12,7 @@
 #include "core/config_store.h"
 #include "core/lease_table.h"
 #include "core/ledger.h"
+#include "core/site_state.h"
 
 enum {
     STATE_CONFIG_GROUP = 0,      /**< Group of configuration and leases. */
@@ -24,6 +25,7 @@
     uint32_t group;             /**< Group id. */
     struct config_store config; /**< Group 0. */
     struct lease_table leases;  /**< Group 0. */
+    struct site_state site;     /**< Group 0. */
     struct ledger ledger;       /**< Other groups. */
 };
 
--- /dev/null
+++ b/src/core/watch.c
@@ -0,0 +1,226 @@
+#include "core/watch.h"
+
+#include <string.h>
+
+#include "base/message.h"
+
+void watch_state_close(struct watch_state *state)
+{
+    buffer_close(&state->document);
+    buffer_close(&state->servers);
+}
+
+static bool watch_servers_are_newer(const struct watch_state *state, uint64_t term, uint64_t number)
+{
+    return term > state->servers_term || (term == state->servers_term && number > state->servers_number);
+}
+
+bool watch_state_put_servers(struct watch_state *state, uint64_t term, uint64_t number, struct view encoded)
+{
+    if (!watch_servers_are_newer(state, term, number)) {
+        return false;
+    }
+    state->servers_term = term;
+    state->servers_number = number;
+    buffer_clear(&state->servers);
+    buffer_append(&state->servers, encoded.data, encoded.length);
+    return true;
+}
+
+/* ---- Watching side ------------------------------------------------------------- */
+
+void watch_client_set_candidates(struct watch_client *client, const struct watch_candidate *candidates, uint32_t count)
+{
+    bool kept = false;
+    client->candidate_count = count < RAFT_MAX_MEMBERS ? count : RAFT_MAX_MEMBERS;
+    for (uint32_t i = 0; i < client->candidate_count; i++) {
+        client->candidates[i] = candidates[i];
+        kept = kept || candidates[i].node == client->target;
+    }
+    if (!kept) {
+        client->target = RAFT_NO_NODE;
+        client->due_ms = 0;
+    }
+}
+
+/* First a replica of the own zone, then the others in turn. */
+static uint32_t watch_choose(struct watch_client *client)
+{
+    for (uint32_t i = 0; client->rotation == 0 && i < client->candidate_count; i++) {
+        if (client->candidates[i].same_zone) {
+            client->rotation = 1;
+            return client->candidates[i].node;
+        }
+    }
+    if (client->candidate_count == 0) {
+        return RAFT_NO_NODE;
+    }
+    client->rotation++;
+    return client->candidates[client->rotation % client->candidate_count].node;
+}
+
+static void watch_leave_target(struct watch_client *client, uint64_t now_ms)
+{
+    client->target = RAFT_NO_NODE;
+    client->due_ms = now_ms + WATCH_RETRY_MS;
+}
+
+bool watch_client_tick(struct watch_client *client, uint64_t now_ms, const struct watch_state *state, Watch *watch)
+{
+    bool silent = client->target != RAFT_NO_NODE && !client->answered && now_ms >= client->sent_ms + WATCH_ANSWER_MS;
+    if (silent) {
+        watch_leave_target(client, now_ms);
+    }
+    if (now_ms < client->due_ms) {
+        return false;
+    }
+    if (client->target == RAFT_NO_NODE) {
+        client->target = watch_choose(client);
+    }
+    if (client->target == RAFT_NO_NODE) {
+        return false;
+    }
+    client->due_ms = now_ms + WATCH_PERIOD_MS;
+    client->sent_ms = now_ms;
+    client->answered = false;
+    memset(watch, 0, sizeof(*watch));
+    watch->sequence = ++client->sequence;
+    watch->document_version = state->document_version;
+    watch->servers_term = state->servers_term;
+    watch->servers_number = state->servers_number;
+    watch->members_index = state->members_index;
+    return true;
+}
+
+static void watch_note_answer(struct watch_client *client, uint64_t now_ms, uint32_t from, const WatchUpdate *update)
+{
+    if (from != client->target || update->sequence != client->sequence) {
+        return;
+    }
+    client->answered = true;
+    client->watchers = update->watchers;
+    if (!update->fresh) {
+        watch_leave_target(client, now_ms);
+        return;
+    }
+    client->fresh_ms = client->sent_ms;
+    client->leader = update->leader;
+}
+
+struct watch_changes watch_client_receive(struct watch_client *client, uint64_t now_ms, uint32_t from,
+                                          const WatchUpdate *update, struct watch_state *state)
+{
+    struct watch_changes changes = {0};
+    watch_note_answer(client, now_ms, from, update);
+    if (update->document_version > state->document_version && update->document.length > 0) {
+        state->document_version = update->document_version;
+        buffer_clear(&state->document);
+        buffer_append(&state->document, update->document.data, update->document.length);
+        changes.document = true;
+    }
+    if (update->has_servers && watch_servers_are_newer(state, update->servers_term, update->servers_number)) {
+        struct buffer encoded = {0};
+        message_encode(&encoded, ServerList_fields, &update->servers);
+        changes.servers =
+            watch_state_put_servers(state, update->servers_term, update->servers_number, buffer_view(&encoded));
+        buffer_close(&encoded);
+    }
+    if (update->has_members && update->members_index > state->members_index) {
+        changes.members = raft_members_from_wire(&update->members, &state->members);
+        state->members_index = update->members_index;
+    }
+    return changes;
+}
+
+bool watch_client_is_fresh(const struct watch_client *client, uint64_t now_ms, uint64_t limit_ms)
+{
+    return client->fresh_ms != 0 && now_ms < client->fresh_ms + limit_ms;
+}
+
+/* ---- Watched side --------------------------------------------------------------- */
+
+static struct watch_entry *watch_server_place(struct watch_server *server, uint64_t now_ms, uint32_t node)
+{
+    struct watch_entry *unused = NULL;
+    for (uint32_t i = 0; i < server->count; i++) {
+        if (server->entries[i].node == node) {
+            return &server->entries[i];
+        }
+        bool old = now_ms >= server->entries[i].heard_ms + WATCH_VALID_MS;
+        unused = old && unused == NULL ? &server->entries[i] : unused;
+    }
+    if (unused == NULL && server->count < WATCH_MAX_WATCHERS) {
+        unused = &server->entries[server->count++];
+    }
+    return unused;
+}
+
+struct watch_entry *watch_server_note(struct watch_server *server, uint64_t now_ms, uint32_t node, const Watch *watch)
+{
+    struct watch_entry *entry = watch_server_place(server, now_ms, node);
+    if (entry == NULL) {
+        return NULL;
+    }
+    entry->node = node;
+    entry->heard_ms = now_ms;
+    entry->document_version = watch->document_version;
+    entry->servers_term = watch->servers_term;
+    entry->servers_number = watch->servers_number;
+    entry->members_index = watch->members_index;
+    return entry;
+}
+
+uint32_t watch_server_count(const struct watch_server *server, uint64_t now_ms)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < server->count; i++) {
+        count += now_ms < server->entries[i].heard_ms + WATCH_VALID_MS ? 1 : 0;
+    }
+    return count;
+}
+
+static bool watch_entry_lacks_servers(const struct watch_entry *entry, const struct watch_state *state)
+{
+    return state->servers_term > entry->servers_term ||
+           (state->servers_term == entry->servers_term && state->servers_number > entry->servers_number);
+}
+
+bool watch_entry_lacks(const struct watch_entry *entry, uint64_t now_ms, const struct watch_state *state)
+{
+    bool recent = now_ms < entry->heard_ms + WATCH_VALID_MS;
+    return recent && (state->document_version > entry->document_version || watch_entry_lacks_servers(entry, state) ||
+                      state->members_index > entry->members_index);
+}
+
+bool watch_entry_fill(struct watch_entry *entry, const struct watch_state *state, Member *items, WatchUpdate *update)
+{
+    update->document_version = state->document_version;
+    if (state->document_version > entry->document_version) {
+        update->document = buffer_view(&state->document);
+        entry->document_version = state->document_version;
+    }
+    update->servers_term = state->servers_term;
+    update->servers_number = state->servers_number;
+    if (watch_entry_lacks_servers(entry, state)) {
+        update->has_servers = message_decode(buffer_view(&state->servers), ServerList_fields, &update->servers);
+        entry->servers_term = state->servers_term;
+        entry->servers_number = state->servers_number;
+        if (!update->has_servers) {
+            return false;
+        }
+    }
+    update->members_index = state->members_index;
+    if (state->members_index > entry->members_index) {
+        update->has_members = true;
+        raft_members_to_wire(&state->members, items, &update->members);
+        entry->members_index = state->members_index;
+    }
+    return true;
+}
+
+void watch_update_close(WatchUpdate *update)
+{
+    if (update->has_servers) {
+        message_free(ServerList_fields, &update->servers);
+    }
+}
--- /dev/null
+++ b/src/core/watch.h
@@ -0,0 +1,117 @@
+/**
+ * @file watch.h
+ * How daemons learn configuration, servers and members without asking for
+ * them: a daemon watches one state replica, which answers each watch and also
+ * tells changes at once. Pure, both sides.
+ *
+ * The watcher takes a value only if it is newer than its own, so that it
+ * never goes back; a replica that is out of touch says so (`fresh`), and the
+ * watcher turns to another one.
+ */
+#ifndef BANKBANK_CORE_WATCH_H
+#define BANKBANK_CORE_WATCH_H
+
+#include "base/buffer.h"
+#include "control.pb.h"
+#include "core/raft.h"
+
+enum {
+    WATCH_PERIOD_MS = 500,   /**< Period of watches. */
+    WATCH_ANSWER_MS = 300,   /**< Time without an answer before another replica is tried. */
+    WATCH_RETRY_MS = 50,     /**< Pause before another replica is tried. */
+    WATCH_VALID_MS = 1500,   /**< Time changes are told after a watch. */
+    WATCH_MAX_WATCHERS = 512 /**< Daemons that watch one replica. */
+};
+
+/** Everything that is watched, with the versions that order it. */
+struct watch_state {
+    uint64_t document_version;   /**< Configuration's version, 0: none. */
+    struct buffer document;      /**< Its text. */
+    uint64_t servers_term;       /**< Leader's term that read the list of servers. */
+    uint64_t servers_number;     /**< Change within that term. */
+    struct buffer servers;       /**< Encoded ServerList. */
+    uint64_t members_index;      /**< Log entry that set the members. */
+    struct raft_members members; /**< State replicas. */
+};
+
+/** What a watcher took from an update. */
+struct watch_changes {
+    bool document; /**< The configuration is newer. */
+    bool servers;  /**< The list of servers is newer. */
+    bool members;  /**< The members are newer. */
+};
+
+/** Frees it. */
+void watch_state_close(struct watch_state *state);
+
+/** Takes a list of servers if it is newer; returns whether it was. */
+bool watch_state_put_servers(struct watch_state *state, uint64_t term, uint64_t number, struct view encoded);
+
+/** A replica that may be watched. */
+struct watch_candidate {
+    uint32_t node;  /**< Node id. */
+    bool same_zone; /**< Preferred. */
+};
+
+/** Watching side. */
+struct watch_client {
+    struct watch_candidate candidates[RAFT_MAX_MEMBERS]; /**< Replicas connected now. */
+    uint32_t candidate_count;                            /**< Number of those. */
+    uint32_t target;                                     /**< Watched replica, or RAFT_NO_NODE. */
+    uint32_t rotation;                                   /**< Next one to try. */
+    uint64_t sequence;                                   /**< Number of the last watch. */
+    uint64_t sent_ms;                                    /**< Its time. */
+    bool answered;                                       /**< It was answered. */
+    uint64_t due_ms;                                     /**< Next watch. */
+    uint64_t fresh_ms;                                   /**< Send time of the last watch with a fresh answer. */
+    uint32_t leader;                                     /**< Leader told last. */
+    uint32_t watchers;                                   /**< Daemons that watch the target. */
+};
+
+/** Replaces the candidates; a target that is not among them is left. */
+void watch_client_set_candidates(struct watch_client *client, const struct watch_candidate *candidates, uint32_t count);
+
+/** Returns whether `watch` is to be sent to client->target now. */
+bool watch_client_tick(struct watch_client *client, uint64_t now_ms, const struct watch_state *state, Watch *watch);
+
+/** Takes what is newer. */
+struct watch_changes watch_client_receive(struct watch_client *client, uint64_t now_ms, uint32_t from,
+                                          const WatchUpdate *update, struct watch_state *state);
+
+/** Whether a replica in touch with a quorum answered within `limit_ms`. */
+bool watch_client_is_fresh(const struct watch_client *client, uint64_t now_ms, uint64_t limit_ms);
+
+/** A daemon that watches. */
+struct watch_entry {
+    uint32_t node;             /**< Its node id. */
+    uint64_t heard_ms;         /**< Time of its last watch. */
+    uint64_t document_version; /**< What it has. */
+    uint64_t servers_term;     /**< What it has. */
+    uint64_t servers_number;   /**< What it has. */
+    uint64_t members_index;    /**< What it has. */
+};
+
+/** Watched side. */
+struct watch_server {
+    struct watch_entry entries[WATCH_MAX_WATCHERS]; /**< Watchers. */
+    uint32_t count;                                 /**< Number of those. */
+};
+
+/** Notes a watch; NULL: no room. */
+struct watch_entry *watch_server_note(struct watch_server *server, uint64_t now_ms, uint32_t node, const Watch *watch);
+
+/** Number of daemons that watched lately. */
+uint32_t watch_server_count(const struct watch_server *server, uint64_t now_ms);
+
+/** Whether a watcher lacks something of `state` and watched lately. */
+bool watch_entry_lacks(const struct watch_entry *entry, uint64_t now_ms, const struct watch_state *state);
+
+/**
+ * Fills an update with what the watcher lacks and notes it as told. `items`
+ * is storage of RAFT_MAX_MEMBERS members; false: the servers do not decode.
+ * Release with watch_update_close().
+ */
+bool watch_entry_fill(struct watch_entry *entry, const struct watch_state *state, Member *items, WatchUpdate *update);
+void watch_update_close(WatchUpdate *update);
+
+#endif
--- /dev/null
+++ b/src/net/http_listener.c
@@ -0,0 +1,482 @@
+#include "net/http_listener.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum {
+    HTTP_LISTENER_BACKLOG = 512,
+    HTTP_LISTENER_SWEEP_MS = 250,
+    HTTP_LISTENER_READ_BYTES = 1 << 16,
+    HTTP_LISTENER_LINGER_MS = 1000,     /* time for the client to take the last answer */
+    HTTP_LISTENER_AHEAD_BYTES = 1 << 16 /* bytes read behind a request that is being answered */
+};
+
+/* READING: a request is due or arriving. ANSWERING: a call is with the handler.
+ * LINGERING: the last answer is written, what still comes is thrown away. */
+enum http_connection_state { HTTP_READING, HTTP_ANSWERING, HTTP_LINGERING, HTTP_CLOSED };
+
+struct http_connection {
+    uv_tcp_t socket;
+    struct http_listener *listener;
+    enum http_connection_state state;
+    struct http_reader reader;
+    struct http_call call;
+    struct buffer ahead; /* bytes behind the current request */
+    uint64_t since_ms;   /* start of the current rest, request or linger */
+    bool arriving;       /* a part of a request has come */
+    bool close_after;    /* the answer closes the connection */
+    bool handling;       /* guards against recursion while bytes are handled */
+    struct http_connection *previous;
+    struct http_connection *next;
+};
+
+/* A write under way. */
+struct http_write {
+    uv_write_t request;
+    uint8_t *data;
+};
+
+static char http_read_space[HTTP_LISTENER_READ_BYTES];
+
+static void http_connection_advance(struct http_connection *connection);
+
+/* ---- Closing ------------------------------------------------------------------------ */
+
+static void http_on_closed(uv_handle_t *handle)
+{
+    struct http_connection *connection = handle->data;
+    http_reader_close(&connection->reader);
+    buffer_close(&connection->call.body);
+    buffer_close(&connection->ahead);
+    free(connection);
+}
+
+static void http_connection_close(struct http_connection *connection)
+{
+    if (connection->state == HTTP_CLOSED) {
+        return;
+    }
+    struct http_listener *listener = connection->listener;
+    connection->state = HTTP_CLOSED;
+    if (connection->previous != NULL) {
+        connection->previous->next = connection->next;
+    } else {
+        listener->connections = connection->next;
+    }
+    if (connection->next != NULL) {
+        connection->next->previous = connection->previous;
+    }
+    uv_close((uv_handle_t *)&connection->socket, http_on_closed);
+}
+
+static void http_connection_lost(struct http_connection *connection)
+{
+    struct http_listener *listener = connection->listener;
+    if (connection->state == HTTP_ANSWERING) {
+        listener->counters.gone++;
+        connection->state = HTTP_LINGERING;
+        listener->handler.gone(listener->handler.context, &connection->call);
+    }
+    http_connection_close(connection);
+}
+
+/* ---- Writing --------------------------------------------------------------------------- */
+
+static void http_on_written(uv_write_t *request, int status)
+{
+    struct http_write *write = (struct http_write *)request;
+    struct http_connection *connection = request->handle->data;
+    free(write->data);
+    free(write);
+    if (status < 0 && status != UV_ECANCELED) {
+        http_connection_lost(connection);
+    }
+}
+
+static void http_connection_write(struct http_connection *connection, struct view data)
+{
+    uv_buf_t part = uv_buf_init((char *)(uintptr_t)data.data, (unsigned)data.length);
+    int written = uv_stream_get_write_queue_size((uv_stream_t *)&connection->socket) > 0
+                      ? 0
+                      : uv_try_write((uv_stream_t *)&connection->socket, &part, 1);
+    if (written < 0) {
+        written = 0;
+    }
+    size_t left = data.length - (size_t)written;
+    if (left == 0) {
+        return;
+    }
+    struct http_write *write = memory_new(sizeof(*write));
+    write->data = (uint8_t *)memory_copy(data.data + written, left);
+    part = uv_buf_init((char *)write->data, (unsigned)left);
+    if (uv_write(&write->request, (uv_stream_t *)&connection->socket, &part, 1, http_on_written) != 0) {
+        free(write->data);
+        free(write);
+    }
+}
+
+static void http_on_shutdown(uv_shutdown_t *request, int status)
+{
+    (void)status;
+    free(request);
+}
+
+/* Ends the sending side and waits for the client's end, so that no reset overtakes the answer. */
+static void http_connection_linger(struct http_connection *connection)
+{
+    connection->state = HTTP_LINGERING;
+    connection->since_ms = uv_now(connection->listener->loop);
+    uv_shutdown_t *request = memory_new(sizeof(*request));
+    if (uv_shutdown(request, (uv_stream_t *)&connection->socket, http_on_shutdown) != 0) {
+        free(request);
+        http_connection_close(connection);
+    }
+}
+
+/* The answer is written: the next request may come. */
+static void http_connection_finish(struct http_connection *connection)
+{
+    if (connection->close_after) {
+        http_connection_linger(connection);
+        return;
+    }
+    connection->state = HTTP_READING;
+    connection->since_ms = uv_now(connection->listener->loop);
+    connection->arriving = connection->ahead.length > 0;
+    buffer_close(&connection->call.body);
+    memset(&connection->call, 0, sizeof(connection->call));
+    connection->call.connection = connection;
+    connection->call.request = &connection->reader;
+    http_reader_reset(&connection->reader);
+    uv_read_start((uv_stream_t *)&connection->socket, connection->socket.alloc_cb, connection->socket.read_cb);
+    if (!connection->handling) {
+        http_connection_advance(connection);
+    }
+}
+
+/* ---- Answers ------------------------------------------------------------------------------ */
+
+static const char *http_status_text(int status)
+{
+    switch (status) {
+#define HTTP_STATUS_CASE(number, name, text)                                                                           \
+    case number: return #text;
+        HTTP_STATUS_MAP(HTTP_STATUS_CASE)
+#undef HTTP_STATUS_CASE
+    default: return "Unknown";
+    }
+}
+
+static bool http_call_is_head(const struct http_call *call)
+{
+    return http_name_equal(call->request->method, "HEAD");
+}
+
+static void http_write_status(const struct http_call *call, int status, struct view headers, struct buffer *out)
+{
+    struct http_connection *connection = call->connection;
+    connection->close_after = connection->close_after || connection->listener->draining;
+    buffer_printf(out, "HTTP/1.1 %d %s\r\n", status, http_status_text(status));
+    buffer_append(out, headers.data, headers.length);
+    if (connection->close_after) {
+        buffer_append_text(out, "Connection: close\r\n");
+    }
+}
+
+void http_call_reply(struct http_call *call, int status, const char *headers, const char *content_type,
+                     struct view body)
+{
+    struct http_connection *connection = call->connection;
+    struct buffer out = {0};
+    http_write_status(call, status, view_of_string(headers), &out);
+    if (content_type != NULL) {
+        buffer_printf(&out, "Content-Type: %s\r\n", content_type);
+    }
+    bool bodyless = status == 204 || status == 304;
+    if (!bodyless) {
+        buffer_printf(&out, "Content-Length: %zu\r\n", body.length);
+    }
+    buffer_append_text(&out, "\r\n");
+    if (!bodyless && !http_call_is_head(call)) {
+        buffer_append(&out, body.data, body.length);
+    }
+    call->head_sent = true;
+    http_connection_write(connection, buffer_view(&out));
+    buffer_close(&out);
+    http_connection_finish(connection);
+}
+
+void http_call_begin(struct http_call *call, int status, struct view headers)
+{
+    struct buffer out = {0};
+    /* A client of HTTP/1.0 knows no chunks: its answer ends with the connection. */
+    call->chunked = call->request->parser.http_minor >= 1;
+    call->connection->close_after = call->connection->close_after || !call->chunked;
+    http_write_status(call, status, headers, &out);
+    buffer_append_text(&out, call->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+    call->head_sent = true;
+    http_connection_write(call->connection, buffer_view(&out));
+    buffer_close(&out);
+}
+
+void http_call_data(struct http_call *call, struct view data)
+{
+    if (data.length == 0) {
+        return;
+    }
+    struct buffer out = {0};
+    if (call->chunked) {
+        buffer_printf(&out, "%zx\r\n", data.length);
+    }
+    buffer_append(&out, data.data, data.length);
+    if (call->chunked) {
+        buffer_append_text(&out, "\r\n");
+    }
+    http_connection_write(call->connection, buffer_view(&out));
+    buffer_close(&out);
+}
+
+void http_call_end(struct http_call *call)
+{
+    if (call->chunked) {
+        http_connection_write(call->connection, view_of_string("0\r\n\r\n"));
+    }
+    http_connection_finish(call->connection);
+}
+
+void http_call_cut(struct http_call *call)
+{
+    struct http_connection *connection = call->connection;
+    /* An answer that ends with its connection looks cut only by a reset. */
+    if (call->head_sent && !call->chunked) {
+        uv_os_fd_t file;
+        struct linger reset = {.l_onoff = 1, .l_linger = 0};
+        if (uv_fileno((uv_handle_t *)&connection->socket, &file) == 0) {
+            setsockopt(file, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        }
+        http_connection_close(connection);
+        return;
+    }
+    http_connection_linger(connection);
+}
+
+size_t http_call_pending(const struct http_call *call)
+{
+    return uv_stream_get_write_queue_size((const uv_stream_t *)&call->connection->socket);
+}
+
+/* ---- Reading --------------------------------------------------------------------------------- */
+
+static void http_connection_refuse(struct http_connection *connection)
+{
+    static const int statuses[] = {
+        [HTTP_FAULT_NONE] = 400,           [HTTP_FAULT_MALFORMED] = 400, [HTTP_FAULT_HEAD_TOO_LARGE] = 431,
+        [HTTP_FAULT_BODY_TOO_LARGE] = 413, [HTTP_FAULT_CUT] = 400,
+    };
+    connection->listener->counters.malformed++;
+    connection->close_after = true;
+    connection->state = HTTP_ANSWERING;
+    static const char body[] = "{\"error\":{\"code\":\"bad_request\",\"run_state\":\"not-run\"}}";
+    http_call_reply(&connection->call, statuses[connection->reader.fault], "X-Run-State: not-run\r\n",
+                    "application/json", view_of_string(body));
+}
+
+static bool http_on_request_head(void *context, struct http_reader *reader)
+{
+    struct http_connection *connection = context;
+    bool waits = http_name_equal(http_reader_header(reader, "Expect"), "100-continue");
+    if (waits && reader->parser.http_minor >= 1) {
+        http_connection_write(connection, view_of_string("HTTP/1.1 100 Continue\r\n\r\n"));
+    }
+    return !http_name_equal(reader->method, "CONNECT");
+}
+
+static bool http_on_request_body(void *context, struct http_reader *reader, struct view part)
+{
+    struct http_connection *connection = context;
+    (void)reader;
+    buffer_append(&connection->call.body, part.data, part.length);
+    return true;
+}
+
+static bool http_on_request_complete(void *context, struct http_reader *reader)
+{
+    struct http_connection *connection = context;
+    connection->close_after = !reader->keep_alive;
+    return true;
+}
+
+static void http_connection_dispatch(struct http_connection *connection)
+{
+    struct http_listener *listener = connection->listener;
+    connection->state = HTTP_ANSWERING;
+    connection->arriving = false;
+    connection->call.received_ms = uv_now(listener->loop);
+    listener->counters.requests++;
+    listener->handler.request(listener->handler.context, &connection->call);
+}
+
+/* Handles the bytes at hand, request after request. */
+static void http_connection_advance(struct http_connection *connection)
+{
+    connection->handling = true;
+    while (connection->state == HTTP_READING && connection->ahead.length > 0) {
+        connection->reader.max_head_bytes = connection->listener->limits.max_head_bytes;
+        connection->reader.max_body_bytes = connection->listener->limits.max_body_bytes;
+        size_t used = http_reader_feed(&connection->reader, connection->ahead.data, connection->ahead.length);
+        buffer_consume(&connection->ahead, used);
+        if (connection->reader.fault != HTTP_FAULT_NONE) {
+            http_connection_refuse(connection);
+        } else if (connection->reader.complete) {
+            http_connection_dispatch(connection);
+        }
+    }
+    if (connection->ahead.length == 0) {
+        buffer_close(&connection->ahead);
+    }
+    connection->handling = false;
+}
+
+static void http_on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
+{
+    (void)handle;
+    (void)suggested;
+    *out = uv_buf_init(http_read_space, sizeof(http_read_space));
+}
+
+static void http_on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *space)
+{
+    struct http_connection *connection = stream->data;
+    if (got < 0) {
+        http_connection_lost(connection);
+        return;
+    }
+    if (got == 0 || connection->state == HTTP_LINGERING) {
+        return;
+    }
+    if (connection->state == HTTP_READING && !connection->arriving) {
+        connection->arriving = true;
+        connection->since_ms = uv_now(connection->listener->loop);
+    }
+    buffer_append(&connection->ahead, space->base, (size_t)got);
+    if (connection->state == HTTP_READING) {
+        http_connection_advance(connection);
+    } else if (connection->ahead.length > HTTP_LISTENER_AHEAD_BYTES) {
+        uv_read_stop(stream);
+    }
+}
+
+static void http_on_accept(uv_stream_t *stream, int status)
+{
+    struct http_listener *listener = stream->data;
+    if (status < 0) {
+        return;
+    }
+    struct http_connection *connection = memory_new(sizeof(*connection));
+    connection->listener = listener;
+    connection->call.connection = connection;
+    connection->call.request = &connection->reader;
+    connection->reader.type = HTTP_REQUEST;
+    connection->reader.events = (struct http_reader_events){
+        .context = connection,
+        .head = http_on_request_head,
+        .body = http_on_request_body,
+        .complete = http_on_request_complete,
+    };
+    http_reader_reset(&connection->reader);
+    connection->since_ms = uv_now(listener->loop);
+    uv_tcp_init(listener->loop, &connection->socket);
+    connection->socket.data = connection;
+    connection->next = listener->connections;
+    if (connection->next != NULL) {
+        connection->next->previous = connection;
+    }
+    listener->connections = connection;
+    listener->counters.accepted++;
+    if (uv_accept(stream, (uv_stream_t *)&connection->socket) != 0) {
+        http_connection_close(connection);
+        return;
+    }
+    uv_tcp_nodelay(&connection->socket, 1);
+    uv_read_start((uv_stream_t *)&connection->socket, http_on_alloc, http_on_read);
+}
+
+/* ---- Time --------------------------------------------------------------------------------------- */
+
+static uint64_t http_connection_limit(const struct http_connection *connection)
+{
+    const struct http_limits *limits = &connection->listener->limits;
+    switch (connection->state) {
+    case HTTP_READING: return connection->arriving ? limits->header_timeout_ms : limits->idle_timeout_ms;
+    case HTTP_LINGERING: return HTTP_LISTENER_LINGER_MS;
+    default: return 0;
+    }
+}
+
+static void http_on_sweep(uv_timer_t *timer)
+{
+    struct http_listener *listener = timer->data;
+    uint64_t now_ms = uv_now(listener->loop);
+    struct http_connection *next = NULL;
+    for (struct http_connection *connection = listener->connections; connection != NULL; connection = next) {
+        next = connection->next;
+        uint64_t limit = http_connection_limit(connection);
+        if (limit != 0 && now_ms >= connection->since_ms + limit) {
+            listener->counters.timeouts++;
+            http_connection_close(connection);
+        }
+    }
+}
+
+int http_listener_start(struct http_listener *listener, uv_loop_t *loop, const struct address *address,
+                        const struct http_handler *handler, const struct http_limits *limits)
+{
+    memset(listener, 0, sizeof(*listener));
+    listener->loop = loop;
+    listener->handler = *handler;
+    listener->limits = *limits;
+    listener->socket.data = listener;
+    uv_tcp_init(loop, &listener->socket);
+    uv_timer_init(loop, &listener->sweep);
+    listener->socket.data = listener;
+    listener->sweep.data = listener;
+    int result = uv_tcp_bind(&listener->socket, (const struct sockaddr *)&address->socket, 0);
+    if (result == 0) {
+        result = uv_listen((uv_stream_t *)&listener->socket, HTTP_LISTENER_BACKLOG, http_on_accept);
+    }
+    listener->listening = result == 0;
+    uv_timer_start(&listener->sweep, http_on_sweep, HTTP_LISTENER_SWEEP_MS, HTTP_LISTENER_SWEEP_MS);
+    return result;
+}
+
+void http_listener_drain(struct http_listener *listener)
+{
+    listener->draining = true;
+}
+
+void http_listener_stop_accepting(struct http_listener *listener)
+{
+    if (listener->listening) {
+        listener->listening = false;
+        uv_close((uv_handle_t *)&listener->socket, NULL);
+    }
+    struct http_connection *next = NULL;
+    for (struct http_connection *connection = listener->connections; connection != NULL; connection = next) {
+        next = connection->next;
+        if (connection->state == HTTP_READING && !connection->arriving) {
+            http_connection_linger(connection);
+        }
+    }
+}
+
+uint32_t http_listener_active(const struct http_listener *listener)
+{
+    uint32_t active = 0;
+    for (const struct http_connection *connection = listener->connections; connection != NULL;
+         connection = connection->next) {
+        active += connection->state == HTTP_ANSWERING || connection->arriving ? 1 : 0;
+    }
+    return active;
+}
--- /dev/null
+++ b/src/net/http_reader.c
@@ -0,0 +1,365 @@
+#include "net/http_reader.h"
+
+#include <string.h>
+#include <strings.h>
+
+enum { HTTP_STATUS_SWITCHING = 101, HTTP_LINE_END = 2 };
+
+bool http_name_equal(struct view name, const char *text)
+{
+    return name.length == strlen(text) && strncasecmp((const char *)name.data, text, name.length) == 0;
+}
+
+static bool http_is_token_byte(uint8_t byte)
+{
+    static const char others[] = "!#$%&'*+-.^_`|~";
+    bool letter = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
+    bool digit = byte >= '0' && byte <= '9';
+    return letter || digit || (byte != '\0' && strchr(others, byte) != NULL);
+}
+
+static bool http_is_token(struct view text)
+{
+    for (size_t i = 0; i < text.length; i++) {
+        if (!http_is_token_byte(text.data[i])) {
+            return false;
+        }
+    }
+    return text.length > 0;
+}
+
+static bool http_is_blank(uint8_t byte)
+{
+    return byte == ' ' || byte == '\t';
+}
+
+static struct view http_trim(struct view text)
+{
+    while (text.length > 0 && http_is_blank(text.data[0])) {
+        text.data++;
+        text.length--;
+    }
+    while (text.length > 0 && http_is_blank(text.data[text.length - 1])) {
+        text.length--;
+    }
+    return text;
+}
+
+/* ---- Head ------------------------------------------------------------------------ */
+
+static bool http_read_request_line(struct http_reader *reader, struct view line)
+{
+    const uint8_t *first = memchr(line.data, ' ', line.length);
+    const uint8_t *last = memrchr(line.data, ' ', line.length);
+    if (first == NULL || first == last) {
+        return false;
+    }
+    reader->method = view_of(line.data, (size_t)(first - line.data));
+    reader->target = view_of(first + 1, (size_t)(last - first - 1));
+    struct view version = view_of(last + 1, (size_t)(line.data + line.length - last - 1));
+    bool known = http_name_equal(version, "HTTP/1.1") || http_name_equal(version, "HTTP/1.0");
+    bool plain = memchr(reader->target.data, ' ', reader->target.length) == NULL;
+    return known && plain && reader->target.length > 0 && http_is_token(reader->method);
+}
+
+static bool http_read_header_line(struct http_reader *reader, struct view line)
+{
+    const uint8_t *colon = memchr(line.data, ':', line.length);
+    if (colon == NULL || reader->header_count == HTTP_READER_MAX_HEADERS) {
+        return false;
+    }
+    struct http_header *header = &reader->headers[reader->header_count++];
+    header->name = view_of(line.data, (size_t)(colon - line.data));
+    header->value = http_trim(view_of(colon + 1, (size_t)(line.data + line.length - colon - 1)));
+    return http_is_token(header->name);
+}
+
+static bool http_is_clean_line(struct view line)
+{
+    for (size_t i = 0; i < line.length; i++) {
+        uint8_t byte = line.data[i];
+        if ((byte < ' ' && byte != '\t') || byte == 0x7f) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Splits the head into lines; folded lines fail, since a name holds no blank. */
+static bool http_read_lines(struct http_reader *reader)
+{
+    struct view rest = buffer_view(&reader->head);
+    bool first = true;
+    while (rest.length > HTTP_LINE_END) {
+        const uint8_t *end = memmem(rest.data, rest.length, "\r\n", HTTP_LINE_END);
+        if (end == NULL) {
+            return false;
+        }
+        struct view line = view_of(rest.data, (size_t)(end - rest.data));
+        rest = view_of(end + HTTP_LINE_END, rest.length - line.length - HTTP_LINE_END);
+        if (line.length == 0) {
+            break;
+        }
+        bool good = http_is_clean_line(line);
+        if (first && reader->type == HTTP_REQUEST) {
+            good = good && http_read_request_line(reader, line);
+        } else if (!first) {
+            good = good && http_read_header_line(reader, line);
+        }
+        if (!good) {
+            return false;
+        }
+        first = false;
+    }
+    return !first;
+}
+
+static bool http_is_number(struct view text)
+{
+    for (size_t i = 0; i < text.length; i++) {
+        if (text.data[i] < '0' || text.data[i] > '9') {
+            return false;
+        }
+    }
+    return text.length > 0 && text.length <= 18;
+}
+
+static bool http_framing_is_clear(const struct http_reader *reader)
+{
+    int lengths = 0;
+    int encodings = 0;
+    int hosts = 0;
+    for (int i = 0; i < reader->header_count; i++) {
+        const struct http_header *header = &reader->headers[i];
+        if (http_name_equal(header->name, "Content-Length")) {
+            lengths++;
+            if (!http_is_number(header->value)) {
+                return false;
+            }
+        } else if (http_name_equal(header->name, "Transfer-Encoding")) {
+            encodings++;
+            if (!http_name_equal(header->value, "chunked")) {
+                return false;
+            }
+        } else if (http_name_equal(header->name, "Host")) {
+            hosts++;
+        }
+    }
+    bool host_ok = reader->type == HTTP_RESPONSE || hosts == 1 || (hosts == 0 && reader->parser.http_minor == 0);
+    return lengths + encodings <= 1 && host_ok;
+}
+
+/* ---- http-parser's callbacks -------------------------------------------------------- */
+
+static int http_on_headers_complete(http_parser *parser)
+{
+    struct http_reader *reader = parser->data;
+    reader->status = (int)parser->status_code;
+    reader->keep_alive = http_should_keep_alive(parser) != 0;
+    bool no_content = reader->type == HTTP_RESPONSE && (reader->skip_body || parser->status_code == 204 ||
+                                                        parser->status_code == 304 || parser->status_code < 200);
+    bool framed = (parser->flags & F_CHUNKED) != 0 || (parser->flags & F_CONTENTLENGTH) != 0;
+    reader->until_close = reader->type == HTTP_RESPONSE && !no_content && !framed;
+    if (!http_framing_is_clear(reader) || parser->status_code == HTTP_STATUS_SWITCHING) {
+        return -1;
+    }
+    reader->head_done = true;
+    if (!reader->events.head(reader->events.context, reader)) {
+        return -1;
+    }
+    return reader->type == HTTP_RESPONSE && reader->skip_body ? 1 : 0;
+}
+
+static int http_on_body(http_parser *parser, const char *data, size_t length)
+{
+    struct http_reader *reader = parser->data;
+    reader->body_bytes += length;
+    if (reader->body_bytes > reader->max_body_bytes) {
+        reader->fault = HTTP_FAULT_BODY_TOO_LARGE;
+        return -1;
+    }
+    return reader->events.body(reader->events.context, reader, view_of(data, length)) ? 0 : -1;
+}
+
+static int http_on_message_complete(http_parser *parser)
+{
+    struct http_reader *reader = parser->data;
+    reader->complete = true;
+    http_parser_pause(parser, 1);
+    return reader->events.complete(reader->events.context, reader) ? 0 : -1;
+}
+
+static const http_parser_settings http_reader_settings = {
+    .on_headers_complete = http_on_headers_complete,
+    .on_body = http_on_body,
+    .on_message_complete = http_on_message_complete,
+};
+
+/* ---- Feeding -------------------------------------------------------------------------- */
+
+void http_reader_reset(struct http_reader *reader)
+{
+    http_parser_init(&reader->parser, reader->type);
+    reader->parser.data = reader;
+    buffer_clear(&reader->head);
+    reader->head_done = false;
+    reader->complete = false;
+    reader->header_count = 0;
+    reader->status = 0;
+    reader->keep_alive = false;
+    reader->until_close = false;
+    reader->body_bytes = 0;
+    reader->fault = HTTP_FAULT_NONE;
+}
+
+void http_reader_close(struct http_reader *reader)
+{
+    buffer_close(&reader->head);
+}
+
+static void http_reader_fail(struct http_reader *reader, enum http_fault fault)
+{
+    if (reader->fault == HTTP_FAULT_NONE) {
+        reader->fault = fault;
+    }
+}
+
+static size_t http_reader_execute(struct http_reader *reader, const uint8_t *data, size_t length)
+{
+    size_t used = http_parser_execute(&reader->parser, &http_reader_settings, (const char *)data, length);
+    enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
+    if (error != HPE_OK && error != HPE_PAUSED) {
+        http_reader_fail(reader, HTTP_FAULT_MALFORMED);
+    }
+    return used;
+}
+
+/* Gathers the head; returns how many bytes belong to it. */
+static size_t http_reader_gather(struct http_reader *reader, const uint8_t *data, size_t length)
+{
+    size_t before = reader->head.length;
+    buffer_append(&reader->head, data, length);
+    size_t from = before < 3 ? 0 : before - 3;
+    const uint8_t *end = memmem(reader->head.data + from, reader->head.length - from, "\r\n\r\n", 4);
+    size_t head_bytes = end == NULL ? reader->head.length : (size_t)(end - reader->head.data) + 4;
+    if (head_bytes > reader->max_head_bytes) {
+        http_reader_fail(reader, HTTP_FAULT_HEAD_TOO_LARGE);
+        return length;
+    }
+    reader->head.length = head_bytes;
+    if (end == NULL) {
+        return length;
+    }
+    if (!http_read_lines(reader)) {
+        http_reader_fail(reader, HTTP_FAULT_MALFORMED);
+        return length;
+    }
+    size_t parsed = http_reader_execute(reader, reader->head.data, reader->head.length);
+    if (!reader->head_done || parsed < reader->head.length - 1) {
+        http_reader_fail(reader, HTTP_FAULT_MALFORMED);
+    }
+    return head_bytes - before;
+}
+
+static size_t http_skip_line_ends(const struct http_reader *reader, const uint8_t *data, size_t length)
+{
+    size_t skipped = 0;
+    while (reader->head.length == 0 && reader->type == HTTP_REQUEST && skipped < length &&
+           (data[skipped] == '\r' || data[skipped] == '\n')) {
+        skipped++;
+    }
+    return skipped;
+}
+
+size_t http_reader_feed(struct http_reader *reader, const uint8_t *data, size_t length)
+{
+    size_t used = reader->head_done ? 0 : http_skip_line_ends(reader, data, length);
+    if (!reader->head_done && used < length) {
+        used += http_reader_gather(reader, data + used, length - used);
+    }
+    if (reader->head_done && !reader->complete && reader->fault == HTTP_FAULT_NONE && used < length) {
+        used += http_reader_execute(reader, data + used, length - used);
+    }
+    return used;
+}
+
+void http_reader_end(struct http_reader *reader)
+{
+    if (reader->complete || reader->fault != HTTP_FAULT_NONE) {
+        return;
+    }
+    bool ends_here = reader->head_done && reader->until_close;
+    if (ends_here) {
+        http_parser_execute(&reader->parser, &http_reader_settings, NULL, 0);
+    }
+    if (!reader->complete) {
+        http_reader_fail(reader, HTTP_FAULT_CUT);
+    }
+}
+
+/* ---- Headers ---------------------------------------------------------------------------- */
+
+static const struct http_header *http_reader_find(const struct http_reader *reader, const char *name)
+{
+    for (int i = 0; i < reader->header_count; i++) {
+        if (http_name_equal(reader->headers[i].name, name)) {
+            return &reader->headers[i];
+        }
+    }
+    return NULL;
+}
+
+struct view http_reader_header(const struct http_reader *reader, const char *name)
+{
+    const struct http_header *header = http_reader_find(reader, name);
+    return header == NULL ? view_of(NULL, 0) : header->value;
+}
+
+bool http_reader_has(const struct http_reader *reader, const char *name)
+{
+    return http_reader_find(reader, name) != NULL;
+}
+
+/* Whether a comma-separated list holds a name. */
+static bool http_list_holds(struct view list, struct view name)
+{
+    while (list.length > 0) {
+        const uint8_t *comma = memchr(list.data, ',', list.length);
+        size_t length = comma == NULL ? list.length : (size_t)(comma - list.data);
+        struct view item = http_trim(view_of(list.data, length));
+        if (item.length == name.length &&
+            strncasecmp((const char *)item.data, (const char *)name.data, name.length) == 0) {
+            return true;
+        }
+        size_t step = comma == NULL ? length : length + 1;
+        list = view_of(list.data + step, list.length - step);
+    }
+    return false;
+}
+
+bool http_reader_is_hop_header(const struct http_reader *reader, struct view name)
+{
+    static const char *const hop[] = {"Connection",
+                                      "Keep-Alive",
+                                      "Proxy-Connection",
+                                      "Proxy-Authenticate",
+                                      "Proxy-Authorization",
+                                      "TE",
+                                      "Trailer",
+                                      "Transfer-Encoding",
+                                      "Upgrade",
+                                      "Content-Length",
+                                      "Expect"};
+    for (size_t i = 0; i < sizeof(hop) / sizeof(hop[0]); i++) {
+        if (http_name_equal(name, hop[i])) {
+            return true;
+        }
+    }
+    for (int i = 0; i < reader->header_count; i++) {
+        bool names = http_name_equal(reader->headers[i].name, "Connection");
+        if (names && http_list_holds(reader->headers[i].value, name)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -21,15 +21,19 @@
 
 /* One connection. */
 struct link {
-    int file;          /* socket */
-    uint32_t node;     /* peer's id; 0 until its Hello came */
-    bool outbound;     /* this side dialled */
-    bool connecting;   /* connect() is under way */
-    bool closing;      /* to be removed after the current event */
-    bool wants_write;  /* registered for writability */
-    struct buffer in;  /* bytes received and not yet handled */
-    struct buffer out; /* bytes queued */
-    size_t out_sent;   /* bytes of `out` already written */
+    int file;                       /* socket */
+    uint32_t node;                  /* peer's id; 0 until its Hello came */
+    bool outbound;                  /* this side dialled */
+    bool connecting;                /* connect() is under way */
+    bool closing;                   /* to be removed after the current event */
+    bool wants_write;               /* registered for writability */
+    bool replica;                   /* peer holds a replica that joins by itself */
+    void *watch;                    /* handle of the host's watch */
+    uint64_t since_ms;              /* time the dialling began */
+    struct raft_member_place place; /* where the peer's replica runs */
+    struct buffer in;               /* bytes received and not yet handled */
+    struct buffer out;              /* bytes queued */
+    size_t out_sent;                /* bytes of `out` already written */
     struct link *next;
 };
 
@@ -37,12 +41,28 @@
 {
     int on = 1;
     int flags = fcntl(file, F_GETFL);
+    unsigned silence_ms = LINKS_SILENCE_MS;
+    int probe_s = 1;
+    setsockopt(file, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof(silence_ms));
+    setsockopt(file, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(file, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof(probe_s));
+    setsockopt(file, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof(probe_s));
     return flags >= 0 && fcntl(file, F_SETFL, flags | O_NONBLOCK) == 0 && fcntl(file, F_SETFD, FD_CLOEXEC) == 0 &&
            setsockopt(file, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)) == 0;
 }
 
 static void links_register(struct links *links, struct link *link, int operation)
 {
+    const struct links_watcher *watcher = links->config.watcher;
+    if (watcher != NULL && operation == EPOLL_CTL_ADD) {
+        link->watch = watcher->watch(watcher->context, links, link, link->file);
+        watcher->want_write(link->watch, link->wants_write);
+        return;
+    }
+    if (watcher != NULL) {
+        watcher->want_write(link->watch, link->wants_write);
+        return;
+    }
     struct epoll_event event = {.events = EPOLLIN | (link->wants_write ? EPOLLOUT : 0), .data.ptr = link};
     epoll_ctl(links->epoll, operation, link->file, &event);
 }
@@ -67,6 +87,12 @@
     hello->version = LINKS_VERSION;
     hello->node = links->config.node;
     hello->boot_id = links->config.boot_id;
+    hello->has_member = links->config.replica;
+    hello->member.node = links->config.node;
+    hello->member.name = (char *)(uintptr_t)links->config.place.name;
+    hello->member.zone = (char *)(uintptr_t)links->config.place.zone;
+    hello->member.ip = links->config.place.ip;
+    hello->member.port = links->config.place.port;
     struct buffer encoded = {0};
     if (message_encode(&encoded, Frame_fields, &frame)) {
         link_queue(link, buffer_view(&encoded));
@@ -117,6 +143,7 @@
         goto fail;
     }
     peer->link = links_add(links, file, true);
+    peer->link->since_ms = now_ms;
     return;
 fail:
     if (file >= 0) {
@@ -154,9 +181,9 @@
     links->config = *config;
     links->handler = *handler;
     links->listener = -1;
-    links->epoll = epoll_create1(EPOLL_CLOEXEC);
+    links->epoll = config->watcher != NULL ? -1 : epoll_create1(EPOLL_CLOEXEC);
     if (!config->listens) {
-        return links->epoll >= 0;
+        return config->watcher != NULL || links->epoll >= 0;
     }
     int on = 1;
     links->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
@@ -169,6 +196,11 @@
                  config->listen.port, strerror(errno));
         return false;
     }
+    if (config->watcher != NULL) {
+        links->listener_watch =
+            config->watcher->watch(config->watcher->context, links, &links->listener, links->listener);
+        return true;
+    }
     struct epoll_event event = {.events = EPOLLIN, .data.ptr = &links->listener};
     epoll_ctl(links->epoll, EPOLL_CTL_ADD, links->listener, &event);
     return true;
@@ -263,7 +295,7 @@
     }
     for (uint32_t i = 0; link->outbound && i < links->peer_count; i++) {
         struct links_peer *peer = &links->peers[i];
-        if (peer->link == link && peer->node != hello->node) {
+        if (peer->link == link && peer->node != RAFT_NO_NODE && peer->node != hello->node) {
             log_warn(LINKS_LOG, "%s:%u is node %u, expected node %u", peer->address.ip, peer->address.port, hello->node,
                      peer->node);
             link->closing = true;
@@ -274,7 +306,12 @@
         }
     }
     link->node = hello->node;
+    link->replica = hello->has_member;
+    raft_member_place_from_wire(&hello->member, &link->place);
     log_debug(LINKS_LOG, "peer %u connected", hello->node);
+    if (links->handler.connected != NULL) {
+        links->handler.connected(links->handler.context, hello->node);
+    }
 }
 
 static void link_handle_frame(struct links *links, struct link *link, struct view data)
@@ -359,6 +396,9 @@
         }
     }
     uint32_t node = link->node;
+    if (link->watch != NULL) {
+        links->config.watcher->unwatch(link->watch);
+    }
     close(link->file);
     buffer_close(&link->in);
     buffer_close(&link->out);
@@ -383,6 +423,68 @@
     }
 }
 
+void links_dial_only(struct links *links, const struct address *addresses, uint32_t count)
+{
+    struct links_peer kept[RAFT_MAX_MEMBERS];
+    memset(kept, 0, sizeof(kept));
+    count = count < RAFT_MAX_MEMBERS ? count : RAFT_MAX_MEMBERS;
+    for (uint32_t i = 0; i < count; i++) {
+        kept[i].address = addresses[i];
+        kept[i].dial_pause_ms = LINKS_REDIAL_MIN_MS;
+    }
+    for (uint32_t i = 0; i < links->peer_count; i++) {
+        struct links_peer *peer = &links->peers[i];
+        bool found = false;
+        for (uint32_t k = 0; k < count && !found; k++) {
+            found = strcmp(kept[k].address.ip, peer->address.ip) == 0 && kept[k].address.port == peer->address.port;
+            if (found) {
+                kept[k] = *peer;
+            }
+        }
+        if (!found && peer->link != NULL) {
+            peer->link->closing = true;
+        }
+    }
+    memcpy(links->peers, kept, sizeof(kept));
+    links->peer_count = count;
+}
+
+uint32_t links_replicas(const struct links *links, uint32_t *nodes, struct raft_member_place *places, uint32_t most)
+{
+    uint32_t count = 0;
+    for (const struct link *link = links->all; link != NULL && count < most; link = link->next) {
+        bool known = !link->replica || link->closing;
+        for (uint32_t i = 0; i < count && !known; i++) {
+            known = nodes[i] == link->node;
+        }
+        if (!known) {
+            nodes[count] = link->node;
+            places[count++] = link->place;
+        }
+    }
+    return count;
+}
+
+void links_ready(struct links *links, void *subject, bool readable, bool writable)
+{
+    if (subject == &links->listener) {
+        links_accept(links);
+        return;
+    }
+    uint32_t events = (readable ? EPOLLIN : 0) | (writable ? EPOLLOUT : 0);
+    link_handle_event(links, subject, events);
+}
+
+void links_round(struct links *links, uint64_t now_ms)
+{
+    links_dial_due(links, now_ms);
+    for (struct link *link = links->all; link != NULL; link = link->next) {
+        bool late = link->connecting && now_ms > link->since_ms + LINKS_CONNECT_MS;
+        link->closing = link->closing || late;
+    }
+    links_remove_closing(links, now_ms);
+}
+
 void links_poll(struct links *links, uint64_t now_ms, int timeout_ms)
 {
     links_dial_due(links, now_ms);
@@ -412,12 +514,18 @@
     while (links->all != NULL) {
         struct link *link = links->all;
         links->all = link->next;
+        if (link->watch != NULL) {
+            links->config.watcher->unwatch(link->watch);
+        }
         close(link->file);
         buffer_close(&link->in);
         buffer_close(&link->out);
         free(link);
     }
     if (links->listener >= 0) {
+        if (links->listener_watch != NULL) {
+            links->config.watcher->unwatch(links->listener_watch);
+        }
         close(links->listener);
     }
     if (links->epoll >= 0) {
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -1,7 +1,8 @@
 /**
  * @file links.h
  * Connections between daemons: length-prefixed nanopb frames over TCP,
- * driven by one thread through epoll.
+ * driven by one thread through epoll, or by the host's own event loop
+ * (links_watcher).
  *
  * Every daemon dials each state replica; a replica answers a gateway over the
  * connection that the gateway made. The first frame each way is a Hello with
@@ -27,7 +28,9 @@
     LINKS_MAX_FRAME = 64 << 20,  /**< Largest frame accepted, in bytes. */
     LINKS_MAX_QUEUED = 64 << 20, /**< Unsent bytes kept for one connection. */
     LINKS_REDIAL_MIN_MS = 50,    /**< First pause before dialling again. */
-    LINKS_REDIAL_MAX_MS = 1000   /**< Longest pause. */
+    LINKS_REDIAL_MAX_MS = 1000,  /**< Longest pause. */
+    LINKS_CONNECT_MS = 1000,     /**< Time a connection may take to come up. */
+    LINKS_SILENCE_MS = 2000      /**< Unacknowledged bytes for that long end a connection. */
 };
 
 /** Receives what arrives. */
@@ -37,11 +40,26 @@
     void (*frame)(void *context, uint32_t from, const Frame *frame);
     /** The connection to a peer is gone. */
     void (*disconnected)(void *context, uint32_t node);
+    /** A peer told who it is; may be NULL. */
+    void (*connected)(void *context, uint32_t node);
+};
+
+struct links;
+
+/** An event loop of the host, in place of the links' own epoll. */
+struct links_watcher {
+    void *context; /**< First argument of `watch`. */
+    /** Watches a file for reading and writing; `subject` goes back to links_ready(). Returns a handle. */
+    void *(*watch)(void *context, struct links *links, void *subject, int file);
+    /** Changes whether writability is told. */
+    void (*want_write)(void *handle, bool wanted);
+    /** Ends the watch; the file is closed right after. */
+    void (*unwatch)(void *handle);
 };
 
 /** A state replica to dial. */
 struct links_peer {
-    uint32_t node;          /**< Node id. */
+    uint32_t node;          /**< Node id; RAFT_NO_NODE: whoever answers there. */
     struct address address; /**< Where it listens. */
     struct link *link;      /**< Connection, or NULL. */
     uint64_t dial_due_ms;   /**< Time of the next attempt. */
@@ -50,12 +68,15 @@
 
 /** Fixed settings. */
 struct links_config {
-    const char *cluster;   /**< Fleet's name. */
-    const char *zone;      /**< Own zone, told to peers. */
-    uint32_t node;         /**< Own node id. */
-    uint64_t boot_id;      /**< Random id of this start. */
-    struct address listen; /**< Where to listen; port 0 and empty ip: nowhere. */
-    bool listens;          /**< Whether to listen. */
+    const char *cluster;                 /**< Fleet's name. */
+    const char *zone;                    /**< Own zone, told to peers. */
+    uint32_t node;                       /**< Own node id. */
+    uint64_t boot_id;                    /**< Random id of this start. */
+    struct address listen;               /**< Where to listen; port 0 and empty ip: nowhere. */
+    bool listens;                        /**< Whether to listen. */
+    bool replica;                        /**< Told to peers: this daemon holds a replica that joins by itself. */
+    struct raft_member_place place;      /**< Where that replica runs. */
+    const struct links_watcher *watcher; /**< The host's event loop; NULL: own epoll. */
 };
 
 /** All connections of a daemon. */
@@ -64,6 +85,7 @@
     struct links_handler handler;              /**< Receiver. */
     int epoll;                                 /**< Event queue. */
     int listener;                              /**< Listening socket, or -1. */
+    void *listener_watch;                      /**< Handle of the host's watch of it. */
     struct links_peer peers[RAFT_MAX_MEMBERS]; /**< State replicas other than this node. */
     uint32_t peer_count;                       /**< Number of peers. */
     struct link *all;                          /**< Every connection. */
@@ -78,6 +100,18 @@
 /** Adds a state replica to dial. */
 void links_add_peer(struct links *links, uint32_t node, const struct address *address);
 
+/** Replaces the addresses to dial, whoever answers there; connections to others end. */
+void links_dial_only(struct links *links, const struct address *addresses, uint32_t count);
+
+/** Fills `nodes` with the replicas that are connected and told their place; returns their number. */
+uint32_t links_replicas(const struct links *links, uint32_t *nodes, struct raft_member_place *places, uint32_t most);
+
+/** With a watcher: handles readiness of `subject`. */
+void links_ready(struct links *links, void *subject, bool readable, bool writable);
+
+/** With a watcher: dials what is due and drops what has ended. */
+void links_round(struct links *links, uint64_t now_ms);
+
 /** Also wakes links_poll() when `file` is readable. */
 void links_watch(struct links *links, int file);
 
--- /dev/null
+++ b/src/net/upstream.c
@@ -0,0 +1,521 @@
+#include "net/upstream.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum { UPSTREAM_SWEEP_MS = 100, UPSTREAM_READ_BYTES = 1 << 16, UPSTREAM_FIRST_FINAL = 200, UPSTREAM_MS_PER_S = 1000 };
+
+/* CONNECTING -> ACTIVE (an exchange is under way) <-> IDLE -> CLOSED. */
+enum upstream_state { UPSTREAM_CONNECTING, UPSTREAM_ACTIVE, UPSTREAM_IDLE, UPSTREAM_CLOSED };
+
+struct upstream_connection {
+    uv_tcp_t socket;
+    uv_connect_t connect;
+    struct upstream_pool *pool;
+    struct upstream_server *server;
+    struct upstream_exchange *exchange; /* the one it serves */
+    enum upstream_state state;
+    struct http_reader reader;
+    uint64_t since_ms; /* start of connecting or of the rest */
+    uint64_t rest_ms;  /* longest rest */
+    bool written;      /* the request has left whole */
+    bool once;         /* closes after the current answer */
+    struct upstream_connection *next_idle;
+    struct upstream_connection *previous;
+    struct upstream_connection *next;
+};
+
+static char upstream_read_space[UPSTREAM_READ_BYTES];
+
+/* ---- Closing --------------------------------------------------------------------- */
+
+static void upstream_on_closed(uv_handle_t *handle)
+{
+    struct upstream_connection *connection = handle->data;
+    http_reader_close(&connection->reader);
+    free(connection);
+}
+
+static void upstream_unlink_idle(struct upstream_connection *connection)
+{
+    struct upstream_connection **place = &connection->server->idle;
+    while (*place != NULL && *place != connection) {
+        place = &(*place)->next_idle;
+    }
+    if (*place != NULL) {
+        *place = connection->next_idle;
+    }
+    connection->next_idle = NULL;
+}
+
+static void upstream_connection_close(struct upstream_connection *connection)
+{
+    if (connection->state == UPSTREAM_CLOSED) {
+        return;
+    }
+    if (connection->state == UPSTREAM_IDLE) {
+        upstream_unlink_idle(connection);
+    }
+    connection->state = UPSTREAM_CLOSED;
+    connection->server->open--;
+    if (connection->previous != NULL) {
+        connection->previous->next = connection->next;
+    } else {
+        connection->pool->all = connection->next;
+    }
+    if (connection->next != NULL) {
+        connection->next->previous = connection->previous;
+    }
+    uv_close((uv_handle_t *)&connection->socket, upstream_on_closed);
+}
+
+static void upstream_exchange_free(struct upstream_exchange *exchange)
+{
+    buffer_close(&exchange->request);
+    free(exchange);
+}
+
+static void upstream_finish(struct upstream_pool *pool, struct upstream_exchange *exchange, enum upstream_end end)
+{
+    const struct upstream_events *events = exchange->events;
+    void *owner = exchange->owner;
+    pool->counters.broken += end == UPSTREAM_BROKEN ? 1 : 0;
+    if (exchange->connection != NULL) {
+        exchange->connection->exchange = NULL;
+    }
+    upstream_exchange_free(exchange);
+    events->end(owner, end);
+}
+
+static void upstream_serve_waiting(struct upstream_pool *pool, struct upstream_server *server);
+
+/* The connection failed: so does its exchange. */
+static void upstream_connection_fail(struct upstream_connection *connection)
+{
+    struct upstream_pool *pool = connection->pool;
+    struct upstream_server *server = connection->server;
+    struct upstream_exchange *exchange = connection->exchange;
+    upstream_connection_close(connection);
+    if (exchange != NULL) {
+        upstream_finish(pool, exchange, exchange->sent ? UPSTREAM_BROKEN : UPSTREAM_NOT_SENT);
+    }
+    upstream_serve_waiting(pool, server);
+}
+
+/* ---- Answers ------------------------------------------------------------------------ */
+
+static uint64_t upstream_rest_time(const struct http_reader *answer)
+{
+    struct view value = http_reader_header(answer, "Keep-Alive");
+    static const char key[] = "timeout=";
+    const uint8_t *at = value.length == 0 ? NULL : memmem(value.data, value.length, key, sizeof(key) - 1);
+    if (at == NULL) {
+        return UPSTREAM_REST_MS;
+    }
+    uint64_t seconds = 0;
+    const uint8_t *end = value.data + value.length;
+    for (at += sizeof(key) - 1; at < end && *at >= '0' && *at <= '9' && seconds < 3600; at++) {
+        seconds = seconds * 10 + (uint64_t)(*at - '0');
+    }
+    uint64_t told_ms = seconds * UPSTREAM_MS_PER_S;
+    return told_ms > UPSTREAM_REST_MARGIN_MS ? told_ms - UPSTREAM_REST_MARGIN_MS : 0;
+}
+
+static bool upstream_on_head(void *context, struct http_reader *reader)
+{
+    struct upstream_connection *connection = context;
+    struct upstream_exchange *exchange = connection->exchange;
+    if (reader->status < UPSTREAM_FIRST_FINAL) {
+        return true;
+    }
+    exchange->final = true;
+    connection->rest_ms = upstream_rest_time(reader);
+    connection->once = !reader->keep_alive || reader->until_close;
+    exchange->events->head(exchange->owner, reader);
+    return connection->exchange != NULL;
+}
+
+static bool upstream_on_body(void *context, struct http_reader *reader, struct view part)
+{
+    struct upstream_connection *connection = context;
+    (void)reader;
+    connection->exchange->events->body(connection->exchange->owner, part);
+    return connection->exchange != NULL;
+}
+
+static bool upstream_on_complete(void *context, struct http_reader *reader)
+{
+    (void)context;
+    (void)reader;
+    return true;
+}
+
+/* The answer is whole: the connection rests, or serves the next exchange. */
+static void upstream_complete(struct upstream_connection *connection, bool bytes_left)
+{
+    struct upstream_pool *pool = connection->pool;
+    struct upstream_server *server = connection->server;
+    struct upstream_exchange *exchange = connection->exchange;
+    connection->exchange = NULL;
+    exchange->connection = NULL;
+    pool->counters.stray_bytes += bytes_left ? 1 : 0;
+    bool reusable = !bytes_left && !connection->once && connection->written && connection->rest_ms > 0;
+    if (reusable) {
+        connection->state = UPSTREAM_IDLE;
+        connection->since_ms = uv_now(pool->loop);
+        connection->next_idle = server->idle;
+        server->idle = connection;
+        http_reader_reset(&connection->reader);
+    } else {
+        upstream_connection_close(connection);
+    }
+    upstream_finish(pool, exchange, UPSTREAM_DONE);
+    upstream_serve_waiting(pool, server);
+}
+
+static void upstream_feed(struct upstream_connection *connection, const uint8_t *data, size_t length)
+{
+    size_t used = 0;
+    while (used < length && connection->state == UPSTREAM_ACTIVE) {
+        used += http_reader_feed(&connection->reader, data + used, length - used);
+        if (connection->state != UPSTREAM_ACTIVE || connection->exchange == NULL) {
+            return; /* cancelled from within */
+        }
+        if (connection->reader.fault != HTTP_FAULT_NONE) {
+            upstream_connection_fail(connection);
+            return;
+        }
+        if (connection->reader.complete && !connection->exchange->final) {
+            http_reader_reset(&connection->reader); /* 1xx: the answer is still due */
+        } else if (connection->reader.complete) {
+            upstream_complete(connection, used < length);
+            return;
+        }
+    }
+}
+
+static void upstream_ended(struct upstream_connection *connection, ssize_t reason)
+{
+    if (connection->state == UPSTREAM_ACTIVE && reason == UV_EOF) {
+        http_reader_end(&connection->reader);
+        if (connection->exchange == NULL) {
+            return;
+        }
+        if (connection->reader.complete && connection->exchange->final) {
+            connection->once = true;
+            upstream_complete(connection, false);
+            return;
+        }
+    }
+    upstream_connection_fail(connection);
+}
+
+static void upstream_on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
+{
+    (void)handle;
+    (void)suggested;
+    *out = uv_buf_init(upstream_read_space, sizeof(upstream_read_space));
+}
+
+static void upstream_on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *space)
+{
+    struct upstream_connection *connection = stream->data;
+    if (got == 0) {
+        return;
+    }
+    if (got < 0) {
+        upstream_ended(connection, got);
+        return;
+    }
+    if (connection->state == UPSTREAM_IDLE) {
+        connection->pool->counters.stray_bytes++;
+        upstream_connection_fail(connection);
+        return;
+    }
+    upstream_feed(connection, (const uint8_t *)space->base, (size_t)got);
+}
+
+/* ---- Requests ------------------------------------------------------------------------- */
+
+struct upstream_write {
+    uv_write_t request;
+    uint8_t *data;
+};
+
+static void upstream_on_written(uv_write_t *request, int status)
+{
+    struct upstream_write *write = (struct upstream_write *)request;
+    struct upstream_connection *connection = request->handle->data;
+    free(write->data);
+    free(write);
+    if (status == 0) {
+        connection->written = true;
+    }
+}
+
+static void upstream_send(struct upstream_connection *connection, struct upstream_exchange *exchange)
+{
+    connection->exchange = exchange;
+    connection->state = UPSTREAM_ACTIVE;
+    connection->written = false;
+    connection->once = false;
+    connection->reader.skip_body = exchange->head_request;
+    http_reader_reset(&connection->reader);
+    exchange->connection = connection;
+    exchange->sent = true;
+    uv_buf_t part = uv_buf_init((char *)exchange->request.data, (unsigned)exchange->request.length);
+    int written = uv_try_write((uv_stream_t *)&connection->socket, &part, 1);
+    size_t done = written < 0 ? 0 : (size_t)written;
+    connection->written = done == exchange->request.length;
+    if (connection->written) {
+        buffer_close(&exchange->request);
+        return;
+    }
+    /* The rest is kept apart, so that it can be written on after an early answer. */
+    struct upstream_write *write = memory_new(sizeof(*write));
+    size_t left = exchange->request.length - done;
+    write->data = (uint8_t *)memory_copy(exchange->request.data + done, left);
+    buffer_close(&exchange->request);
+    part = uv_buf_init((char *)write->data, (unsigned)left);
+    if (uv_write(&write->request, (uv_stream_t *)&connection->socket, &part, 1, upstream_on_written) != 0) {
+        free(write->data);
+        free(write);
+    }
+}
+
+static void upstream_on_connect(uv_connect_t *request, int status)
+{
+    struct upstream_connection *connection = request->data;
+    if (connection->state == UPSTREAM_CLOSED) {
+        return;
+    }
+    if (status != 0) {
+        connection->pool->counters.refused++;
+        upstream_connection_fail(connection);
+        return;
+    }
+    uv_tcp_nodelay(&connection->socket, 1);
+    uv_read_start((uv_stream_t *)&connection->socket, upstream_on_alloc, upstream_on_read);
+    if (connection->exchange != NULL) {
+        upstream_send(connection, connection->exchange);
+    }
+}
+
+static void upstream_connect(struct upstream_pool *pool, struct upstream_server *server,
+                             struct upstream_exchange *exchange)
+{
+    struct upstream_connection *connection = memory_new(sizeof(*connection));
+    connection->pool = pool;
+    connection->server = server;
+    connection->exchange = exchange;
+    connection->state = UPSTREAM_CONNECTING;
+    connection->since_ms = uv_now(pool->loop);
+    connection->reader.type = HTTP_RESPONSE;
+    connection->reader.max_head_bytes = UPSTREAM_MAX_HEAD;
+    connection->reader.max_body_bytes = UPSTREAM_MAX_BODY;
+    connection->reader.events = (struct http_reader_events){
+        .context = connection,
+        .head = upstream_on_head,
+        .body = upstream_on_body,
+        .complete = upstream_on_complete,
+    };
+    connection->next = pool->all;
+    if (connection->next != NULL) {
+        connection->next->previous = connection;
+    }
+    pool->all = connection;
+    server->open++;
+    pool->counters.connections++;
+    exchange->connection = connection;
+    uv_tcp_init(pool->loop, &connection->socket);
+    connection->socket.data = connection;
+    connection->connect.data = connection;
+    if (uv_tcp_connect(&connection->connect, &connection->socket, (const struct sockaddr *)&server->address.socket,
+                       upstream_on_connect) != 0) {
+        connection->since_ms = 0; /* the sweep ends it */
+    }
+}
+
+/* A connection that the server has closed, or that holds stray bytes, is not used. */
+static bool upstream_is_quiet(const struct upstream_connection *connection)
+{
+    uv_os_fd_t file;
+    char byte;
+    if (uv_fileno((const uv_handle_t *)&connection->socket, &file) != 0) {
+        return false;
+    }
+    return recv(file, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+static struct upstream_connection *upstream_take_idle(struct upstream_pool *pool, struct upstream_server *server)
+{
+    uint64_t now_ms = uv_now(pool->loop);
+    while (server->idle != NULL) {
+        struct upstream_connection *connection = server->idle;
+        bool fits = now_ms < connection->since_ms + connection->rest_ms && upstream_is_quiet(connection);
+        if (!fits) {
+            upstream_connection_close(connection);
+            continue;
+        }
+        upstream_unlink_idle(connection);
+        return connection;
+    }
+    return NULL;
+}
+
+static void upstream_assign(struct upstream_pool *pool, struct upstream_server *server,
+                            struct upstream_exchange *exchange)
+{
+    struct upstream_connection *connection = upstream_take_idle(pool, server);
+    if (connection != NULL) {
+        pool->counters.reuses++;
+        exchange->reused = true;
+        upstream_send(connection, exchange);
+        return;
+    }
+    bool full = pool->max_connections != 0 && server->open >= pool->max_connections;
+    if (!full) {
+        upstream_connect(pool, server, exchange);
+        return;
+    }
+    struct upstream_exchange **place = &server->waiting;
+    while (*place != NULL) {
+        place = &(*place)->next;
+    }
+    *place = exchange;
+}
+
+static void upstream_serve_waiting(struct upstream_pool *pool, struct upstream_server *server)
+{
+    bool room = server->idle != NULL || pool->max_connections == 0 || server->open < pool->max_connections;
+    if (server->waiting == NULL || !room) {
+        return;
+    }
+    struct upstream_exchange *exchange = server->waiting;
+    server->waiting = exchange->next;
+    exchange->next = NULL;
+    upstream_assign(pool, server, exchange);
+}
+
+static struct upstream_server *upstream_server_of(struct upstream_pool *pool, const struct address *address)
+{
+    char key[sizeof(((struct upstream_server *)0)->key)];
+    snprintf(key, sizeof(key), "%s:%u", address->ip, address->port);
+    struct upstream_server *server = NULL;
+    HASH_FIND_STR(pool->servers, key, server);
+    if (server == NULL) {
+        server = memory_new(sizeof(*server));
+        memcpy(server->key, key, sizeof(key));
+        server->address = *address;
+        HASH_ADD_STR(pool->servers, key, server);
+    }
+    return server;
+}
+
+struct upstream_exchange *upstream_start(struct upstream_pool *pool, const struct address *address,
+                                         struct buffer *request, bool head_request,
+                                         const struct upstream_events *events, void *owner)
+{
+    struct upstream_exchange *exchange = memory_new(sizeof(*exchange));
+    exchange->events = events;
+    exchange->owner = owner;
+    exchange->request = *request;
+    exchange->head_request = head_request;
+    exchange->server = upstream_server_of(pool, address);
+    exchange->waiting_since_ms = uv_now(pool->loop);
+    memset(request, 0, sizeof(*request));
+    upstream_assign(pool, exchange->server, exchange);
+    return exchange;
+}
+
+void upstream_cancel(struct upstream_pool *pool, struct upstream_exchange *exchange)
+{
+    struct upstream_server *server = exchange->server;
+    struct upstream_connection *connection = exchange->connection;
+    for (struct upstream_exchange **place = &server->waiting; *place != NULL; place = &(*place)->next) {
+        if (*place == exchange) {
+            *place = exchange->next;
+            break;
+        }
+    }
+    upstream_exchange_free(exchange);
+    if (connection != NULL) {
+        connection->exchange = NULL;
+        upstream_connection_close(connection);
+    }
+    upstream_serve_waiting(pool, server);
+}
+
+void upstream_pause(struct upstream_exchange *exchange, bool paused)
+{
+    struct upstream_connection *connection = exchange->connection;
+    if (connection == NULL || connection->state != UPSTREAM_ACTIVE) {
+        return;
+    }
+    if (paused) {
+        uv_read_stop((uv_stream_t *)&connection->socket);
+    } else {
+        uv_read_start((uv_stream_t *)&connection->socket, upstream_on_alloc, upstream_on_read);
+    }
+}
+
+bool upstream_was_sent(const struct upstream_exchange *exchange)
+{
+    return exchange->sent;
+}
+
+uint32_t upstream_idle_count(const struct upstream_pool *pool, const char *address)
+{
+    struct upstream_server *server = NULL;
+    uint32_t count = 0;
+    HASH_FIND_STR(pool->servers, address, server);
+    const struct upstream_connection *connection = server == NULL ? NULL : server->idle;
+    for (; connection != NULL; connection = connection->next_idle) {
+        count++;
+    }
+    return count;
+}
+
+/* ---- Time --------------------------------------------------------------------------------- */
+
+static void upstream_on_sweep(uv_timer_t *timer)
+{
+    struct upstream_pool *pool = timer->data;
+    uint64_t now_ms = uv_now(pool->loop);
+    struct upstream_connection *connection = pool->all;
+    while (connection != NULL) {
+        struct upstream_connection *next = connection->next;
+        bool late = connection->state == UPSTREAM_CONNECTING && now_ms >= connection->since_ms + UPSTREAM_CONNECT_MS;
+        bool rested = connection->state == UPSTREAM_IDLE && now_ms >= connection->since_ms + connection->rest_ms;
+        if (late || rested) {
+            pool->counters.refused += late ? 1 : 0;
+            upstream_connection_fail(connection);
+            next = pool->all == NULL ? NULL : next;
+            /* The receiver may have closed others: begin again. */
+            connection = late ? pool->all : next;
+            continue;
+        }
+        connection = next;
+    }
+}
+
+void upstream_init(struct upstream_pool *pool, uv_loop_t *loop)
+{
+    memset(pool, 0, sizeof(*pool));
+    pool->loop = loop;
+    uv_timer_init(loop, &pool->sweep);
+    pool->sweep.data = pool;
+    uv_timer_start(&pool->sweep, upstream_on_sweep, UPSTREAM_SWEEP_MS, UPSTREAM_SWEEP_MS);
+}
+
+void upstream_close(struct upstream_pool *pool)
+{
+    while (pool->all != NULL) {
+        upstream_connection_close(pool->all);
+    }
+    uv_close((uv_handle_t *)&pool->sweep, NULL);
+}
--- /dev/null
+++ b/src/proxy/dialect.h
@@ -0,0 +1,64 @@
+/**
+ * @file dialect.h
+ * Everything in which one platform's manner of speaking differs from
+ * another's: names of headers and paths, and the formats of configuration and
+ * machine list. A dialect translates to and from the product's typed values
+ * and decides nothing.
+ */
+#ifndef BANKBANK_PROXY_DIALECT_H
+#define BANKBANK_PROXY_DIALECT_H
+
+#include <stdbool.h>
+
+#include "base/buffer.h"
+#include "base/findings.h"
+#include "control.pb.h"
+#include "core/route_table.h"
+
+/** Headers of requests and answers. */
+enum dialect_header {
+    DIALECT_REQUEST_ID,      /**< Id of one attempt of a client; servers echo it. */
+    DIALECT_DEADLINE_MS,     /**< Time the sender waits, in ms. */
+    DIALECT_EXPECT_SERVER,   /**< The incarnation that is meant. */
+    DIALECT_SERVER_ID,       /**< The incarnation that answered. */
+    DIALECT_SIGNATURE,       /**< A server's mark on its answers. */
+    DIALECT_NOT_RUN,         /**< The server did not run the request. */
+    DIALECT_PROGRAM,         /**< Program. */
+    DIALECT_SESSION,         /**< Line of turns within a program. */
+    DIALECT_PROGRAM_LEFT_MS, /**< Time left for the whole program. */
+    DIALECT_TOKEN_BUDGET,    /**< Tokens that the program may generate. */
+    DIALECT_TOKEN_USAGE,     /**< Prompt tokens, and the most to generate, separated by a comma. */
+    DIALECT_PARENT_TURN,     /**< Turn that this one goes on from. */
+    DIALECT_PRIORITY,        /**< Rank at a server, set by the daemon. */
+    DIALECT_RETRY_AFTER,     /**< Seconds until the client may ask again. */
+    DIALECT_HEADER_COUNT
+};
+
+/** An operator's order. */
+enum dialect_order {
+    DIALECT_ORDER_NONE,         /**< The request is none. */
+    DIALECT_ORDER_PUT_CONFIG,   /**< Replace the configuration. */
+    DIALECT_ORDER_GET_CONFIG,   /**< Read it. */
+    DIALECT_ORDER_START_RETIRE, /**< Empty a machine. */
+    DIALECT_ORDER_GET_RETIRE    /**< How far that is. */
+};
+
+enum { DIALECT_MACHINE_MAX = 64 /**< Bytes of a machine's name, NUL included. */ };
+
+/** A platform's manner of speaking. */
+struct dialect {
+    const char *headers[DIALECT_HEADER_COUNT]; /**< Names. */
+    const char *ready_path;                    /**< Path of the readiness question. */
+    /** Reads a configuration; NULL: `findings` tells all faults. The caller releases it. */
+    struct route_table *(*read_configuration)(struct view text, struct findings *findings);
+    /** Appends the servers of one page to `list`; `next_page` gets the next page's token, or stays empty. */
+    bool (*read_servers)(struct view text, ServerList *list, struct buffer *next_page);
+    /** Appends the target of the machine list's page. */
+    void (*write_servers_target)(const char *page, struct buffer *out);
+    /** Tells which order a request is; `machine` gets the machine it names. */
+    enum dialect_order (*read_order)(struct view method, struct view target, char machine[DIALECT_MACHINE_MAX]);
+    /** Appends the answer to a question how far emptying a machine is. */
+    void (*write_retire_state)(bool completed, struct buffer *out);
+};
+
+#endif
--- /dev/null
+++ b/src/proxy/forward.c
@@ -0,0 +1,393 @@
+/* The way of one request: begin, placement, attempts, end. */
+#include "proxy/forward.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "base/event_log.h"
+
+enum {
+    FORWARD_NOT_FOUND = 404,
+    FORWARD_BAD_REQUEST = 400,
+    FORWARD_UNAVAILABLE = 503,
+    FORWARD_BAD_GATEWAY = 502,
+    FORWARD_TIMEOUT = 504,
+    FORWARD_DEFAULT_ATTEMPTS = 1,
+    FORWARD_NUMBER_MAX = 24
+};
+
+static const char FORWARD_RETRY_AFTER[] = "0.2";
+
+/* ---- Headers of the request --------------------------------------------------------------- */
+
+char *forward_text(const struct forward *forward, enum dialect_header header)
+{
+    const char *name = forward->front->node->dialect->headers[header];
+    if (!http_reader_has(forward->call->request, name)) {
+        return NULL;
+    }
+    struct view value = http_reader_header(forward->call->request, name);
+    return memory_copy(value.data, value.length);
+}
+
+uint64_t forward_number(const struct forward *forward, enum dialect_header header, uint64_t absent)
+{
+    struct view value = http_reader_header(forward->call->request, forward->front->node->dialect->headers[header]);
+    char text[FORWARD_NUMBER_MAX];
+    if (value.length == 0 || value.length >= sizeof(text) || value.data[0] < '0' || value.data[0] > '9') {
+        return absent;
+    }
+    memcpy(text, value.data, value.length);
+    text[value.length] = '\0';
+    return strtoull(text, NULL, 10);
+}
+
+/* ---- End ------------------------------------------------------------------------------------- */
+
+static void forward_on_timer_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+static void forward_unlink(struct forward *forward)
+{
+    struct front *front = forward->front;
+    if (forward->previous != NULL) {
+        forward->previous->next = forward->next;
+    } else {
+        front->forwards = forward->next;
+    }
+    if (forward->next != NULL) {
+        forward->next->previous = forward->previous;
+    }
+    front->active--;
+}
+
+static void forward_log(const struct forward *forward)
+{
+    const struct node *node = forward->front->node;
+    const struct forward_answer *answer = &forward->answer;
+    uint64_t begun_ms = forward->call == NULL ? 0 : forward->call->received_ms;
+    uint64_t first_ms = answer->first_event_ms > begun_ms ? answer->first_event_ms - begun_ms : 0;
+    event_log("request", "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:s}", "id", text_or_empty(forward->id),
+              "route", forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome", forward->reason,
+              "status", forward->told_status, "server", forward->server == NULL ? "" : forward->server->id, "total_ms",
+              (json_int_t)(begun_ms == 0 ? 0 : node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends",
+              (int)forward->sends, "runs", (int)forward->runs, "events", (json_int_t)answer->event_count,
+              "configuration", (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
+              (json_int_t)node->state.servers_number, "program", text_or_empty(forward->turn.program));
+}
+
+void forward_leave_server(struct forward *forward)
+{
+    if (forward->server != NULL) {
+        server_end(&forward->front->servers, forward->server);
+        forward->server = NULL;
+    }
+}
+
+/* Frees everything; the caller's side has ended or is about to. */
+static void forward_close(struct forward *forward)
+{
+    struct front *front = forward->front;
+    forward_log(forward);
+    if (forward->exchange != NULL) {
+        upstream_cancel(&front->node->upstreams, forward->exchange);
+        forward->exchange = NULL;
+    }
+    forward_leave_server(forward);
+    forward_turn_settle(forward);
+    forward_turn_close(forward);
+    forward_answer_close(&forward->answer);
+    forward_unlink(forward);
+    route_table_release(forward->table);
+    free(forward->id);
+    forward->limit.data = forward;
+    uv_close((uv_handle_t *)&forward->limit, forward_on_timer_closed);
+}
+
+static void forward_reply(struct forward *forward, int status, const char *code, const char *run_state,
+                          bool retry_after)
+{
+    struct http_call *call = forward->call;
+    const struct dialect *dialect = forward->front->node->dialect;
+    struct buffer headers = {0};
+    struct buffer body = {0};
+    buffer_printf(&headers, "X-Run-State: %s\r\n", run_state);
+    if (retry_after) {
+        buffer_printf(&headers, "%s: %s\r\n", dialect->headers[DIALECT_RETRY_AFTER], FORWARD_RETRY_AFTER);
+    }
+    buffer_printf(&body, "{\"error\":{\"code\":\"%s\",\"run_state\":\"%s\"}}", code, run_state);
+    forward->told_status = status;
+    call->owner = NULL;
+    forward_close(forward);
+    http_call_reply(call, status, buffer_text(&headers), "application/json", buffer_view(&body));
+    buffer_close(&headers);
+    buffer_close(&body);
+}
+
+void forward_refuse(struct forward *forward, int status, const char *reason)
+{
+    if (forward->answer.begun) {
+        forward_fail(forward, status, reason);
+        return;
+    }
+    forward->front->counters.refused++;
+    forward->reason = reason;
+    forward_reply(forward, status, reason, "not-run", status == FORWARD_UNAVAILABLE);
+}
+
+void forward_fail(struct forward *forward, int status, const char *reason)
+{
+    struct http_call *call = forward->call;
+    forward->reason = reason;
+    if (!forward->answer.begun) {
+        forward->front->counters.failed++;
+        forward_reply(forward, status, reason, "unknown", false);
+        return;
+    }
+    forward->front->counters.cut++;
+    call->owner = NULL;
+    forward_close(forward);
+    http_call_cut(call);
+}
+
+void forward_complete(struct forward *forward)
+{
+    struct http_call *call = forward->call;
+    forward->front->counters.completed++;
+    forward->reason = "completed";
+    histogram_note(&forward->front->total, node_now(forward->front->node) - call->received_ms);
+    call->owner = NULL;
+    forward_close(forward);
+    http_call_end(call);
+}
+
+void forward_complete_with(struct forward *forward, int status, struct buffer *lines, struct buffer *body)
+{
+    struct http_call *call = forward->call;
+    forward->front->counters.completed++;
+    forward->reason = "completed";
+    forward->told_status = status;
+    histogram_note(&forward->front->total, node_now(forward->front->node) - call->received_ms);
+    call->owner = NULL;
+    forward_close(forward);
+    http_call_reply(call, status, buffer_text(lines), NULL, buffer_view(body));
+    buffer_close(lines);
+    buffer_close(body);
+}
+
+void forward_caller_gone(struct forward *forward)
+{
+    forward->front->counters.gone++;
+    forward->reason = "caller gone";
+    forward_close(forward);
+}
+
+static void forward_on_limit(uv_timer_t *timer)
+{
+    struct forward *forward = timer->data;
+    bool sent = forward->exchange != NULL && upstream_was_sent(forward->exchange);
+    bool may_have_run = sent || forward->runs > 0;
+    if (may_have_run) {
+        forward_fail(forward, FORWARD_TIMEOUT, "out of time at a server");
+    } else {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, "out of time before a server was asked");
+    }
+}
+
+/* ---- Placement -------------------------------------------------------------------------------- */
+
+static bool forward_part_is_usable(void *context, const char *service)
+{
+    struct front *front = context;
+    return server_table_serves(&front->servers, node_now(front->node), service);
+}
+
+static void forward_write_headers(const struct forward *forward, struct buffer *out)
+{
+    const struct http_reader *request = forward->call->request;
+    const struct dialect *dialect = forward->front->node->dialect;
+    static const enum dialect_header own[] = {DIALECT_DEADLINE_MS, DIALECT_EXPECT_SERVER, DIALECT_PRIORITY};
+    for (int i = 0; i < request->header_count; i++) {
+        const struct http_header *header = &request->headers[i];
+        bool dropped = http_reader_is_hop_header(request, header->name);
+        for (size_t k = 0; k < sizeof(own) / sizeof(own[0]); k++) {
+            dropped = dropped || http_name_equal(header->name, dialect->headers[own[k]]);
+        }
+        if (!dropped) {
+            buffer_append(out, header->name.data, header->name.length);
+            buffer_append(out, ": ", 2);
+            buffer_append(out, header->value.data, header->value.length);
+            buffer_append(out, "\r\n", 2);
+        }
+    }
+}
+
+static void forward_write_request(const struct forward *forward, struct buffer *out)
+{
+    const struct http_reader *request = forward->call->request;
+    const struct dialect *dialect = forward->front->node->dialect;
+    const struct buffer *history = &forward->turn.history;
+    const struct buffer *body = &forward->call->body;
+    uint64_t left_ms = forward->limit_ms - node_now(forward->front->node);
+    buffer_append(out, request->method.data, request->method.length);
+    buffer_append(out, " ", 1);
+    buffer_append(out, request->target.data, request->target.length);
+    buffer_append_text(out, " HTTP/1.1\r\n");
+    forward_write_headers(forward, out);
+    buffer_printf(out, "%s: %llu\r\n", dialect->headers[DIALECT_DEADLINE_MS], (unsigned long long)left_ms);
+    buffer_printf(out, "%s: %s\r\n", dialect->headers[DIALECT_EXPECT_SERVER], forward->server->id);
+    bool has_body = http_reader_has(request, "Content-Length") || http_reader_has(request, "Transfer-Encoding");
+    if (has_body || history->length > 0) {
+        buffer_printf(out, "Content-Length: %zu\r\n", history->length + body->length);
+    }
+    buffer_append_text(out, "\r\n");
+    buffer_append(out, history->data, history->length);
+    buffer_append(out, body->data, body->length);
+}
+
+static void forward_send(struct forward *forward)
+{
+    struct front *front = forward->front;
+    struct address address;
+    struct buffer request = {0};
+    forward->phase = FORWARD_RUNNING;
+    forward->sends++;
+    front->counters.sends++;
+    server_begin(forward->server);
+    if (forward->wish.tried_count < SERVER_MAX_TRIED) {
+        forward->wish.tried[forward->wish.tried_count++] = forward->server;
+    }
+    forward_answer_close(&forward->answer);
+    address_parse(forward->server->address, &address);
+    forward_write_request(forward, &request);
+    bool head_request = http_name_equal(forward->call->request->method, "HEAD");
+    forward->exchange =
+        upstream_start(&front->node->upstreams, &address, &request, head_request, &forward_upstream_events, forward);
+}
+
+void forward_place(struct forward *forward)
+{
+    struct front *front = forward->front;
+    uint64_t now_ms = node_now(front->node);
+    if (now_ms + FORWARD_LEAST_MS >= forward->limit_ms) {
+        forward_on_limit(&forward->limit);
+        return;
+    }
+    const struct route_part *part = route_choose_part(forward->route, forward_part_is_usable, front);
+    forward->wish.service = part == NULL ? NULL : part->service;
+    struct server *server = part == NULL ? NULL : server_table_choose(&front->servers, now_ms, &forward->wish);
+    if (server == NULL && forward->runs > 0) {
+        forward_fail(forward, FORWARD_BAD_GATEWAY, "no other server");
+        return;
+    }
+    if (server == NULL) {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, "no server");
+        return;
+    }
+    forward->server = server;
+    forward_send(forward);
+}
+
+void forward_not_run(struct forward *forward, const char *reason)
+{
+    event_log("attempt_not_run", "{s:s,s:s,s:s,s:i}", "id", text_or_empty(forward->id), "server",
+              forward->server == NULL ? "" : forward->server->id, "reason", reason, "sends", (int)forward->sends);
+    forward_leave_server(forward);
+    if (forward->sends >= FORWARD_MAX_SENDS && forward->runs == 0) {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, reason);
+        return;
+    }
+    forward_place(forward);
+}
+
+void forward_may_have_run(struct forward *forward, const char *reason)
+{
+    event_log("attempt_unknown", "{s:s,s:s,s:s,s:i,s:b}", "id", text_or_empty(forward->id), "server",
+              forward->server == NULL ? "" : forward->server->id, "reason", reason, "sends", (int)forward->sends,
+              "answer_begun", forward->answer.begun);
+    forward->runs++;
+    if (forward->server != NULL) {
+        circuit_note_failure(&forward->server->circuit, node_now(forward->front->node));
+    }
+    forward_leave_server(forward);
+    bool again = !forward->answer.begun && forward->route->kind == ROUTE_SAFE &&
+                 forward->runs < forward->route->max_attempts && forward->sends < FORWARD_MAX_SENDS;
+    if (again) {
+        forward_place(forward);
+    } else {
+        forward_fail(forward, FORWARD_BAD_GATEWAY, reason);
+    }
+}
+
+/* ---- Begin --------------------------------------------------------------------------------------- */
+
+static struct forward *forward_new(struct front *front, struct http_call *call)
+{
+    struct forward *forward = memory_new(sizeof(*forward));
+    forward->front = front;
+    forward->call = call;
+    forward->reason = "";
+    forward->wish.zone = front->node->settings.zone;
+    forward->next = front->forwards;
+    if (forward->next != NULL) {
+        forward->next->previous = forward;
+    }
+    front->forwards = forward;
+    front->active++;
+    call->owner = forward;
+    uv_timer_init(&front->node->loop, &forward->limit);
+    forward->limit.data = forward;
+    forward->id = forward_text(forward, DIALECT_REQUEST_ID);
+    return forward;
+}
+
+static void forward_set_limit(struct forward *forward)
+{
+    uint64_t timeout_ms = forward->route->timeout_ms;
+    uint64_t deadline_ms = forward_number(forward, DIALECT_DEADLINE_MS, timeout_ms);
+    uint64_t left_ms = deadline_ms < timeout_ms ? deadline_ms : timeout_ms;
+    forward->limit_ms = forward->call->received_ms + left_ms;
+    uv_timer_start(&forward->limit, forward_on_limit, left_ms, 0);
+}
+
+/* Turns of one program share most of their prompts, and so do its sub-agents. */
+static uint64_t forward_affinity(const struct forward *forward)
+{
+    const char *program = forward->turn.program;
+    return !forward->route->sticky || program == NULL ? 0 : XXH64(program, strlen(program), 1) | 1;
+}
+
+void forward_start(struct front *front, struct http_call *call)
+{
+    struct forward *forward = forward_new(front, call);
+    if (front->table == NULL) {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, "no configuration yet");
+        return;
+    }
+    struct view host = http_reader_header(call->request, "Host");
+    forward->table = route_table_hold(front->table);
+    forward->route = route_table_find(front->table, host, call->request->target);
+    if (forward->route == NULL) {
+        front->counters.unknown_route++;
+        forward_refuse(forward, FORWARD_NOT_FOUND, "no route");
+        return;
+    }
+    if (forward->id == NULL) {
+        forward_refuse(forward, FORWARD_BAD_REQUEST, "no request id");
+        return;
+    }
+    front->counters.requests++;
+    forward_set_limit(forward);
+    forward_turn_read(forward);
+    forward->wish.affinity = forward_affinity(forward);
+    if (forward->turn.program != NULL) {
+        forward_turn_begin(forward);
+    } else {
+        forward_place(forward);
+    }
+}
--- /dev/null
+++ b/src/proxy/forward.h
@@ -0,0 +1,140 @@
+/**
+ * @file forward.h
+ * One caller's request on its way to a server and back.
+ *
+ * PREPARING (a turn: its tokens are reserved and its conversation fetched)
+ *   -> RUNNING (at a server; again at another one where that is allowed)
+ *   -> COMMITTING (a turn: it is stored before its answer ends) -> closed.
+ *
+ * What is known of the request decides its answer: one that has not run and
+ * will not is refused with a time to come back; one that may have run gets
+ * 502 or 504, or a connection that breaks off.
+ */
+#ifndef BANKBANK_PROXY_FORWARD_H
+#define BANKBANK_PROXY_FORWARD_H
+
+#include "net/event_stream.h"
+#include "proxy/front.h"
+
+enum {
+    FORWARD_MAX_SENDS = 5,        /**< Servers asked, those that refuse included. */
+    FORWARD_MAX_ANSWER = 8 << 20, /**< Largest answer that is not streamed. */
+    FORWARD_STATE_MS = 1500,      /**< Time the state replicas may take to reserve or to fetch. */
+    FORWARD_NEAR_MS = 120,        /**< Time a near replica may take before the leader is asked. */
+    FORWARD_LEAST_MS = 30         /**< Least time left to ask a server. */
+};
+
+/** Phase of a request. */
+enum forward_phase { FORWARD_PREPARING, FORWARD_RUNNING, FORWARD_COMMITTING };
+
+/** A turn of a program. */
+struct forward_turn {
+    char *program;                  /**< Program, or NULL: not a turn. */
+    char *parent;                   /**< Turn it goes on from, or NULL. */
+    uint64_t budget;                /**< Tokens of the program. */
+    uint64_t most;                  /**< The most this turn may generate. */
+    bool keep;                      /**< It is stored. */
+    bool begun;                     /**< A reservation was asked for. */
+    bool settled;                   /**< Its settlement was sent. */
+    struct node_request *reserving; /**< Reservation under way. */
+    struct node_request *fetching;  /**< Conversation being fetched. */
+    uint64_t since_ms;              /**< Begin of the reservation or of the commit. */
+    struct buffer history;          /**< Conversation so far. */
+    struct buffer output;           /**< Data of the events so far. */
+};
+
+/** What comes back from the server. */
+struct forward_answer {
+    int status;                 /**< Status. */
+    bool refused;               /**< The server did not run the request. */
+    bool streaming;             /**< Passed on event by event. */
+    bool begun;                 /**< The caller has got its head. */
+    struct buffer lines;        /**< Header lines to pass on. */
+    struct buffer body;         /**< Body that is not streamed. */
+    struct event_stream events; /**< Splitter. */
+    uint64_t event_count;       /**< Events passed on. */
+    uint64_t last_event;        /**< Id of the last one. */
+    uint64_t first_event_ms;    /**< Loop time of the first one. */
+};
+
+/** The request. */
+struct forward {
+    struct front *front;                /**< The gateway. */
+    struct http_call *call;             /**< The caller's side. */
+    struct route_table *table;          /**< Configuration it began under. */
+    struct route *route;                /**< Its route. */
+    enum forward_phase phase;           /**< Phase. */
+    uv_timer_t limit;                   /**< Ends it in time. */
+    uint64_t limit_ms;                  /**< Loop time of that. */
+    char *id;                           /**< The attempt's id. */
+    struct forward_turn turn;           /**< As a turn. */
+    struct server_wish wish;            /**< Where it may go. */
+    struct server *server;              /**< Server asked, or NULL. */
+    struct upstream_exchange *exchange; /**< Exchange under way, or NULL. */
+    uint32_t sends;                     /**< Servers asked. */
+    uint32_t runs;                      /**< Servers on which it may have run. */
+    struct forward_answer answer;       /**< The server's side. */
+    const char *reason;                 /**< Why it ended as it did, for the log. */
+    int told_status;                    /**< Status the caller got, 0: none. */
+    struct forward *previous;           /**< Requests of the gateway. */
+    struct forward *next;               /**< Requests of the gateway. */
+};
+
+/** Takes a caller's request. */
+void forward_start(struct front *front, struct http_call *call);
+
+/** The caller has left. */
+void forward_caller_gone(struct forward *forward);
+
+/** Goes on once a turn is reserved and its conversation is there. */
+void forward_place(struct forward *forward);
+
+/** Ends as not run, with a time to come back. */
+void forward_refuse(struct forward *forward, int status, const char *reason);
+
+/** Ends the answer in order. */
+void forward_complete(struct forward *forward);
+
+/** Answers whole with what a server said; takes `lines` (header lines) and `body` over. */
+void forward_complete_with(struct forward *forward, int status, struct buffer *lines, struct buffer *body);
+
+/** Ends without a whole answer: `status` if the caller has got nothing yet, else its connection breaks off. */
+void forward_fail(struct forward *forward, int status, const char *reason);
+
+/** forward_turn.c: reads the turn's headers. */
+void forward_turn_read(struct forward *forward);
+
+/** forward_turn.c: reserves tokens and fetches the conversation; then forward_place(). */
+void forward_turn_begin(struct forward *forward);
+
+/** forward_turn.c: stores the turn, then ends the answer. */
+void forward_turn_commit(struct forward *forward);
+
+/** forward_turn.c: settles what was handed out, once, when the turn is not stored. */
+void forward_turn_settle(struct forward *forward);
+
+/** forward_turn.c: frees it. */
+void forward_turn_close(struct forward *forward);
+
+/** forward_answer.c: the events of exchanges with servers. */
+extern const struct upstream_events forward_upstream_events;
+
+/** forward_answer.c: frees the answer, so that another may come. */
+void forward_answer_close(struct forward_answer *answer);
+
+/** forward.c: the exchange ended without the request having run there. */
+void forward_not_run(struct forward *forward, const char *reason);
+
+/** forward.c: the exchange ended, and the request may have run. */
+void forward_may_have_run(struct forward *forward, const char *reason);
+
+/** Leaves the server after an exchange. */
+void forward_leave_server(struct forward *forward);
+
+/** Value of a header of the request as a number; `absent` where it is missing or not one. */
+uint64_t forward_number(const struct forward *forward, enum dialect_header header, uint64_t absent);
+
+/** Value of a header of the request, a copy, or NULL. */
+char *forward_text(const struct forward *forward, enum dialect_header header);
+
+#endif
--- /dev/null
+++ b/src/proxy/front.c
@@ -0,0 +1,167 @@
+#include "proxy/front.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event_log.h"
+#include "base/message.h"
+#include "proxy/forward.h"
+#include "proxy/node_metrics.h"
+
+enum {
+    FRONT_HEAD_BYTES = 16 << 10,
+    FRONT_BODY_BYTES = 4 << 20,
+    FRONT_HEADER_MS = 5000,
+    FRONT_IDLE_MS = 15000,
+    FRONT_IDLE_MARGIN_MS = 3000 /* clients use connections up to the limit told */
+};
+
+static void front_on_request(void *context, struct http_call *call)
+{
+    forward_start(context, call);
+}
+
+static void front_on_gone(void *context, struct http_call *call)
+{
+    (void)context;
+    if (call->owner != NULL) {
+        forward_caller_gone(call->owner);
+    }
+}
+
+struct front *front_open(struct node *node)
+{
+    static const struct http_limits limits = {FRONT_HEAD_BYTES, FRONT_BODY_BYTES, FRONT_HEADER_MS, FRONT_IDLE_MS};
+    struct front *front = memory_new(sizeof(*front));
+    struct address address;
+    front->node = node;
+    node->upstreams.max_connections = FRONT_CONNECTIONS;
+    struct http_handler handler = {.context = front, .request = front_on_request, .gone = front_on_gone};
+    int result = address_parse(node->settings.caller_address, &address)
+                     ? http_listener_start(&front->callers, &node->loop, &address, &handler, &limits)
+                     : -1;
+    if (result != 0) {
+        event_log("listen_failed", "{s:s,s:s}", "address", node->settings.caller_address, "error", uv_strerror(result));
+        free(front);
+        return NULL;
+    }
+    return front;
+}
+
+void front_close(struct front *front)
+{
+    route_table_release(front->table);
+    server_table_close(&front->servers);
+    turn_store_close(&front->cache);
+    free(front);
+}
+
+/* ---- What is in force --------------------------------------------------------------- */
+
+static uint64_t front_limit(uint64_t told, uint64_t otherwise)
+{
+    return told == 0 ? otherwise : told;
+}
+
+static void front_apply_limits(struct front *front)
+{
+    const struct route_limits *limits = &front->table->limits;
+    front->callers.limits.max_head_bytes = (size_t)front_limit(limits->max_header_bytes, FRONT_HEAD_BYTES);
+    front->callers.limits.max_body_bytes = (size_t)front_limit(limits->max_body_bytes, FRONT_BODY_BYTES);
+    front->callers.limits.header_timeout_ms = front_limit(limits->header_timeout_ms, FRONT_HEADER_MS);
+    front->callers.limits.idle_timeout_ms = front_limit(limits->idle_timeout_ms, FRONT_IDLE_MS) + FRONT_IDLE_MARGIN_MS;
+}
+
+void front_take_configuration(struct front *front)
+{
+    struct findings findings = {0};
+    struct route_table *table =
+        front->node->dialect->read_configuration(buffer_view(&front->node->state.document), &findings);
+    bool newer = table != NULL && (front->table == NULL || table->version > front->table->version);
+    event_log("configuration_in_force", "{s:I,s:b,s:I}", "version", (json_int_t)front->node->state.document_version,
+              "taken", newer, "routes", (json_int_t)(table == NULL ? 0 : table->route_count));
+    if (newer) {
+        route_table_release(front->table);
+        front->table = table;
+        front_apply_limits(front);
+    } else {
+        route_table_release(table);
+    }
+    findings_close(&findings);
+}
+
+void front_take_own_servers(struct front *front, struct view encoded)
+{
+    ServerList list = {0};
+    if (!message_decode(encoded, ServerList_fields, &list)) {
+        return;
+    }
+    server_table_update(&front->servers, &list);
+    front->servers_known = true;
+    message_free(ServerList_fields, &list);
+}
+
+void front_take_servers(struct front *front)
+{
+    front_take_own_servers(front, buffer_view(&front->node->state.servers));
+    event_log("servers_in_force", "{s:I,s:I,s:I}", "term", (json_int_t)front->node->state.servers_term, "number",
+              (json_int_t)front->node->state.servers_number, "servers", (json_int_t)HASH_COUNT(front->servers.servers));
+}
+
+/* ---- State ------------------------------------------------------------------------------ */
+
+bool front_is_ready(const struct front *front)
+{
+    const struct node *node = front->node;
+    bool in_touch = node->host != NULL || watch_client_is_fresh(&node->watch, node_now(node), FRONT_TOUCH_MS);
+    return front->table != NULL && front->servers_known && in_touch;
+}
+
+bool front_is_busy(const struct front *front)
+{
+    return front->active > 0 || http_listener_active(&front->callers) > 0;
+}
+
+void front_drain(struct front *front)
+{
+    http_listener_drain(&front->callers);
+}
+
+void front_stop_accepting(struct front *front)
+{
+    http_listener_stop_accepting(&front->callers);
+}
+
+void front_tick(struct front *front)
+{
+    turn_store_shrink(&front->cache, FRONT_CACHE_BYTES);
+}
+
+void front_write_metrics(const struct front *front, struct buffer *out)
+{
+    const struct front_counters *counters = &front->counters;
+    const struct http_listener_counters *callers = &front->callers.counters;
+    metrics_write_counter(out, "connections_total", "Connections of callers.", callers->accepted);
+    metrics_write_counter(out, "malformed_requests_total", "Requests refused for their form.", callers->malformed);
+    metrics_write_counter(out, "connection_timeouts_total", "Connections closed for idleness.", callers->timeouts);
+    metrics_write_counter(out, "requests_total", "Requests that found a route.", counters->requests);
+    metrics_write_counter(out, "completed_total", "Answers passed on whole.", counters->completed);
+    metrics_write_counter(out, "refused_total", "Requests answered as not run.", counters->refused);
+    metrics_write_counter(out, "unknown_route_total", "Requests without a route.", counters->unknown_route);
+    metrics_write_counter(out, "failed_total", "Requests answered 502 or 504.", counters->failed);
+    metrics_write_counter(out, "cut_total", "Answers broken off.", counters->cut);
+    metrics_write_counter(out, "gone_total", "Callers that left before the end.", counters->gone);
+    metrics_write_counter(out, "sends_total", "Requests sent to servers.", counters->sends);
+    metrics_write_counter(out, "server_refusals_total", "Servers that did not run a request.",
+                          counters->server_refusals);
+    metrics_write_counter(out, "crossed_total", "Answers to other requests, dropped.", counters->crossed);
+    metrics_write_counter(out, "budget_refusals_total", "Turns refused for the budget.", counters->budget_refusals);
+    metrics_write_counter(out, "conversation_hits_total", "Conversations found near.", counters->cache_hits);
+    metrics_write_counter(out, "conversation_misses_total", "Conversations fetched.", counters->cache_misses);
+    metrics_write_gauge(out, "requests_active", "Requests under way.", front->active);
+    metrics_write_gauge(out, "servers_known", "Servers known.", HASH_COUNT(front->servers.servers));
+    histogram_write(&front->first_event, "first_event_seconds", "Time to the first event of a stream.", out);
+    histogram_write(&front->total, "answer_seconds", "Time to the end of an answer.", out);
+    histogram_write(&front->begin, "turn_begin_seconds", "Time to reserve a turn's tokens.", out);
+    histogram_write(&front->commit, "turn_commit_seconds", "Time to store a turn.", out);
+}
--- /dev/null
+++ b/src/proxy/front.h
@@ -0,0 +1,89 @@
+/**
+ * @file front.h
+ * The gateway of a node: takes callers' requests, finds their route, and
+ * forwards each to a server (forward.h). Holds what all requests share: the
+ * configuration in force, the servers, a cache of turns, counters.
+ */
+#ifndef BANKBANK_PROXY_FRONT_H
+#define BANKBANK_PROXY_FRONT_H
+
+#include "core/route_table.h"
+#include "core/server_table.h"
+#include "core/turn_store.h"
+#include "proxy/histogram.h"
+#include "proxy/node.h"
+
+enum {
+    FRONT_CACHE_BYTES = 8 << 20, /**< Turns kept near. */
+    FRONT_CONNECTIONS = 24,      /**< Connections of this gateway to one server. */
+    FRONT_TOUCH_MS = 3000        /**< Time without a state replica after which the gateway is not ready. */
+};
+
+/** Events so far, one counter each. */
+struct front_counters {
+    uint64_t requests;        /**< Requests that found a route. */
+    uint64_t completed;       /**< Answers passed on whole. */
+    uint64_t refused;         /**< Answered as not run. */
+    uint64_t unknown_route;   /**< Requests without a route. */
+    uint64_t failed;          /**< Answered 502 or 504. */
+    uint64_t cut;             /**< Answers broken off. */
+    uint64_t gone;            /**< Clients that left. */
+    uint64_t sends;           /**< Requests sent to servers. */
+    uint64_t server_refusals; /**< Servers that did not run a request. */
+    uint64_t crossed;         /**< Answers to other requests, dropped. */
+    uint64_t budget_refusals; /**< Turns refused for their program's budget. */
+    uint64_t cache_hits;      /**< Conversations found near. */
+    uint64_t cache_misses;    /**< Conversations fetched from a replica. */
+};
+
+struct forward;
+
+/** The gateway. */
+struct front {
+    struct node *node;              /**< The daemon. */
+    struct http_listener callers;   /**< Callers' address. */
+    struct route_table *table;      /**< Configuration in force, or NULL. */
+    struct server_table servers;    /**< Servers. */
+    bool servers_known;             /**< A list was taken. */
+    struct turn_store cache;        /**< Turns seen lately. */
+    struct forward *forwards;       /**< Requests under way. */
+    uint32_t active;                /**< Their number. */
+    struct front_counters counters; /**< Events. */
+    struct histogram first_event;   /**< Time to the first event of a stream. */
+    struct histogram total;         /**< Time to the end of an answer. */
+    struct histogram begin;         /**< Time to reserve a turn's tokens. */
+    struct histogram commit;        /**< Time to store a turn. */
+};
+
+/** Starts the gateway; NULL: it cannot listen. */
+struct front *front_open(struct node *node);
+
+/** Frees it. */
+void front_close(struct front *front);
+
+/** Takes the configuration in node->state if it is newer. */
+void front_take_configuration(struct front *front);
+
+/** Takes the list of servers in node->state. */
+void front_take_servers(struct front *front);
+
+/** Takes a list that this gateway read itself. */
+void front_take_own_servers(struct front *front, struct view encoded);
+
+/** Whether it can serve callers now. */
+bool front_is_ready(const struct front *front);
+
+/** Whether requests are under way. */
+bool front_is_busy(const struct front *front);
+
+/** From now on answers close their connections; then no more are accepted. */
+void front_drain(struct front *front);
+void front_stop_accepting(struct front *front);
+
+/** Advances time. */
+void front_tick(struct front *front);
+
+/** Writes its metrics. */
+void front_write_metrics(const struct front *front, struct buffer *out);
+
+#endif
--- /dev/null
+++ b/src/proxy/node_metrics.c
@@ -0,0 +1,51 @@
+#include "proxy/node_metrics.h"
+
+#include "base/event_log.h"
+#include "proxy/front.h"
+#include "proxy/state_host.h"
+
+static void metrics_write(struct buffer *out, const char *type, const char *name, const char *help, uint64_t value)
+{
+    buffer_printf(out, "# HELP bankbank_%s %s\n# TYPE bankbank_%s %s\nbankbank_%s %llu\n", name, help, name, type, name,
+                  (unsigned long long)value);
+}
+
+void metrics_write_counter(struct buffer *out, const char *name, const char *help, uint64_t value)
+{
+    metrics_write(out, "counter", name, help, value);
+}
+
+void metrics_write_gauge(struct buffer *out, const char *name, const char *help, uint64_t value)
+{
+    metrics_write(out, "gauge", name, help, value);
+}
+
+void node_write_metrics(const struct node *node, struct buffer *out)
+{
+    const struct upstream_counters *upstreams = &node->upstreams.counters;
+    metrics_write_gauge(out, "state_fresh", "Whether a state replica in touch with a quorum answered lately.",
+                        node_is_fresh(node) ? 1 : 0);
+    metrics_write_gauge(out, "configuration_version", "Version of the configuration in force.",
+                        node->state.document_version);
+    metrics_write_counter(out, "link_frames_in_total", "Frames received from daemons.", node->links.frames_in);
+    metrics_write_counter(out, "link_frames_out_total", "Frames sent to daemons.", node->links.frames_out);
+    metrics_write_counter(out, "link_bytes_in_total", "Bytes received from daemons.", node->links.bytes_in);
+    metrics_write_counter(out, "link_bytes_out_total", "Bytes sent to daemons.", node->links.bytes_out);
+    metrics_write_counter(out, "machine_list_calls_total", "Calls to the platform's machine list.",
+                          node->machines.calls);
+    metrics_write_counter(out, "machine_list_failures_total", "Readings of the machine list that failed.",
+                          node->machines.failures);
+    metrics_write_counter(out, "upstream_connections_total", "New connections to servers.", upstreams->connections);
+    metrics_write_counter(out, "upstream_reuses_total", "Requests on kept connections.", upstreams->reuses);
+    metrics_write_counter(out, "upstream_stray_bytes_total", "Connections closed for bytes of no request.",
+                          upstreams->stray_bytes);
+    metrics_write_counter(out, "upstream_refused_total", "Connections that did not come up.", upstreams->refused);
+    metrics_write_counter(out, "upstream_broken_total", "Requests sent that got no whole answer.", upstreams->broken);
+    metrics_write_counter(out, "log_lines_left_out_total", "Log lines left out.", event_log_dropped());
+    if (node->front != NULL) {
+        front_write_metrics(node->front, out);
+    }
+    if (node->host != NULL) {
+        state_host_write_metrics(node->host, out);
+    }
+}
--- /dev/null
+++ b/src/proxy/node_settings.c
@@ -0,0 +1,124 @@
+#include "proxy/node_settings.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "net/address.h"
+
+enum {
+    NODE_LIST_PERIOD_MS = 500,
+    NODE_GRACE_MS = 8000,
+    NODE_LOG_LINES_PER_S = 40,
+    NODE_MOST_MS = 3600 * 1000,
+    NODE_MOST_PORT = 65535
+};
+
+static const struct yaml_field node_seed_fields[] = {
+    {.key = "address", .type = YAML_TEXT, .offset = offsetof(struct node_seed, address), .required = true},
+    {.key = NULL},
+};
+
+#define NODE_TEXT(name)                                                                                                \
+    {                                                                                                                  \
+        .key = #name, .type = YAML_TEXT, .offset = offsetof(struct node_settings, name)                                \
+    }
+#define NODE_NUMBER(name, least, most)                                                                                 \
+    {                                                                                                                  \
+        .key = #name, .type = YAML_NUMBER, .offset = offsetof(struct node_settings, name), .minimum = least,           \
+        .maximum = most                                                                                                \
+    }
+
+static const struct yaml_field node_settings_fields[] = {
+    NODE_TEXT(name),
+    NODE_TEXT(zone),
+    NODE_TEXT(ip),
+    NODE_NUMBER(peer_port, 1, NODE_MOST_PORT),
+    {.key = "bootstrap", .type = YAML_FLAG, .offset = offsetof(struct node_settings, bootstrap)},
+    NODE_TEXT(data),
+    NODE_TEXT(caller_address),
+    NODE_TEXT(ready_address),
+    NODE_TEXT(control_address),
+    NODE_TEXT(metrics_address),
+    NODE_TEXT(machine_list),
+    {.key = "seeds",
+     .type = YAML_LIST,
+     .offset = offsetof(struct node_settings, seeds),
+     .fields = node_seed_fields,
+     .item_size = sizeof(struct node_seed)},
+    NODE_NUMBER(list_period_ms, 50, NODE_MOST_MS),
+    {.key = "grace_s",
+     .type = YAML_SECONDS,
+     .offset = offsetof(struct node_settings, grace_ms),
+     .maximum = NODE_MOST_MS},
+    NODE_NUMBER(log_lines_per_s, 0, 100000),
+    NODE_TEXT(log_level),
+    {.key = NULL},
+};
+
+static void node_settings_defaults(struct node_settings *settings)
+{
+    memset(settings, 0, sizeof(*settings));
+    settings->list_period_ms = NODE_LIST_PERIOD_MS;
+    settings->grace_ms = NODE_GRACE_MS;
+    settings->log_lines_per_s = NODE_LOG_LINES_PER_S;
+    settings->log_level = text_copy("warn");
+}
+
+static bool node_is_set(const char *text)
+{
+    return text_or_empty(text)[0] != '\0';
+}
+
+static void node_check_address(const char *path, const char *key, const char *value, struct findings *findings)
+{
+    struct address address;
+    if (!node_is_set(value) || address_parse(value, &address)) {
+        return;
+    }
+    struct buffer place = {0};
+    buffer_printf(&place, "%s: %s", path, key);
+    findings_add(findings, buffer_text(&place), "must be IP:PORT, not '%s'", value);
+    buffer_close(&place);
+}
+
+static void node_settings_check(const struct node_settings *settings, const char *path, struct findings *findings)
+{
+    enum log_level level;
+    node_check_address(path, "caller_address", settings->caller_address, findings);
+    node_check_address(path, "ready_address", settings->ready_address, findings);
+    node_check_address(path, "control_address", settings->control_address, findings);
+    node_check_address(path, "metrics_address", settings->metrics_address, findings);
+    node_check_address(path, "machine_list", settings->machine_list, findings);
+    const struct node_seed *seeds = settings->seeds.items;
+    for (size_t i = 0; i < settings->seeds.count; i++) {
+        node_check_address(path, "seeds", seeds[i].address, findings);
+    }
+    if (!node_is_set(settings->name)) {
+        findings_add(findings, path, "name is required");
+    }
+    if (settings->peer_port == 0 || !node_is_set(settings->ip)) {
+        findings_add(findings, path, "ip and peer_port are required");
+    }
+    if (settings->seeds.count == 0) {
+        findings_add(findings, path, "seeds must name at least one state replica");
+    }
+    if (!node_is_set(settings->data) && !node_is_set(settings->caller_address)) {
+        findings_add(findings, path, "data (a state replica) or caller_address (a gateway) is required");
+    }
+    if (!log_level_parse(text_or_empty(settings->log_level), &level)) {
+        findings_add(findings, path, "log_level must be error, warn, info or debug");
+    }
+}
+
+void node_settings_load(struct node_settings *settings, const char *path, struct findings *findings)
+{
+    node_settings_defaults(settings);
+    yaml_read_file(path, node_settings_fields, settings, findings);
+    node_settings_check(settings, path, findings);
+}
+
+void node_settings_close(struct node_settings *settings)
+{
+    yaml_close(node_settings_fields, settings);
+}
--- /dev/null
+++ b/src/proxy/node_settings.h
@@ -0,0 +1,46 @@
+/**
+ * @file node_settings.h
+ * Settings of a daemon that finds its peers by itself: a gateway in front of
+ * a site's servers, or a state replica of that site.
+ */
+#ifndef BANKBANK_PROXY_NODE_SETTINGS_H
+#define BANKBANK_PROXY_NODE_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/findings.h"
+#include "base/yaml.h"
+
+/** Where a state replica was reachable when the settings were written. */
+struct node_seed {
+    char *address; /**< IP:PORT of its control address; the peer port is the same for all. */
+};
+
+/** All settings. */
+struct node_settings {
+    char *name;               /**< Machine's name, unique in the site. */
+    char *zone;               /**< Zone the machine stands in. */
+    char *ip;                 /**< Machine's IPv4 address. */
+    uint64_t peer_port;       /**< Port of peer links, the same on all machines. */
+    bool bootstrap;           /**< First start of the whole site: the seeds form it. */
+    char *data;               /**< Data folder; empty: no state replica. */
+    char *caller_address;     /**< IP:PORT for callers; empty: no gateway. */
+    char *ready_address;      /**< IP:PORT of the readiness question, or empty. */
+    char *control_address;    /**< IP:PORT for operators, or empty. */
+    char *metrics_address;    /**< IP:PORT of the metrics, or empty. */
+    char *machine_list;       /**< IP:PORT of the platform's machine list. */
+    struct yaml_list seeds;   /**< struct node_seed. */
+    uint64_t list_period_ms;  /**< Pause between two readings of the machine list. */
+    uint64_t grace_ms;        /**< Time a stop may take. */
+    uint64_t log_lines_per_s; /**< Log lines a second of each kind. */
+    char *log_level;          /**< error, warn, info or debug. */
+};
+
+/** Reads and checks the file; faults go to `findings`. */
+void node_settings_load(struct node_settings *settings, const char *path, struct findings *findings);
+
+/** Frees the settings. */
+void node_settings_close(struct node_settings *settings);
+
+#endif
