--- /dev/null
+++ b/src/proxy/state_host.c
@@ -0,0 +1,505 @@
+/* Hosts a state replica: disk, formation, joining, watches. */
+#include "proxy/state_host.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event_log.h"
+#include "base/message.h"
+#include "proxy/node_metrics.h"
+
+enum {
+    STATE_HOST_SNAPSHOT_ENTRIES = 16384,
+    STATE_HOST_CONTROL_HEAD = 16 << 10,
+    STATE_HOST_CONTROL_BODY = 8 << 20,
+    STATE_HOST_CONTROL_MS = 30000
+};
+
+/* ---- The replica's effects --------------------------------------------------------------- */
+
+static void host_on_save_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
+{
+    log_store_save_state(&((struct state_host *)context)->log, group, term, vote);
+}
+
+static void host_on_append(void *context, uint32_t group, const struct raft_entry *entry)
+{
+    log_store_append(&((struct state_host *)context)->log, group, entry);
+}
+
+/* A disk that fails ends the process: it starts again from what is synced. */
+static void host_disk_failed(struct state_host *host)
+{
+    event_log("disk_failed", "{s:s}", "error", host->log.error);
+    event_log_flush();
+    node_stop(host->node);
+}
+
+static bool host_on_sync(void *context)
+{
+    struct state_host *host = context;
+    bool synced = log_store_sync(&host->log);
+    if (!synced) {
+        host_disk_failed(host);
+    }
+    uv_update_time(&host->node->loop);
+    return synced;
+}
+
+static bool host_on_save_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
+                                  const struct raft_members *members, struct view state, bool reset_log)
+{
+    struct state_host *host = context;
+    (void)reset_log;
+    bool saved = log_store_save_snapshot(&host->log, group, index, term, members, state);
+    if (!saved) {
+        host_disk_failed(host);
+    }
+    event_log("snapshot", "{s:I,s:I,s:b}", "index", (json_int_t)index, "bytes", (json_int_t)state.length, "saved",
+              saved);
+    uv_update_time(&host->node->loop);
+    return saved;
+}
+
+static void host_on_send(void *context, uint32_t to, struct view frame)
+{
+    node_send(((struct state_host *)context)->node, to, frame);
+}
+
+/* Texts of the product's own programs have no place here. */
+static void host_history_append(void *context, struct view text, struct history_ref *ref)
+{
+    (void)context;
+    (void)text;
+    memset(ref, 0, sizeof(*ref));
+}
+
+static bool host_history_read(void *context, const struct history_ref *ref, struct buffer *out)
+{
+    (void)context;
+    (void)out;
+    return ref->length == 0;
+}
+
+static void host_history_ignore(void *context, const struct history_ref *ref)
+{
+    (void)context;
+    (void)ref;
+}
+
+/* ---- Opening ----------------------------------------------------------------------------- */
+
+static bool host_restore_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
+                                  const struct raft_members *members, struct view state)
+{
+    return replica_restore_snapshot(&((struct state_host *)context)->replica, group, index, term, members, state);
+}
+
+static void host_restore_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
+{
+    raft_restore_state(&((struct state_host *)context)->replica.groups[group].raft, term, vote);
+}
+
+static bool host_restore_entry(void *context, uint32_t group, const struct raft_entry *entry)
+{
+    return raft_restore_entry(&((struct state_host *)context)->replica.groups[group].raft, entry);
+}
+
+static bool host_open_replica(struct state_host *host)
+{
+    struct replica_config config = {
+        .node = host->identity.node,
+        .groups = 1,
+        .members = host->identity.members,
+        .election_timeout_ms = STATE_HOST_ELECTION_MS,
+        .heartbeat_ms = STATE_HOST_HEARTBEAT_MS,
+        .lease_ms = STATE_HOST_ELECTION_MS,
+        .seed = host->node->boot_id,
+        .snapshot_entries = STATE_HOST_SNAPSHOT_ENTRIES,
+        .self_organized = true,
+        .steady_stamps = true,
+    };
+    struct replica_io io = {
+        .context = host,
+        .save_state = host_on_save_state,
+        .append = host_on_append,
+        .sync = host_on_sync,
+        .save_snapshot = host_on_save_snapshot,
+        .send = host_on_send,
+    };
+    struct history_io history = {
+        .context = host,
+        .append = host_history_append,
+        .read = host_history_read,
+        .drop = host_history_ignore,
+        .keep = host_history_ignore,
+    };
+    struct log_restore restore = {
+        .context = host,
+        .snapshot = host_restore_snapshot,
+        .state = host_restore_state,
+        .entry = host_restore_entry,
+    };
+    replica_init(&host->replica, &config, &io, &history);
+    if (!log_store_open(&host->log, host->node->settings.data, config.groups, &restore)) {
+        event_log("disk_failed", "{s:s}", "error", host->log.error);
+        return false;
+    }
+    return true;
+}
+
+/* The replica begins to run. */
+static void host_start(struct state_host *host)
+{
+    struct raft *raft = &host->replica.groups[STATE_CONFIG_GROUP].raft;
+    host->running = true;
+    host->led_ms = node_now(host->node);
+    replica_start(&host->replica, node_now(host->node));
+    event_log("replica_started", "{s:I,s:I,s:I,s:I}", "id", (json_int_t)host->identity.node, "term",
+              (json_int_t)raft->term, "last_index", (json_int_t)raft_last_index(raft), "members",
+              (json_int_t)raft->members.count);
+}
+
+struct state_host *state_host_open(struct node *node)
+{
+    struct state_host *host = memory_new(sizeof(*host));
+    host->node = node;
+    host->join_due_ms = node_now(node) + STATE_HOST_JOIN_MS;
+    uint32_t fresh = (uint32_t)(node->boot_id >> 32) | 1;
+    if (!identity_load(node->settings.data, fresh, &host->identity)) {
+        event_log("disk_failed", "{s:s}", "error", "the identity cannot be read or written");
+        free(host);
+        return NULL;
+    }
+    if (host->identity.formed) {
+        if (!host_open_replica(host)) {
+            free(host);
+            return NULL;
+        }
+        host_start(host);
+    }
+    return host;
+}
+
+static void host_on_call(void *context, struct http_call *call)
+{
+    control_api_handle(context, call);
+}
+
+/* control_api.c keeps its state in `owner`. */
+static void host_on_gone(void *context, struct http_call *call)
+{
+    (void)context;
+    struct http_call **back = call->owner;
+    if (back != NULL) {
+        *back = NULL;
+    }
+}
+
+bool state_host_listen(struct state_host *host)
+{
+    static const struct http_limits limits = {STATE_HOST_CONTROL_HEAD, STATE_HOST_CONTROL_BODY, STATE_HOST_CONTROL_MS,
+                                              STATE_HOST_CONTROL_MS};
+    struct address address;
+    if (!address_parse(host->node->settings.control_address, &address)) {
+        return true;
+    }
+    struct http_handler handler = {.context = host, .request = host_on_call, .gone = host_on_gone};
+    int result = http_listener_start(&host->control, &host->node->loop, &address, &handler, &limits);
+    host->serves_control = result == 0;
+    if (result != 0) {
+        event_log("listen_failed", "{s:s,s:s}", "address", host->node->settings.control_address, "error",
+                  uv_strerror(result));
+    }
+    return result == 0;
+}
+
+void state_host_close(struct state_host *host)
+{
+    if (host->running) {
+        replica_close(&host->replica);
+        log_store_close(&host->log);
+    }
+    free(host);
+}
+
+/* ---- Coming to belong to a group -------------------------------------------------------------- */
+
+static bool host_enter_group(struct state_host *host, const struct raft_members *members)
+{
+    if (!identity_form(host->node->settings.data, &host->identity, members) || !host_open_replica(host)) {
+        node_stop(host->node);
+        return false;
+    }
+    host_start(host);
+    return true;
+}
+
+static bool host_is_seed_address(const struct node *node, uint32_t ip)
+{
+    const struct node_seed *seeds = node->settings.seeds.items;
+    for (size_t i = 0; i < node->settings.seeds.count; i++) {
+        struct address address;
+        if (address_parse(seeds[i].address, &address) && ntohl(address.socket.sin_addr.s_addr) == ip) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void host_add_member(struct raft_members *members, uint32_t node, const struct raft_member_place *place)
+{
+    uint32_t position = members->count++;
+    while (position > 0 && members->nodes[position - 1] > node) {
+        members->nodes[position] = members->nodes[position - 1];
+        members->places[position] = members->places[position - 1];
+        position--;
+    }
+    members->nodes[position] = node;
+    members->places[position] = *place;
+}
+
+/* At the first start of the site its seeds, once each knows the others, begin
+ * the same group: the members in the order of their ids. */
+static void host_try_bootstrap(struct state_host *host)
+{
+    struct node *node = host->node;
+    const struct raft_member_place *own = &node->links.config.place;
+    if (!node->settings.bootstrap || !host_is_seed_address(node, own->ip)) {
+        return;
+    }
+    uint32_t nodes[RAFT_MAX_MEMBERS];
+    struct raft_member_place places[RAFT_MAX_MEMBERS];
+    uint32_t count = links_replicas(&node->links, nodes, places, RAFT_MAX_MEMBERS - 1);
+    struct raft_members members = {0};
+    host_add_member(&members, host->identity.node, own);
+    for (uint32_t i = 0; i < count; i++) {
+        if (host_is_seed_address(node, places[i].ip)) {
+            host_add_member(&members, nodes[i], &places[i]);
+        }
+    }
+    if (members.count == node->settings.seeds.count) {
+        event_log("bootstrap", "{s:I}", "members", (json_int_t)members.count);
+        host_enter_group(host, &members);
+    }
+}
+
+static void host_on_joined(void *context, ResultCode code, struct view body)
+{
+    struct state_host *host = context;
+    JoinReply reply = {0};
+    host->joining = false;
+    if (code != RESULT_OK || host->running || !message_decode(body, JoinReply_fields, &reply)) {
+        return;
+    }
+    struct raft_members members;
+    bool listed =
+        raft_members_from_wire(&reply.members, &members) && raft_member_position(&members, host->identity.node) >= 0;
+    message_free(JoinReply_fields, &reply);
+    if (listed) {
+        event_log("joined", "{s:I}", "members", (json_int_t)members.count);
+        host_enter_group(host, &members);
+    }
+}
+
+static void host_ask_to_join(struct state_host *host)
+{
+    struct node *node = host->node;
+    uint64_t now_ms = node_now(node);
+    if (host->joining || now_ms < host->join_due_ms) {
+        return;
+    }
+    const struct raft_member_place *own = &node->links.config.place;
+    JoinRequest request = {.has_member = true};
+    request.member.node = host->identity.node;
+    request.member.name = (char *)(uintptr_t)own->name;
+    request.member.zone = (char *)(uintptr_t)own->zone;
+    request.member.ip = own->ip;
+    request.member.port = own->port;
+    struct buffer body = {0};
+    message_encode(&body, JoinRequest_fields, &request);
+    host->join_due_ms = now_ms + STATE_HOST_JOIN_MS;
+    host->joining = true;
+    node_submit(node, REQUEST_JOIN, buffer_view(&body), now_ms + STATE_HOST_LOST_MS, host_on_joined, host);
+    buffer_close(&body);
+}
+
+/* ---- Roles --------------------------------------------------------------------------------------- */
+
+bool state_host_leads(const struct state_host *host)
+{
+    return host->running && raft_is_leader(&host->replica.groups[STATE_CONFIG_GROUP].raft);
+}
+
+uint32_t state_host_leader(const struct state_host *host)
+{
+    return host->running ? host->replica.groups[STATE_CONFIG_GROUP].raft.leader : RAFT_NO_NODE;
+}
+
+bool state_host_hand_over(struct state_host *host)
+{
+    return host->running && replica_transfer_all(&host->replica, node_now(host->node));
+}
+
+static void host_report_role(struct state_host *host)
+{
+    const struct raft *raft = &host->replica.groups[STATE_CONFIG_GROUP].raft;
+    bool leads = raft_is_leader(raft);
+    if (raft->leader == host->told_leader && leads == host->told_leading) {
+        return;
+    }
+    host->told_leader = raft->leader;
+    host->told_leading = leads;
+    event_log("leader_changed", "{s:I,s:b,s:I,s:I}", "leader", (json_int_t)raft->leader, "own", leads, "term",
+              (json_int_t)raft->term, "commit", (json_int_t)raft->commit);
+}
+
+void state_host_tick(struct state_host *host)
+{
+    struct node *node = host->node;
+    uint64_t now_ms = node_now(node);
+    if (!host->running) {
+        host_try_bootstrap(host);
+    }
+    if (!host->running) {
+        host_ask_to_join(host);
+        return;
+    }
+    replica_tick(&host->replica, now_ms);
+    host_report_role(host);
+    if (state_host_leader(host) != RAFT_NO_NODE) {
+        host->led_ms = now_ms;
+    } else if (now_ms >= host->led_ms + STATE_HOST_LOST_MS) {
+        host_ask_to_join(host);
+    }
+}
+
+/* ---- Watches ---------------------------------------------------------------------------------------- */
+
+static void host_tell_watcher(struct state_host *host, struct watch_entry *entry, uint64_t sequence)
+{
+    struct node *node = host->node;
+    Member items[RAFT_MAX_MEMBERS];
+    Frame frame = {0};
+    frame.which_payload = Frame_watch_update_tag;
+    WatchUpdate *update = &frame.payload.watch_update;
+    update->sequence = sequence;
+    update->fresh = replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, node_now(node));
+    update->leader = state_host_leader(host);
+    update->watchers = watch_server_count(&host->watchers, node_now(node));
+    if (watch_entry_fill(entry, &node->state, items, update)) {
+        node_send_frame(node, entry->node, &frame);
+    }
+    watch_update_close(update);
+}
+
+static void host_handle_watch(struct state_host *host, uint32_t from, const Watch *watch)
+{
+    struct watch_entry *entry = watch_server_note(&host->watchers, node_now(host->node), from, watch);
+    if (entry != NULL && host->running) {
+        host_tell_watcher(host, entry, watch->sequence);
+    }
+}
+
+void state_host_receive(struct state_host *host, uint32_t from, const Frame *frame)
+{
+    if (frame->which_payload == Frame_watch_tag) {
+        host_handle_watch(host, from, &frame->payload.watch);
+    } else if (host->running) {
+        replica_receive(&host->replica, node_now(host->node), from, frame);
+    }
+}
+
+void state_host_take_servers(struct state_host *host, struct view encoded)
+{
+    struct node *node = host->node;
+    if (!state_host_leads(host)) {
+        return;
+    }
+    uint64_t term = host->replica.groups[STATE_CONFIG_GROUP].raft.term;
+    const struct buffer *held = &node->state.servers;
+    bool same = term == node->state.servers_term && held->length == encoded.length &&
+                memcmp(held->data, encoded.data, encoded.length) == 0;
+    if (same) {
+        return;
+    }
+    uint64_t number = term == node->state.servers_term ? node->state.servers_number + 1 : 1;
+    watch_state_put_servers(&node->state, term, number, encoded);
+    event_log("servers_read", "{s:I,s:I,s:I}", "term", (json_int_t)term, "number", (json_int_t)number, "bytes",
+              (json_int_t)encoded.length);
+    struct watch_changes changes = {.servers = true};
+    node_state_changed(node, changes);
+}
+
+/* Copies what the replica applied to where watchers are told from. */
+static struct watch_changes host_mirror(struct state_host *host)
+{
+    const struct replica_group *group = &host->replica.groups[STATE_CONFIG_GROUP];
+    const struct site_document *document = &group->machine.site.document;
+    struct watch_state *state = &host->node->state;
+    struct watch_changes changes = {0};
+    if (document->version > state->document_version) {
+        state->document_version = document->version;
+        buffer_clear(&state->document);
+        buffer_append(&state->document, document->content.data, document->content.length);
+        changes.document = true;
+        event_log("configuration_applied", "{s:I,s:I}", "version", (json_int_t)document->version, "index",
+                  (json_int_t)group->raft.applied);
+    }
+    /* Index 0 is the begin of the log; watchers count from 1. */
+    uint64_t members_index = group->raft.members_index + 1;
+    if (group->raft.members_index <= group->raft.commit && members_index > state->members_index) {
+        state->members_index = members_index;
+        state->members = group->raft.members;
+        changes.members = true;
+        event_log("members_changed", "{s:I,s:I,s:I}", "members", (json_int_t)state->members.count, "voters",
+                  (json_int_t)raft_voter_count(&state->members), "index", (json_int_t)group->raft.members_index);
+    }
+    return changes;
+}
+
+void state_host_settle(struct state_host *host)
+{
+    struct node *node = host->node;
+    if (!host->running) {
+        return;
+    }
+    replica_flush(&host->replica, node_now(node));
+    if (host->replica.failed) {
+        node_stop(node);
+        return;
+    }
+    struct watch_changes changes = host_mirror(host);
+    if (changes.document || changes.members) {
+        node_state_changed(node, changes);
+    }
+    for (uint32_t i = 0; i < host->watchers.count; i++) {
+        struct watch_entry *entry = &host->watchers.entries[i];
+        if (watch_entry_lacks(entry, node_now(node), &node->state)) {
+            host_tell_watcher(host, entry, 0);
+        }
+    }
+}
+
+void state_host_write_metrics(const struct state_host *host, struct buffer *out)
+{
+    metrics_write_gauge(out, "replica_running", "Whether the replica belongs to a group.", host->running ? 1 : 0);
+    if (!host->running) {
+        return;
+    }
+    const struct replica_group *group = &host->replica.groups[STATE_CONFIG_GROUP];
+    const struct replica_counters *counters = &host->replica.counters;
+    metrics_write_gauge(out, "raft_leading", "Whether this replica leads.", raft_is_leader(&group->raft) ? 1 : 0);
+    metrics_write_gauge(out, "raft_term", "Term.", group->raft.term);
+    metrics_write_gauge(out, "raft_commit_index", "Highest committed entry.", group->raft.commit);
+    metrics_write_gauge(out, "raft_members", "Voters and learners.", group->raft.members.count);
+    metrics_write_counter(out, "raft_proposals_total", "Entries proposed here.", counters->proposals);
+    metrics_write_counter(out, "raft_syncs_total", "Syncs of the log.", counters->syncs);
+    metrics_write_counter(out, "raft_synced_bytes_total", "Bytes written to the log.", counters->synced_bytes);
+    metrics_write_counter(out, "raft_snapshots_total", "Snapshots taken.", counters->snapshots);
+    metrics_write_counter(out, "raft_snapshots_installed_total", "Snapshots received.", counters->installs);
+    metrics_write_gauge(out, "turns_stored", "Turns stored.", HASH_COUNT(group->machine.site.turns.turns));
+    metrics_write_gauge(out, "turn_bytes", "Bytes of turns stored.", group->machine.site.turns.bytes);
+    metrics_write_gauge(out, "programs_budgeted", "Programs with a budget.",
+                        HASH_COUNT(group->machine.site.budgets.programs));
+}
--- /dev/null
+++ b/src/proxy/state_host.h
@@ -0,0 +1,75 @@
+/**
+ * @file state_host.h
+ * Hosts a state replica in a node: its disk, how it comes to belong to a
+ * group, the watches of other daemons, and the operators' calls.
+ */
+#ifndef BANKBANK_PROXY_STATE_HOST_H
+#define BANKBANK_PROXY_STATE_HOST_H
+
+#include "core/replica.h"
+#include "proxy/node.h"
+#include "store/identity.h"
+#include "store/log_store.h"
+
+enum {
+    STATE_HOST_ELECTION_MS = 450,  /**< Least time without a leader before an election. */
+    STATE_HOST_HEARTBEAT_MS = 100, /**< Leader's heartbeat period. */
+    STATE_HOST_JOIN_MS = 250,      /**< Pause between requests to join. */
+    STATE_HOST_LOST_MS = 1000      /**< Time without a leader after which a member asks to join again. */
+};
+
+/** The host. */
+struct state_host {
+    struct node *node;            /**< The daemon. */
+    struct identity identity;     /**< Who this replica is. */
+    bool running;                 /**< It belongs to a group; `replica` and `log` are open. */
+    struct replica replica;       /**< The replica. */
+    struct log_store log;         /**< Its disk. */
+    struct watch_server watchers; /**< Daemons that watch it. */
+    struct http_listener control; /**< Operators' calls. */
+    bool serves_control;          /**< It has a control address. */
+    uint64_t join_due_ms;         /**< Next request to join. */
+    bool joining;                 /**< One is under way. */
+    uint64_t led_ms;              /**< Last time a leader was known. */
+    uint32_t told_leader;         /**< Leader that the log told last. */
+    bool told_leading;            /**< Whether that was this node. */
+    uint64_t servers_number;      /**< Changes of the server list read in this term. */
+};
+
+/** Loads the identity and, if it belongs to a group, the state; NULL: it cannot run. */
+struct state_host *state_host_open(struct node *node);
+
+/** Opens what needs the node's links: operators' calls. */
+bool state_host_listen(struct state_host *host);
+
+/** Frees it. */
+void state_host_close(struct state_host *host);
+
+/** Handles a frame that is for the replica. */
+void state_host_receive(struct state_host *host, uint32_t from, const Frame *frame);
+
+/** Advances time. */
+void state_host_tick(struct state_host *host);
+
+/** Syncs what was written, releases what waited for it, tells watchers what is new. */
+void state_host_settle(struct state_host *host);
+
+/** Whether this replica leads. */
+bool state_host_leads(const struct state_host *host);
+
+/** Leader as this replica knows it, or RAFT_NO_NODE. */
+uint32_t state_host_leader(const struct state_host *host);
+
+/** Takes a list of servers that was read from the platform. */
+void state_host_take_servers(struct state_host *host, struct view encoded);
+
+/** Gives leadership away; true while there is still some to give. */
+bool state_host_hand_over(struct state_host *host);
+
+/** Writes its metrics. */
+void state_host_write_metrics(const struct state_host *host, struct buffer *out);
+
+/** control_api.c: handles an operator's call. */
+void control_api_handle(struct state_host *host, struct http_call *call);
+
+#endif
