--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Thin front of the CMake build. `make help` lists the targets.
 BUILD ?= build
 SIM_SEEDS ?= 10000
-SOURCES = $(shell git ls-files 'src/*.c' 'src/*.h' 'tests/*.c' 'tests/*.h' | grep -v '^src/generated/')
+SOURCES = $(shell git ls-files 'src/*.c' 'src/*.h' 'platform/*.c' 'platform/*.h' 'tests/*.c' 'tests/*.h' | grep -v '^src/generated/')
 
 .PHONY: help deps build demo fleet test test-asan test-tsan lint format fuzz bench commits scale capacity clean
 
--- a/src/base/yaml.h
+++ b/src/base/yaml.h
@@ -15,11 +15,11 @@
 #include "base/findings.h"
 
 enum yaml_type {
-    YAML_TEXT,   /**< char *, owned by the settings. */
-    YAML_NUMBER, /**< uint64_t within [minimum, maximum]. */
+    YAML_TEXT,    /**< char *, owned by the settings. */
+    YAML_NUMBER,  /**< uint64_t within [minimum, maximum]. */
     YAML_SECONDS, /**< uint64_t milliseconds, written as decimal seconds; at most `maximum` ms. */
-    YAML_FLAG,   /**< bool: true or false. */
-    YAML_LIST    /**< Sequence of mappings: a struct yaml_list. */
+    YAML_FLAG,    /**< bool: true or false. */
+    YAML_LIST     /**< Sequence of mappings: a struct yaml_list. */
 };
 
 /** A list of records read from a sequence of mappings. */
--- a/src/core/turn_store.c
+++ b/src/core/turn_store.c
@@ -106,7 +106,7 @@
 void turn_store_expire(struct turn_store *store, uint64_t now_ms)
 {
     struct turn *turn = store->earliest;
-    while (turn != NULL && turn->expires_ms <= now_ms) {
+    while (turn != NULL && store->turns != NULL && turn->expires_ms <= now_ms) {
         struct turn *next = turn->later;
         if (turn->children == 0) {
             struct turn *parent = turn->parent;
@@ -121,7 +121,7 @@
 void turn_store_shrink(struct turn_store *store, size_t bytes)
 {
     struct turn *turn = store->earliest;
-    while (turn != NULL && store->bytes > bytes) {
+    while (turn != NULL && store->turns != NULL && store->bytes > bytes) {
         struct turn *next = turn->later;
         if (turn->children == 0) {
             turn_free(store, turn);
@@ -143,7 +143,7 @@
 void turn_chain_text(const struct turn *turn, struct buffer *out)
 {
     size_t depth = turn_depth(turn);
-    const struct turn **chain = memory_new((depth + 1) * sizeof(*chain));
+    const struct turn **chain = memory_new((depth + 1) * sizeof(struct turn *)); // NOLINT(bugprone-sizeof-expression)
     for (size_t i = depth; i > 0; i--) {
         chain[i - 1] = turn;
         turn = turn->parent;
--- a/src/net/http_reader.c
+++ b/src/net/http_reader.c
@@ -62,6 +62,13 @@
     return known && plain && reader->target.length > 0 && http_is_token(reader->method);
 }
 
+static bool http_is_status_line(struct view line)
+{
+    static const char version[] = "HTTP/1.";
+    return line.length > sizeof(version) && memcmp(line.data, version, sizeof(version) - 1) == 0 &&
+           (line.data[sizeof(version) - 1] == '0' || line.data[sizeof(version) - 1] == '1');
+}
+
 static bool http_read_header_line(struct http_reader *reader, struct view line)
 {
     const uint8_t *colon = memchr(line.data, ':', line.length);
@@ -103,7 +110,9 @@
         bool good = http_is_clean_line(line);
         if (first && reader->type == HTTP_REQUEST) {
             good = good && http_read_request_line(reader, line);
-        } else if (!first) {
+        } else if (first) {
+            good = good && http_is_status_line(line);
+        } else {
             good = good && http_read_header_line(reader, line);
         }
         if (!good) {
--- /dev/null
+++ b/tests/unit/http_reader.c
@@ -0,0 +1,243 @@
+/* HTTP messages, events and JSON as they come from outside: whole, torn and forged. */
+#include <string.h>
+
+#include "../integration/framing_cases.h"
+#include "net/event_stream.h"
+#include "net/http_reader.h"
+#include "net/json_input.h"
+#include "suite.h"
+
+static struct http_reader reader;
+static struct buffer body;
+static int heads;
+
+static bool on_head(void *context, struct http_reader *from)
+{
+    (void)context;
+    (void)from;
+    heads++;
+    return true;
+}
+
+static bool on_body(void *context, struct http_reader *from, struct view part)
+{
+    (void)context;
+    (void)from;
+    buffer_append(&body, part.data, part.length);
+    return true;
+}
+
+static bool on_complete(void *context, struct http_reader *from)
+{
+    (void)context;
+    (void)from;
+    return true;
+}
+
+static void start(enum http_parser_type type)
+{
+    memset(&reader, 0, sizeof(reader));
+    reader.type = type;
+    reader.max_head_bytes = 1024;
+    reader.max_body_bytes = 1024;
+    reader.events = (struct http_reader_events){.head = on_head, .body = on_body, .complete = on_complete};
+    buffer_clear(&body);
+    heads = 0;
+    http_reader_reset(&reader);
+}
+
+static void stop(void)
+{
+    http_reader_close(&reader);
+    buffer_close(&body);
+}
+
+/* Feeds in steps of `step` bytes, as a network may tear a message. */
+static size_t feed(const char *text, size_t step)
+{
+    size_t length = strlen(text);
+    size_t position = 0;
+    while (position < length && reader.fault == HTTP_FAULT_NONE && !reader.complete) {
+        size_t size = length - position < step ? length - position : step;
+        position += http_reader_feed(&reader, (const uint8_t *)text + position, size);
+    }
+    return position;
+}
+
+START_TEST(ambiguous_framing_is_malformed)
+{
+    const struct framing_case *item = &framing_cases[_i];
+    struct buffer text = {0};
+    for (size_t step = 1; step < 200; step += 61) {
+        start(HTTP_REQUEST);
+        buffer_clear(&text);
+        buffer_printf(&text, "POST /x HTTP/1.1\r\n%s\r\n%s", item->lines, item->body);
+        feed(buffer_text(&text), step);
+        ck_assert_msg(reader.fault == HTTP_FAULT_MALFORMED && !reader.complete, "%s", item->name);
+        stop();
+    }
+    buffer_close(&text);
+}
+END_TEST
+
+START_TEST(torn_messages_are_put_together)
+{
+    static const char text[] = "POST /x?y HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "3\r\nabc\r\n2;ext=1\r\nde\r\n0\r\n\r\nGET / HTTP/1.1\r\n";
+    for (size_t step = 1; step < 40; step++) {
+        start(HTTP_REQUEST);
+        size_t used = feed(text, step);
+        ck_assert(reader.complete);
+        ck_assert_str_eq(buffer_text(&body), "abcde");
+        ck_assert_str_eq(text + used, "GET / HTTP/1.1\r\n");
+        stop();
+    }
+}
+END_TEST
+
+START_TEST(limits_have_faults_of_their_own)
+{
+    struct buffer text = {0};
+    buffer_append_text(&text, "GET / HTTP/1.1\r\nHost: h\r\nX: ");
+    for (int i = 0; i < 2000; i++) {
+        buffer_append(&text, "a", 1);
+    }
+    start(HTTP_REQUEST);
+    feed(buffer_text(&text), 100);
+    ck_assert_int_eq(reader.fault, HTTP_FAULT_HEAD_TOO_LARGE);
+    stop();
+    buffer_clear(&text);
+    buffer_append_text(&text, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n");
+    for (int i = 0; i < 3000; i++) {
+        buffer_append(&text, "a", 1);
+    }
+    start(HTTP_REQUEST);
+    feed(buffer_text(&text), 100);
+    ck_assert_int_eq(reader.fault, HTTP_FAULT_BODY_TOO_LARGE);
+    stop();
+    buffer_close(&text);
+}
+END_TEST
+
+START_TEST(an_answer_may_end_with_its_connection)
+{
+    start(HTTP_RESPONSE);
+    feed("HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc", 5);
+    ck_assert(!reader.complete);
+    http_reader_end(&reader);
+    ck_assert(reader.complete);
+    ck_assert(reader.until_close);
+    stop();
+}
+END_TEST
+
+START_TEST(a_short_answer_is_cut)
+{
+    static const char *const cut[] = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+    };
+    for (int i = 0; i < 3; i++) {
+        start(HTTP_RESPONSE);
+        feed(cut[i], 7);
+        http_reader_end(&reader);
+        ck_assert(!reader.complete);
+        ck_assert_int_eq(reader.fault, HTTP_FAULT_CUT);
+        stop();
+    }
+}
+END_TEST
+
+START_TEST(bytes_that_are_no_answer_are_malformed)
+{
+    static const char *const wrong[] = {"\x16\x03\x01 garbage\r\n\r\n", "HTTP/1.1 200 OK\r\nBad Name: x\r\n\r\n",
+                                        "HTTP/2.0 200 OK\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n"};
+    for (int i = 0; i < 4; i++) {
+        start(HTTP_RESPONSE);
+        feed(wrong[i], 3);
+        ck_assert_msg(reader.fault == HTTP_FAULT_MALFORMED, "%s", wrong[i]);
+        stop();
+    }
+}
+END_TEST
+
+START_TEST(headers_of_one_connection_are_known)
+{
+    start(HTTP_REQUEST);
+    feed("GET / HTTP/1.1\r\nHost: h\r\nConnection: close, X-Own\r\nX-Own: 1\r\nX-Other: 2\r\n\r\n", 9);
+    ck_assert(http_reader_is_hop_header(&reader, view_of_string("x-own")));
+    ck_assert(http_reader_is_hop_header(&reader, view_of_string("Keep-Alive")));
+    ck_assert(!http_reader_is_hop_header(&reader, view_of_string("X-Other")));
+    ck_assert(!reader.keep_alive);
+    stop();
+}
+END_TEST
+
+/* ---- Events --------------------------------------------------------------------- */
+
+static struct buffer seen;
+
+static bool on_event(void *context, const struct event_stream_event *event)
+{
+    (void)context;
+    buffer_printf(&seen, "[%.*s=%.*s]", (int)event->id.length, (const char *)event->id.data, (int)event->data.length,
+                  (const char *)event->data.data);
+    return true;
+}
+
+START_TEST(events_are_passed_whole)
+{
+    static const char text[] = "id: 1\ndata: one\n\nid:2\r\ndata: two\r\ndata: more\r\n\r\nid: 3\ndata: cut";
+    for (size_t step = 1; step < 30; step++) {
+        struct event_stream stream = {0};
+        buffer_clear(&seen);
+        for (size_t at = 0; at < sizeof(text) - 1; at += step) {
+            size_t size = sizeof(text) - 1 - at < step ? sizeof(text) - 1 - at : step;
+            ck_assert(event_stream_feed(&stream, view_of(text + at, size), on_event, NULL));
+        }
+        ck_assert_str_eq(buffer_text(&seen), "[1=one][2=two\nmore]");
+        ck_assert(event_stream_is_inside(&stream));
+        event_stream_close(&stream);
+    }
+    buffer_close(&seen);
+}
+END_TEST
+
+/* ---- JSON ------------------------------------------------------------------------- */
+
+START_TEST(deep_json_is_refused_before_it_is_parsed)
+{
+    struct buffer text = {0};
+    struct json_input_error error;
+    for (int i = 0; i < 100000; i++) {
+        buffer_append(&text, "[", 1);
+    }
+    ck_assert_ptr_null(json_input_parse(buffer_view(&text), &error));
+    ck_assert_int_eq(error.fault, JSON_INPUT_TOO_DEEP);
+    buffer_close(&text);
+    json_t *root = json_input_parse(view_of_string("{\"a\":\"[[[\\\"[[\"}"), &error);
+    ck_assert_ptr_nonnull(root);
+    json_decref(root);
+    ck_assert_ptr_null(json_input_parse(view_of_string("{\"a\":1,\"a\":2}"), &error));
+    ck_assert_int_eq(error.fault, JSON_INPUT_MALFORMED);
+    ck_assert_ptr_null(json_input_parse(view_of(NULL, 0), NULL));
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("http_reader");
+    TCase *tests = tcase_create("messages");
+    tcase_add_loop_test(tests, ambiguous_framing_is_malformed, 0, FRAMING_CASES);
+    tcase_add_test(tests, torn_messages_are_put_together);
+    tcase_add_test(tests, limits_have_faults_of_their_own);
+    tcase_add_test(tests, an_answer_may_end_with_its_connection);
+    tcase_add_test(tests, a_short_answer_is_cut);
+    tcase_add_test(tests, bytes_that_are_no_answer_are_malformed);
+    tcase_add_test(tests, headers_of_one_connection_are_known);
+    tcase_add_test(tests, events_are_passed_whole);
+    tcase_add_test(tests, deep_json_is_refused_before_it_is_parsed);
+    suite_add_tcase(suite, tests);
+    return suite_run(suite);
+}
--- /dev/null
+++ b/tests/unit/routing.c
@@ -0,0 +1,300 @@
+/* Routes, servers and watches. */
+#include <string.h>
+
+#include "base/buffer.h"
+#include "base/message.h"
+#include "core/route_table.h"
+#include "core/server_table.h"
+#include "core/watch.h"
+#include "suite.h"
+
+static struct route_table *table;
+
+static struct route *add_route(const char *host, const char *prefix, const char *service)
+{
+    struct route *route = route_table_add_route(table);
+    route->name = text_copy(prefix);
+    route->host = text_copy(host);
+    route->prefix = text_copy(prefix);
+    route->timeout_ms = 1000;
+    struct route_part *part = route_add_part(route);
+    part->service = text_copy(service);
+    part->weight = 1;
+    return route;
+}
+
+static void setup(void)
+{
+    table = route_table_new();
+    table->version = 1;
+    route_table_add_service(table)->name = text_copy("s1");
+    route_table_add_service(table)->name = text_copy("s2");
+}
+
+static void teardown(void)
+{
+    route_table_release(table);
+}
+
+static size_t faults(void)
+{
+    struct findings findings = {0};
+    route_table_check(table, &findings);
+    size_t count = findings.count;
+    findings_close(&findings);
+    return count;
+}
+
+static const char *found(const char *host, const char *target)
+{
+    const struct route *route = route_table_find(table, view_of_string(host), view_of_string(target));
+    return route == NULL ? "none" : route->prefix;
+}
+
+START_TEST(the_longest_prefix_of_the_host_wins)
+{
+    add_route("a.example", "/", "s1");
+    add_route("a.example", "/x/", "s1");
+    add_route("a.example", "/x/y/", "s1");
+    ck_assert_uint_eq(faults(), 0);
+    ck_assert_str_eq(found("a.example", "/x/y/z?q=/"), "/x/y/");
+    ck_assert_str_eq(found("A.Example:80", "/x/yz"), "/x/");
+    ck_assert_str_eq(found("a.example", "/x"), "/");
+    ck_assert_str_eq(found("b.example", "/x/"), "none");
+}
+END_TEST
+
+START_TEST(faults_are_all_reported)
+{
+    add_route("a.example", "/x/", "s1");
+    add_route("A.EXAMPLE", "/x/", "none")->timeout_ms = 0;
+    add_route("a.example", "no-slash", "s1")->parts[0].weight = 0;
+    table->version = 0;
+    ck_assert_uint_eq(faults(), 6);
+}
+END_TEST
+
+static bool all_usable(void *context, const char *service)
+{
+    (void)service;
+    return context == NULL || strcmp(service, context) != 0;
+}
+
+START_TEST(weights_are_kept_exactly)
+{
+    struct route *route = add_route("a.example", "/", "s1");
+    struct route_part *part = route_add_part(route);
+    part->service = text_copy("s2");
+    part->weight = 1;
+    route->parts[0].weight = 9;
+    int first = 0;
+    for (int i = 0; i < 100; i++) {
+        first += strcmp(route_choose_part(route, all_usable, NULL)->service, "s1") == 0 ? 1 : 0;
+    }
+    ck_assert_int_eq(first, 90);
+    ck_assert_str_eq(route_choose_part(route, all_usable, (void *)"s1")->service, "s2");
+}
+END_TEST
+
+START_TEST(a_pinned_table_outlives_its_replacement)
+{
+    struct route_table *pinned = route_table_hold(table);
+    route_table_release(table);
+    table = pinned;
+    ck_assert_uint_eq(table->version, 1);
+}
+END_TEST
+
+/* ---- Servers ------------------------------------------------------------------- */
+
+static struct server_table servers;
+
+static void take_servers(ServerRecord *records, pb_size_t count)
+{
+    ServerList list = {.servers_count = count, .servers = records};
+    server_table_update(&servers, &list);
+}
+
+static void servers_setup(void)
+{
+    memset(&servers, 0, sizeof(servers));
+}
+
+static void servers_teardown(void)
+{
+    server_table_close(&servers);
+}
+
+static ServerRecord record(const char *id, bool draining)
+{
+    ServerRecord item = {.id = (char *)id, .service = (char *)"s", .address = (char *)"127.0.0.1:1", .slots = 6};
+    item.zone = (char *)"z";
+    item.draining = draining;
+    return item;
+}
+
+START_TEST(a_draining_server_gets_nothing_for_good)
+{
+    ServerRecord first[] = {record("a", false), record("b", true)};
+    ServerRecord second[] = {record("a", true), record("b", false)};
+    struct server_wish wish = {.service = "s", .zone = "z"};
+    take_servers(first, 2);
+    ck_assert_str_eq(server_table_choose(&servers, 1, &wish)->id, "a");
+    take_servers(second, 2);
+    ck_assert_ptr_null(server_table_choose(&servers, 1, &wish));
+    ck_assert(!server_table_serves(&servers, 1, "s"));
+}
+END_TEST
+
+START_TEST(calls_spread_over_idle_servers)
+{
+    ServerRecord list[] = {record("a", false), record("b", false), record("c", false)};
+    struct server_wish wish = {.service = "s", .zone = "z"};
+    take_servers(list, 3);
+    for (int i = 0; i < 6; i++) {
+        server_begin(server_table_choose(&servers, 1, &wish));
+    }
+    for (const struct server *server = servers.servers; server != NULL; server = server->hh.next) {
+        ck_assert_uint_eq(server->calls, 2);
+    }
+}
+END_TEST
+
+START_TEST(a_program_stays_at_its_home_until_it_is_busy)
+{
+    ServerRecord list[] = {record("a", false), record("b", false), record("c", false)};
+    struct server_wish wish = {.service = "s", .zone = "z", .affinity = 77};
+    take_servers(list, 3);
+    struct server *home = server_table_choose(&servers, 1, &wish);
+    for (int i = 0; i < SERVER_HOME_CALLS; i++) {
+        ck_assert_ptr_eq(server_table_choose(&servers, 1, &wish), home);
+        server_begin(home);
+    }
+    ck_assert_ptr_ne(server_table_choose(&servers, 1, &wish), home);
+    wish.tried[wish.tried_count++] = home;
+    ck_assert_ptr_ne(server_table_choose(&servers, 1, &wish), home);
+}
+END_TEST
+
+START_TEST(a_server_under_way_outlives_the_list)
+{
+    ServerRecord list[] = {record("a", false)};
+    struct server_wish wish = {.service = "s", .zone = "z"};
+    take_servers(list, 1);
+    struct server *server = server_table_choose(&servers, 1, &wish);
+    server_begin(server);
+    take_servers(NULL, 0);
+    ck_assert_ptr_null(server_table_choose(&servers, 1, &wish));
+    ck_assert_str_eq(server->id, "a");
+    server_end(&servers, server);
+    ck_assert_uint_eq(HASH_COUNT(servers.servers), 0);
+}
+END_TEST
+
+/* ---- Watches ---------------------------------------------------------------------- */
+
+static struct watch_state state;
+static struct watch_client client;
+
+static void watch_setup(void)
+{
+    static const struct watch_candidate candidates[] = {{1, false}, {2, true}, {3, false}};
+    memset(&state, 0, sizeof(state));
+    memset(&client, 0, sizeof(client));
+    watch_client_set_candidates(&client, candidates, 3);
+}
+
+static void watch_teardown(void)
+{
+    watch_state_close(&state);
+}
+
+START_TEST(the_own_zone_is_watched_first_and_left_when_silent)
+{
+    Watch watch;
+    ck_assert(watch_client_tick(&client, 1000, &state, &watch));
+    ck_assert_uint_eq(client.target, 2);
+    ck_assert(!watch_client_tick(&client, 1000 + WATCH_ANSWER_MS, &state, &watch));
+    ck_assert(watch_client_tick(&client, 1000 + WATCH_ANSWER_MS + WATCH_RETRY_MS, &state, &watch));
+    ck_assert_uint_ne(client.target, 2);
+}
+END_TEST
+
+START_TEST(a_replica_out_of_touch_is_left)
+{
+    Watch watch;
+    watch_client_tick(&client, 1000, &state, &watch);
+    WatchUpdate update = {.sequence = watch.sequence, .fresh = true};
+    watch_client_receive(&client, 1010, 2, &update, &state);
+    ck_assert(watch_client_is_fresh(&client, 1010, 500));
+    watch_client_tick(&client, 1500, &state, &watch);
+    update.sequence = watch.sequence;
+    update.fresh = false;
+    watch_client_receive(&client, 1510, 2, &update, &state);
+    ck_assert_uint_eq(client.target, RAFT_NO_NODE);
+    ck_assert(!watch_client_is_fresh(&client, 1510, 500));
+}
+END_TEST
+
+START_TEST(a_watcher_never_goes_back)
+{
+    WatchUpdate update = {.document_version = 5, .document = view_of_string("five")};
+    ck_assert(watch_client_receive(&client, 1, 1, &update, &state).document);
+    update.document_version = 4;
+    update.document = view_of_string("four");
+    ck_assert(!watch_client_receive(&client, 1, 1, &update, &state).document);
+    ck_assert_uint_eq(state.document_version, 5);
+    ck_assert(watch_state_put_servers(&state, 2, 1, view_of(NULL, 0)));
+    ck_assert(!watch_state_put_servers(&state, 1, 9, view_of(NULL, 0)));
+    ck_assert(!watch_state_put_servers(&state, 2, 1, view_of(NULL, 0)));
+    ck_assert(watch_state_put_servers(&state, 2, 2, view_of(NULL, 0)));
+}
+END_TEST
+
+START_TEST(a_watcher_is_told_what_it_lacks_once)
+{
+    static struct watch_server server;
+    memset(&server, 0, sizeof(server));
+    Watch watch = {.sequence = 1};
+    Member items[RAFT_MAX_MEMBERS];
+    state.document_version = 3;
+    buffer_append_text(&state.document, "three");
+    struct watch_entry *entry = watch_server_note(&server, 1000, 42, &watch);
+    ck_assert(watch_entry_lacks(entry, 1000, &state));
+    WatchUpdate update = {0};
+    ck_assert(watch_entry_fill(entry, &state, items, &update));
+    ck_assert_uint_eq(update.document.length, 5);
+    watch_update_close(&update);
+    ck_assert(!watch_entry_lacks(entry, 1000, &state));
+    state.document_version = 4;
+    ck_assert(!watch_entry_lacks(entry, 1000 + WATCH_VALID_MS, &state));
+    ck_assert_uint_eq(watch_server_count(&server, 1000), 1);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("routing");
+    TCase *routes = tcase_create("routes");
+    tcase_add_checked_fixture(routes, setup, teardown);
+    tcase_add_test(routes, the_longest_prefix_of_the_host_wins);
+    tcase_add_test(routes, faults_are_all_reported);
+    tcase_add_test(routes, weights_are_kept_exactly);
+    tcase_add_test(routes, a_pinned_table_outlives_its_replacement);
+    suite_add_tcase(suite, routes);
+    TCase *placement = tcase_create("servers");
+    tcase_add_checked_fixture(placement, servers_setup, servers_teardown);
+    tcase_add_test(placement, a_draining_server_gets_nothing_for_good);
+    tcase_add_test(placement, calls_spread_over_idle_servers);
+    tcase_add_test(placement, a_program_stays_at_its_home_until_it_is_busy);
+    tcase_add_test(placement, a_server_under_way_outlives_the_list);
+    suite_add_tcase(suite, placement);
+    TCase *watches = tcase_create("watches");
+    tcase_add_checked_fixture(watches, watch_setup, watch_teardown);
+    tcase_add_test(watches, the_own_zone_is_watched_first_and_left_when_silent);
+    tcase_add_test(watches, a_replica_out_of_touch_is_left);
+    tcase_add_test(watches, a_watcher_never_goes_back);
+    tcase_add_test(watches, a_watcher_is_told_what_it_lacks_once);
+    suite_add_tcase(suite, watches);
+    return suite_run(suite);
+}
--- /dev/null
+++ b/tests/unit/turns.c
@@ -0,0 +1,230 @@
+/* Turns as a tree, budgets, and the site's state as a whole. */
+#include <string.h>
+
+#include "base/message.h"
+#include "core/site_state.h"
+#include "suite.h"
+
+static struct site_state site;
+
+static void setup(void)
+{
+    memset(&site, 0, sizeof(site));
+}
+
+static void teardown(void)
+{
+    site_state_close(&site);
+}
+
+static ResultCode finish(uint64_t now_ms, const char *turn, const char *parent, const char *text, uint64_t retention_ms)
+{
+    Entry entry = {0};
+    EntryResult result = {0};
+    entry.which_command = Entry_turn_finish_tag;
+    entry.command.turn_finish.turn = (char *)turn;
+    entry.command.turn_finish.parent = (char *)parent;
+    entry.command.turn_finish.keep = true;
+    entry.command.turn_finish.input = view_of_string(text);
+    entry.command.turn_finish.output = view_of_string(">\n");
+    entry.command.turn_finish.retention_ms = retention_ms;
+    ck_assert(site_state_apply(&site, now_ms, &entry, &result));
+    return result.code;
+}
+
+static ResultCode begin(const char *turn, uint64_t reserve, uint64_t budget)
+{
+    Entry entry = {0};
+    EntryResult result = {0};
+    entry.which_command = Entry_turn_begin_tag;
+    entry.command.turn_begin.turn = (char *)turn;
+    entry.command.turn_begin.program = (char *)"p";
+    entry.command.turn_begin.reserve_tokens = reserve;
+    entry.command.turn_begin.budget_tokens = budget;
+    ck_assert(site_state_apply(&site, 1, &entry, &result));
+    return result.code;
+}
+
+static void settle(const char *turn, uint64_t used)
+{
+    Entry entry = {0};
+    EntryResult result = {0};
+    entry.which_command = Entry_turn_finish_tag;
+    entry.command.turn_finish.turn = (char *)turn;
+    entry.command.turn_finish.program = (char *)"p";
+    entry.command.turn_finish.used_tokens = used;
+    ck_assert(site_state_apply(&site, 1, &entry, &result));
+}
+
+static void expect_chain(const char *turn, const char *expected)
+{
+    struct buffer text = {0};
+    const struct turn *found = turn_store_find(&site.turns, turn);
+    ck_assert_ptr_nonnull(found);
+    turn_chain_text(found, &text);
+    ck_assert_str_eq(buffer_text(&text), expected);
+    buffer_close(&text);
+}
+
+START_TEST(branches_share_their_beginning)
+{
+    ck_assert_int_eq(finish(1, "a", "", "A", 1000), RESULT_OK);
+    ck_assert_int_eq(finish(2, "b", "a", "B", 1000), RESULT_OK);
+    ck_assert_int_eq(finish(3, "c", "a", "C", 1000), RESULT_OK);
+    expect_chain("b", "A>\nB>\n");
+    expect_chain("c", "A>\nC>\n");
+}
+END_TEST
+
+START_TEST(a_turn_is_stored_once)
+{
+    finish(1, "a", "", "A", 1000);
+    ck_assert_int_eq(finish(2, "a", "", "other", 1000), RESULT_OK);
+    expect_chain("a", "A>\n");
+}
+END_TEST
+
+START_TEST(a_turn_without_its_parent_is_refused)
+{
+    ck_assert_int_eq(finish(1, "b", "a", "B", 1000), RESULT_NOT_FOUND);
+    ck_assert_ptr_null(turn_store_find(&site.turns, "b"));
+}
+END_TEST
+
+/* Retention counts from the last turn that goes on from a turn. */
+START_TEST(a_chain_stays_as_long_as_its_last_turn)
+{
+    uint64_t stays_ms = 1000 + SITE_TURN_SLACK_MS;
+    finish(1, "a", "", "A", 1000);
+    finish(1 + stays_ms / 2, "b", "a", "B", 1000);
+    turn_store_expire(&site.turns, stays_ms + 2);
+    expect_chain("b", "A>\nB>\n");
+    turn_store_expire(&site.turns, stays_ms * 2);
+    ck_assert_ptr_null(turn_store_find(&site.turns, "b"));
+    turn_store_expire(&site.turns, stays_ms * 2);
+    ck_assert_ptr_null(turn_store_find(&site.turns, "a"));
+    ck_assert_uint_eq(site.turns.bytes, 0);
+}
+END_TEST
+
+START_TEST(a_clock_that_goes_back_brings_nothing_back)
+{
+    finish(100000, "a", "", "A", 1000);
+    finish(50, "b", "", "B", 1000);
+    ck_assert_uint_eq(site.time_ms, 100000);
+}
+END_TEST
+
+START_TEST(a_cache_drops_what_was_used_least_lately)
+{
+    finish(1, "a", "", "AAAAAAAA", 1000);
+    finish(2, "b", "", "BBBBBBBB", 1000);
+    finish(3, "c", "a", "C", 1000);
+    turn_store_shrink(&site.turns, 15);
+    ck_assert_ptr_null(turn_store_find(&site.turns, "b"));
+    expect_chain("c", "AAAAAAAA>\nC>\n");
+}
+END_TEST
+
+START_TEST(a_budget_counts_reservations_and_settlements)
+{
+    ck_assert_int_eq(begin("t1", 60, 100), RESULT_OK);
+    ck_assert_int_eq(begin("t2", 60, 100), RESULT_BUDGET);
+    settle("t1", 20);
+    ck_assert_int_eq(begin("t2", 60, 100), RESULT_OK);
+    ck_assert_int_eq(begin("t3", 30, 100), RESULT_BUDGET);
+}
+END_TEST
+
+START_TEST(a_repeated_begin_or_settlement_counts_once)
+{
+    begin("t1", 60, 100);
+    ck_assert_int_eq(begin("t1", 60, 100), RESULT_OK);
+    settle("t1", 50);
+    settle("t1", 0);
+    ck_assert_int_eq(begin("t1", 60, 100), RESULT_OK);
+    ck_assert_int_eq(begin("t2", 50, 100), RESULT_OK);
+    ck_assert_int_eq(begin("t3", 1, 100), RESULT_BUDGET);
+}
+END_TEST
+
+/* A settlement that overtakes its begin leaves nothing reserved. */
+START_TEST(a_late_begin_reserves_nothing)
+{
+    settle("t1", 0);
+    ck_assert_int_eq(begin("t1", 90, 100), RESULT_OK);
+    ck_assert_int_eq(begin("t2", 100, 100), RESULT_OK);
+}
+END_TEST
+
+static uint64_t put_document(uint64_t version, const char *text)
+{
+    Entry entry = {0};
+    EntryResult result = {0};
+    entry.which_command = Entry_document_put_tag;
+    entry.command.document_put.version = version;
+    entry.command.document_put.content = view_of_string(text);
+    ck_assert(site_state_apply(&site, 1, &entry, &result));
+    ck_assert_int_eq(result.code, RESULT_OK);
+    return result.revision;
+}
+
+START_TEST(the_highest_configuration_holds)
+{
+    ck_assert_uint_eq(put_document(7, "seven"), 7);
+    ck_assert_uint_eq(put_document(3, "three"), 7);
+    ck_assert_uint_eq(put_document(7, "other"), 7);
+    ck_assert_int_eq(memcmp(site.document.content.data, "seven", 5), 0);
+    ck_assert_uint_eq(put_document(9, "nine"), 9);
+}
+END_TEST
+
+START_TEST(a_snapshot_carries_everything)
+{
+    Entry retire = {0};
+    EntryResult result = {0};
+    retire.which_command = Entry_retire_start_tag;
+    retire.command.retire_start.machine = (char *)"store-1";
+    put_document(4, "four");
+    finish(10, "a", "", "A", 1000);
+    finish(20, "b", "a", "B", 1000);
+    begin("t1", 60, 100);
+    site_state_apply(&site, 30, &retire, &result);
+    SiteSnapshot snapshot;
+    struct buffer encoded = {0};
+    site_state_export(&site, &snapshot);
+    ck_assert(message_encode(&encoded, SiteSnapshot_fields, &snapshot));
+    site_snapshot_close(&snapshot);
+    site_state_close(&site);
+    SiteSnapshot decoded = {0};
+    ck_assert(message_decode(buffer_view(&encoded), SiteSnapshot_fields, &decoded));
+    site_state_import(&site, &decoded);
+    message_free(SiteSnapshot_fields, &decoded);
+    buffer_close(&encoded);
+    expect_chain("b", "A>\nB>\n");
+    ck_assert_uint_eq(site.document.version, 4);
+    ck_assert_int_eq(begin("t2", 60, 100), RESULT_BUDGET);
+    ck_assert(site_state_is_retired(&site, "store-1"));
+    ck_assert_uint_eq(site.time_ms, 30);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("turns");
+    TCase *tests = tcase_create("site state");
+    tcase_add_checked_fixture(tests, setup, teardown);
+    tcase_add_test(tests, branches_share_their_beginning);
+    tcase_add_test(tests, a_turn_is_stored_once);
+    tcase_add_test(tests, a_turn_without_its_parent_is_refused);
+    tcase_add_test(tests, a_chain_stays_as_long_as_its_last_turn);
+    tcase_add_test(tests, a_clock_that_goes_back_brings_nothing_back);
+    tcase_add_test(tests, a_cache_drops_what_was_used_least_lately);
+    tcase_add_test(tests, a_budget_counts_reservations_and_settlements);
+    tcase_add_test(tests, a_repeated_begin_or_settlement_counts_once);
+    tcase_add_test(tests, a_late_begin_reserves_nothing);
+    tcase_add_test(tests, the_highest_configuration_holds);
+    tcase_add_test(tests, a_snapshot_carries_everything);
+    suite_add_tcase(suite, tests);
+    return suite_run(suite);
+}
