Place programs where their prompt is kept; share loads between gateways

Each gateway saw its own calls only, so it took a home as idle that seven others used, or left it too early. Now: the ledger's answer to a turn's begin names the server of the program's last turn; new programs go to the idlest server by the sum of all gateways' calls, told by the leader each 100 ms; a home is left only with 2 requests beyond its slots and 4 more than another server has.

--- a/src/core/budget_table.c
+++ b/src/core/budget_table.c
@@ -15,6 +15,7 @@
     }
     HASH_DEL(table->programs, program);
     free(program->id);
+    free(program->server);
     free(program);
 }
 
@@ -77,20 +78,29 @@
     return true;
 }
 
-void budget_table_settle(struct budget_table *table, uint64_t now_ms, const char *program_id, const char *turn,
-                         uint64_t used_tokens)
+const char *budget_table_server(const struct budget_table *table, const char *program)
 {
-    struct budget_program *program = budget_use(table, now_ms, program_id);
-    struct budget_reservation *item = budget_reservation_of(program, turn);
+    const struct budget_program *found = budget_find(table, program);
+    return found == NULL ? NULL : found->server;
+}
+
+void budget_table_settle(struct budget_table *table, uint64_t now_ms, const TurnFinish *finish)
+{
+    struct budget_program *program = budget_use(table, now_ms, finish->program);
+    struct budget_reservation *item = budget_reservation_of(program, finish->turn);
     if (item == NULL) {
-        item = budget_add(program, turn, 0);
+        item = budget_add(program, finish->turn, 0);
     }
     if (item->settled) {
         return;
     }
-    program->committed = program->committed - item->tokens + used_tokens;
-    item->tokens = used_tokens;
+    program->committed = program->committed - item->tokens + finish->used_tokens;
+    item->tokens = finish->used_tokens;
     item->settled = true;
+    if (text_or_empty(finish->server)[0] != '\0') {
+        free(program->server);
+        program->server = text_copy(finish->server);
+    }
 }
 
 void budget_table_expire(struct budget_table *table, uint64_t now_ms)
@@ -104,6 +114,7 @@
 {
     record->program = program->id;
     record->expires_ms = program->expires_ms;
+    record->server = program->server;
     record->reservations = memory_new((HASH_COUNT(program->reservations) + 1) * sizeof(*record->reservations));
     for (const struct budget_reservation *item = program->reservations; item != NULL; item = item->hh.next) {
         ReservationRecord *out = &record->reservations[record->reservations_count++];
@@ -136,6 +147,7 @@
     for (pb_size_t i = 0; i < count; i++) {
         struct budget_program *program = budget_use(table, 0, records[i].program);
         program->expires_ms = records[i].expires_ms;
+        program->server = records[i].server == NULL ? NULL : text_copy(records[i].server);
         for (pb_size_t k = 0; k < records[i].reservations_count; k++) {
             const ReservationRecord *in = &records[i].reservations[k];
             budget_add(program, in->turn, in->tokens)->settled = in->settled;
--- a/src/core/budget_table.h
+++ b/src/core/budget_table.h
@@ -30,6 +30,7 @@
     char *id;                                /**< Program id. */
     uint64_t committed;                      /**< Tokens spent and reserved. */
     uint64_t expires_ms;                     /**< Time after which it is forgotten. */
+    char *server;                            /**< Back end that ran its last turn and keeps its prompt, or NULL. */
     struct budget_reservation *reservations; /**< By turn. */
     UT_hash_handle hh;                       /**< By id, in order of last use. */
 };
@@ -45,9 +46,11 @@
 /** Reserves; false: the budget does not hold it. The same turn again reserves nothing more. */
 bool budget_table_reserve(struct budget_table *table, uint64_t now_ms, const TurnBegin *begin);
 
-/** Replaces a turn's reservation by what was used; the first settlement counts. */
-void budget_table_settle(struct budget_table *table, uint64_t now_ms, const char *program, const char *turn,
-                         uint64_t used_tokens);
+/** Back end that ran a program's last turn, or NULL. */
+const char *budget_table_server(const struct budget_table *table, const char *program);
+
+/** Replaces a turn's reservation by what was used, and notes its back end; the first settlement counts. */
+void budget_table_settle(struct budget_table *table, uint64_t now_ms, const TurnFinish *finish);
 
 /** Forgets programs that were not used for BUDGET_RETENTION_MS. */
 void budget_table_expire(struct budget_table *table, uint64_t now_ms);
--- /dev/null
+++ b/src/core/load_table.c
@@ -0,0 +1,105 @@
+#include "core/load_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/buffer.h"
+
+static struct load_server *load_server_of(struct load_table *table, uint64_t hash)
+{
+    struct load_server *server = NULL;
+    HASH_FIND(hh, table->servers, &hash, sizeof(hash), server);
+    if (server == NULL) {
+        server = memory_new(sizeof(*server));
+        server->hash = hash;
+        HASH_ADD(hh, table->servers, hash, sizeof(server->hash), server);
+    }
+    return server;
+}
+
+static void load_withdraw(struct load_table *table, struct load_gateway *gateway)
+{
+    for (pb_size_t i = 0; i < gateway->count; i++) {
+        struct load_server *server = load_server_of(table, gateway->loads[i].server);
+        server->calls -= gateway->loads[i].calls;
+        if (server->calls == 0) {
+            HASH_DEL(table->servers, server);
+            free(server);
+        }
+    }
+    free(gateway->loads);
+    gateway->loads = NULL;
+    gateway->count = 0;
+}
+
+static void load_forget(struct load_table *table, struct load_gateway *gateway)
+{
+    load_withdraw(table, gateway);
+    HASH_DEL(table->gateways, gateway);
+    free(gateway);
+}
+
+void load_table_close(struct load_table *table)
+{
+    while (table->gateways != NULL) {
+        load_forget(table, table->gateways);
+    }
+}
+
+void load_table_report(struct load_table *table, uint64_t now_ms, uint32_t node, const LoadReport *report)
+{
+    struct load_gateway *gateway = NULL;
+    HASH_FIND(hh, table->gateways, &node, sizeof(node), gateway);
+    if (gateway == NULL) {
+        gateway = memory_new(sizeof(*gateway));
+        gateway->node = node;
+        HASH_ADD(hh, table->gateways, node, sizeof(gateway->node), gateway);
+    }
+    load_withdraw(table, gateway);
+    gateway->told_ms = now_ms;
+    gateway->loads = memory_new((report->loads_count + 1U) * sizeof(*gateway->loads));
+    for (pb_size_t i = 0; i < report->loads_count; i++) {
+        if (report->loads[i].calls > 0) {
+            gateway->loads[gateway->count++] = report->loads[i];
+            load_server_of(table, report->loads[i].server)->calls += report->loads[i].calls;
+        }
+    }
+}
+
+void load_table_fade(struct load_table *table, uint64_t now_ms)
+{
+    struct load_gateway *gateway;
+    struct load_gateway *next;
+    HASH_ITER(hh, table->gateways, gateway, next)
+    {
+        if (now_ms >= gateway->told_ms + LOAD_VALID_MS) {
+            load_forget(table, gateway);
+        }
+    }
+}
+
+static uint32_t load_own(const struct load_gateway *gateway, uint64_t hash)
+{
+    for (pb_size_t i = 0; gateway != NULL && i < gateway->count; i++) {
+        if (gateway->loads[i].server == hash) {
+            return gateway->loads[i].calls;
+        }
+    }
+    return 0;
+}
+
+void load_table_others(const struct load_table *table, uint32_t node, LoadTotals *totals)
+{
+    struct load_gateway *own = NULL;
+    HASH_FIND(hh, table->gateways, &node, sizeof(node), own);
+    memset(totals, 0, sizeof(*totals));
+    totals->gateways = HASH_COUNT(table->gateways);
+    totals->loads = memory_new((HASH_COUNT(table->servers) + 1) * sizeof(*totals->loads));
+    for (const struct load_server *server = table->servers; server != NULL; server = server->hh.next) {
+        uint32_t others = server->calls - load_own(own, server->hash);
+        if (others > 0) {
+            totals->loads[totals->loads_count].server = server->hash;
+            totals->loads[totals->loads_count++].calls = others;
+        }
+    }
+}
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -111,6 +111,7 @@
     uint32_t group;               /**< Group id carried by every message. */
     uint32_t election_timeout_ms; /**< Least time without a leader before an election. */
     uint32_t heartbeat_ms;        /**< Leader's heartbeat period. */
+    uint32_t first_election_ms;   /**< Least time after the start without a leader; 0: election_timeout_ms. */
     uint64_t seed;                /**< Seed of the election jitter. */
 };
 
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -251,6 +251,7 @@
             .group = group,
             .election_timeout_ms = config->election_timeout_ms,
             .heartbeat_ms = config->heartbeat_ms,
+            .first_election_ms = config->first_election_ms,
             .seed = config->seed,
         };
         state_machine_init(&replica->groups[group].machine, group, history);
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -50,6 +50,7 @@
     struct raft_members members;  /**< Bootstrap members of every group. */
     uint32_t election_timeout_ms; /**< See raft_config. */
     uint32_t heartbeat_ms;        /**< See raft_config. */
+    uint32_t first_election_ms;   /**< See raft_config. */
     uint32_t lease_ms;            /**< Lease granted by one heartbeat of a daemon. */
     uint64_t seed;                /**< Seed of election jitter. */
     uint32_t snapshot_entries;    /**< 0: REPLICA_SNAPSHOT_ENTRIES. */
--- a/src/core/replica_maintenance.c
+++ b/src/core/replica_maintenance.c
@@ -138,7 +138,7 @@
             replica_expire_programs(replica, group);
         }
     }
-    if (replica->now_ms >= replica->balance_due_ms) {
+    if (!replica->config.self_organized && replica->now_ms >= replica->balance_due_ms) {
         replica->balance_due_ms = replica->now_ms + REPLICA_BALANCE_MS;
         for (uint32_t group = 0; group < replica->config.groups; group++) {
             replica_balance(replica, group);
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -100,43 +100,95 @@
     return XXH64(material, sizeof(material), 0);
 }
 
-/* Own calls there per slot, in a scale that keeps fractions; the own zone wins ties. */
-static uint64_t server_load(const struct server *server, const struct server_wish *wish)
+/* Requests there of all gateways, as far as they are known now. */
+static uint32_t server_calls(const struct server_table *table, const struct server *server, uint64_t now_ms)
+{
+    bool told = now_ms < table->loads_ms + SERVER_LOADS_VALID_MS;
+    return server->calls + (told ? server->others : 0);
+}
+
+static uint64_t server_slots(const struct server *server)
+{
+    return server->slots == 0 ? 1 : server->slots;
+}
+
+/* Calls per slot in a scale that keeps fractions. A resting connection, then the own zone, win ties. */
+static uint64_t server_load(const struct server_table *table, const struct server *server,
+                            const struct server_wish *wish, uint64_t now_ms)
 {
-    uint64_t slots = server->slots == 0 ? 1 : server->slots;
     uint64_t remote = text_equal(server->zone, wish->zone) ? 0 : 1;
-    return ((uint64_t)server->calls << 16) / slots * 2 + remote;
+    uint64_t cold = wish->warm != NULL && !wish->warm(wish->context, server->address) ? 2 : 0;
+    return (((uint64_t)server_calls(table, server, now_ms) << 16) / server_slots(server)) * 4 + cold + remote;
 }
 
-struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish)
+static bool server_fits(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
+{
+    return text_equal(server->service, wish->service) && server_is_usable(server, now_ms) &&
+           !server_was_tried(server, wish);
+}
+
+static struct server *server_idlest(struct server_table *table, uint64_t now_ms, const struct server_wish *wish)
 {
-    struct server *home = NULL;
     struct server *idlest = NULL;
-    uint64_t home_rank = 0;
     uint64_t least = 0;
-    uint64_t turn = 0;
+    uint64_t least_order = 0;
     table->rotation++;
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        bool fits = text_equal(server->service, wish->service) && server_is_usable(server, now_ms) &&
-                    !server_was_tried(server, wish);
-        if (!fits) {
+        if (!server_fits(server, wish, now_ms)) {
             continue;
         }
-        uint64_t rank = server_rank(server, wish->affinity);
-        bool room = server->calls < SERVER_HOME_CALLS;
-        if (wish->affinity != 0 && room && (home == NULL || rank > home_rank)) {
-            home = server;
-            home_rank = rank;
-        }
-        uint64_t load = server_load(server, wish);
+        uint64_t load = server_load(table, server, wish, now_ms);
         uint64_t order = server_rank(server, table->rotation);
-        if (idlest == NULL || load < least || (load == least && order > turn)) {
+        if (idlest == NULL || load < least || (load == least && order > least_order)) {
             idlest = server;
             least = load;
-            turn = order;
+            least_order = order;
+        }
+    }
+    return idlest;
+}
+
+/* Reading a prompt anew costs all that run there: a program leaves its home only for a much idler server. */
+static bool server_should_leave(const struct server_table *table, const struct server *home, const struct server *other,
+                                uint64_t now_ms)
+{
+    uint32_t at_home = server_calls(table, home, now_ms);
+    uint32_t elsewhere = server_calls(table, other, now_ms);
+    return at_home >= server_slots(home) + SERVER_HOME_QUEUE && elsewhere + SERVER_LEAVE_CALLS <= at_home;
+}
+
+struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish)
+{
+    struct server *home = NULL;
+    struct server *idlest = server_idlest(table, now_ms, wish);
+    HASH_FIND_STR(table->servers, text_or_empty(wish->home), home);
+    bool stays = home != NULL && server_fits(home, wish, now_ms) && !server_should_leave(table, home, idlest, now_ms);
+    return stays ? home : idlest;
+}
+
+void server_table_take_loads(struct server_table *table, uint64_t now_ms, const LoadTotals *totals)
+{
+    table->loads_ms = now_ms;
+    for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        server->others = 0;
+        for (pb_size_t i = 0; i < totals->loads_count; i++) {
+            if (totals->loads[i].server == server->hash) {
+                server->others = totals->loads[i].calls;
+            }
+        }
+    }
+}
+
+void server_table_report_loads(const struct server_table *table, LoadReport *report)
+{
+    memset(report, 0, sizeof(*report));
+    report->loads = memory_new((HASH_COUNT(table->servers) + 1) * sizeof(*report->loads));
+    for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        if (server->calls > 0) {
+            report->loads[report->loads_count].server = server->hash;
+            report->loads[report->loads_count++].calls = server->calls;
         }
     }
-    return home != NULL ? home : idlest;
 }
 
 void server_begin(struct server *server)
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -19,9 +19,11 @@
 #include "core/retry.h"
 
 enum {
-    SERVER_MAX_TRIED = 8,      /**< Servers one request remembers as tried. */
-    SERVER_SHED_PAUSE_MS = 30, /**< Time a server that was full is passed over. */
-    SERVER_HOME_CALLS = 4      /**< Own calls at its home beyond which a program goes elsewhere. */
+    SERVER_MAX_TRIED = 8,       /**< Servers one request remembers as tried. */
+    SERVER_SHED_PAUSE_MS = 30,  /**< Time a server that was full is passed over. */
+    SERVER_HOME_QUEUE = 2,      /**< Requests beyond its slots that a program's home may have. */
+    SERVER_LEAVE_CALLS = 4,     /**< Requests that the home must have more than another one to be left. */
+    SERVER_LOADS_VALID_MS = 700 /**< Time the loads of other gateways count. */
 };
 
 /** One incarnation of a server. */
@@ -35,6 +37,7 @@
     bool listed;            /**< It is on the newest list. */
     bool misplaced;         /**< Another incarnation answered at its address. */
     uint32_t calls;         /**< Own requests under way there. */
+    uint32_t others;        /**< Requests of other gateways there, as told last. */
     uint64_t full_until_ms; /**< Passed over until then, after it refused. */
     struct circuit circuit; /**< Health by own traffic. */
     uint64_t hash;          /**< Of its id. */
@@ -45,15 +48,18 @@
 struct server_table {
     struct server *servers; /**< By id. */
     uint32_t rotation;      /**< Breaks ties. */
+    uint64_t loads_ms;      /**< Time the loads of other gateways were told. */
 };
 
 /** A request to place. */
 struct server_wish {
-    const char *service;                          /**< Service. */
-    const char *zone;                             /**< The gateway's zone. */
-    uint64_t affinity;                            /**< Hash of what prompts have in common; 0: none. */
-    const struct server *tried[SERVER_MAX_TRIED]; /**< Not these. */
-    uint32_t tried_count;                         /**< Number of those. */
+    const char *service;                              /**< Service. */
+    const char *zone;                                 /**< The gateway's zone. */
+    const char *home;                                 /**< Server that keeps the program's prompt, or NULL. */
+    const struct server *tried[SERVER_MAX_TRIED];     /**< Not these. */
+    uint32_t tried_count;                             /**< Number of those. */
+    bool (*warm)(void *context, const char *address); /**< Whether a connection rests there; NULL: unknown. */
+    void *context;                                    /**< Its first argument. */
 };
 
 /** Frees everything. */
@@ -62,6 +68,12 @@
 /** Takes a new list. */
 void server_table_update(struct server_table *table, const ServerList *list);
 
+/** Takes what other gateways have under way. */
+void server_table_take_loads(struct server_table *table, uint64_t now_ms, const LoadTotals *totals);
+
+/** Fills what this gateway has under way; free `report->loads`. */
+void server_table_report_loads(const struct server_table *table, LoadReport *report);
+
 /** Chooses a server, or NULL if none may be used. */
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish);
 
--- a/src/core/site_state.c
+++ b/src/core/site_state.c
@@ -26,10 +26,19 @@
     result->revision = state->document.version;
 }
 
+/* The result lends the name of the back end that keeps the program's prompt. */
+static void site_begin_turn(struct site_state *state, const TurnBegin *begin, EntryResult *result)
+{
+    if (!budget_table_reserve(&state->budgets, state->time_ms, begin)) {
+        result->code = RESULT_BUDGET;
+    }
+    result->engine = (char *)(uintptr_t)budget_table_server(&state->budgets, begin->program);
+}
+
 static void site_finish_turn(struct site_state *state, const TurnFinish *finish, EntryResult *result)
 {
     if (text_or_empty(finish->program)[0] != '\0') {
-        budget_table_settle(&state->budgets, state->time_ms, finish->program, finish->turn, finish->used_tokens);
+        budget_table_settle(&state->budgets, state->time_ms, finish);
     }
     if (!finish->keep) {
         return;
@@ -81,11 +90,7 @@
     site_expire(state);
     switch (entry->which_command) {
     case Entry_document_put_tag: site_put_document(state, &entry->command.document_put, result); return true;
-    case Entry_turn_begin_tag:
-        if (!budget_table_reserve(&state->budgets, state->time_ms, &entry->command.turn_begin)) {
-            result->code = RESULT_BUDGET;
-        }
-        return true;
+    case Entry_turn_begin_tag: site_begin_turn(state, &entry->command.turn_begin, result); return true;
     case Entry_turn_finish_tag: site_finish_turn(state, &entry->command.turn_finish, result); return true;
     case Entry_retire_start_tag: site_start_retire(state, &entry->command.retire_start); return true;
     default: return false;
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "base/event_log.h"
 
 enum {
@@ -207,6 +205,12 @@
     return server_table_serves(&front->servers, node_now(front->node), service);
 }
 
+static bool forward_is_warm(void *context, const char *address)
+{
+    struct front *front = context;
+    return upstream_idle_count(&front->node->upstreams, address) > 0;
+}
+
 static void forward_write_headers(const struct forward *forward, struct buffer *out)
 {
     const struct http_reader *request = forward->call->request;
@@ -333,6 +337,8 @@
     forward->call = call;
     forward->reason = "";
     forward->wish.zone = front->node->settings.zone;
+    forward->wish.warm = forward_is_warm;
+    forward->wish.context = front;
     forward->next = front->forwards;
     if (forward->next != NULL) {
         forward->next->previous = forward;
@@ -355,13 +361,6 @@
     uv_timer_start(&forward->limit, forward_on_limit, left_ms, 0);
 }
 
-/* Turns of one program share most of their prompts, and so do its sub-agents. */
-static uint64_t forward_affinity(const struct forward *forward)
-{
-    const char *program = forward->turn.program;
-    return !forward->route->sticky || program == NULL ? 0 : XXH64(program, strlen(program), 1) | 1;
-}
-
 void forward_start(struct front *front, struct http_call *call)
 {
     struct forward *forward = forward_new(front, call);
@@ -384,7 +383,6 @@
     front->counters.requests++;
     forward_set_limit(forward);
     forward_turn_read(forward);
-    forward->wish.affinity = forward_affinity(forward);
     if (forward->turn.program != NULL) {
         forward_turn_begin(forward);
     } else {
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -33,6 +33,8 @@
     char *parent;                   /**< Turn it goes on from, or NULL. */
     uint64_t budget;                /**< Tokens of the program. */
     uint64_t most;                  /**< The most this turn may generate. */
+    char *ran_at;                   /**< Server that ran this turn whole, or NULL. */
+    char *home;                     /**< Server that keeps the program's prompt, or NULL. */
     bool keep;                      /**< It is stored. */
     bool begun;                     /**< A reservation was asked for. */
     bool settled;                   /**< Its settlement was sent. */
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -193,6 +193,7 @@
         forward_may_have_run(forward, "a stream that ends inside an event");
         return;
     }
+    forward->turn.ran_at = text_copy(forward->server->id);
     forward_leave_server(forward);
     if (forward->turn.program != NULL) {
         forward_turn_commit(forward);
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -50,6 +50,8 @@
     forward->turn.reserving = NULL;
     if (code == RESULT_OK && message_decode(body, EntryResult_fields, &result)) {
         code = result.code;
+        forward->turn.home = text_copy(result.engine);
+        forward->wish.home = forward->route->sticky ? forward->turn.home : NULL;
         message_free(EntryResult_fields, &result);
     }
     histogram_note(&forward->front->begin, node_now(forward->front->node) - forward->turn.since_ms);
@@ -183,6 +185,7 @@
     finish->turn = forward->id;
     finish->program = forward->turn.program;
     finish->used_tokens = forward->answer.event_count * forward_chunk_tokens(forward);
+    finish->server = forward->turn.ran_at;
     finish->keep = keep;
     if (keep) {
         finish->parent = forward->turn.parent;
@@ -261,5 +264,7 @@
     buffer_close(&turn->output);
     free(turn->program);
     free(turn->parent);
+    free(turn->home);
+    free(turn->ran_at);
     memset(turn, 0, sizeof(*turn));
 }
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -7,6 +7,7 @@
 #include "base/message.h"
 #include "proxy/forward.h"
 #include "proxy/node_metrics.h"
+#include "proxy/state_host.h"
 
 enum {
     FRONT_HEAD_BYTES = 16 << 10,
@@ -132,8 +133,25 @@
     http_listener_stop_accepting(&front->callers);
 }
 
+static void front_report_loads(struct front *front)
+{
+    struct node *node = front->node;
+    uint32_t leader = node->host != NULL ? state_host_leader(node->host) : node->watch.leader;
+    if (node_now(node) < front->loads_due_ms || leader == RAFT_NO_NODE || (front->active == 0 && !front->loads_told)) {
+        return;
+    }
+    Frame frame = {0};
+    frame.which_payload = Frame_load_report_tag;
+    server_table_report_loads(&front->servers, &frame.payload.load_report);
+    front->loads_due_ms = node_now(node) + FRONT_LOADS_MS;
+    front->loads_told = frame.payload.load_report.loads_count > 0;
+    node_send_frame(node, leader, &frame);
+    free(frame.payload.load_report.loads);
+}
+
 void front_tick(struct front *front)
 {
+    front_report_loads(front);
     turn_store_shrink(&front->cache, FRONT_CACHE_BYTES);
 }
 
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -16,6 +16,7 @@
 enum {
     FRONT_CACHE_BYTES = 8 << 20, /**< Turns kept near. */
     FRONT_CONNECTIONS = 24,      /**< Connections of this gateway to one server. */
+    FRONT_LOADS_MS = 100,        /**< Period of telling the leader what is under way. */
     FRONT_TOUCH_MS = 3000        /**< Time without a state replica after which the gateway is not ready. */
 };
 
@@ -48,6 +49,8 @@
     struct turn_store cache;        /**< Turns seen lately. */
     struct forward *forwards;       /**< Requests under way. */
     uint32_t active;                /**< Their number. */
+    uint64_t loads_due_ms;          /**< Next time to tell what is under way. */
+    bool loads_told;                /**< The last report was not empty. */
     struct front_counters counters; /**< Events. */
     struct histogram first_event;   /**< Time to the first event of a stream. */
     struct histogram total;         /**< Time to the end of an answer. */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -77,6 +77,11 @@
         node_state_changed(node, changes);
         break;
     }
+    case Frame_load_totals_tag:
+        if (node->front != NULL) {
+            server_table_take_loads(&node->front->servers, node_now(node), &frame->payload.load_totals);
+        }
+        break;
     default:
         if (node->host != NULL) {
             state_host_receive(node->host, from, frame);
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -10,6 +10,7 @@
 
 enum {
     STATE_HOST_SNAPSHOT_ENTRIES = 16384,
+    STATE_HOST_SNAPSHOT_SPREAD = 4096, /* replicas take their snapshots apart from each other */
     STATE_HOST_CONTROL_HEAD = 16 << 10,
     STATE_HOST_CONTROL_BODY = 8 << 20,
     STATE_HOST_CONTROL_MS = 30000
@@ -115,7 +116,8 @@
         .heartbeat_ms = STATE_HOST_HEARTBEAT_MS,
         .lease_ms = STATE_HOST_ELECTION_MS,
         .seed = host->node->boot_id,
-        .snapshot_entries = STATE_HOST_SNAPSHOT_ENTRIES,
+        .first_election_ms = STATE_HOST_FIRST_ELECTION_MS,
+        .snapshot_entries = STATE_HOST_SNAPSHOT_ENTRIES + host->identity.node % STATE_HOST_SNAPSHOT_SPREAD,
         .self_organized = true,
         .steady_stamps = true,
     };
@@ -216,6 +218,7 @@
 
 void state_host_close(struct state_host *host)
 {
+    load_table_close(&host->loads);
     if (host->running) {
         replica_close(&host->replica);
         log_store_close(&host->log);
@@ -401,9 +404,27 @@
     }
 }
 
+/* Adds a gateway's load, and tells it those of the others. */
+static void host_handle_load(struct state_host *host, uint32_t from, const LoadReport *report)
+{
+    uint64_t now_ms = node_now(host->node);
+    if (!state_host_leads(host)) {
+        return;
+    }
+    Frame frame = {0};
+    frame.which_payload = Frame_load_totals_tag;
+    load_table_report(&host->loads, now_ms, from, report);
+    load_table_fade(&host->loads, now_ms);
+    load_table_others(&host->loads, from, &frame.payload.load_totals);
+    node_send_frame(host->node, from, &frame);
+    free(frame.payload.load_totals.loads);
+}
+
 void state_host_receive(struct state_host *host, uint32_t from, const Frame *frame)
 {
-    if (frame->which_payload == Frame_watch_tag) {
+    if (frame->which_payload == Frame_load_report_tag) {
+        host_handle_load(host, from, &frame->payload.load_report);
+    } else if (frame->which_payload == Frame_watch_tag) {
         host_handle_watch(host, from, &frame->payload.watch);
     } else if (host->running) {
         replica_receive(&host->replica, node_now(host->node), from, frame);
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -6,16 +6,18 @@
 #ifndef BANKBANK_PROXY_STATE_HOST_H
 #define BANKBANK_PROXY_STATE_HOST_H
 
+#include "core/load_table.h"
 #include "core/replica.h"
 #include "proxy/node.h"
 #include "store/identity.h"
 #include "store/log_store.h"
 
 enum {
-    STATE_HOST_ELECTION_MS = 450,  /**< Least time without a leader before an election. */
-    STATE_HOST_HEARTBEAT_MS = 100, /**< Leader's heartbeat period. */
-    STATE_HOST_JOIN_MS = 250,      /**< Pause between requests to join. */
-    STATE_HOST_LOST_MS = 1000      /**< Time without a leader after which a member asks to join again. */
+    STATE_HOST_ELECTION_MS = 400,       /**< Least time without a leader before an election. */
+    STATE_HOST_FIRST_ELECTION_MS = 120, /**< The same after a start. */
+    STATE_HOST_HEARTBEAT_MS = 80,       /**< Leader's heartbeat period. */
+    STATE_HOST_JOIN_MS = 250,           /**< Pause between requests to join. */
+    STATE_HOST_LOST_MS = 1000           /**< Time without a leader after which a member asks to join again. */
 };
 
 /** The host. */
@@ -26,6 +28,7 @@
     struct replica replica;       /**< The replica. */
     struct log_store log;         /**< Its disk. */
     struct watch_server watchers; /**< Daemons that watch it. */
+    struct load_table loads;      /**< Leader: what gateways have under way. */
     struct http_listener control; /**< Operators' calls. */
     bool serves_control;          /**< It has a control address. */
     uint64_t join_due_ms;         /**< Next request to join. */
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -3,6 +3,7 @@
 
 #include "base/buffer.h"
 #include "base/message.h"
+#include "core/load_table.h"
 #include "core/route_table.h"
 #include "core/server_table.h"
 #include "core/watch.h"
@@ -163,19 +164,80 @@
 START_TEST(a_program_stays_at_its_home_until_it_is_busy)
 {
     ServerRecord list[] = {record("a", false), record("b", false), record("c", false)};
-    struct server_wish wish = {.service = "s", .zone = "z", .affinity = 77};
+    struct server_wish wish = {.service = "s", .zone = "z", .home = "b"};
     take_servers(list, 3);
     struct server *home = server_table_choose(&servers, 1, &wish);
-    for (int i = 0; i < SERVER_HOME_CALLS; i++) {
+    ck_assert_str_eq(home->id, "b");
+    for (int i = 0; i < 6 + SERVER_HOME_QUEUE; i++) {
         ck_assert_ptr_eq(server_table_choose(&servers, 1, &wish), home);
         server_begin(home);
     }
     ck_assert_ptr_ne(server_table_choose(&servers, 1, &wish), home);
+    /* Where all are as busy, it stays. */
+    for (int i = 0; i < 2 * 6; i++) {
+        wish.home = NULL;
+        server_begin(server_table_choose(&servers, 1, &wish));
+    }
+    wish.home = "b";
+    ck_assert_ptr_eq(server_table_choose(&servers, 1, &wish), home);
     wish.tried[wish.tried_count++] = home;
     ck_assert_ptr_ne(server_table_choose(&servers, 1, &wish), home);
 }
 END_TEST
 
+/* What other gateways have under way counts, for a while. */
+START_TEST(loads_of_other_gateways_count)
+{
+    ServerRecord list[] = {record("a", false), record("b", false)};
+    struct server_wish wish = {.service = "s", .zone = "z"};
+    take_servers(list, 2);
+    struct server *first = server_table_choose(&servers, 1, &wish);
+    ServerLoad load = {.server = first->hash, .calls = 3};
+    LoadTotals totals = {.loads_count = 1, .loads = &load};
+    server_table_take_loads(&servers, 1000, &totals);
+    for (int i = 0; i < 3; i++) {
+        struct server *other = server_table_choose(&servers, 1001, &wish);
+        ck_assert_ptr_ne(other, first);
+        server_begin(other);
+    }
+    server_begin(first);
+    ck_assert_ptr_eq(server_table_choose(&servers, 1000 + SERVER_LOADS_VALID_MS, &wish), first);
+}
+END_TEST
+
+static uint32_t load_of(const struct load_table *loads, uint32_t node, uint64_t server)
+{
+    LoadTotals totals;
+    uint32_t calls = 0;
+    load_table_others(loads, node, &totals);
+    for (pb_size_t i = 0; i < totals.loads_count; i++) {
+        calls += totals.loads[i].server == server ? totals.loads[i].calls : 0;
+    }
+    free(totals.loads);
+    return calls;
+}
+
+START_TEST(reports_replace_each_other_and_fade)
+{
+    struct load_table loads = {0};
+    ServerLoad one[] = {{.server = 5, .calls = 2}, {.server = 6, .calls = 1}};
+    ServerLoad two[] = {{.server = 5, .calls = 4}};
+    LoadReport first = {.loads_count = 2, .loads = one};
+    LoadReport second = {.loads_count = 1, .loads = two};
+    load_table_report(&loads, 1000, 1, &first);
+    load_table_report(&loads, 1000, 2, &second);
+    ck_assert_uint_eq(load_of(&loads, 1, 5), 4);
+    ck_assert_uint_eq(load_of(&loads, 2, 5), 2);
+    ck_assert_uint_eq(load_of(&loads, 3, 5), 6);
+    load_table_report(&loads, 1300, 1, &second);
+    ck_assert_uint_eq(load_of(&loads, 3, 5), 8);
+    ck_assert_uint_eq(load_of(&loads, 3, 6), 0);
+    load_table_fade(&loads, 1000 + LOAD_VALID_MS);
+    ck_assert_uint_eq(load_of(&loads, 3, 5), 4);
+    load_table_close(&loads);
+}
+END_TEST
+
 START_TEST(a_server_under_way_outlives_the_list)
 {
     ServerRecord list[] = {record("a", false)};
@@ -287,6 +349,8 @@
     tcase_add_test(placement, a_draining_server_gets_nothing_for_good);
     tcase_add_test(placement, calls_spread_over_idle_servers);
     tcase_add_test(placement, a_program_stays_at_its_home_until_it_is_busy);
+    tcase_add_test(placement, loads_of_other_gateways_count);
+    tcase_add_test(placement, reports_replace_each_other_and_fade);
     tcase_add_test(placement, a_server_under_way_outlives_the_list);
     suite_add_tcase(suite, placement);
     TCase *watches = tcase_create("watches");
--- a/tests/unit/turns.c
+++ b/tests/unit/turns.c
@@ -136,6 +136,27 @@
 }
 END_TEST
 
+START_TEST(a_program_is_told_where_it_ran_last)
+{
+    Entry entry = {0};
+    EntryResult result = {0};
+    begin("t1", 10, 100);
+    entry.which_command = Entry_turn_finish_tag;
+    entry.command.turn_finish.turn = (char *)"t1";
+    entry.command.turn_finish.program = (char *)"p";
+    entry.command.turn_finish.server = (char *)"server-7";
+    site_state_apply(&site, 1, &entry, &result);
+    memset(&entry, 0, sizeof(entry));
+    memset(&result, 0, sizeof(result));
+    entry.which_command = Entry_turn_begin_tag;
+    entry.command.turn_begin.turn = (char *)"t2";
+    entry.command.turn_begin.program = (char *)"p";
+    entry.command.turn_begin.budget_tokens = 100;
+    site_state_apply(&site, 1, &entry, &result);
+    ck_assert_str_eq(result.engine, "server-7");
+}
+END_TEST
+
 START_TEST(a_repeated_begin_or_settlement_counts_once)
 {
     begin("t1", 60, 100);
@@ -221,6 +242,7 @@
     tcase_add_test(tests, a_clock_that_goes_back_brings_nothing_back);
     tcase_add_test(tests, a_cache_drops_what_was_used_least_lately);
     tcase_add_test(tests, a_budget_counts_reservations_and_settlements);
+    tcase_add_test(tests, a_program_is_told_where_it_ran_last);
     tcase_add_test(tests, a_repeated_begin_or_settlement_counts_once);
     tcase_add_test(tests, a_late_begin_reserves_nothing);
     tcase_add_test(tests, the_highest_configuration_holds);
