Ask a second server for slow safe calls; pass silent servers over; refuse at once when cut off

Now: after the route's target latency a second server is asked, for at most a tenth of the requests (retry budget) and within max-attempts; a server with requests under way and silent for 0.7 s, or that cannot be connected to, is passed over; a gateway that heard no replica for 0.7 s is not ready, refuses turns and closes the connection; Retry-After tells the likely time by reason.

--- a/src/core/retry.c
+++ b/src/core/retry.c
@@ -55,9 +55,13 @@
 {
     circuit->failures++;
     bool trial_failed = circuit->trips > 0;
-    if (circuit->failures < CIRCUIT_FAILURES && !trial_failed) {
-        return;
+    if (circuit->failures >= CIRCUIT_FAILURES || trial_failed) {
+        circuit_open(circuit, now_ms);
     }
+}
+
+void circuit_open(struct circuit *circuit, uint64_t now_ms)
+{
     uint64_t open_ms = CIRCUIT_OPEN_MS;
     for (uint32_t i = 0; i < circuit->trips && open_ms < CIRCUIT_OPEN_MAX_MS; i++) {
         open_ms *= 2;
--- a/src/core/retry.h
+++ b/src/core/retry.h
@@ -48,4 +48,7 @@
 void circuit_note_success(struct circuit *circuit);
 void circuit_note_failure(struct circuit *circuit, uint64_t now_ms);
 
+/** Ejects at once: the endpoint cannot be reached. */
+void circuit_open(struct circuit *circuit, uint64_t now_ms);
+
 #endif
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -69,7 +69,8 @@
 
 static bool server_is_usable(const struct server *server, uint64_t now_ms)
 {
-    return server->listed && !server->draining && !server->misplaced && now_ms >= server->full_until_ms &&
+    bool silent = server->calls > 0 && now_ms >= server->heard_ms + SERVER_SILENT_MS;
+    return !silent && server->listed && !server->draining && !server->misplaced && now_ms >= server->full_until_ms &&
            circuit_allows(&server->circuit, now_ms);
 }
 
@@ -191,8 +192,16 @@
     }
 }
 
-void server_begin(struct server *server)
+void server_heard(struct server *server, uint64_t now_ms)
 {
+    server->heard_ms = now_ms;
+}
+
+void server_begin(struct server *server, uint64_t now_ms)
+{
+    if (server->calls == 0) {
+        server->heard_ms = now_ms;
+    }
     server->calls++;
 }
 
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -20,6 +20,7 @@
 
 enum {
     SERVER_MAX_TRIED = 8,       /**< Servers one request remembers as tried. */
+    SERVER_SILENT_MS = 700,     /**< Silence of a server with requests under way after which it is passed over. */
     SERVER_SHED_PAUSE_MS = 30,  /**< Time a server that was full is passed over. */
     SERVER_HOME_QUEUE = 2,      /**< Requests beyond its slots that a program's home may have. */
     SERVER_LEAVE_CALLS = 4,     /**< Requests that the home must have more than another one to be left. */
@@ -38,6 +39,7 @@
     bool misplaced;         /**< Another incarnation answered at its address. */
     uint32_t calls;         /**< Own requests under way there. */
     uint32_t others;        /**< Requests of other gateways there, as told last. */
+    uint64_t heard_ms;      /**< Time it was heard last, or got a request while it had none. */
     uint64_t full_until_ms; /**< Passed over until then, after it refused. */
     struct circuit circuit; /**< Health by own traffic. */
     uint64_t hash;          /**< Of its id. */
@@ -81,7 +83,10 @@
 bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service);
 
 /** Notes begin and end of a request. The server may be freed by the end. */
-void server_begin(struct server *server);
+void server_begin(struct server *server, uint64_t now_ms);
 void server_end(struct server_table *table, struct server *server);
 
+/** Notes that something came from a server. */
+void server_heard(struct server *server, uint64_t now_ms);
+
 #endif
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -262,6 +262,11 @@
     http_connection_linger(connection);
 }
 
+void http_call_close_after(struct http_call *call)
+{
+    call->connection->close_after = true;
+}
+
 size_t http_call_pending(const struct http_call *call)
 {
     return uv_stream_get_write_queue_size((const uv_stream_t *)&call->connection->socket);
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -100,6 +100,9 @@
 /** Breaks the answer off, so that the client sees it is not whole. The call is gone after this. */
 void http_call_cut(struct http_call *call);
 
+/** The answer of this call will close its connection. */
+void http_call_close_after(struct http_call *call);
+
 /** Bytes written and not yet taken by the client. */
 size_t http_call_pending(const struct http_call *call);
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -17,7 +17,11 @@
     FORWARD_NUMBER_MAX = 24
 };
 
-static const char FORWARD_RETRY_AFTER[] = "0.2";
+/* Seconds after which a refused caller may ask again. */
+static const char FORWARD_RETRY_SOON[] = "0.1";  /* another daemon can serve it */
+static const char FORWARD_RETRY_BUSY[] = "0.2";  /* servers have no room */
+static const char FORWARD_RETRY_STATE[] = "0.4"; /* the state replicas elect a leader */
+static const char FORWARD_RETRY_START[] = "0.8"; /* this daemon has just started */
 
 /* ---- Headers of the request --------------------------------------------------------------- */
 
@@ -67,46 +71,91 @@
 static void forward_log(const struct forward *forward)
 {
     const struct node *node = forward->front->node;
-    const struct forward_answer *answer = &forward->answer;
-    uint64_t begun_ms = forward->call == NULL ? 0 : forward->call->received_ms;
-    uint64_t first_ms = answer->first_event_ms > begun_ms ? answer->first_event_ms - begun_ms : 0;
-    event_log("request", "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:s}", "id", text_or_empty(forward->id),
+    const struct forward_stream *stream = &forward->stream;
+    uint64_t begun_ms = forward->call->received_ms;
+    uint64_t first_ms = stream->first_event_ms > begun_ms ? stream->first_event_ms - begun_ms : 0;
+    event_log("request", "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:s}", "id", text_or_empty(forward->id),
               "route", forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome", forward->reason,
-              "status", forward->told_status, "server", forward->server == NULL ? "" : forward->server->id, "total_ms",
-              (json_int_t)(begun_ms == 0 ? 0 : node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends",
-              (int)forward->sends, "runs", (int)forward->runs, "events", (json_int_t)answer->event_count,
+              "status", forward->told_status, "server", text_or_empty(forward->last_server), "total_ms",
+              (json_int_t)(node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends", (int)forward->sends,
+              "runs", (int)forward->runs, "hedged", forward->hedged, "events", (json_int_t)stream->event_count,
               "configuration", (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
               (json_int_t)node->state.servers_number, "program", text_or_empty(forward->turn.program));
 }
 
-void forward_leave_server(struct forward *forward)
+void forward_end_attempt(struct forward_attempt *attempt)
 {
-    if (forward->server != NULL) {
-        server_end(&forward->front->servers, forward->server);
-        forward->server = NULL;
+    struct front *front = attempt->forward->front;
+    if (attempt->exchange != NULL) {
+        upstream_cancel(&front->node->upstreams, attempt->exchange);
     }
+    if (attempt->server != NULL) {
+        server_end(&front->servers, attempt->server);
+    }
+    buffer_close(&attempt->lines);
+    buffer_close(&attempt->body);
+    memset(attempt, 0, sizeof(*attempt));
+}
+
+void forward_end_others(struct forward *forward, const struct forward_attempt *kept)
+{
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        struct forward_attempt *attempt = &forward->attempts[i];
+        if (attempt != kept && attempt->forward != NULL) {
+            forward_end_attempt(attempt);
+        }
+    }
+}
+
+static bool forward_is_asking(const struct forward *forward)
+{
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        if (forward->attempts[i].forward != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether some server may have begun on the request. */
+static bool forward_was_sent(const struct forward *forward)
+{
+    bool sent = forward->runs > 0;
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        const struct upstream_exchange *exchange = forward->attempts[i].exchange;
+        sent = sent || (exchange != NULL && upstream_was_sent(exchange));
+    }
+    return sent;
 }
 
 /* Frees everything; the caller's side has ended or is about to. */
 static void forward_close(struct forward *forward)
 {
-    struct front *front = forward->front;
     forward_log(forward);
-    if (forward->exchange != NULL) {
-        upstream_cancel(&front->node->upstreams, forward->exchange);
-        forward->exchange = NULL;
-    }
-    forward_leave_server(forward);
+    forward_end_others(forward, NULL);
     forward_turn_settle(forward);
     forward_turn_close(forward);
-    forward_answer_close(&forward->answer);
+    event_stream_close(&forward->stream.events);
     forward_unlink(forward);
     route_table_release(forward->table);
     free(forward->id);
+    free(forward->last_server);
     forward->limit.data = forward;
     uv_close((uv_handle_t *)&forward->limit, forward_on_timer_closed);
 }
 
+/* When a refused caller should come back. */
+static const char *forward_retry_after(const struct forward *forward)
+{
+    if (forward->table == NULL) {
+        return FORWARD_RETRY_START;
+    }
+    if (node_is_isolated(forward->front->node)) {
+        return FORWARD_RETRY_SOON;
+    }
+    return forward->sends > 0 ? FORWARD_RETRY_BUSY : FORWARD_RETRY_STATE;
+}
+
 static void forward_reply(struct forward *forward, int status, const char *code, const char *run_state,
                           bool retry_after)
 {
@@ -116,7 +165,7 @@
     struct buffer body = {0};
     buffer_printf(&headers, "X-Run-State: %s\r\n", run_state);
     if (retry_after) {
-        buffer_printf(&headers, "%s: %s\r\n", dialect->headers[DIALECT_RETRY_AFTER], FORWARD_RETRY_AFTER);
+        buffer_printf(&headers, "%s: %s\r\n", dialect->headers[DIALECT_RETRY_AFTER], forward_retry_after(forward));
     }
     buffer_printf(&body, "{\"error\":{\"code\":\"%s\",\"run_state\":\"%s\"}}", code, run_state);
     forward->told_status = status;
@@ -129,7 +178,7 @@
 
 void forward_refuse(struct forward *forward, int status, const char *reason)
 {
-    if (forward->answer.begun) {
+    if (forward->stream.begun) {
         forward_fail(forward, status, reason);
         return;
     }
@@ -142,7 +191,7 @@
 {
     struct http_call *call = forward->call;
     forward->reason = reason;
-    if (!forward->answer.begun) {
+    if (!forward->stream.begun) {
         forward->front->counters.failed++;
         forward_reply(forward, status, reason, "unknown", false);
         return;
@@ -185,12 +234,9 @@
     forward_close(forward);
 }
 
-static void forward_on_limit(uv_timer_t *timer)
+static void forward_out_of_time(struct forward *forward)
 {
-    struct forward *forward = timer->data;
-    bool sent = forward->exchange != NULL && upstream_was_sent(forward->exchange);
-    bool may_have_run = sent || forward->runs > 0;
-    if (may_have_run) {
+    if (forward_was_sent(forward)) {
         forward_fail(forward, FORWARD_TIMEOUT, "out of time at a server");
     } else {
         forward_refuse(forward, FORWARD_UNAVAILABLE, "out of time before a server was asked");
@@ -231,7 +277,7 @@
     }
 }
 
-static void forward_write_request(const struct forward *forward, struct buffer *out)
+static void forward_write_request(const struct forward *forward, const struct server *server, struct buffer *out)
 {
     const struct http_reader *request = forward->call->request;
     const struct dialect *dialect = forward->front->node->dialect;
@@ -244,7 +290,7 @@
     buffer_append_text(out, " HTTP/1.1\r\n");
     forward_write_headers(forward, out);
     buffer_printf(out, "%s: %llu\r\n", dialect->headers[DIALECT_DEADLINE_MS], (unsigned long long)left_ms);
-    buffer_printf(out, "%s: %s\r\n", dialect->headers[DIALECT_EXPECT_SERVER], forward->server->id);
+    buffer_printf(out, "%s: %s\r\n", dialect->headers[DIALECT_EXPECT_SERVER], server->id);
     bool has_body = http_reader_has(request, "Content-Length") || http_reader_has(request, "Transfer-Encoding");
     if (has_body || history->length > 0) {
         buffer_printf(out, "Content-Length: %zu\r\n", history->length + body->length);
@@ -254,54 +300,104 @@
     buffer_append(out, body->data, body->length);
 }
 
-static void forward_send(struct forward *forward)
+static struct forward_attempt *forward_free_attempt(struct forward *forward)
+{
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        if (forward->attempts[i].forward == NULL) {
+            return &forward->attempts[i];
+        }
+    }
+    return NULL;
+}
+
+static void forward_send(struct forward *forward, struct server *server)
 {
     struct front *front = forward->front;
+    struct forward_attempt *attempt = forward_free_attempt(forward);
     struct address address;
     struct buffer request = {0};
     forward->phase = FORWARD_RUNNING;
     forward->sends++;
     front->counters.sends++;
-    server_begin(forward->server);
+    server_begin(server, node_now(front->node));
+    attempt->forward = forward;
+    attempt->server = server;
+    free(forward->last_server);
+    forward->last_server = text_copy(server->id);
     if (forward->wish.tried_count < SERVER_MAX_TRIED) {
-        forward->wish.tried[forward->wish.tried_count++] = forward->server;
+        forward->wish.tried[forward->wish.tried_count++] = server;
     }
-    forward_answer_close(&forward->answer);
-    address_parse(forward->server->address, &address);
-    forward_write_request(forward, &request);
+    address_parse(server->address, &address);
+    forward_write_request(forward, server, &request);
     bool head_request = http_name_equal(forward->call->request->method, "HEAD");
-    forward->exchange =
-        upstream_start(&front->node->upstreams, &address, &request, head_request, &forward_upstream_events, forward);
+    attempt->exchange =
+        upstream_start(&front->node->upstreams, &address, &request, head_request, &forward_upstream_events, attempt);
 }
 
-void forward_place(struct forward *forward)
+static struct server *forward_choose(struct forward *forward)
 {
     struct front *front = forward->front;
-    uint64_t now_ms = node_now(front->node);
-    if (now_ms + FORWARD_LEAST_MS >= forward->limit_ms) {
-        forward_on_limit(&forward->limit);
-        return;
-    }
     const struct route_part *part = route_choose_part(forward->route, forward_part_is_usable, front);
     forward->wish.service = part == NULL ? NULL : part->service;
-    struct server *server = part == NULL ? NULL : server_table_choose(&front->servers, now_ms, &forward->wish);
-    if (server == NULL && forward->runs > 0) {
-        forward_fail(forward, FORWARD_BAD_GATEWAY, "no other server");
+    return part == NULL ? NULL : server_table_choose(&front->servers, node_now(front->node), &forward->wish);
+}
+
+void forward_place(struct forward *forward)
+{
+    if (node_now(forward->front->node) + FORWARD_LEAST_MS >= forward->limit_ms) {
+        forward_out_of_time(forward);
         return;
     }
-    if (server == NULL) {
+    struct server *server = forward_choose(forward);
+    if (server != NULL) {
+        forward_send(forward, server);
+    } else if (forward->runs > 0) {
+        forward_fail(forward, FORWARD_BAD_GATEWAY, "no other server");
+    } else {
         forward_refuse(forward, FORWARD_UNAVAILABLE, "no server");
+    }
+}
+
+/* A request that may run again is sent to a second server when the first one
+ * is slow to answer, as long as such seconds are few. */
+static bool forward_may_hedge(struct forward *forward)
+{
+    return forward->route->kind == ROUTE_SAFE && !forward->hedged && forward->phase == FORWARD_RUNNING &&
+           forward_is_asking(forward) && forward->sends < forward->route->max_attempts &&
+           forward->limit_ms > node_now(forward->front->node) + FORWARD_LEAST_MS;
+}
+
+static void forward_hedge(struct forward *forward)
+{
+    struct server *server = forward_may_hedge(forward) ? forward_choose(forward) : NULL;
+    if (server != NULL && retry_budget_take(&forward->front->retries)) {
+        forward->hedged = true;
+        forward->front->counters.hedges++;
+        forward_send(forward, server);
+    }
+}
+
+static void forward_on_timer(uv_timer_t *timer)
+{
+    struct forward *forward = timer->data;
+    uint64_t now_ms = node_now(forward->front->node);
+    if (now_ms >= forward->limit_ms) {
+        forward_out_of_time(forward);
         return;
     }
-    forward->server = server;
-    forward_send(forward);
+    uv_timer_start(timer, forward_on_timer, forward->limit_ms - now_ms, 0);
+    forward_hedge(forward);
 }
 
-void forward_not_run(struct forward *forward, const char *reason)
+void forward_not_run(struct forward_attempt *attempt, const char *reason)
 {
-    event_log("attempt_not_run", "{s:s,s:s,s:s,s:i}", "id", text_or_empty(forward->id), "server",
-              forward->server == NULL ? "" : forward->server->id, "reason", reason, "sends", (int)forward->sends);
-    forward_leave_server(forward);
+    struct forward *forward = attempt->forward;
+    event_log("attempt_not_run", "{s:s,s:s,s:s,s:i}", "id", text_or_empty(forward->id), "server", attempt->server->id,
+              "reason", reason, "sends", (int)forward->sends);
+    forward_end_attempt(attempt);
+    if (forward_is_asking(forward)) {
+        return;
+    }
     if (forward->sends >= FORWARD_MAX_SENDS && forward->runs == 0) {
         forward_refuse(forward, FORWARD_UNAVAILABLE, reason);
         return;
@@ -309,17 +405,20 @@
     forward_place(forward);
 }
 
-void forward_may_have_run(struct forward *forward, const char *reason)
+void forward_may_have_run(struct forward_attempt *attempt, const char *reason)
 {
+    struct forward *forward = attempt->forward;
+    struct front *front = forward->front;
     event_log("attempt_unknown", "{s:s,s:s,s:s,s:i,s:b}", "id", text_or_empty(forward->id), "server",
-              forward->server == NULL ? "" : forward->server->id, "reason", reason, "sends", (int)forward->sends,
-              "answer_begun", forward->answer.begun);
+              attempt->server->id, "reason", reason, "sends", (int)forward->sends, "answer_begun",
+              forward->stream.begun);
     forward->runs++;
-    if (forward->server != NULL) {
-        circuit_note_failure(&forward->server->circuit, node_now(forward->front->node));
+    circuit_note_failure(&attempt->server->circuit, node_now(front->node));
+    forward_end_attempt(attempt);
+    if (forward_is_asking(forward)) {
+        return;
     }
-    forward_leave_server(forward);
-    bool again = !forward->answer.begun && forward->route->kind == ROUTE_SAFE &&
+    bool again = !forward->stream.begun && forward->route->kind == ROUTE_SAFE &&
                  forward->runs < forward->route->max_attempts && forward->sends < FORWARD_MAX_SENDS;
     if (again) {
         forward_place(forward);
@@ -357,8 +456,11 @@
     uint64_t timeout_ms = forward->route->timeout_ms;
     uint64_t deadline_ms = forward_number(forward, DIALECT_DEADLINE_MS, timeout_ms);
     uint64_t left_ms = deadline_ms < timeout_ms ? deadline_ms : timeout_ms;
+    uint64_t hedge_ms =
+        forward->route->target_latency_ms > FORWARD_HEDGE_MS ? forward->route->target_latency_ms : FORWARD_HEDGE_MS;
+    bool hedges = forward->route->kind == ROUTE_SAFE && forward->route->max_attempts > 1 && hedge_ms < left_ms;
     forward->limit_ms = forward->call->received_ms + left_ms;
-    uv_timer_start(&forward->limit, forward_on_limit, left_ms, 0);
+    uv_timer_start(&forward->limit, forward_on_timer, hedges ? hedge_ms : left_ms, 0);
 }
 
 void forward_start(struct front *front, struct http_call *call)
@@ -381,11 +483,16 @@
         return;
     }
     front->counters.requests++;
+    retry_budget_note_request(&front->retries);
     forward_set_limit(forward);
     forward_turn_read(forward);
-    if (forward->turn.program != NULL) {
-        forward_turn_begin(forward);
-    } else {
+    if (forward->turn.program == NULL) {
         forward_place(forward);
+    } else if (node_is_isolated(front->node)) {
+        /* Other daemons reach the state replicas: the caller is to connect anew. */
+        http_call_close_after(call);
+        forward_refuse(forward, FORWARD_UNAVAILABLE, "state replicas unreachable");
+    } else {
+        forward_turn_begin(forward);
     }
 }
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -17,6 +17,8 @@
 #include "proxy/front.h"
 
 enum {
+    FORWARD_MAX_PARALLEL = 2,     /**< Servers asked at the same time. */
+    FORWARD_HEDGE_MS = 150,       /**< Time without an answer before a second server is asked, at least. */
     FORWARD_MAX_SENDS = 5,        /**< Servers asked, those that refuse included. */
     FORWARD_MAX_ANSWER = 8 << 20, /**< Largest answer that is not streamed. */
     FORWARD_STATE_MS = 1500,      /**< Time the state replicas may take to reserve or to fetch. */
@@ -45,14 +47,21 @@
     struct buffer output;           /**< Data of the events so far. */
 };
 
-/** What comes back from the server. */
-struct forward_answer {
-    int status;                 /**< Status. */
-    bool refused;               /**< The server did not run the request. */
-    bool streaming;             /**< Passed on event by event. */
+/** One server asked for an answer. */
+struct forward_attempt {
+    struct forward *forward;            /**< The request; NULL: the attempt is free. */
+    struct server *server;              /**< Server asked. */
+    struct upstream_exchange *exchange; /**< Exchange under way, or NULL. */
+    int status;                         /**< Status of the answer. */
+    bool refused;                       /**< The server did not run the request. */
+    bool streaming;                     /**< The answer is passed on event by event. */
+    struct buffer lines;                /**< Header lines to pass on. */
+    struct buffer body;                 /**< Body that is not streamed. */
+};
+
+/** An answer that is passed on event by event. */
+struct forward_stream {
     bool begun;                 /**< The caller has got its head. */
-    struct buffer lines;        /**< Header lines to pass on. */
-    struct buffer body;         /**< Body that is not streamed. */
     struct event_stream events; /**< Splitter. */
     uint64_t event_count;       /**< Events passed on. */
     uint64_t last_event;        /**< Id of the last one. */
@@ -61,25 +70,26 @@
 
 /** The request. */
 struct forward {
-    struct front *front;                /**< The gateway. */
-    struct http_call *call;             /**< The caller's side. */
-    struct route_table *table;          /**< Configuration it began under. */
-    struct route *route;                /**< Its route. */
-    enum forward_phase phase;           /**< Phase. */
-    uv_timer_t limit;                   /**< Ends it in time. */
-    uint64_t limit_ms;                  /**< Loop time of that. */
-    char *id;                           /**< The attempt's id. */
-    struct forward_turn turn;           /**< As a turn. */
-    struct server_wish wish;            /**< Where it may go. */
-    struct server *server;              /**< Server asked, or NULL. */
-    struct upstream_exchange *exchange; /**< Exchange under way, or NULL. */
-    uint32_t sends;                     /**< Servers asked. */
-    uint32_t runs;                      /**< Servers on which it may have run. */
-    struct forward_answer answer;       /**< The server's side. */
-    const char *reason;                 /**< Why it ended as it did, for the log. */
-    int told_status;                    /**< Status the caller got, 0: none. */
-    struct forward *previous;           /**< Requests of the gateway. */
-    struct forward *next;               /**< Requests of the gateway. */
+    struct front *front;                                   /**< The gateway. */
+    struct http_call *call;                                /**< The caller's side. */
+    struct route_table *table;                             /**< Configuration it began under. */
+    struct route *route;                                   /**< Its route. */
+    enum forward_phase phase;                              /**< Phase. */
+    uv_timer_t limit;                                      /**< Asks a second server, and ends it in time. */
+    uint64_t limit_ms;                                     /**< Loop time of that. */
+    char *id;                                              /**< The attempt's id. */
+    struct forward_turn turn;                              /**< As a turn. */
+    struct server_wish wish;                               /**< Where it may go. */
+    struct forward_attempt attempts[FORWARD_MAX_PARALLEL]; /**< Servers that are being asked. */
+    bool hedged;                                           /**< A second server was asked for want of an answer. */
+    char *last_server;                                     /**< Server asked last, for the log. */
+    uint32_t sends;                                        /**< Servers asked. */
+    uint32_t runs;                                         /**< Servers on which it may have run. */
+    struct forward_stream stream;                          /**< An answer under way to the caller. */
+    const char *reason;                                    /**< Why it ended as it did, for the log. */
+    int told_status;                                       /**< Status the caller got, 0: none. */
+    struct forward *previous;                              /**< Requests of the gateway. */
+    struct forward *next;                                  /**< Requests of the gateway. */
 };
 
 /** Takes a caller's request. */
@@ -121,17 +131,17 @@
 /** forward_answer.c: the events of exchanges with servers. */
 extern const struct upstream_events forward_upstream_events;
 
-/** forward_answer.c: frees the answer, so that another may come. */
-void forward_answer_close(struct forward_answer *answer);
+/** forward.c: a server did not run the request; the attempt ends. */
+void forward_not_run(struct forward_attempt *attempt, const char *reason);
 
-/** forward.c: the exchange ended without the request having run there. */
-void forward_not_run(struct forward *forward, const char *reason);
+/** forward.c: a server may have run the request, and no answer came; the attempt ends. */
+void forward_may_have_run(struct forward_attempt *attempt, const char *reason);
 
-/** forward.c: the exchange ended, and the request may have run. */
-void forward_may_have_run(struct forward *forward, const char *reason);
+/** forward.c: ends an attempt: its exchange, if any, is given up. */
+void forward_end_attempt(struct forward_attempt *attempt);
 
-/** Leaves the server after an exchange. */
-void forward_leave_server(struct forward *forward);
+/** forward.c: ends all attempts but one; NULL: all. */
+void forward_end_others(struct forward *forward, const struct forward_attempt *kept);
 
 /** Value of a header of the request as a number; `absent` where it is missing or not one. */
 uint64_t forward_number(const struct forward *forward, enum dialect_header header, uint64_t absent);
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -7,14 +7,6 @@
 
 enum { FORWARD_OK = 200, FORWARD_MISDIRECTED = 421, FORWARD_FIRST_FAILURE = 300 };
 
-void forward_answer_close(struct forward_answer *answer)
-{
-    buffer_close(&answer->lines);
-    buffer_close(&answer->body);
-    event_stream_close(&answer->events);
-    memset(answer, 0, sizeof(*answer));
-}
-
 /* ---- Head ------------------------------------------------------------------------------- */
 
 static struct view forward_answer_header(const struct forward *forward, const struct http_reader *answer,
@@ -47,12 +39,12 @@
     return NULL;
 }
 
-static void forward_keep_lines(struct forward *forward, const struct http_reader *answer)
+static void forward_keep_lines(struct forward_attempt *attempt, const struct http_reader *answer)
 {
     for (int i = 0; i < answer->header_count; i++) {
         const struct http_header *header = &answer->headers[i];
         if (!http_reader_is_hop_header(answer, header->name)) {
-            struct buffer *lines = &forward->answer.lines;
+            struct buffer *lines = &attempt->lines;
             buffer_append(lines, header->name.data, header->name.length);
             buffer_append(lines, ": ", 2);
             buffer_append(lines, header->value.data, header->value.length);
@@ -61,15 +53,6 @@
     }
 }
 
-/* Gives the exchange up for an answer that cannot be trusted. */
-static void forward_distrust(struct forward *forward, const char *fault)
-{
-    struct upstream_exchange *exchange = forward->exchange;
-    forward->exchange = NULL;
-    upstream_cancel(&forward->front->node->upstreams, exchange);
-    forward_may_have_run(forward, fault);
-}
-
 static bool forward_is_not_run(const struct forward *forward, const struct http_reader *answer)
 {
     const char *mark = forward->front->node->dialect->headers[DIALECT_NOT_RUN];
@@ -78,24 +61,25 @@
 
 static void forward_on_head(void *owner, const struct http_reader *answer)
 {
-    struct forward *forward = owner;
-    struct forward_answer *state = &forward->answer;
-    state->status = answer->status;
+    struct forward_attempt *attempt = owner;
+    struct forward *forward = attempt->forward;
+    attempt->status = answer->status;
+    server_heard(attempt->server, node_now(forward->front->node));
     if (forward_is_not_run(forward, answer)) {
-        state->refused = true;
+        attempt->refused = true;
         return;
     }
     const char *fault = forward_answer_fault(forward, answer);
     if (fault != NULL) {
-        forward_distrust(forward, fault);
+        forward_may_have_run(attempt, fault);
         return;
     }
-    forward_keep_lines(forward, answer);
-    state->streaming = forward->route->kind == ROUTE_STREAM && answer->status == FORWARD_OK;
-    if (state->streaming) {
-        state->begun = true;
+    forward_keep_lines(attempt, answer);
+    attempt->streaming = forward->route->kind == ROUTE_STREAM && answer->status == FORWARD_OK;
+    if (attempt->streaming) {
+        forward->stream.begun = true;
         forward->told_status = answer->status;
-        http_call_begin(forward->call, answer->status, buffer_view(&state->lines));
+        http_call_begin(forward->call, answer->status, buffer_view(&attempt->lines));
     }
 }
 
@@ -104,7 +88,7 @@
 /* Ids rise; a step back or a repeat is not this run's. */
 static bool forward_event_is_next(struct forward *forward, const struct event_stream_event *event)
 {
-    struct forward_answer *answer = &forward->answer;
+    struct forward_stream *answer = &forward->stream;
     uint64_t id = 0;
     if (!event->has_id) {
         return true;
@@ -123,7 +107,7 @@
 static bool forward_on_event(void *context, const struct event_stream_event *event)
 {
     struct forward *forward = context;
-    struct forward_answer *answer = &forward->answer;
+    struct forward_stream *answer = &forward->stream;
     if (!forward_event_is_next(forward, event)) {
         return false;
     }
@@ -144,57 +128,59 @@
 
 static void forward_on_body(void *owner, struct view part)
 {
-    struct forward *forward = owner;
-    struct forward_answer *answer = &forward->answer;
-    if (answer->refused) {
+    struct forward_attempt *attempt = owner;
+    struct forward *forward = attempt->forward;
+    server_heard(attempt->server, node_now(forward->front->node));
+    if (attempt->refused) {
         return;
     }
-    if (answer->streaming) {
-        if (!event_stream_feed(&answer->events, part, forward_on_event, forward)) {
-            forward_distrust(forward, "events out of order");
+    if (attempt->streaming) {
+        if (!event_stream_feed(&forward->stream.events, part, forward_on_event, forward)) {
+            forward_may_have_run(attempt, "events out of order");
         }
         return;
     }
-    buffer_append(&answer->body, part.data, part.length);
-    if (answer->body.length > FORWARD_MAX_ANSWER) {
-        forward_distrust(forward, "an answer that is too large");
+    buffer_append(&attempt->body, part.data, part.length);
+    if (attempt->body.length > FORWARD_MAX_ANSWER) {
+        forward_may_have_run(attempt, "an answer that is too large");
     }
 }
 
 /* ---- End ------------------------------------------------------------------------------------ */
 
-static void forward_pass_whole(struct forward *forward)
+static void forward_pass_whole(struct forward_attempt *attempt)
 {
-    struct forward_answer *answer = &forward->answer;
-    struct buffer lines = answer->lines;
-    struct buffer body = answer->body;
-    memset(&answer->lines, 0, sizeof(answer->lines));
-    memset(&answer->body, 0, sizeof(answer->body));
-    forward_complete_with(forward, answer->status, &lines, &body);
+    struct forward *forward = attempt->forward;
+    struct buffer lines = attempt->lines;
+    struct buffer body = attempt->body;
+    int status = attempt->status;
+    memset(&attempt->lines, 0, sizeof(attempt->lines));
+    memset(&attempt->body, 0, sizeof(attempt->body));
+    forward_complete_with(forward, status, &lines, &body);
 }
 
-static void forward_refused_by_server(struct forward *forward)
+static void forward_refused_by_server(struct forward_attempt *attempt)
 {
-    struct server *server = forward->server;
-    uint64_t now_ms = node_now(forward->front->node);
-    forward->front->counters.server_refusals++;
-    if (forward->answer.status == FORWARD_MISDIRECTED) {
-        server->misplaced = true;
-        forward_not_run(forward, "another server has the address");
+    struct front *front = attempt->forward->front;
+    front->counters.server_refusals++;
+    if (attempt->status == FORWARD_MISDIRECTED) {
+        attempt->server->misplaced = true;
+        forward_not_run(attempt, "another server has the address");
         return;
     }
-    server->full_until_ms = now_ms + SERVER_SHED_PAUSE_MS;
-    forward_not_run(forward, "the server refused");
+    attempt->server->full_until_ms = node_now(front->node) + SERVER_SHED_PAUSE_MS;
+    forward_not_run(attempt, "the server refused");
 }
 
-static void forward_finish_stream(struct forward *forward)
+static void forward_finish_stream(struct forward_attempt *attempt)
 {
-    if (event_stream_is_inside(&forward->answer.events)) {
-        forward_may_have_run(forward, "a stream that ends inside an event");
+    struct forward *forward = attempt->forward;
+    if (event_stream_is_inside(&forward->stream.events)) {
+        forward_may_have_run(attempt, "a stream that ends inside an event");
         return;
     }
-    forward->turn.ran_at = text_copy(forward->server->id);
-    forward_leave_server(forward);
+    forward->turn.ran_at = text_copy(attempt->server->id);
+    forward_end_attempt(attempt);
     if (forward->turn.program != NULL) {
         forward_turn_commit(forward);
     } else {
@@ -204,27 +190,27 @@
 
 static void forward_on_end(void *owner, enum upstream_end end)
 {
-    struct forward *forward = owner;
-    struct node *node = forward->front->node;
-    forward->exchange = NULL;
+    struct forward_attempt *attempt = owner;
+    struct node *node = attempt->forward->front->node;
+    attempt->exchange = NULL;
     if (end == UPSTREAM_NOT_SENT) {
-        circuit_note_failure(&forward->server->circuit, node_now(node));
-        forward_not_run(forward, "no connection to the server");
+        circuit_open(&attempt->server->circuit, node_now(node));
+        forward_not_run(attempt, "no connection to the server");
         return;
     }
     if (end == UPSTREAM_BROKEN) {
-        forward_may_have_run(forward, "the server broke off");
+        forward_may_have_run(attempt, "the server broke off");
         return;
     }
-    if (forward->answer.refused) {
-        forward_refused_by_server(forward);
+    if (attempt->refused) {
+        forward_refused_by_server(attempt);
         return;
     }
-    circuit_note_success(&forward->server->circuit);
-    if (forward->answer.streaming) {
-        forward_finish_stream(forward);
+    circuit_note_success(&attempt->server->circuit);
+    if (attempt->streaming) {
+        forward_finish_stream(attempt);
     } else {
-        forward_pass_whole(forward);
+        forward_pass_whole(attempt);
     }
 }
 
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -184,7 +184,7 @@
     TurnFinish *finish = &entry->command.turn_finish;
     finish->turn = forward->id;
     finish->program = forward->turn.program;
-    finish->used_tokens = forward->answer.event_count * forward_chunk_tokens(forward);
+    finish->used_tokens = forward->stream.event_count * forward_chunk_tokens(forward);
     finish->server = forward->turn.ran_at;
     finish->keep = keep;
     if (keep) {
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -113,9 +113,7 @@
 
 bool front_is_ready(const struct front *front)
 {
-    const struct node *node = front->node;
-    bool in_touch = node->host != NULL || watch_client_is_fresh(&node->watch, node_now(node), FRONT_TOUCH_MS);
-    return front->table != NULL && front->servers_known && in_touch;
+    return front->table != NULL && front->servers_known && !node_is_isolated(front->node);
 }
 
 bool front_is_busy(const struct front *front)
@@ -172,6 +170,7 @@
     metrics_write_counter(out, "sends_total", "Requests sent to servers.", counters->sends);
     metrics_write_counter(out, "server_refusals_total", "Servers that did not run a request.",
                           counters->server_refusals);
+    metrics_write_counter(out, "hedges_total", "Second servers asked for want of an answer.", counters->hedges);
     metrics_write_counter(out, "crossed_total", "Answers to other requests, dropped.", counters->crossed);
     metrics_write_counter(out, "budget_refusals_total", "Turns refused for the budget.", counters->budget_refusals);
     metrics_write_counter(out, "conversation_hits_total", "Conversations found near.", counters->cache_hits);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -16,8 +16,7 @@
 enum {
     FRONT_CACHE_BYTES = 8 << 20, /**< Turns kept near. */
     FRONT_CONNECTIONS = 24,      /**< Connections of this gateway to one server. */
-    FRONT_LOADS_MS = 100,        /**< Period of telling the leader what is under way. */
-    FRONT_TOUCH_MS = 3000        /**< Time without a state replica after which the gateway is not ready. */
+    FRONT_LOADS_MS = 100         /**< Period of telling the leader what is under way. */
 };
 
 /** Events so far, one counter each. */
@@ -33,6 +32,7 @@
     uint64_t server_refusals; /**< Servers that did not run a request. */
     uint64_t crossed;         /**< Answers to other requests, dropped. */
     uint64_t budget_refusals; /**< Turns refused for their program's budget. */
+    uint64_t hedges;          /**< Second servers asked for want of an answer. */
     uint64_t cache_hits;      /**< Conversations found near. */
     uint64_t cache_misses;    /**< Conversations fetched from a replica. */
 };
@@ -51,6 +51,7 @@
     uint32_t active;                /**< Their number. */
     uint64_t loads_due_ms;          /**< Next time to tell what is under way. */
     bool loads_told;                /**< The last report was not empty. */
+    struct retry_budget retries;    /**< Keeps second servers a small share. */
     struct front_counters counters; /**< Events. */
     struct histogram first_event;   /**< Time to the first event of a stream. */
     struct histogram total;         /**< Time to the end of an answer. */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -92,7 +92,9 @@
 
 static void node_on_frame(void *context, uint32_t from, const Frame *frame)
 {
-    node_dispatch(context, from, frame);
+    struct node *node = context;
+    node->heard_ms = node_now(node);
+    node_dispatch(node, from, frame);
 }
 
 static void node_handle_local(struct node *node)
@@ -290,6 +292,11 @@
     return watch_client_is_fresh(&node->watch, node_now(node), NODE_FRESH_MS);
 }
 
+bool node_is_isolated(const struct node *node)
+{
+    return node->host == NULL && node_now(node) >= node->heard_ms + NODE_ISOLATED_MS;
+}
+
 /* A replica watches its leader, for the list of servers; a gateway the nearest replica. */
 static void node_watch(struct node *node)
 {
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -21,6 +21,7 @@
 
 enum {
     NODE_TICK_MS = 20,             /**< Period of the clock tick. */
+    NODE_ISOLATED_MS = 700,        /**< Silence of all replicas after which a gateway counts as cut off. */
     NODE_FRESH_MS = 1500,          /**< Time without a fresh replica before a gateway helps itself. */
     NODE_OWN_LIST_PERIOD_MS = 1000 /**< Pause between readings of the list by a gateway cut off. */
 };
@@ -69,6 +70,7 @@
     struct front *front;            /**< Gateway, or NULL. */
     struct http_listener ready;     /**< Readiness question. */
     struct http_listener metrics;   /**< Metrics. */
+    uint64_t heard_ms;              /**< Last frame of another daemon. */
     bool fresh_told;                /**< Whether the log last told that the state replicas are in touch. */
     bool draining;                  /**< The stop has begun. */
     uint64_t drain_since_ms;        /**< When. */
@@ -114,6 +116,9 @@
 /** Whether a state replica in touch with a quorum answered lately. */
 bool node_is_fresh(const struct node *node);
 
+/** Whether no state replica can be reached, not even one out of touch with the others. */
+bool node_is_isolated(const struct node *node);
+
 /** Ends the daemon. */
 void node_stop(struct node *node);
 
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -153,7 +153,7 @@
     struct server_wish wish = {.service = "s", .zone = "z"};
     take_servers(list, 3);
     for (int i = 0; i < 6; i++) {
-        server_begin(server_table_choose(&servers, 1, &wish));
+        server_begin(server_table_choose(&servers, 1, &wish), 1);
     }
     for (const struct server *server = servers.servers; server != NULL; server = server->hh.next) {
         ck_assert_uint_eq(server->calls, 2);
@@ -170,13 +170,13 @@
     ck_assert_str_eq(home->id, "b");
     for (int i = 0; i < 6 + SERVER_HOME_QUEUE; i++) {
         ck_assert_ptr_eq(server_table_choose(&servers, 1, &wish), home);
-        server_begin(home);
+        server_begin(home, 1);
     }
     ck_assert_ptr_ne(server_table_choose(&servers, 1, &wish), home);
     /* Where all are as busy, it stays. */
     for (int i = 0; i < 2 * 6; i++) {
         wish.home = NULL;
-        server_begin(server_table_choose(&servers, 1, &wish));
+        server_begin(server_table_choose(&servers, 1, &wish), 1);
     }
     wish.home = "b";
     ck_assert_ptr_eq(server_table_choose(&servers, 1, &wish), home);
@@ -198,9 +198,10 @@
     for (int i = 0; i < 3; i++) {
         struct server *other = server_table_choose(&servers, 1001, &wish);
         ck_assert_ptr_ne(other, first);
-        server_begin(other);
+        server_begin(other, 1000);
     }
-    server_begin(first);
+    server_begin(first, 1000);
+    server_heard(first, 1000 + SERVER_LOADS_VALID_MS);
     ck_assert_ptr_eq(server_table_choose(&servers, 1000 + SERVER_LOADS_VALID_MS, &wish), first);
 }
 END_TEST
@@ -238,13 +239,29 @@
 }
 END_TEST
 
+START_TEST(a_silent_server_is_passed_over)
+{
+    ServerRecord list[] = {record("a", false)};
+    struct server_wish wish = {.service = "s", .zone = "z"};
+    take_servers(list, 1);
+    struct server *server = server_table_choose(&servers, 1000, &wish);
+    server_begin(server, 1000);
+    ck_assert_ptr_nonnull(server_table_choose(&servers, 1000 + SERVER_SILENT_MS - 1, &wish));
+    ck_assert_ptr_null(server_table_choose(&servers, 1000 + SERVER_SILENT_MS, &wish));
+    server_heard(server, 1000 + SERVER_SILENT_MS);
+    ck_assert_ptr_nonnull(server_table_choose(&servers, 1000 + SERVER_SILENT_MS, &wish));
+    circuit_open(&server->circuit, 2000);
+    ck_assert_ptr_null(server_table_choose(&servers, 2001, &wish));
+}
+END_TEST
+
 START_TEST(a_server_under_way_outlives_the_list)
 {
     ServerRecord list[] = {record("a", false)};
     struct server_wish wish = {.service = "s", .zone = "z"};
     take_servers(list, 1);
     struct server *server = server_table_choose(&servers, 1, &wish);
-    server_begin(server);
+    server_begin(server, 1);
     take_servers(NULL, 0);
     ck_assert_ptr_null(server_table_choose(&servers, 1, &wish));
     ck_assert_str_eq(server->id, "a");
@@ -351,6 +368,7 @@
     tcase_add_test(placement, a_program_stays_at_its_home_until_it_is_busy);
     tcase_add_test(placement, loads_of_other_gateways_count);
     tcase_add_test(placement, reports_replace_each_other_and_fade);
+    tcase_add_test(placement, a_silent_server_is_passed_over);
     tcase_add_test(placement, a_server_under_way_outlives_the_list);
     suite_add_tcase(suite, placement);
     TCase *watches = tcase_create("watches");
