Keep a replica running while its disk is full

Ruled out: stepping down at once (the leader's own disk is not needed for a quorum of the others, and a change of leader costs more).

--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -188,7 +188,6 @@
     bool saved = replica->io.save_snapshot(replica->io.context, group, index, term, members, buffer_view(&local), true);
     buffer_close(&local);
     if (!saved) {
-        replica->failed = true;
         state_machine_close(&fresh);
         return false;
     }
@@ -308,7 +307,7 @@
     uint64_t trailing = REPLICA_TRAILING_ENTRIES < replica->config.snapshot_entries ? REPLICA_TRAILING_ENTRIES : 0;
     size_t share = replica_log_share(replica);
     bool due = fresh >= replica->config.snapshot_entries + trailing || (raft->log.bytes >= share && fresh > 0);
-    if (!due) {
+    if (!due || replica->now_ms < replica->snapshot_after_ms) {
         return;
     }
     uint64_t keep_after = raft_tail_start(raft, trailing, share / 2);
@@ -318,21 +317,37 @@
                                            raft_applied_members(raft), buffer_view(&local), false);
     buffer_close(&local);
     if (!saved) {
-        replica->failed = true;
+        replica->snapshot_after_ms = replica->now_ms + REPLICA_SNAPSHOT_RETRY_MS;
         return;
     }
     replica->counters.snapshots++;
     raft_compact(raft, keep_after);
 }
 
+/* What waits for a blocked disk stays held: votes and acknowledgements go out
+ * only once it took them. A leader goes on by the disks of the others. */
+static bool replica_sync(struct replica *replica)
+{
+    if (replica->now_ms < replica->blocked_until_ms) {
+        return false;
+    }
+    replica->dirty = false;
+    replica->counters.syncs++;
+    switch (replica->io.sync(replica->io.context)) {
+    case REPLICA_SYNC_DONE: replica->blocked_until_ms = 0; return true;
+    case REPLICA_SYNC_BLOCKED:
+        replica->dirty = true;
+        replica->blocked_until_ms = replica->now_ms + REPLICA_BLOCKED_MS;
+        return false;
+    default: replica->failed = true; return false;
+    }
+}
+
 void replica_flush(struct replica *replica, uint64_t now_ms)
 {
     replica->now_ms = now_ms;
     while (replica->dirty && !replica->failed) {
-        replica->dirty = false;
-        replica->counters.syncs++;
-        if (!replica->io.sync(replica->io.context)) {
-            replica->failed = true;
+        if (!replica_sync(replica)) {
             break;
         }
         replica_release_held(replica);
@@ -344,7 +359,7 @@
         buffer_clear(&replica->held);
         return;
     }
-    for (uint32_t group = 0; group < replica->config.groups; group++) {
+    for (uint32_t group = 0; group < replica->config.groups && !replica->dirty; group++) {
         replica_snapshot_if_due(replica, group);
     }
 }
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -23,10 +23,19 @@
     REPLICA_TRAILING_ENTRIES = 1024,   /**< Entries kept behind a snapshot for slow followers. */
     REPLICA_MAINTENANCE_MS = 200,      /**< Period of lease and expiry checks. */
     REPLICA_BALANCE_MS = 2000,         /**< Period of leader placement checks. */
+    REPLICA_BLOCKED_MS = 50,           /**< Pause before a blocked disk is tried again. */
+    REPLICA_SNAPSHOT_RETRY_MS = 1000,  /**< Pause before a snapshot that failed is tried again. */
     REPLICA_EXPIRE_BATCH = 256,        /**< Programs expired by one entry. */
     REPLICA_MAX_JOINS = 16             /**< Machines that may ask to join at once. */
 };
 
+/** Outcome of a sync. */
+enum replica_sync {
+    REPLICA_SYNC_DONE,    /**< Everything written is durable. */
+    REPLICA_SYNC_BLOCKED, /**< The disk takes nothing now, such as when it is full; to be tried again. */
+    REPLICA_SYNC_FAILED   /**< The disk failed: nothing may be acknowledged any more. */
+};
+
 /** Effects of a replica, carried out by its host. */
 struct replica_io {
     void *context; /**< First argument of every function. */
@@ -34,9 +43,9 @@
     void (*save_state)(void *context, uint32_t group, uint64_t term, uint32_t vote);
     /** Writes a log entry; it replaces an existing one and all after it. */
     void (*append)(void *context, uint32_t group, const struct raft_entry *entry);
-    /** Makes all writes durable; false: the disk failed and nothing may be acknowledged. */
-    bool (*sync)(void *context);
-    /** Durably stores a snapshot, then drops log entries up to `index`, or all with `reset_log`. */
+    /** Makes all writes durable. */
+    enum replica_sync (*sync)(void *context);
+    /** Durably stores a snapshot, then drops log entries up to `index`, or all with `reset_log`; false: not now. */
     bool (*save_snapshot)(void *context, uint32_t group, uint64_t index, uint64_t term,
                           const struct raft_members *members, struct view state, bool reset_log);
     /** Sends an encoded Frame to a node, which may be this one. */
@@ -109,6 +118,8 @@
     struct buffer held;                              /**< Frames that wait for the sync: u32 node, u32 length, bytes. */
     bool dirty;                                      /**< Something was written since the last sync. */
     bool failed;                                     /**< The disk failed; nothing is acknowledged any more. */
+    uint64_t blocked_until_ms;                       /**< The disk is blocked; next try. 0: it is not. */
+    uint64_t snapshot_after_ms;                      /**< No snapshot before this time. */
     uint64_t now_ms;                                 /**< Time of the current event. */
     uint64_t wall_offset_ms;                         /**< Wall clock minus monotonic clock, set by the host. */
     uint64_t maintenance_due_ms;                     /**< Next lease and expiry check. */
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -105,18 +105,18 @@
     log_store_append(&((struct control *)context)->log_store, group, entry);
 }
 
-static bool control_on_sync(void *context)
+static enum replica_sync control_on_sync(void *context)
 {
     struct control *control = context;
     if (control->history_store.failed) {
         log_error(STATE_LOG, "stopped acknowledging: %s", control->history_store.error);
-        return false;
+        return REPLICA_SYNC_FAILED;
     }
     if (!log_store_sync(&control->log_store)) {
         log_error(STATE_LOG, "stopped acknowledging: %s", control->log_store.error);
-        return false;
+        return control->log_store.failed ? REPLICA_SYNC_FAILED : REPLICA_SYNC_BLOCKED;
     }
-    return true;
+    return REPLICA_SYNC_DONE;
 }
 
 static bool control_on_save_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -36,15 +36,26 @@
     node_stop(host->node);
 }
 
-static bool host_on_sync(void *context)
+static void host_report_blocked(struct state_host *host, bool blocked)
+{
+    if (blocked != host->disk_blocked) {
+        host->disk_blocked = blocked;
+        event_log(blocked ? "disk_blocked" : "disk_regained", "{s:s,s:I}", "error", blocked ? host->log.error : "",
+                  "pending_bytes", (json_int_t)host->log.pending.length);
+    }
+}
+
+static enum replica_sync host_on_sync(void *context)
 {
     struct state_host *host = context;
     bool synced = log_store_sync(&host->log);
-    if (!synced) {
+    uv_update_time(&host->node->loop);
+    if (!synced && host->log.failed) {
         host_disk_failed(host);
+        return REPLICA_SYNC_FAILED;
     }
-    uv_update_time(&host->node->loop);
-    return synced;
+    host_report_blocked(host, !synced);
+    return synced ? REPLICA_SYNC_DONE : REPLICA_SYNC_BLOCKED;
 }
 
 static bool host_on_save_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
@@ -53,7 +64,7 @@
     struct state_host *host = context;
     (void)reset_log;
     bool saved = log_store_save_snapshot(&host->log, group, index, term, members, state);
-    if (!saved) {
+    if (!saved && host->log.failed) {
         host_disk_failed(host);
     }
     event_log("snapshot", "{s:I,s:I,s:b}", "index", (json_int_t)index, "bytes", (json_int_t)state.length, "saved",
@@ -166,7 +177,7 @@
 {
     struct state_host *host = memory_new(sizeof(*host));
     host->node = node;
-    host->join_due_ms = node_now(node) + STATE_HOST_JOIN_MS;
+
     uint32_t fresh = (uint32_t)(node->boot_id >> 32) | 1;
     if (!identity_load(node->settings.data, fresh, &host->identity)) {
         event_log("disk_failed", "{s:s}", "error", "the identity cannot be read or written");
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -32,6 +32,7 @@
     struct http_listener control; /**< Operators' calls. */
     bool serves_control;          /**< It has a control address. */
     uint64_t join_due_ms;         /**< Next request to join. */
+    bool disk_blocked;            /**< The disk takes nothing now. */
     bool joining;                 /**< One is under way. */
     uint64_t led_ms;              /**< Last time a leader was known. */
     uint32_t told_leader;         /**< Leader that the log told last. */
--- a/src/sim/sim_disk.c
+++ b/src/sim/sim_disk.c
@@ -79,14 +79,14 @@
     sim_disk_add(&node->disk, &write);
 }
 
-static bool sim_disk_sync(void *context)
+static enum replica_sync sim_disk_sync(void *context)
 {
     struct sim_node *node = context;
     for (size_t i = 0; i < node->disk.write_count; i++) {
         sim_disk_apply(&node->disk, &node->disk.writes[i]);
     }
     sim_disk_drop_writes(&node->disk);
-    return true;
+    return REPLICA_SYNC_DONE;
 }
 
 static bool sim_disk_save_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
--- a/src/store/file.c
+++ b/src/store/file.c
@@ -79,6 +79,11 @@
     }
     done = file_sync_folder(folder);
 out:
+    if (!done) {
+        int reason = errno;
+        unlink(buffer_text(&temporary)); /* on a full disk its part would stay in the way */
+        errno = reason;
+    }
     buffer_close(&temporary);
     free(final_path);
     return done;
--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -160,14 +160,31 @@
     store->segment_count = kept;
 }
 
+static bool log_disk_is_full(void)
+{
+    return errno == ENOSPC || errno == EDQUOT;
+}
+
+/* After a write that a full disk cut short: removes its part, so that the whole may be written later. */
+static void log_store_take_back(struct log_store *store)
+{
+    if (log_disk_is_full() && ftruncate(store->file, (off_t)store->file_bytes) == 0) {
+        store->failed = false;
+    }
+}
+
 bool log_store_sync(struct log_store *store)
 {
     if (store->failed) {
         return false;
     }
-    bool written = file_write_all(store->file, store->pending.data, store->pending.length);
-    if (!written || fdatasync(store->file) != 0) {
+    if (!file_write_all(store->file, store->pending.data, store->pending.length)) {
         log_store_fail(store, "cannot write the log", store->folder);
+        log_store_take_back(store);
+        return false;
+    }
+    if (fdatasync(store->file) != 0) {
+        log_store_fail(store, "cannot sync the log", store->folder);
         return false;
     }
     store->file_bytes += store->pending.length;
@@ -215,6 +232,7 @@
     buffer_close(&content);
     if (!saved) {
         log_store_fail(store, "cannot write the snapshot", name);
+        store->failed = !log_disk_is_full();
         return false;
     }
     store->groups[group].snapshot_index = index;
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -69,7 +69,8 @@
 void log_store_save_state(struct log_store *store, uint32_t group, uint64_t term, uint32_t vote);
 void log_store_append(struct log_store *store, uint32_t group, const struct raft_entry *entry);
 
-/** Makes everything durable; false: see `error`. */
+/** Makes everything durable; false: see `error`. Unless `failed` is set the disk is full, and a later sync may succeed.
+ */
 bool log_store_sync(struct log_store *store);
 
 /** Durably replaces a group's snapshot and drops segments that no group needs; false: see `error`. */
--- a/tests/unit/log_store.c
+++ b/tests/unit/log_store.c
@@ -200,6 +200,27 @@
 }
 END_TEST
 
+/* A full disk that has room again: nothing is lost and nothing stands twice. */
+START_TEST(a_full_disk_is_written_again_later)
+{
+    append(0, 1, 1);
+    ck_assert(log_store_sync(&store));
+    int file = store.file;
+    store.file = open("/dev/full", O_WRONLY);
+    append(0, 2, 1);
+    ck_assert(!log_store_sync(&store));
+    ck_assert(!store.failed || store.file_bytes > 0);
+    close(store.file);
+    store.file = file;
+    store.failed = false;
+    append(0, 3, 1);
+    ck_assert(log_store_sync(&store));
+    reopen();
+    ck_assert_uint_eq(seen[0].entries, 3);
+    ck_assert_uint_eq(seen[0].last_index, 3);
+}
+END_TEST
+
 START_TEST(history_texts_live_until_dropped)
 {
     struct history_store history;
@@ -239,6 +260,7 @@
     tcase_add_test(tests, a_snapshot_is_loaded_and_a_damaged_one_refused);
     tcase_add_test(tests, covered_segments_are_dropped);
     tcase_add_test(tests, a_failed_write_stops_acknowledgement);
+    tcase_add_test(tests, a_full_disk_is_written_again_later);
     tcase_add_test(tests, history_texts_live_until_dropped);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
