Drive site daemons against a stand-in of the platform; use an open server when none is sound

tests/integration/test_site.c starts three state replicas and two gateways as real processes on loopback addresses before a machine list and servers that refuse, cut, cross, forge, fall silent and leave (41 checks): answers unchanged, nothing run twice, cancels, framing table on this front, conversations and budgets over gateways, configuration, lost disks one after another, everything killed at once, a planned stop, a log reader that stopped. Found by it: with all servers of a service ejected for failures, everything was refused although they were up; now an open one is used (routing test where_none_is_sound_any_open_one_serves). Tried and dropped: engine priority by what is left of a program's time.

--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -67,11 +67,17 @@
     server_forget_unlisted(table);
 }
 
-static bool server_is_usable(const struct server *server, uint64_t now_ms)
+/* May get requests at all. */
+static bool server_is_open(const struct server *server, uint64_t now_ms)
+{
+    return server->listed && !server->draining && !server->misplaced && now_ms >= server->full_until_ms;
+}
+
+/* Its own traffic shows nothing wrong with it. */
+static bool server_is_sound(const struct server *server, uint64_t now_ms)
 {
     bool silent = server->calls > 0 && now_ms >= server->heard_ms + SERVER_SILENT_MS;
-    return !silent && server->listed && !server->draining && !server->misplaced && now_ms >= server->full_until_ms &&
-           circuit_allows(&server->circuit, now_ms);
+    return !silent && circuit_allows(&server->circuit, now_ms);
 }
 
 static bool server_was_tried(const struct server *server, const struct server_wish *wish)
@@ -87,7 +93,7 @@
 bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service)
 {
     for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        if (text_equal(server->service, service) && server_is_usable(server, now_ms)) {
+        if (text_equal(server->service, service) && server_is_open(server, now_ms)) {
             return true;
         }
     }
@@ -122,20 +128,27 @@
     return (((uint64_t)server_calls(table, server, now_ms) << 16) / server_slots(server)) * 4 + cold + remote;
 }
 
-static bool server_fits(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
+/* Where no server is sound, any open one is better than none. */
+static bool server_may_do(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
 {
-    return text_equal(server->service, wish->service) && server_is_usable(server, now_ms) &&
+    return text_equal(server->service, wish->service) && server_is_open(server, now_ms) &&
            !server_was_tried(server, wish);
 }
 
-static struct server *server_idlest(struct server_table *table, uint64_t now_ms, const struct server_wish *wish)
+static bool server_fits(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
+{
+    return server_is_sound(server, now_ms) && server_may_do(server, wish, now_ms);
+}
+
+static struct server *server_idlest(struct server_table *table, uint64_t now_ms, const struct server_wish *wish,
+                                    bool (*fits)(const struct server *, const struct server_wish *, uint64_t))
 {
     struct server *idlest = NULL;
     uint64_t least = 0;
     uint64_t least_order = 0;
     table->rotation++;
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        if (!server_fits(server, wish, now_ms)) {
+        if (!fits(server, wish, now_ms)) {
             continue;
         }
         uint64_t load = server_load(table, server, wish, now_ms);
@@ -161,7 +174,10 @@
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish)
 {
     struct server *home = NULL;
-    struct server *idlest = server_idlest(table, now_ms, wish);
+    struct server *idlest = server_idlest(table, now_ms, wish, server_fits);
+    if (idlest == NULL) {
+        return server_idlest(table, now_ms, wish, server_may_do);
+    }
     HASH_FIND_STR(table->servers, text_or_empty(wish->home), home);
     bool stays = home != NULL && server_fits(home, wish, now_ms) && !server_should_leave(table, home, idlest, now_ms);
     return stays ? home : idlest;
--- /dev/null
+++ b/tests/integration/site.h
@@ -0,0 +1,110 @@
+/**
+ * @file site.h
+ * A stand-in of the platform in the test's own process, and real site daemons
+ * before it: machine list and servers (threads on loopback addresses, with the
+ * failures that the platform's pages name), state replicas and gateways.
+ */
+#ifndef BANKBANK_TESTS_SITE_H
+#define BANKBANK_TESTS_SITE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+#include "base/buffer.h"
+
+enum { SITE_STATES = 3, SITE_GATEWAYS = 2, SITE_SERVERS = 4, SITE_LIMIT_MS = 20000 };
+
+/** How a server answers. */
+enum site_mode {
+    SITE_NORMAL,      /**< Whole and signed. */
+    SITE_REFUSE,      /**< 503, not run. */
+    SITE_MISDIRECTED, /**< 421: another incarnation has the address. */
+    SITE_CUT,         /**< Runs, then closes without an answer. */
+    SITE_CUT_MIDWAY,  /**< Runs, and closes in the middle of the answer. */
+    SITE_CROSSED,     /**< Answers with another request's id. */
+    SITE_UNSIGNED,    /**< A success without its signature. */
+    SITE_ENCODED,     /**< An answer with a content encoding. */
+    SITE_EXTRA,       /**< A whole answer, and bytes behind it. */
+    SITE_SILENT,      /**< Runs and says nothing. */
+    SITE_SLOW         /**< Runs for a second, then answers. */
+};
+
+/** An answer to a caller. */
+struct site_answer {
+    int status;         /**< Status, 0: none. */
+    bool whole;         /**< It ended as its framing told. */
+    struct buffer head; /**< Status line and headers. */
+    struct buffer body; /**< Decoded body. */
+};
+
+/** Starts stand-ins and daemons, and puts the first configuration. */
+void site_start(void);
+
+/** Ends all; fails if a daemon does not stop cleanly. */
+void site_stop(void);
+
+/** Starts and ends a daemon: states first, then gateways. */
+void site_start_daemon(int daemon);
+int site_end_daemon(int daemon, int signal_number);
+
+/** Process id of a daemon. */
+pid_t site_process(int daemon);
+
+/** Removes a stopped state replica's data. */
+void site_lose_disk(int state);
+
+/** Sets how servers answer; -1: all of them. Forgets what they ran. */
+void site_set_mode(int server, enum site_mode mode);
+
+/** Shows a server as leaving on the list, or as ready. */
+void site_set_draining(int server, bool draining);
+
+/** Number of requests that a server ran; -1: all servers. */
+int site_runs(int server);
+
+/** Body of the last request that any server ran; owned by the caller. */
+char *site_last_body(void);
+
+/** Connections that clients closed while a server was at work. */
+int site_cancelled(void);
+
+/** Address of a gateway's callers, and of a state replica's operators. */
+const char *site_caller_ip(int gateway);
+const char *site_control_ip(int state);
+
+/** Sends a request with an id of its own and header lines (each with CRLF, or ""). */
+void site_call(int gateway, const char *method, const char *path, const char *lines, const char *body,
+               struct site_answer *answer);
+
+/** The same with an id; NULL: a fresh one. */
+void site_call_as(int gateway, const char *id, const char *method, const char *path, const char *lines,
+                  const char *body, struct site_answer *answer);
+
+void site_answer_close(struct site_answer *answer);
+
+/** Sends an operator's call to a state replica; returns the status. */
+int site_order(int state, const char *method, const char *path, const char *body, struct buffer *reply);
+
+/** A configuration of the given version; `extra` is put into the first route. The caller frees it. */
+char *site_configuration(int version, const char *extra);
+
+/** Opens a connection. */
+int site_connect(const char *ip, int port);
+
+/** Ports, the same on all machines. */
+extern int site_caller_port;
+extern int site_control_port;
+extern int site_ready_port;
+extern int site_metrics_port;
+
+/** Repeats until `reached` is true; fails after SITE_LIMIT_MS. */
+void site_wait(bool (*reached)(void *context), void *context, const char *what);
+
+/** Value of a metric of a daemon; -1: none. */
+double site_metric(int daemon, const char *name);
+
+/** Folder of the programs under test. */
+extern const char *site_build;
+
+#endif
