--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -385,8 +385,8 @@
 /* A gateway whose standard output nobody reads goes on serving. */
 START_TEST(a_stopped_log_reader_blocks_nothing)
 {
-    char settings[160];
-    char program[256];
+    char settings[512];
+    char program[512];
     char link[64];
     int pipes[2];
     ssize_t length = 0;
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -174,7 +174,7 @@
     }
     ck_assert_ptr_ne(server_table_choose(&servers, 1, &wish), home);
     /* Where all are as busy, it stays. */
-    for (int i = 0; i < 2 * 6; i++) {
+    for (int i = 0; i < 2 * (6 + SERVER_HOME_QUEUE - SERVER_LEAVE_CALLS + 1); i++) {
         wish.home = NULL;
         server_begin(server_table_choose(&servers, 1, &wish), 1);
     }
