--- a/src/core/ledger.c
+++ b/src/core/ledger.c
@@ -27,6 +27,9 @@
 char *ledger_reason_keep(const char *reason)
 {
     const char *known = ledger_known_reason(reason);
+    if (text_or_empty(reason)[0] == '\0') {
+        return NULL;
+    }
     return known != NULL ? (char *)(uintptr_t)known : text_copy(reason);
 }
 
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -476,6 +476,21 @@
     }
 }
 
+void http_listener_close(struct http_listener *listener)
+{
+    if (listener->loop == NULL) {
+        return;
+    }
+    if (listener->listening) {
+        listener->listening = false;
+        uv_close((uv_handle_t *)&listener->socket, NULL);
+    }
+    while (listener->connections != NULL) {
+        http_connection_lost(listener->connections);
+    }
+    uv_close((uv_handle_t *)&listener->sweep, NULL);
+}
+
 uint32_t http_listener_active(const struct http_listener *listener)
 {
     uint32_t active = 0;
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -78,6 +78,9 @@
 /** Stops accepting and closes connections that rest. */
 void http_listener_stop_accepting(struct http_listener *listener);
 
+/** Closes everything; requests under way end as if their clients had left. */
+void http_listener_close(struct http_listener *listener);
+
 /** From now on each answer closes its connection. */
 void http_listener_drain(struct http_listener *listener);
 
--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -517,5 +517,12 @@
     while (pool->all != NULL) {
         upstream_connection_close(pool->all);
     }
+    struct upstream_server *server;
+    struct upstream_server *next;
+    HASH_ITER(hh, pool->servers, server, next)
+    {
+        HASH_DEL(pool->servers, server);
+        free(server);
+    }
     uv_close((uv_handle_t *)&pool->sweep, NULL);
 }
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -51,10 +51,10 @@
 
 void front_close(struct front *front)
 {
+    http_listener_close(&front->callers);
     route_table_release(front->table);
     server_table_close(&front->servers);
     turn_store_close(&front->cache);
-    free(front);
 }
 
 /* ---- What is in force --------------------------------------------------------------- */
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -62,7 +62,7 @@
 /** Starts the gateway; NULL: it cannot listen. */
 struct front *front_open(struct node *node);
 
-/** Frees it. */
+/** Ends all requests and frees what it holds; the memory itself may go once the loop has closed its handles. */
 void front_close(struct front *front);
 
 /** Takes the configuration in node->state if it is newer. */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -617,6 +617,45 @@
     event_log("message", "{s:s,s:s,s:s}", "level", log_level_name(level), "part", part, "text", text);
 }
 
+static void node_close_handle(uv_handle_t *handle, void *context)
+{
+    (void)context;
+    if (!uv_is_closing(handle)) {
+        uv_close(handle, NULL);
+    }
+}
+
+/* Requests end first, then what they use; memory that holds handles goes last. */
+static void node_close(struct node *node)
+{
+    if (node->front != NULL) {
+        front_close(node->front);
+    }
+    http_listener_close(&node->ready);
+    http_listener_close(&node->metrics);
+    control_client_close(&node->client);
+    machine_reader_close(&node->machines);
+    if (node->upstreams.loop != NULL) {
+        upstream_close(&node->upstreams);
+    }
+    if (node->host != NULL) {
+        state_host_close(node->host);
+    }
+    links_close(&node->links);
+    watch_state_close(&node->state);
+    while (node->local_first != NULL) {
+        struct node_frame *next = node->local_first->next;
+        buffer_close(&node->local_first->data);
+        free(node->local_first);
+        node->local_first = next;
+    }
+    uv_walk(&node->loop, node_close_handle, NULL);
+    uv_run(&node->loop, UV_RUN_DEFAULT);
+    uv_loop_close(&node->loop);
+    free(node->front);
+    free(node->host);
+}
+
 static int node_serve(struct node *node)
 {
     enum log_level level = LOG_LEVEL_WARN;
@@ -625,6 +664,8 @@
     event_log_time(clock_monotonic_ms(), clock_wall_ms());
     log_redirect(level, node_log_line);
     uv_loop_init(&node->loop);
+    node->links.listener = -1;
+    node->links.epoll = -1;
     int status = EXIT_FAILURE;
     if (node_open(node)) {
         event_log("start", "{s:I,s:b,s:b,s:b}", "id", (json_int_t)node->id, "replica", node->host != NULL, "gateway",
@@ -634,12 +675,7 @@
         event_log("stop", "{s:b}", "asked", node->draining);
         status = node->draining ? EXIT_SUCCESS : EXIT_FAILURE;
     }
-    if (node->front != NULL) {
-        front_close(node->front);
-    }
-    if (node->host != NULL) {
-        state_host_close(node->host);
-    }
+    node_close(node);
     event_log_close();
     return status;
 }
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -229,12 +229,14 @@
 
 void state_host_close(struct state_host *host)
 {
+    if (host->serves_control) {
+        http_listener_close(&host->control);
+    }
     load_table_close(&host->loads);
     if (host->running) {
         replica_close(&host->replica);
         log_store_close(&host->log);
     }
-    free(host);
 }
 
 /* ---- Coming to belong to a group -------------------------------------------------------------- */
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -46,7 +46,7 @@
 /** Opens what needs the node's links: operators' calls. */
 bool state_host_listen(struct state_host *host);
 
-/** Frees it. */
+/** Frees what it holds; the memory itself may go once the loop has closed its handles. */
 void state_host_close(struct state_host *host);
 
 /** Handles a frame that is for the replica. */
