--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -66,6 +66,9 @@
 /** Sends JSON to a URL and reads JSON; NULL, with the error on stderr. */
 json_t *ctl_post_json(const char *url, const json_t *body);
 
+/** Runs "explain ID LOGFILE...": what became of a request, by the daemons' structured logs. */
+int ctl_explain(int count, char **arguments);
+
 /** Runs "handover ..." and returns the exit status. */
 int ctl_handover(const struct ctl_options *options, int count, char **arguments);
 
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -21,6 +21,7 @@
                                    "  delete KIND NAME\n"
                                    "  wait REVISION\n"
                                    "  replica add|remove NODE\n"
+                                   "  explain ID LOGFILE...\n"
                                    "  handover run|prepare|commit|abort PROGRAM...\n"
                                    "KIND is service, pool, policy or tenant. Lists repeat their field:\n"
                                    "  engine=NAME,URL[,ZONE[,WEIGHT[,draining]]]\n"
@@ -307,6 +308,9 @@
     if (strcmp(words[0], "handover") == 0) {
         return ctl_handover(options, count - 1, words + 1);
     }
+    if (count > 0 && strcmp(words[0], "explain") == 0) {
+        return ctl_explain(count - 1, words + 1);
+    }
     return ctl_resource_command(options, count, words);
 }
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -74,13 +74,15 @@
     const struct forward_stream *stream = &forward->stream;
     uint64_t begun_ms = forward->call->received_ms;
     uint64_t first_ms = stream->first_event_ms > begun_ms ? stream->first_event_ms - begun_ms : 0;
-    event_log("request", "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:s}", "id", text_or_empty(forward->id),
-              "route", forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome", forward->reason,
-              "status", forward->told_status, "server", text_or_empty(forward->last_server), "total_ms",
-              (json_int_t)(node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends", (int)forward->sends,
-              "runs", (int)forward->runs, "hedged", forward->hedged, "events", (json_int_t)stream->event_count,
-              "configuration", (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
-              (json_int_t)node->state.servers_number, "program", text_or_empty(forward->turn.program));
+    event_log("request", "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s}", "id",
+              text_or_empty(forward->id), "route", forward->route == NULL ? "" : text_or_empty(forward->route->name),
+              "outcome", forward->reason, "status", forward->told_status, "server", text_or_empty(forward->last_server),
+              "total_ms", (json_int_t)(node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends",
+              (int)forward->sends, "runs", (int)forward->runs, "hedged", forward->hedged, "events",
+              (json_int_t)stream->event_count, "configuration",
+              (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
+              (json_int_t)node->state.servers_number, "state_age_ms", (json_int_t)node_state_age(node), "program",
+              text_or_empty(forward->turn.program));
 }
 
 void forward_end_attempt(struct forward_attempt *attempt)
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -292,6 +292,11 @@
     return watch_client_is_fresh(&node->watch, node_now(node), NODE_FRESH_MS);
 }
 
+uint64_t node_state_age(const struct node *node)
+{
+    return node->host != NULL ? 0 : node_now(node) - node->watch.fresh_ms;
+}
+
 bool node_is_isolated(const struct node *node)
 {
     return node->host == NULL && node_now(node) >= node->heard_ms + NODE_ISOLATED_MS;
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -116,6 +116,9 @@
 /** Whether a state replica in touch with a quorum answered lately. */
 bool node_is_fresh(const struct node *node);
 
+/** Time since a replica in touch with a quorum was last asked and answered, ms; 0 where this node holds one. */
+uint64_t node_state_age(const struct node *node);
+
 /** Whether no state replica can be reached, not even one out of touch with the others. */
 bool node_is_isolated(const struct node *node);
 
