Do not take a newcomer's first moments for silence

Cause: a member that has not answered yet counts as last heard at time 0, silent for longer than a learner is kept. Now its request to join counts as heard. Test: replica_join a_newcomer_stays fails before (1 member instead of 2), 4 checks pass after.

--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -112,6 +112,18 @@
 
 /* ---- Members ---------------------------------------------------------------------- */
 
+/* A newcomer was heard when it asked, before it answers anything as a member. */
+static uint64_t replica_heard_ms(const struct replica *replica, const struct raft *raft, uint32_t position)
+{
+    uint64_t heard_ms = raft->progress[position].last_heard_ms;
+    for (size_t i = 0; i < REPLICA_MAX_JOINS; i++) {
+        const struct membership_join *join = &replica->joins[i];
+        bool later = join->node == raft->members.nodes[position] && join->asked_ms > heard_ms;
+        heard_ms = later ? join->asked_ms : heard_ms;
+    }
+    return heard_ms;
+}
+
 static void replica_describe_members(const struct replica *replica, const struct raft *raft,
                                      struct membership_view *views)
 {
@@ -119,7 +131,7 @@
     for (uint32_t i = 0; i < raft->members.count; i++) {
         const struct raft_member_place *place = &raft->members.places[i];
         bool self = raft->members.nodes[i] == replica->config.node;
-        uint64_t heard_ms = raft->progress[i].last_heard_ms;
+        uint64_t heard_ms = replica_heard_ms(replica, raft, i);
         memset(&views[i], 0, sizeof(views[i]));
         views[i].silent_ms = self || heard_ms >= replica->now_ms ? 0 : replica->now_ms - heard_ms;
         views[i].caught_up = self || raft_has_caught_up(raft, raft->members.nodes[i], replica->now_ms);
