Leave a replica without a group at once; come back to the own zone's replica

Now such a replica says that it is out of touch, a watch does not go back to the replica it just left, waits 200 ms for an answer, and returns to its own zone after 4 s; a replica asks itself only once it belongs to a group.

--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -43,24 +43,46 @@
     }
 }
 
-/* First a replica of the own zone, then the others in turn. */
-static uint32_t watch_choose(struct watch_client *client)
+static uint32_t watch_near(const struct watch_client *client)
 {
-    for (uint32_t i = 0; client->rotation == 0 && i < client->candidate_count; i++) {
+    for (uint32_t i = 0; i < client->candidate_count; i++) {
         if (client->candidates[i].same_zone) {
-            client->rotation = 1;
             return client->candidates[i].node;
         }
     }
+    return RAFT_NO_NODE;
+}
+
+/* A replica of the own zone, when it was not tried for a while, else the others in turn. */
+static uint32_t watch_choose(struct watch_client *client, uint64_t now_ms)
+{
+    uint32_t near = watch_near(client);
+    bool due = client->near_tried_ms == 0 || now_ms >= client->near_tried_ms + WATCH_NEAR_PERIOD_MS;
+    if (near != RAFT_NO_NODE && due) {
+        client->near_tried_ms = now_ms;
+        return near;
+    }
     if (client->candidate_count == 0) {
         return RAFT_NO_NODE;
     }
     client->rotation++;
+    if (client->candidates[client->rotation % client->candidate_count].node == client->left) {
+        client->rotation++;
+    }
     return client->candidates[client->rotation % client->candidate_count].node;
 }
 
+/* A watch that went to another zone comes back to the own one. */
+static bool watch_should_return(const struct watch_client *client, uint64_t now_ms)
+{
+    uint32_t near = watch_near(client);
+    return client->target != RAFT_NO_NODE && near != RAFT_NO_NODE && near != client->target && client->answered &&
+           now_ms >= client->near_tried_ms + WATCH_NEAR_PERIOD_MS;
+}
+
 static void watch_leave_target(struct watch_client *client, uint64_t now_ms)
 {
+    client->left = client->target;
     client->target = RAFT_NO_NODE;
     client->due_ms = now_ms + WATCH_RETRY_MS;
 }
@@ -74,8 +96,8 @@
     if (now_ms < client->due_ms) {
         return false;
     }
-    if (client->target == RAFT_NO_NODE) {
-        client->target = watch_choose(client);
+    if (client->target == RAFT_NO_NODE || watch_should_return(client, now_ms)) {
+        client->target = watch_choose(client, now_ms);
     }
     if (client->target == RAFT_NO_NODE) {
         return false;
--- a/src/core/watch.h
+++ b/src/core/watch.h
@@ -16,11 +16,12 @@
 #include "core/raft.h"
 
 enum {
-    WATCH_PERIOD_MS = 500,   /**< Period of watches. */
-    WATCH_ANSWER_MS = 300,   /**< Time without an answer before another replica is tried. */
-    WATCH_RETRY_MS = 50,     /**< Pause before another replica is tried. */
-    WATCH_VALID_MS = 1500,   /**< Time changes are told after a watch. */
-    WATCH_MAX_WATCHERS = 512 /**< Daemons that watch one replica. */
+    WATCH_PERIOD_MS = 500,       /**< Period of watches. */
+    WATCH_NEAR_PERIOD_MS = 4000, /**< Pause before a replica of the own zone is tried again. */
+    WATCH_ANSWER_MS = 200,       /**< Time without an answer before another replica is tried. */
+    WATCH_RETRY_MS = 50,         /**< Pause before another replica is tried. */
+    WATCH_VALID_MS = 1500,       /**< Time changes are told after a watch. */
+    WATCH_MAX_WATCHERS = 512     /**< Daemons that watch one replica. */
 };
 
 /** Everything that is watched, with the versions that order it. */
@@ -58,6 +59,8 @@
     struct watch_candidate candidates[RAFT_MAX_MEMBERS]; /**< Replicas connected now. */
     uint32_t candidate_count;                            /**< Number of those. */
     uint32_t target;                                     /**< Watched replica, or RAFT_NO_NODE. */
+    uint32_t left;                                       /**< Replica that was left last. */
+    uint64_t near_tried_ms;                              /**< Time a replica of the own zone was chosen last. */
     uint32_t rotation;                                   /**< Next one to try. */
     uint64_t sequence;                                   /**< Number of the last watch. */
     uint64_t sent_ms;                                    /**< Its time. */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -248,7 +248,7 @@
     }
     if (node->host == NULL) {
         watch_client_set_candidates(&node->watch, candidates, count);
-    } else {
+    } else if (node->host->running) {
         nodes[count++] = node->id;
     }
     control_client_set_replicas(&node->client, nodes, count);
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -168,6 +168,7 @@
     host->running = true;
     host->led_ms = node_now(host->node);
     replica_start(&host->replica, node_now(host->node));
+    node_peers_changed(host->node);
     event_log("replica_started", "{s:I,s:I,s:I,s:I}", "id", (json_int_t)host->identity.node, "term",
               (json_int_t)raft->term, "last_index", (json_int_t)raft_last_index(raft), "members",
               (json_int_t)raft->members.count);
@@ -414,7 +415,13 @@
     struct watch_entry *entry = watch_server_note(&host->watchers, node_now(host->node), from, watch);
     if (entry != NULL && host->running) {
         host_tell_watcher(host, entry, watch->sequence);
+        return;
     }
+    /* A replica that belongs to no group yet says so at once. */
+    Frame frame = {0};
+    frame.which_payload = Frame_watch_update_tag;
+    frame.payload.watch_update.sequence = watch->sequence;
+    node_send_frame(host->node, from, &frame);
 }
 
 /* Adds a gateway's load, and tells it those of the others. */
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -314,6 +314,26 @@
 }
 END_TEST
 
+/* A watch that had to leave its zone returns, though not at once. */
+START_TEST(the_own_zone_is_watched_again)
+{
+    static const struct watch_candidate far[] = {{1, false}};
+    static const struct watch_candidate both[] = {{1, false}, {2, true}};
+    Watch watch;
+    watch_client_set_candidates(&client, far, 1);
+    ck_assert(watch_client_tick(&client, 1000, &state, &watch));
+    ck_assert_uint_eq(client.target, 1);
+    WatchUpdate update = {.sequence = watch.sequence, .fresh = true};
+    watch_client_receive(&client, 1001, 1, &update, &state);
+    watch_client_set_candidates(&client, both, 2);
+    uint64_t later_ms = 1000 + WATCH_NEAR_PERIOD_MS;
+    ck_assert(watch_client_tick(&client, later_ms, &state, &watch));
+    ck_assert_uint_eq(client.target, 2);
+    ck_assert(watch_client_tick(&client, later_ms + WATCH_ANSWER_MS + WATCH_RETRY_MS, &state, &watch) == false);
+    ck_assert(watch_client_tick(&client, later_ms + 2 * WATCH_ANSWER_MS + WATCH_RETRY_MS, &state, &watch));
+}
+END_TEST
+
 START_TEST(a_replica_out_of_touch_is_left)
 {
     Watch watch;
@@ -390,6 +410,7 @@
     TCase *watches = tcase_create("watches");
     tcase_add_checked_fixture(watches, watch_setup, watch_teardown);
     tcase_add_test(watches, the_own_zone_is_watched_first_and_left_when_silent);
+    tcase_add_test(watches, the_own_zone_is_watched_again);
     tcase_add_test(watches, a_replica_out_of_touch_is_left);
     tcase_add_test(watches, a_watcher_never_goes_back);
     tcase_add_test(watches, a_watcher_is_told_what_it_lacks_once);
