--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -1,4 +1,4 @@
-/* The daemon: event loop, links, requests to the leader, the watch, stopping. */
+/* The daemon: event loop, settings, readiness, start and stop. */
 #include "proxy/node.h"
 
 #include <signal.h>
@@ -11,10 +11,9 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/log.h"
-#include "base/message.h"
 #include "proxy/front.h"
+#include "proxy/node_internal.h"
 #include "proxy/node_metrics.h"
-#include "proxy/peer_loop.h"
 #include "proxy/state_host.h"
 
 enum {
@@ -29,313 +28,11 @@
     NODE_NOT_READY = 503
 };
 
-static const char NODE_CLUSTER[] = "site";
-
 uint64_t node_now(const struct node *node)
 {
     return uv_now(&node->loop);
 }
 
-/* ---- Frames ------------------------------------------------------------------------ */
-
-static void node_queue_local(struct node *node, struct view frame)
-{
-    struct node_frame *local = memory_new(sizeof(*local));
-    buffer_append(&local->data, frame.data, frame.length);
-    if (node->local_last == NULL) {
-        node->local_first = local;
-    } else {
-        node->local_last->next = local;
-    }
-    node->local_last = local;
-}
-
-bool node_send(struct node *node, uint32_t to, struct view frame)
-{
-    if (to == node->id) {
-        node_queue_local(node, frame);
-        return true;
-    }
-    return links_send(&node->links, to, frame);
-}
-
-bool node_send_frame(struct node *node, uint32_t to, const Frame *frame)
-{
-    struct buffer encoded = {0};
-    bool sent = message_encode(&encoded, Frame_fields, frame) && node_send(node, to, buffer_view(&encoded));
-    buffer_close(&encoded);
-    return sent;
-}
-
-static void node_dispatch(struct node *node, uint32_t from, const Frame *frame)
-{
-    switch (frame->which_payload) {
-    case Frame_reply_tag: control_client_receive(&node->client, node_now(node), from, frame); break;
-    case Frame_watch_update_tag: {
-        struct watch_changes changes =
-            watch_client_receive(&node->watch, node_now(node), from, &frame->payload.watch_update, &node->state);
-        node_state_changed(node, changes);
-        break;
-    }
-    case Frame_load_totals_tag:
-        if (node->front != NULL) {
-            server_table_take_loads(&node->front->servers, node_now(node), &frame->payload.load_totals);
-        }
-        break;
-    default:
-        if (node->host != NULL) {
-            state_host_receive(node->host, from, frame);
-        }
-        break;
-    }
-}
-
-static void node_on_frame(void *context, uint32_t from, const Frame *frame)
-{
-    struct node *node = context;
-    node->heard_ms = node_now(node);
-    node_dispatch(node, from, frame);
-}
-
-static void node_handle_local(struct node *node)
-{
-    while (node->local_first != NULL) {
-        struct node_frame *local = node->local_first;
-        node->local_first = local->next;
-        if (node->local_first == NULL) {
-            node->local_last = NULL;
-        }
-        Frame frame = {0};
-        if (message_decode(buffer_view(&local->data), Frame_fields, &frame)) {
-            node_dispatch(node, node->id, &frame);
-            message_free(Frame_fields, &frame);
-        }
-        buffer_close(&local->data);
-        free(local);
-    }
-}
-
-/* ---- Requests to the leader ------------------------------------------------------------ */
-
-static void node_on_complete(void *context, void *token, ResultCode code, struct view body)
-{
-    struct node_request *request = token;
-    (void)context;
-    if (request->reply != NULL) {
-        request->reply(request->context, code, body);
-    }
-    free(request);
-}
-
-static bool node_client_send(void *context, uint32_t to, struct view frame)
-{
-    return node_send(context, to, frame);
-}
-
-static struct node_request *node_request_new(node_reply reply, void *context)
-{
-    struct node_request *request = memory_new(sizeof(*request));
-    request->reply = reply;
-    request->context = context;
-    return request;
-}
-
-struct node_request *node_submit(struct node *node, RequestKind kind, struct view body, uint64_t deadline_ms,
-                                 node_reply reply, void *context)
-{
-    struct node_request *request = node_request_new(reply, context);
-    control_client_submit(&node->client, node_now(node), STATE_CONFIG_GROUP, kind, body, deadline_ms, request);
-    return request;
-}
-
-struct node_request *node_propose(struct node *node, const Entry *entry, uint64_t deadline_ms, node_reply reply,
-                                  void *context)
-{
-    struct buffer body = {0};
-    message_encode(&body, Entry_fields, entry);
-    struct node_request *request = node_submit(node, REQUEST_PROPOSE, buffer_view(&body), deadline_ms, reply, context);
-    buffer_close(&body);
-    return request;
-}
-
-struct node_request *node_ask(struct node *node, uint32_t replica, RequestKind kind, struct view body,
-                              uint64_t deadline_ms, node_reply reply, void *context)
-{
-    struct node_request *request = node_request_new(reply, context);
-    control_client_ask(&node->client, node_now(node), replica, STATE_CONFIG_GROUP, kind, body, deadline_ms, request);
-    return request;
-}
-
-void node_forget(struct node *node, struct node_request *request)
-{
-    (void)node;
-    if (request != NULL) {
-        request->reply = NULL;
-    }
-}
-
-/* ---- Peers ------------------------------------------------------------------------------- */
-
-static void node_place(const struct node *node, struct raft_member_place *place)
-{
-    struct address own;
-    char text[64];
-    memset(place, 0, sizeof(*place));
-    snprintf(text, sizeof(text), "%s:%llu", node->settings.ip, (unsigned long long)node->settings.peer_port);
-    if (address_parse(text, &own)) {
-        place->ip = ntohl(own.socket.sin_addr.s_addr);
-        place->port = own.port;
-    }
-    snprintf(place->name, sizeof(place->name), "%s", node->settings.name);
-    snprintf(place->zone, sizeof(place->zone), "%s", text_or_empty(node->settings.zone));
-}
-
-static void node_address(uint32_t ip, uint16_t port, struct address *address)
-{
-    memset(address, 0, sizeof(*address));
-    address->socket.sin_family = AF_INET;
-    address->socket.sin_port = htons(port);
-    address->socket.sin_addr.s_addr = htonl(ip);
-    address->port = port;
-    snprintf(address->ip, sizeof(address->ip), "%u.%u.%u.%u", ip >> 24, (ip >> 16) & 255, (ip >> 8) & 255, ip & 255);
-}
-
-static uint32_t node_add_address(const struct node *node, struct address *addresses, uint32_t count,
-                                 const struct address *address)
-{
-    bool own = strcmp(address->ip, node->settings.ip) == 0 && address->port == node->settings.peer_port;
-    for (uint32_t i = 0; i < count; i++) {
-        own = own || (strcmp(addresses[i].ip, address->ip) == 0 && addresses[i].port == address->port);
-    }
-    if (own || count == RAFT_MAX_MEMBERS) {
-        return count;
-    }
-    addresses[count] = *address;
-    return count + 1;
-}
-
-void node_dial(struct node *node)
-{
-    struct address addresses[RAFT_MAX_MEMBERS];
-    struct address address;
-    uint32_t count = 0;
-    const struct raft_members *members = &node->state.members;
-    for (uint32_t i = 0; i < members->count; i++) {
-        if (members->places[i].ip != 0) {
-            node_address(members->places[i].ip, members->places[i].port, &address);
-            count = node_add_address(node, addresses, count, &address);
-        }
-    }
-    const struct node_seed *seeds = node->settings.seeds.items;
-    for (size_t i = 0; i < node->settings.seeds.count; i++) {
-        if (address_parse(seeds[i].address, &address)) {
-            node_address(ntohl(address.socket.sin_addr.s_addr), (uint16_t)node->settings.peer_port, &address);
-            count = node_add_address(node, addresses, count, &address);
-        }
-    }
-    links_dial_only(&node->links, addresses, count);
-}
-
-void node_peers_changed(struct node *node)
-{
-    uint32_t nodes[RAFT_MAX_MEMBERS + 1];
-    struct raft_member_place places[RAFT_MAX_MEMBERS + 1];
-    struct watch_candidate candidates[RAFT_MAX_MEMBERS];
-    uint32_t count = links_replicas(&node->links, nodes, places, RAFT_MAX_MEMBERS - 1);
-    for (uint32_t i = 0; i < count; i++) {
-        candidates[i].node = nodes[i];
-        candidates[i].same_zone = text_equal(places[i].zone, node->settings.zone);
-    }
-    if (node->host == NULL) {
-        watch_client_set_candidates(&node->watch, candidates, count);
-    } else if (node->host->running) {
-        nodes[count++] = node->id;
-    }
-    control_client_set_replicas(&node->client, nodes, count);
-}
-
-static void node_on_connected(void *context, uint32_t peer)
-{
-    struct node *node = context;
-    event_log("peer_connected", "{s:I}", "peer", (json_int_t)peer);
-    node_peers_changed(node);
-}
-
-static void node_on_disconnected(void *context, uint32_t peer)
-{
-    struct node *node = context;
-    event_log("peer_lost", "{s:I}", "peer", (json_int_t)peer);
-    node_peers_changed(node);
-    control_client_disconnected(&node->client, node_now(node), peer);
-}
-
-/* ---- What is known of the site -------------------------------------------------------------- */
-
-void node_state_changed(struct node *node, struct watch_changes changes)
-{
-    if (changes.members) {
-        node_dial(node);
-    }
-    if (node->front != NULL && changes.document) {
-        front_take_configuration(node->front);
-    }
-    if (node->front != NULL && changes.servers) {
-        front_take_servers(node->front);
-    }
-}
-
-bool node_is_fresh(const struct node *node)
-{
-    if (node->host != NULL && node->host->running) {
-        return replica_is_fresh(&node->host->replica, STATE_CONFIG_GROUP, node_now(node));
-    }
-    return watch_client_is_fresh(&node->watch, node_now(node), NODE_FRESH_MS);
-}
-
-uint64_t node_state_age(const struct node *node)
-{
-    return node->host != NULL ? 0 : node_now(node) - node->watch.fresh_ms;
-}
-
-bool node_is_isolated(const struct node *node)
-{
-    return node->host == NULL && node_now(node) >= node->heard_ms + NODE_ISOLATED_MS;
-}
-
-/* A replica watches its leader, for the list of servers; a gateway the nearest replica. */
-static void node_watch(struct node *node)
-{
-    if (node->host != NULL) {
-        struct watch_candidate leader = {.node = state_host_leader(node->host)};
-        bool other = leader.node != RAFT_NO_NODE && leader.node != node->id;
-        watch_client_set_candidates(&node->watch, &leader, other ? 1 : 0);
-    }
-    Frame frame = {0};
-    frame.which_payload = Frame_watch_tag;
-    if (watch_client_tick(&node->watch, node_now(node), &node->state, &frame.payload.watch)) {
-        node_send_frame(node, node->watch.target, &frame);
-    }
-}
-
-static void node_on_servers_read(void *context, struct view encoded)
-{
-    struct node *node = context;
-    if (node->host != NULL) {
-        state_host_take_servers(node->host, encoded);
-    } else if (node->front != NULL && !node_is_fresh(node)) {
-        front_take_own_servers(node->front, encoded);
-    }
-}
-
-/* The leader reads the list for all; a gateway that reaches no sound replica reads it itself. */
-static void node_read_machines(struct node *node)
-{
-    bool leads = node->host != NULL && state_host_leads(node->host);
-    bool alone = node->host == NULL && !node_is_fresh(node);
-    node->machines.period_ms = leads ? node->settings.list_period_ms : NODE_OWN_LIST_PERIOD_MS;
-    machine_reader_tick(&node->machines, node_now(node), leads || alone);
-}
-
 /* ---- Time ------------------------------------------------------------------------------------- */
 
 static void node_report_freshness(struct node *node)
@@ -349,19 +46,35 @@
     }
 }
 
+static bool node_seeds_differ(const struct yaml_list *a, const struct yaml_list *b)
+{
+    const struct node_seed *left = a->items;
+    const struct node_seed *right = b->items;
+    bool differ = a->count != b->count;
+    for (size_t i = 0; !differ && i < a->count; i++) {
+        differ = !text_equal(left[i].address, right[i].address);
+    }
+    return differ;
+}
+
 /* The settings may change with no signal; only the seeds are taken anew. */
-static void node_reload(struct node *node)
+static void node_reload(struct node *node, bool asked)
 {
     struct node_settings fresh;
     struct findings findings = {0};
     node_settings_load(&fresh, node->settings_path, &findings);
-    if (findings.count == 0) {
+    bool valid = findings.count == 0;
+    bool changed = valid && node_seeds_differ(&node->settings.seeds, &fresh.seeds);
+    if (changed) {
         struct yaml_list seeds = node->settings.seeds;
         node->settings.seeds = fresh.seeds;
         fresh.seeds = seeds;
         node_dial(node);
     }
-    event_log("reload", "{s:b,s:I}", "valid", findings.count == 0, "seeds", (json_int_t)node->settings.seeds.count);
+    if (asked || changed || !valid) {
+        event_log("reload", "{s:b,s:b,s:b,s:I}", "asked", asked, "valid", valid, "changed", changed, "seeds",
+                  (json_int_t)node->settings.seeds.count);
+    }
     findings_close(&findings);
     node_settings_close(&fresh);
 }
@@ -374,7 +87,7 @@
     bool due = !node_is_fresh(node) && node_now(node) >= node->settings_checked_ms + NODE_SETTINGS_CHECK_MS;
     if (due) {
         node->settings_checked_ms = node_now(node);
-        node_reload(node);
+        node_reload(node, false);
     }
 }
 
@@ -444,7 +157,7 @@
 static void node_on_reload(uv_signal_t *signal, int number)
 {
     (void)number;
-    node_reload(signal->data);
+    node_reload(signal->data, true);
 }
 
 void node_stop(struct node *node)
@@ -516,54 +229,6 @@
     return got == (ssize_t)sizeof(value) && value != 0 ? value : clock_monotonic_us() | 1;
 }
 
-static bool node_open_links(struct node *node)
-{
-    struct links_config config = {
-        .cluster = NODE_CLUSTER,
-        .zone = text_or_empty(node->settings.zone),
-        .node = node->id,
-        .boot_id = node->boot_id,
-        .listens = node->host != NULL,
-        .replica = node->host != NULL,
-    };
-    struct links_handler handler = {
-        .context = node,
-        .frame = node_on_frame,
-        .disconnected = node_on_disconnected,
-        .connected = node_on_connected,
-    };
-    node->watcher = peer_loop_watcher(&node->loop);
-    node_place(node, &config.place);
-    node_address(config.place.ip, config.place.port, &config.listen);
-    config.watcher = &node->watcher;
-    if (!links_init(&node->links, &config, &handler)) {
-        event_log("listen_failed", "{s:s}", "error", node->links.error);
-        return false;
-    }
-    return true;
-}
-
-static void node_open_client(struct node *node)
-{
-    struct control_client_config config = {
-        .node = node->id,
-        .boot_id = node->boot_id,
-        .groups = 1,
-        .requests_only = true,
-    };
-    struct control_client_io io = {
-        .context = node,
-        .send = node_client_send,
-        .complete = node_on_complete,
-    };
-    control_client_init(&node->client, &config, &io);
-    node->machines.pool = &node->upstreams;
-    node->machines.dialect = node->dialect;
-    node->machines.context = node;
-    node->machines.done = node_on_servers_read;
-    address_parse(node->settings.machine_list, &node->machines.address);
-}
-
 static void node_open_timers(struct node *node)
 {
     uv_timer_init(&node->loop, &node->tick);
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -1,5 +1,5 @@
-/* Hosts a state replica: disk, formation, joining, watches. */
-#include "proxy/state_host.h"
+/* Hosts a state replica: lifecycle, roles, watches, loads. */
+#include "proxy/state_host_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -8,171 +8,7 @@
 #include "base/message.h"
 #include "proxy/node_metrics.h"
 
-enum {
-    STATE_HOST_SNAPSHOT_ENTRIES = 16384,
-    STATE_HOST_SNAPSHOT_SPREAD = 4096, /* replicas take their snapshots apart from each other */
-    STATE_HOST_CONTROL_HEAD = 16 << 10,
-    STATE_HOST_CONTROL_BODY = 8 << 20,
-    STATE_HOST_CONTROL_MS = 30000
-};
-
-/* ---- The replica's effects --------------------------------------------------------------- */
-
-static void host_on_save_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
-{
-    log_store_save_state(&((struct state_host *)context)->log, group, term, vote);
-}
-
-static void host_on_append(void *context, uint32_t group, const struct raft_entry *entry)
-{
-    log_store_append(&((struct state_host *)context)->log, group, entry);
-}
-
-/* A disk that fails ends the process: it starts again from what is synced. */
-static void host_disk_failed(struct state_host *host)
-{
-    event_log("disk_failed", "{s:s}", "error", host->log.error);
-    event_log_flush();
-    node_stop(host->node);
-}
-
-static void host_report_blocked(struct state_host *host, bool blocked)
-{
-    if (blocked != host->disk_blocked) {
-        host->disk_blocked = blocked;
-        event_log(blocked ? "disk_blocked" : "disk_regained", "{s:s,s:I}", "error", blocked ? host->log.error : "",
-                  "pending_bytes", (json_int_t)host->log.pending.length);
-    }
-}
-
-static enum replica_sync host_on_sync(void *context)
-{
-    struct state_host *host = context;
-    bool synced = log_store_sync(&host->log);
-    uv_update_time(&host->node->loop);
-    if (!synced && host->log.failed) {
-        host_disk_failed(host);
-        return REPLICA_SYNC_FAILED;
-    }
-    host_report_blocked(host, !synced);
-    return synced ? REPLICA_SYNC_DONE : REPLICA_SYNC_BLOCKED;
-}
-
-static bool host_on_save_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                                  const struct raft_members *members, struct view state, bool reset_log)
-{
-    struct state_host *host = context;
-    (void)reset_log;
-    bool saved = log_store_save_snapshot(&host->log, group, index, term, members, state);
-    if (!saved && host->log.failed) {
-        host_disk_failed(host);
-    }
-    event_log("snapshot", "{s:I,s:I,s:b}", "index", (json_int_t)index, "bytes", (json_int_t)state.length, "saved",
-              saved);
-    uv_update_time(&host->node->loop);
-    return saved;
-}
-
-static void host_on_send(void *context, uint32_t to, struct view frame)
-{
-    node_send(((struct state_host *)context)->node, to, frame);
-}
-
-/* Texts of the product's own programs have no place here. */
-static void host_history_append(void *context, struct view text, struct history_ref *ref)
-{
-    (void)context;
-    (void)text;
-    memset(ref, 0, sizeof(*ref));
-}
-
-static bool host_history_read(void *context, const struct history_ref *ref, struct buffer *out)
-{
-    (void)context;
-    (void)out;
-    return ref->length == 0;
-}
-
-static void host_history_ignore(void *context, const struct history_ref *ref)
-{
-    (void)context;
-    (void)ref;
-}
-
-/* ---- Opening ----------------------------------------------------------------------------- */
-
-static bool host_restore_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                                  const struct raft_members *members, struct view state)
-{
-    return replica_restore_snapshot(&((struct state_host *)context)->replica, group, index, term, members, state);
-}
-
-static void host_restore_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
-{
-    raft_restore_state(&((struct state_host *)context)->replica.groups[group].raft, term, vote);
-}
-
-static bool host_restore_entry(void *context, uint32_t group, const struct raft_entry *entry)
-{
-    return raft_restore_entry(&((struct state_host *)context)->replica.groups[group].raft, entry);
-}
-
-static bool host_open_replica(struct state_host *host)
-{
-    struct replica_config config = {
-        .node = host->identity.node,
-        .groups = 1,
-        .members = host->identity.members,
-        .election_timeout_ms = STATE_HOST_ELECTION_MS,
-        .heartbeat_ms = STATE_HOST_HEARTBEAT_MS,
-        .lease_ms = STATE_HOST_ELECTION_MS,
-        .seed = host->node->boot_id,
-        .first_election_ms = STATE_HOST_FIRST_ELECTION_MS,
-        .snapshot_entries = STATE_HOST_SNAPSHOT_ENTRIES + host->identity.node % STATE_HOST_SNAPSHOT_SPREAD,
-        .self_organized = true,
-        .steady_stamps = true,
-    };
-    struct replica_io io = {
-        .context = host,
-        .save_state = host_on_save_state,
-        .append = host_on_append,
-        .sync = host_on_sync,
-        .save_snapshot = host_on_save_snapshot,
-        .send = host_on_send,
-    };
-    struct history_io history = {
-        .context = host,
-        .append = host_history_append,
-        .read = host_history_read,
-        .drop = host_history_ignore,
-        .keep = host_history_ignore,
-    };
-    struct log_restore restore = {
-        .context = host,
-        .snapshot = host_restore_snapshot,
-        .state = host_restore_state,
-        .entry = host_restore_entry,
-    };
-    replica_init(&host->replica, &config, &io, &history);
-    if (!log_store_open(&host->log, host->node->settings.data, config.groups, &restore)) {
-        event_log("disk_failed", "{s:s}", "error", host->log.error);
-        return false;
-    }
-    return true;
-}
-
-/* The replica begins to run. */
-static void host_start(struct state_host *host)
-{
-    struct raft *raft = &host->replica.groups[STATE_CONFIG_GROUP].raft;
-    host->running = true;
-    host->led_ms = node_now(host->node);
-    replica_start(&host->replica, node_now(host->node));
-    node_peers_changed(host->node);
-    event_log("replica_started", "{s:I,s:I,s:I,s:I}", "id", (json_int_t)host->identity.node, "term",
-              (json_int_t)raft->term, "last_index", (json_int_t)raft_last_index(raft), "members",
-              (json_int_t)raft->members.count);
-}
+enum { STATE_HOST_CONTROL_HEAD = 16 << 10, STATE_HOST_CONTROL_BODY = 8 << 20, STATE_HOST_CONTROL_MS = 30000 };
 
 struct state_host *state_host_open(struct node *node)
 {
@@ -186,11 +22,11 @@
         return NULL;
     }
     if (host->identity.formed) {
-        if (!host_open_replica(host)) {
+        if (!state_host_open_replica(host)) {
             free(host);
             return NULL;
         }
-        host_start(host);
+        state_host_start(host);
     }
     return host;
 }
@@ -240,107 +76,6 @@
     }
 }
 
-/* ---- Coming to belong to a group -------------------------------------------------------------- */
-
-static bool host_enter_group(struct state_host *host, const struct raft_members *members)
-{
-    if (!identity_form(host->node->settings.data, &host->identity, members) || !host_open_replica(host)) {
-        node_stop(host->node);
-        return false;
-    }
-    host_start(host);
-    return true;
-}
-
-static bool host_is_seed_address(const struct node *node, uint32_t ip)
-{
-    const struct node_seed *seeds = node->settings.seeds.items;
-    for (size_t i = 0; i < node->settings.seeds.count; i++) {
-        struct address address;
-        if (address_parse(seeds[i].address, &address) && ntohl(address.socket.sin_addr.s_addr) == ip) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void host_add_member(struct raft_members *members, uint32_t node, const struct raft_member_place *place)
-{
-    uint32_t position = members->count++;
-    while (position > 0 && members->nodes[position - 1] > node) {
-        members->nodes[position] = members->nodes[position - 1];
-        members->places[position] = members->places[position - 1];
-        position--;
-    }
-    members->nodes[position] = node;
-    members->places[position] = *place;
-}
-
-/* At the first start of the site its seeds, once each knows the others, begin
- * the same group: the members in the order of their ids. */
-static void host_try_bootstrap(struct state_host *host)
-{
-    struct node *node = host->node;
-    const struct raft_member_place *own = &node->links.config.place;
-    if (!node->settings.bootstrap || !host_is_seed_address(node, own->ip)) {
-        return;
-    }
-    uint32_t nodes[RAFT_MAX_MEMBERS];
-    struct raft_member_place places[RAFT_MAX_MEMBERS];
-    uint32_t count = links_replicas(&node->links, nodes, places, RAFT_MAX_MEMBERS - 1);
-    struct raft_members members = {0};
-    host_add_member(&members, host->identity.node, own);
-    for (uint32_t i = 0; i < count; i++) {
-        if (host_is_seed_address(node, places[i].ip)) {
-            host_add_member(&members, nodes[i], &places[i]);
-        }
-    }
-    if (members.count == node->settings.seeds.count) {
-        event_log("bootstrap", "{s:I}", "members", (json_int_t)members.count);
-        host_enter_group(host, &members);
-    }
-}
-
-static void host_on_joined(void *context, ResultCode code, struct view body)
-{
-    struct state_host *host = context;
-    JoinReply reply = {0};
-    host->joining = false;
-    if (code != RESULT_OK || host->running || !message_decode(body, JoinReply_fields, &reply)) {
-        return;
-    }
-    struct raft_members members;
-    bool listed =
-        raft_members_from_wire(&reply.members, &members) && raft_member_position(&members, host->identity.node) >= 0;
-    message_free(JoinReply_fields, &reply);
-    if (listed) {
-        event_log("joined", "{s:I}", "members", (json_int_t)members.count);
-        host_enter_group(host, &members);
-    }
-}
-
-static void host_ask_to_join(struct state_host *host)
-{
-    struct node *node = host->node;
-    uint64_t now_ms = node_now(node);
-    if (host->joining || now_ms < host->join_due_ms) {
-        return;
-    }
-    const struct raft_member_place *own = &node->links.config.place;
-    JoinRequest request = {.has_member = true};
-    request.member.node = host->identity.node;
-    request.member.name = (char *)(uintptr_t)own->name;
-    request.member.zone = (char *)(uintptr_t)own->zone;
-    request.member.ip = own->ip;
-    request.member.port = own->port;
-    struct buffer body = {0};
-    message_encode(&body, JoinRequest_fields, &request);
-    host->join_due_ms = now_ms + STATE_HOST_JOIN_MS;
-    host->joining = true;
-    node_submit(node, REQUEST_JOIN, buffer_view(&body), now_ms + STATE_HOST_LOST_MS, host_on_joined, host);
-    buffer_close(&body);
-}
-
 /* ---- Roles --------------------------------------------------------------------------------------- */
 
 bool state_host_leads(const struct state_host *host)
@@ -376,10 +111,10 @@
     struct node *node = host->node;
     uint64_t now_ms = node_now(node);
     if (!host->running) {
-        host_try_bootstrap(host);
+        state_host_try_bootstrap(host);
     }
     if (!host->running) {
-        host_ask_to_join(host);
+        state_host_ask_to_join(host);
         return;
     }
     replica_tick(&host->replica, now_ms);
@@ -387,7 +122,7 @@
     if (state_host_leader(host) != RAFT_NO_NODE) {
         host->led_ms = now_ms;
     } else if (now_ms >= host->led_ms + STATE_HOST_LOST_MS) {
-        host_ask_to_join(host);
+        state_host_ask_to_join(host);
     }
 }
 
--- /dev/null
+++ b/src/proxy/state_host_join.c
@@ -0,0 +1,108 @@
+/* How a replica comes to belong to a group: formation by the seeds, joining. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event_log.h"
+#include "base/message.h"
+#include "proxy/state_host_internal.h"
+
+/* ---- Coming to belong to a group -------------------------------------------------------------- */
+
+static bool host_enter_group(struct state_host *host, const struct raft_members *members)
+{
+    if (!identity_form(host->node->settings.data, &host->identity, members) || !state_host_open_replica(host)) {
+        node_stop(host->node);
+        return false;
+    }
+    state_host_start(host);
+    return true;
+}
+
+static bool host_is_seed_address(const struct node *node, uint32_t ip)
+{
+    const struct node_seed *seeds = node->settings.seeds.items;
+    for (size_t i = 0; i < node->settings.seeds.count; i++) {
+        struct address address;
+        if (address_parse(seeds[i].address, &address) && ntohl(address.socket.sin_addr.s_addr) == ip) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void host_add_member(struct raft_members *members, uint32_t node, const struct raft_member_place *place)
+{
+    uint32_t position = members->count++;
+    while (position > 0 && members->nodes[position - 1] > node) {
+        members->nodes[position] = members->nodes[position - 1];
+        members->places[position] = members->places[position - 1];
+        position--;
+    }
+    members->nodes[position] = node;
+    members->places[position] = *place;
+}
+
+/* At the first start of the site its seeds, once each knows the others, begin
+ * the same group: the members in the order of their ids. */
+void state_host_try_bootstrap(struct state_host *host)
+{
+    struct node *node = host->node;
+    const struct raft_member_place *own = &node->links.config.place;
+    if (!node->settings.bootstrap || !host_is_seed_address(node, own->ip)) {
+        return;
+    }
+    uint32_t nodes[RAFT_MAX_MEMBERS];
+    struct raft_member_place places[RAFT_MAX_MEMBERS];
+    uint32_t count = links_replicas(&node->links, nodes, places, RAFT_MAX_MEMBERS - 1);
+    struct raft_members members = {0};
+    host_add_member(&members, host->identity.node, own);
+    for (uint32_t i = 0; i < count; i++) {
+        if (host_is_seed_address(node, places[i].ip)) {
+            host_add_member(&members, nodes[i], &places[i]);
+        }
+    }
+    if (members.count == node->settings.seeds.count) {
+        event_log("bootstrap", "{s:I}", "members", (json_int_t)members.count);
+        host_enter_group(host, &members);
+    }
+}
+
+static void host_on_joined(void *context, ResultCode code, struct view body)
+{
+    struct state_host *host = context;
+    JoinReply reply = {0};
+    host->joining = false;
+    if (code != RESULT_OK || host->running || !message_decode(body, JoinReply_fields, &reply)) {
+        return;
+    }
+    struct raft_members members;
+    bool listed =
+        raft_members_from_wire(&reply.members, &members) && raft_member_position(&members, host->identity.node) >= 0;
+    message_free(JoinReply_fields, &reply);
+    if (listed) {
+        event_log("joined", "{s:I}", "members", (json_int_t)members.count);
+        host_enter_group(host, &members);
+    }
+}
+
+void state_host_ask_to_join(struct state_host *host)
+{
+    struct node *node = host->node;
+    uint64_t now_ms = node_now(node);
+    if (host->joining || now_ms < host->join_due_ms) {
+        return;
+    }
+    const struct raft_member_place *own = &node->links.config.place;
+    JoinRequest request = {.has_member = true};
+    request.member.node = host->identity.node;
+    request.member.name = (char *)(uintptr_t)own->name;
+    request.member.zone = (char *)(uintptr_t)own->zone;
+    request.member.ip = own->ip;
+    request.member.port = own->port;
+    struct buffer body = {0};
+    message_encode(&body, JoinRequest_fields, &request);
+    host->join_due_ms = now_ms + STATE_HOST_JOIN_MS;
+    host->joining = true;
+    node_submit(node, REQUEST_JOIN, buffer_view(&body), now_ms + STATE_HOST_LOST_MS, host_on_joined, host);
+    buffer_close(&body);
+}
