Look inside an entry on its way to the log only where it empties a machine

The key of the entry's one field tells enough. Test: replica_join the_last_machines_may_not_be_emptied.

--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <pb.h>
+
 #include "base/message.h"
 #include "core/replica_internal.h"
 
@@ -190,6 +192,13 @@
     message_free(JoinRequest_fields, &join);
 }
 
+/* An encoded Entry holds one field, and begins with its key: most entries need no look inside. */
+static bool replica_is_retire(struct view entry)
+{
+    const uint8_t key = (Entry_retire_start_tag << 3) | PB_WT_STRING;
+    return entry.length > 0 && entry.data[0] == key;
+}
+
 /* Refuses to empty a machine when too few others would be left. */
 static bool replica_check_retire(struct replica *replica, uint32_t group, const Request *request,
                                  const struct replica_waiter *waiter)
@@ -197,7 +206,8 @@
     struct raft *raft = &replica->groups[group].raft;
     const struct site_state *site = &replica->groups[group].machine.site;
     Entry entry = {0};
-    if (!raft_is_leader(raft) || !message_decode(request->body, Entry_fields, &entry)) {
+    bool looks = raft_is_leader(raft) && replica_is_retire(request->body);
+    if (!looks || !message_decode(request->body, Entry_fields, &entry)) {
         return true;
     }
     ResultCode code = RESULT_OK;
