Remove a parameter that was always the same and two unused names

forward_end_others was only called for all attempts; a default of attempts and a flag of the stand-in were not used.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -13,7 +13,6 @@
     FORWARD_UNAVAILABLE = 503,
     FORWARD_BAD_GATEWAY = 502,
     FORWARD_TIMEOUT = 504,
-    FORWARD_DEFAULT_ATTEMPTS = 1,
     FORWARD_NUMBER_MAX = 24
 };
 
@@ -99,11 +98,11 @@
     memset(attempt, 0, sizeof(*attempt));
 }
 
-void forward_end_others(struct forward *forward, const struct forward_attempt *kept)
+static void forward_end_attempts(struct forward *forward)
 {
     for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
         struct forward_attempt *attempt = &forward->attempts[i];
-        if (attempt != kept && attempt->forward != NULL) {
+        if (attempt->forward != NULL) {
             forward_end_attempt(attempt);
         }
     }
@@ -134,7 +133,7 @@
 static void forward_close(struct forward *forward)
 {
     forward_log(forward);
-    forward_end_others(forward, NULL);
+    forward_end_attempts(forward);
     forward_turn_settle(forward);
     forward_turn_close(forward);
     event_stream_close(&forward->stream.events);
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -140,9 +140,6 @@
 /** forward.c: ends an attempt: its exchange, if any, is given up. */
 void forward_end_attempt(struct forward_attempt *attempt);
 
-/** forward.c: ends all attempts but one; NULL: all. */
-void forward_end_others(struct forward *forward, const struct forward_attempt *kept);
-
 /** Value of a header of the request as a number; `absent` where it is missing or not one. */
 uint64_t forward_number(const struct forward *forward, enum dialect_header header, uint64_t absent);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -46,7 +46,6 @@
 static int site_list_listener;
 static char *site_body;
 static int site_cancellations;
-static bool site_ending;
 
 /* ---- Sockets ------------------------------------------------------------------------ */
 
@@ -612,7 +611,6 @@
 void site_stop(void)
 {
     char command[128];
-    site_ending = true;
     for (int i = SITE_DAEMONS - 1; i >= 0; i--) {
         if (site_processes[i] != 0) {
             kill(site_processes[i], SIGTERM);
