Recover sooner after a restart: short dials, an election at the leader's end, a wait at the start

A killed leader was missed for 400 to 800 ms although the connections to it had ended at once. Now a dial is given up after 150 ms, the end of the leader's connection begins an election after 50 to 100 ms (pre-vote guards a live leader), and a gateway that has just started keeps requests for at most 1 s or a third of their time. Ruled out: replay of the log (0.15 s at most), the list of servers (20 ms).

--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -178,13 +178,8 @@
 void raft_start(struct raft *raft, uint64_t now_ms)
 {
     raft->role = RAFT_FOLLOWER;
-    raft_reset_election_timer(raft, now_ms);
     /* Where a leader lives, voters disregard the early campaign; where all have just started, it saves time. */
-    if (raft->config.first_election_ms != 0) {
-        uint64_t wait_ms = raft->election_deadline_ms - now_ms;
-        raft->election_deadline_ms =
-            now_ms + wait_ms * raft->config.first_election_ms / raft->config.election_timeout_ms;
-    }
+    raft_hurry_election(raft, now_ms);
     bool alone = raft_voter_count(&raft->members) == 1 && raft_is_voter(&raft->members, raft->config.node);
     if (alone) {
         raft_campaign(raft, now_ms, false, false);
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -111,7 +111,8 @@
     uint32_t group;               /**< Group id carried by every message. */
     uint32_t election_timeout_ms; /**< Least time without a leader before an election. */
     uint32_t heartbeat_ms;        /**< Leader's heartbeat period. */
-    uint32_t first_election_ms;   /**< Least time after the start without a leader; 0: election_timeout_ms. */
+    uint32_t first_election_ms;   /**< The same after the start, or after the connection to the leader ended;
+                                       0: election_timeout_ms. */
     uint64_t seed;                /**< Seed of the election jitter. */
 };
 
@@ -206,6 +207,12 @@
 /** Advances time. */
 void raft_tick(struct raft *raft, uint64_t now_ms);
 
+/**
+ * The connection to a node ended. Where it was the leader, an election
+ * follows soon: voters that still hear it refuse the pre-vote.
+ */
+void raft_peer_lost(struct raft *raft, uint64_t now_ms, uint32_t node);
+
 /** Handles a message from member `from`. */
 void raft_receive(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
 
--- a/src/core/raft_election.c
+++ b/src/core/raft_election.c
@@ -18,6 +18,16 @@
     raft->election_deadline_ms = now_ms + raft->config.election_timeout_ms + raft_election_jitter(raft);
 }
 
+void raft_hurry_election(struct raft *raft, uint64_t now_ms)
+{
+    raft_reset_election_timer(raft, now_ms);
+    if (raft->config.first_election_ms != 0) {
+        uint64_t wait_ms = raft->election_deadline_ms - now_ms;
+        raft->election_deadline_ms =
+            now_ms + wait_ms * raft->config.first_election_ms / raft->config.election_timeout_ms;
+    }
+}
+
 static void raft_notify_role(struct raft *raft)
 {
     raft->io.role_changed(raft->io.context, raft->config.group);
@@ -166,3 +176,14 @@
     }
     raft_become_leader(raft, now_ms);
 }
+
+void raft_peer_lost(struct raft *raft, uint64_t now_ms, uint32_t node)
+{
+    bool leader_lost = raft->role == RAFT_FOLLOWER && raft->leader != RAFT_NO_NODE && raft->leader == node;
+    if (!leader_lost || raft->config.first_election_ms == 0) {
+        return;
+    }
+    raft->leader = RAFT_NO_NODE;
+    raft_hurry_election(raft, now_ms);
+    raft_notify_role(raft);
+}
--- a/src/core/raft_internal.h
+++ b/src/core/raft_internal.h
@@ -30,6 +30,9 @@
 void raft_become_follower(struct raft *raft, uint64_t now_ms, uint64_t term, uint32_t leader);
 void raft_campaign(struct raft *raft, uint64_t now_ms, bool pre_vote, bool forced);
 void raft_reset_election_timer(struct raft *raft, uint64_t now_ms);
+
+/** The same, with the shorter wait of a moment at which no leader can be alive. */
+void raft_hurry_election(struct raft *raft, uint64_t now_ms);
 void raft_handle_vote(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
 void raft_handle_vote_reply(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
 
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -364,6 +364,14 @@
     }
 }
 
+void replica_peer_lost(struct replica *replica, uint64_t now_ms, uint32_t node)
+{
+    replica->now_ms = now_ms;
+    for (uint32_t group = 0; group < replica->config.groups; group++) {
+        raft_peer_lost(&replica->groups[group].raft, now_ms, node);
+    }
+}
+
 void replica_tick(struct replica *replica, uint64_t now_ms)
 {
     replica->now_ms = now_ms;
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -145,6 +145,9 @@
 /** Advances time. */
 void replica_tick(struct replica *replica, uint64_t now_ms);
 
+/** The connection to a node ended. */
+void replica_peer_lost(struct replica *replica, uint64_t now_ms, uint32_t node);
+
 /** Handles a frame from node `from`. */
 void replica_receive(struct replica *replica, uint64_t now_ms, uint32_t from, const Frame *frame);
 
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -29,7 +29,8 @@
     bool wants_write;               /* registered for writability */
     bool replica;                   /* peer holds a replica that joins by itself */
     void *watch;                    /* handle of the host's watch */
-    uint64_t since_ms;              /* time the dialling began */
+    uint64_t connect_until_ms;      /* an attempt to connect is given up then */
+    bool silent;                    /* it was given up */
     struct raft_member_place place; /* where the peer's replica runs */
     struct buffer in;               /* bytes received and not yet handled */
     struct buffer out;              /* bytes queued */
@@ -116,20 +117,10 @@
 
 /* ---- Dialling and accepting ------------------------------------------------------ */
 
-/* Spreads the attempts of many daemons that lost the same peer together. */
-static uint32_t links_jitter(const struct links *links, uint64_t now_ms, uint32_t limit)
+static void links_note_dial(const struct links *links, struct links_peer *peer, uint64_t now_ms, dial_end_t end)
 {
     uint64_t material[2] = {links->config.boot_id, now_ms};
-    return (uint32_t)(XXH64(material, sizeof(material), links->config.node) % limit);
-}
-
-static void links_schedule_dial(const struct links *links, struct links_peer *peer, uint64_t now_ms)
-{
-    peer->dial_due_ms = now_ms + peer->dial_pause_ms + links_jitter(links, now_ms, peer->dial_pause_ms);
-    peer->dial_pause_ms *= 2;
-    if (peer->dial_pause_ms > LINKS_REDIAL_MAX_MS) {
-        peer->dial_pause_ms = LINKS_REDIAL_MAX_MS;
-    }
+    dial_pace_note(&peer->pace, now_ms, end, (uint32_t)XXH64(material, sizeof(material), links->config.node));
 }
 
 static void links_dial(struct links *links, struct links_peer *peer, uint64_t now_ms)
@@ -143,20 +134,20 @@
         goto fail;
     }
     peer->link = links_add(links, file, true);
-    peer->link->since_ms = now_ms;
+    peer->link->connect_until_ms = now_ms + dial_pace_limit_ms(&peer->pace);
     return;
 fail:
     if (file >= 0) {
         close(file);
     }
-    links_schedule_dial(links, peer, now_ms);
+    links_note_dial(links, peer, now_ms, DIAL_END_REFUSED);
 }
 
 static void links_dial_due(struct links *links, uint64_t now_ms)
 {
     for (uint32_t i = 0; i < links->peer_count; i++) {
         struct links_peer *peer = &links->peers[i];
-        if (peer->link == NULL && now_ms >= peer->dial_due_ms) {
+        if (peer->link == NULL && now_ms >= peer->pace.due_ms) {
             links_dial(links, peer, now_ms);
         }
     }
@@ -215,7 +206,6 @@
     memset(peer, 0, sizeof(*peer));
     peer->node = node;
     peer->address = *address;
-    peer->dial_pause_ms = LINKS_REDIAL_MIN_MS;
 }
 
 void links_watch(struct links *links, int file)
@@ -302,7 +292,7 @@
             return;
         }
         if (peer->link == link) {
-            peer->dial_pause_ms = LINKS_REDIAL_MIN_MS;
+            links_note_dial(links, peer, 0, DIAL_END_CONNECTED);
         }
     }
     link->node = hello->node;
@@ -392,7 +382,7 @@
     for (uint32_t i = 0; i < links->peer_count; i++) {
         if (links->peers[i].link == link) {
             links->peers[i].link = NULL;
-            links_schedule_dial(links, &links->peers[i], now_ms);
+            links_note_dial(links, &links->peers[i], now_ms, link->silent ? DIAL_END_SILENT : DIAL_END_REFUSED);
         }
     }
     uint32_t node = link->node;
@@ -430,7 +420,6 @@
     count = count < RAFT_MAX_MEMBERS ? count : RAFT_MAX_MEMBERS;
     for (uint32_t i = 0; i < count; i++) {
         kept[i].address = addresses[i];
-        kept[i].dial_pause_ms = LINKS_REDIAL_MIN_MS;
     }
     for (uint32_t i = 0; i < links->peer_count; i++) {
         struct links_peer *peer = &links->peers[i];
@@ -475,13 +464,18 @@
     link_handle_event(links, subject, events);
 }
 
-void links_round(struct links *links, uint64_t now_ms)
+static void links_give_up_silent(struct links *links, uint64_t now_ms)
 {
-    links_dial_due(links, now_ms);
     for (struct link *link = links->all; link != NULL; link = link->next) {
-        bool late = link->connecting && now_ms > link->since_ms + LINKS_CONNECT_MS;
-        link->closing = link->closing || late;
+        link->silent = link->silent || (link->connecting && now_ms >= link->connect_until_ms);
+        link->closing = link->closing || link->silent;
     }
+}
+
+void links_round(struct links *links, uint64_t now_ms)
+{
+    links_dial_due(links, now_ms);
+    links_give_up_silent(links, now_ms);
     links_remove_closing(links, now_ms);
 }
 
@@ -497,6 +491,7 @@
             link_handle_event(links, events[i].data.ptr, events[i].events);
         }
     }
+    links_give_up_silent(links, now_ms);
     links_remove_closing(links, now_ms);
 }
 
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -22,14 +22,12 @@
 #include "control.pb.h"
 #include "core/raft.h"
 #include "net/address.h"
+#include "net/dial_pace.h"
 
 enum {
     LINKS_VERSION = 1,           /**< Protocol version told in Hello. */
     LINKS_MAX_FRAME = 64 << 20,  /**< Largest frame accepted, in bytes. */
     LINKS_MAX_QUEUED = 64 << 20, /**< Unsent bytes kept for one connection. */
-    LINKS_REDIAL_MIN_MS = 50,    /**< First pause before dialling again. */
-    LINKS_REDIAL_MAX_MS = 1000,  /**< Longest pause. */
-    LINKS_CONNECT_MS = 1000,     /**< Time a connection may take to come up. */
     LINKS_SILENCE_MS = 2000      /**< Unacknowledged bytes for that long end a connection. */
 };
 
@@ -62,8 +60,7 @@
     uint32_t node;          /**< Node id; RAFT_NO_NODE: whoever answers there. */
     struct address address; /**< Where it listens. */
     struct link *link;      /**< Connection, or NULL. */
-    uint64_t dial_due_ms;   /**< Time of the next attempt. */
-    uint32_t dial_pause_ms; /**< Pause after the next failure. */
+    dial_pace_t pace;       /**< When to dial it again. */
 };
 
 /** Fixed settings. */
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -20,7 +20,7 @@
 static const char FORWARD_RETRY_SOON[] = "0.1";  /* another daemon can serve it */
 static const char FORWARD_RETRY_BUSY[] = "0.2";  /* servers have no room */
 static const char FORWARD_RETRY_STATE[] = "0.4"; /* the state replicas elect a leader */
-static const char FORWARD_RETRY_START[] = "0.8"; /* this daemon has just started */
+static const char FORWARD_RETRY_START[] = "0.5"; /* this daemon has just started */
 
 /* ---- Headers of the request --------------------------------------------------------------- */
 
@@ -65,6 +65,7 @@
         forward->next->previous = forward->previous;
     }
     front->active--;
+    front->waiting -= forward->phase == FORWARD_WAITING ? 1 : 0;
 }
 
 static void forward_log(const struct forward *forward)
@@ -382,6 +383,11 @@
 {
     struct forward *forward = timer->data;
     uint64_t now_ms = node_now(forward->front->node);
+    if (forward->phase == FORWARD_WAITING) {
+        forward_refuse(forward, FORWARD_UNAVAILABLE,
+                       forward->front->table == NULL ? "no configuration yet" : "no servers known yet");
+        return;
+    }
     if (now_ms >= forward->limit_ms) {
         forward_out_of_time(forward);
         return;
@@ -436,6 +442,7 @@
     forward->front = front;
     forward->call = call;
     forward->reason = "";
+    forward->phase = FORWARD_PREPARING;
     forward->wish.zone = front->node->settings.zone;
     forward->wish.warm = forward_is_warm;
     forward->wish.context = front;
@@ -464,14 +471,13 @@
     uv_timer_start(&forward->limit, forward_on_timer, hedges ? hedge_ms : left_ms, 0);
 }
 
-void forward_start(struct front *front, struct http_call *call)
+/* Finds the route, and begins. */
+static void forward_route(struct forward *forward)
 {
-    struct forward *forward = forward_new(front, call);
-    if (front->table == NULL) {
-        forward_refuse(forward, FORWARD_UNAVAILABLE, "no configuration yet");
-        return;
-    }
+    struct front *front = forward->front;
+    struct http_call *call = forward->call;
     struct view host = http_reader_header(call->request, "Host");
+    forward->phase = FORWARD_PREPARING;
     forward->table = route_table_hold(front->table);
     forward->route = route_table_find(front->table, host, call->request->target);
     if (forward->route == NULL) {
@@ -497,3 +503,44 @@
         forward_turn_begin(forward);
     }
 }
+
+/* A gateway that has just started learns what is in force within moments:
+ * that is worth a short wait, since callers try only a few times. */
+static void forward_wait(struct forward *forward)
+{
+    struct front *front = forward->front;
+    if (front->waiting >= FORWARD_MAX_WAITING) {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, "too many wait for the start");
+        return;
+    }
+    uint64_t share_ms = forward_number(forward, DIALECT_DEADLINE_MS, FORWARD_START_MS) / FORWARD_START_SHARE;
+    uint64_t wait_ms = share_ms < FORWARD_START_MS ? share_ms : FORWARD_START_MS;
+    forward->phase = FORWARD_WAITING;
+    forward->limit_ms = forward->call->received_ms + wait_ms;
+    front->waiting++;
+    uv_timer_start(&forward->limit, forward_on_timer, wait_ms, 0);
+}
+
+void forward_resume_waiting(struct front *front)
+{
+    struct forward *next = NULL;
+    for (struct forward *forward = front->forwards; forward != NULL; forward = next) {
+        next = forward->next;
+        if (forward->phase == FORWARD_WAITING) {
+            forward->phase = FORWARD_PREPARING;
+            front->waiting--;
+            uv_timer_stop(&forward->limit);
+            forward_route(forward);
+        }
+    }
+}
+
+void forward_start(struct front *front, struct http_call *call)
+{
+    struct forward *forward = forward_new(front, call);
+    if (front_knows_site(front)) {
+        forward_route(forward);
+    } else {
+        forward_wait(forward);
+    }
+}
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -2,7 +2,8 @@
  * @file forward.h
  * One caller's request on its way to a server and back.
  *
- * PREPARING (a turn: its tokens are reserved and its conversation fetched)
+ * WAITING (the gateway has just started and knows no configuration or servers yet)
+ *   -> PREPARING (a turn: its tokens are reserved and its conversation fetched)
  *   -> RUNNING (at a server; again at another one where that is allowed)
  *   -> COMMITTING (a turn: it is stored before its answer ends) -> closed.
  *
@@ -23,11 +24,14 @@
     FORWARD_MAX_ANSWER = 8 << 20, /**< Largest answer that is not streamed. */
     FORWARD_STATE_MS = 1500,      /**< Time the state replicas may take to reserve or to fetch. */
     FORWARD_NEAR_MS = 120,        /**< Time a near replica may take before the leader is asked. */
-    FORWARD_LEAST_MS = 30         /**< Least time left to ask a server. */
+    FORWARD_LEAST_MS = 30,        /**< Least time left to ask a server. */
+    FORWARD_START_MS = 1000,      /**< Time a request waits for a gateway that has just started, at most. */
+    FORWARD_START_SHARE = 3,      /**< Part of the caller's time it waits, at most: one in so many. */
+    FORWARD_MAX_WAITING = 256     /**< Requests that wait for that. */
 };
 
 /** Phase of a request. */
-enum forward_phase { FORWARD_PREPARING, FORWARD_RUNNING, FORWARD_COMMITTING };
+enum forward_phase { FORWARD_WAITING, FORWARD_PREPARING, FORWARD_RUNNING, FORWARD_COMMITTING };
 
 /** A turn of a program. */
 struct forward_turn {
@@ -95,6 +99,9 @@
 /** Takes a caller's request. */
 void forward_start(struct front *front, struct http_call *call);
 
+/** Goes on with the requests that waited for configuration and servers. */
+void forward_resume_waiting(struct front *front);
+
 /** The caller has left. */
 void forward_caller_gone(struct forward *forward);
 
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -73,6 +73,13 @@
     front->callers.limits.idle_timeout_ms = front_limit(limits->idle_timeout_ms, FRONT_IDLE_MS) + FRONT_IDLE_MARGIN_MS;
 }
 
+static void front_resume(struct front *front)
+{
+    if (front->waiting > 0 && front_knows_site(front)) {
+        forward_resume_waiting(front);
+    }
+}
+
 void front_take_configuration(struct front *front)
 {
     struct findings findings = {0};
@@ -85,6 +92,7 @@
         route_table_release(front->table);
         front->table = table;
         front_apply_limits(front);
+        front_resume(front);
     } else {
         route_table_release(table);
     }
@@ -100,6 +108,7 @@
     server_table_update(&front->servers, &list);
     front->servers_known = true;
     message_free(ServerList_fields, &list);
+    front_resume(front);
 }
 
 void front_take_servers(struct front *front)
@@ -111,9 +120,14 @@
 
 /* ---- State ------------------------------------------------------------------------------ */
 
+bool front_knows_site(const struct front *front)
+{
+    return front->table != NULL && front->servers_known;
+}
+
 bool front_is_ready(const struct front *front)
 {
-    return front->table != NULL && front->servers_known && !node_is_isolated(front->node);
+    return front_knows_site(front) && !node_is_isolated(front->node);
 }
 
 bool front_is_busy(const struct front *front)
@@ -176,6 +190,8 @@
     metrics_write_counter(out, "conversation_hits_total", "Conversations found near.", counters->cache_hits);
     metrics_write_counter(out, "conversation_misses_total", "Conversations fetched.", counters->cache_misses);
     metrics_write_gauge(out, "requests_active", "Requests under way.", front->active);
+    metrics_write_gauge(out, "requests_waiting", "Requests that wait for configuration and servers after a start.",
+                        front->waiting);
     metrics_write_gauge(out, "servers_known", "Servers known.", HASH_COUNT(front->servers.servers));
     histogram_write(&front->first_event, "first_event_seconds", "Time to the first event of a stream.", out);
     histogram_write(&front->total, "answer_seconds", "Time to the end of an answer.", out);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -49,6 +49,7 @@
     struct turn_store cache;        /**< Turns seen lately. */
     struct forward *forwards;       /**< Requests under way. */
     uint32_t active;                /**< Their number. */
+    uint32_t waiting;               /**< Those of them that wait for configuration and servers. */
     uint64_t loads_due_ms;          /**< Next time to tell what is under way. */
     bool loads_told;                /**< The last report was not empty. */
     struct retry_budget retries;    /**< Keeps second servers a small share. */
@@ -74,6 +75,9 @@
 /** Takes a list that this gateway read itself. */
 void front_take_own_servers(struct front *front, struct view encoded);
 
+/** Whether it knows a configuration and servers. */
+bool front_knows_site(const struct front *front);
+
 /** Whether it can serve callers now. */
 bool front_is_ready(const struct front *front);
 
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -241,6 +241,9 @@
 {
     struct node *node = context;
     event_log("peer_lost", "{s:I}", "peer", (json_int_t)peer);
+    if (node->host != NULL) {
+        state_host_peer_lost(node->host, peer);
+    }
     node_peers_changed(node);
     control_client_disconnected(&node->client, node_now(node), peer);
 }
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -93,6 +93,13 @@
     return host->running && replica_transfer_all(&host->replica, node_now(host->node));
 }
 
+void state_host_peer_lost(struct state_host *host, uint32_t peer)
+{
+    if (host->running) {
+        replica_peer_lost(&host->replica, node_now(host->node), peer);
+    }
+}
+
 static void host_report_role(struct state_host *host)
 {
     const struct raft *raft = &host->replica.groups[STATE_CONFIG_GROUP].raft;
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -13,11 +13,11 @@
 #include "store/log_store.h"
 
 enum {
-    STATE_HOST_ELECTION_MS = 400,       /**< Least time without a leader before an election. */
-    STATE_HOST_FIRST_ELECTION_MS = 120, /**< The same after a start. */
-    STATE_HOST_HEARTBEAT_MS = 80,       /**< Leader's heartbeat period. */
-    STATE_HOST_JOIN_MS = 250,           /**< Pause between requests to join. */
-    STATE_HOST_LOST_MS = 1000           /**< Time without a leader after which a member asks to join again. */
+    STATE_HOST_ELECTION_MS = 400,      /**< Least time without a leader before an election. */
+    STATE_HOST_FIRST_ELECTION_MS = 50, /**< The same after a start, or when the leader's connection ended. */
+    STATE_HOST_HEARTBEAT_MS = 80,      /**< Leader's heartbeat period. */
+    STATE_HOST_JOIN_MS = 250,          /**< Pause between requests to join. */
+    STATE_HOST_LOST_MS = 1000          /**< Time without a leader after which a member asks to join again. */
 };
 
 /** The host. */
@@ -43,6 +43,9 @@
 /** Loads the identity and, if it belongs to a group, the state; NULL: it cannot run. */
 struct state_host *state_host_open(struct node *node);
 
+/** The connection to another daemon ended. */
+void state_host_peer_lost(struct state_host *host, uint32_t peer);
+
 /** Opens what needs the node's links: operators' calls. */
 bool state_host_listen(struct state_host *host);
 
--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -409,6 +409,67 @@
     return status_of("GET", "/safe/x") == 200;
 }
 
+static bool a_request_waits(void *context)
+{
+    (void)context;
+    return site_metric(SITE_STATES, "requests_waiting") > 0;
+}
+
+static void signal_states(int number)
+{
+    for (int state = 0; state < SITE_STATES; state++) {
+        kill(site_process(state), number);
+    }
+}
+
+/* Starts a gateway that no state replica answers, and sends it a call on a connection of its own. */
+static int call_a_fresh_gateway(const char *id)
+{
+    char request[256];
+    signal_states(SIGSTOP);
+    ck_assert_int_eq(site_end_daemon(SITE_STATES, SIGKILL), SIGKILL);
+    site_start_daemon(SITE_STATES);
+    int file = -1;
+    while (file < 0) {
+        file = site_connect(site_caller_ip(0), site_caller_port);
+        clock_sleep_us(1000);
+    }
+    snprintf(request, sizeof(request),
+             "GET /safe/x HTTP/1.1\r\nHost: app.example\r\nBankbank-Request-Id: %s\r\n"
+             "Bankbank-Deadline-Ms: 3000\r\n\r\n",
+             id);
+    ck_assert_int_eq(send(file, request, strlen(request), 0), (ssize_t)strlen(request));
+    return file;
+}
+
+static int status_from(int file)
+{
+    char answer[256] = "";
+    ssize_t got = recv(file, answer, sizeof(answer) - 1, 0);
+    close(file);
+    return got > 9 ? atoi(answer + 9) : 0;
+}
+
+/* A gateway that has just started keeps a call until it knows the site, for a while. */
+START_TEST(a_call_waits_for_a_fresh_gateway)
+{
+    int file = call_a_fresh_gateway("waits");
+    site_wait(a_request_waits, NULL, "the call waits");
+    signal_states(SIGCONT);
+    ck_assert_int_eq(status_from(file), 200);
+    site_wait(turn_is_served, (void *)"", "turns are served again");
+}
+END_TEST
+
+START_TEST(a_call_does_not_wait_for_ever)
+{
+    int file = call_a_fresh_gateway("refused");
+    ck_assert_int_eq(status_from(file), 503);
+    signal_states(SIGCONT);
+    site_wait(turn_is_served, (void *)"", "turns are served again");
+}
+END_TEST
+
 /* A gateway whose standard output nobody reads goes on serving. */
 START_TEST(a_stopped_log_reader_blocks_nothing)
 {
@@ -479,6 +540,8 @@
     tcase_add_test(tests, everything_killed_at_once_forgets_nothing);
     tcase_add_test(tests, a_planned_stop_ends_what_is_under_way);
     tcase_add_test(tests, a_leaving_server_gets_nothing_new);
+    tcase_add_test(tests, a_call_waits_for_a_fresh_gateway);
+    tcase_add_test(tests, a_call_does_not_wait_for_ever);
     tcase_add_test(tests, a_stopped_log_reader_blocks_nothing);
     suite_add_tcase(suite, tests);
     SRunner *runner = srunner_create(suite);
--- /dev/null
+++ b/tests/scripted/run_election.c
@@ -0,0 +1,251 @@
+/* A group of replicas without disk, and a network that delivers after 5 ms:
+ *   new COUNT          starts a group
+ *   elect MS           runs until a live replica leads, at most MS; tells in which tenth of a second
+ *   run MS             runs
+ *   kill NODE          ends a replica; connections to it end
+ *   dark NODE          the same, but nobody is told
+ *   reset NODE NODE    the connection of two replicas ends and is made anew
+ *   leader             tells who leads in which term, and who follows whom */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/message.h"
+#include "core/raft.h"
+#include "script.h"
+
+enum { STEP_MS = 5, MAX_NODES = 5, ELECTION_MS = 400, FIRST_ELECTION_MS = 50, HEARTBEAT_MS = 80, TENTH_MS = 100 };
+
+/* A message on its way. */
+typedef struct letter_t {
+    uint32_t from;
+    uint32_t to;
+    uint64_t due_ms;
+    struct buffer data;
+    struct letter_t *next;
+} letter_t;
+
+static struct raft group[MAX_NODES + 1];
+static bool alive[MAX_NODES + 1];
+static uint32_t ids[MAX_NODES + 1];
+static uint32_t node_count;
+static uint64_t now_ms;
+static letter_t *letters;
+
+static void on_save_state(void *context, uint32_t number, uint64_t term, uint32_t vote)
+{
+    (void)context;
+    (void)number;
+    (void)term;
+    (void)vote;
+}
+
+static void on_append(void *context, uint32_t number, const struct raft_entry *entry)
+{
+    (void)context;
+    (void)number;
+    (void)entry;
+}
+
+static void on_send(void *context, uint32_t number, uint32_t to, const RaftMessage *message, bool after_sync)
+{
+    (void)number;
+    (void)after_sync;
+    letter_t *letter = memory_new(sizeof(*letter));
+    letter->from = *(const uint32_t *)context;
+    letter->to = to;
+    letter->due_ms = now_ms + STEP_MS;
+    message_encode(&letter->data, RaftMessage_fields, message);
+    letter_t **place = &letters;
+    while (*place != NULL) {
+        place = &(*place)->next;
+    }
+    *place = letter;
+}
+
+static void on_apply(void *context, uint32_t number, const struct raft_entry *entry)
+{
+    (void)context;
+    (void)number;
+    (void)entry;
+}
+
+static void on_read_ready(void *context, uint32_t number, uint64_t read_id, bool ok)
+{
+    (void)context;
+    (void)number;
+    (void)read_id;
+    (void)ok;
+}
+
+static void on_role(void *context, uint32_t number)
+{
+    (void)context;
+    (void)number;
+}
+
+static void letter_free(letter_t *letter)
+{
+    buffer_close(&letter->data);
+    free(letter);
+}
+
+static void deliver(void)
+{
+    while (letters != NULL && letters->due_ms <= now_ms) {
+        letter_t *letter = letters;
+        letters = letter->next;
+        RaftMessage message = {0};
+        bool arrives = alive[letter->from] && alive[letter->to];
+        if (arrives && message_decode(buffer_view(&letter->data), RaftMessage_fields, &message)) {
+            raft_receive(&group[letter->to], now_ms, letter->from, &message);
+            message_free(RaftMessage_fields, &message);
+        }
+        letter_free(letter);
+    }
+}
+
+static void step(void)
+{
+    now_ms += STEP_MS;
+    deliver();
+    for (uint32_t node = 1; node <= node_count; node++) {
+        if (alive[node]) {
+            raft_tick(&group[node], now_ms);
+            raft_synced(&group[node], now_ms);
+        }
+    }
+}
+
+static void end_group(void)
+{
+    for (uint32_t node = 1; node <= node_count; node++) {
+        raft_close(&group[node]);
+    }
+    while (letters != NULL) {
+        letter_t *next = letters->next;
+        letter_free(letters);
+        letters = next;
+    }
+}
+
+static void start_group(uint32_t count)
+{
+    struct raft_members members = {.count = count};
+    end_group();
+    node_count = count;
+    now_ms = 1000000;
+    for (uint32_t node = 1; node <= count; node++) {
+        members.nodes[node - 1] = node;
+    }
+    for (uint32_t node = 1; node <= count; node++) {
+        struct raft_config config = {
+            .node = node,
+            .election_timeout_ms = ELECTION_MS,
+            .heartbeat_ms = HEARTBEAT_MS,
+            .first_election_ms = FIRST_ELECTION_MS,
+            .seed = node,
+        };
+        ids[node] = node;
+        struct raft_io io = {
+            .context = &ids[node],
+            .save_state = on_save_state,
+            .append = on_append,
+            .send = on_send,
+            .apply = on_apply,
+            .read_ready = on_read_ready,
+            .role_changed = on_role,
+        };
+        alive[node] = true;
+        raft_init(&group[node], &config, &io, &members);
+        raft_start(&group[node], now_ms);
+    }
+}
+
+static uint32_t leader(void)
+{
+    for (uint32_t node = 1; node <= node_count; node++) {
+        if (alive[node] && raft_is_leader(&group[node])) {
+            return node;
+        }
+    }
+    return RAFT_NO_NODE;
+}
+
+static void elect(uint64_t most_ms)
+{
+    uint64_t begin_ms = now_ms;
+    while (leader() == RAFT_NO_NODE && now_ms < begin_ms + most_ms) {
+        step();
+    }
+    uint64_t tenths = (now_ms - begin_ms) / TENTH_MS;
+    if (leader() == RAFT_NO_NODE) {
+        script_print("nobody leads\n");
+    } else {
+        script_print("a leader within %llu ms\n", (unsigned long long)((tenths + 1) * TENTH_MS));
+    }
+}
+
+static void lose(uint32_t node, uint32_t peer)
+{
+    if (alive[node]) {
+        raft_peer_lost(&group[node], now_ms, peer);
+    }
+}
+
+static void tell_leader(void)
+{
+    uint32_t following = 0;
+    for (uint32_t node = 1; node <= node_count; node++) {
+        following += alive[node] && leader() != RAFT_NO_NODE && group[node].leader == leader() ? 1 : 0;
+    }
+    script_print("term %llu, %u of %u know the leader\n",
+                 (unsigned long long)(leader() == RAFT_NO_NODE ? 0 : group[leader()].term), following, node_count);
+}
+
+/* A node by number, or the words "leader" and "follower". */
+static uint32_t node_of(const script_command_t *command, int position)
+{
+    if (script_is(command, position, "leader")) {
+        return leader();
+    }
+    if (script_is(command, position, "follower")) {
+        return leader() == 1 ? 2 : 1;
+    }
+    return (uint32_t)script_number(command, position, 1);
+}
+
+static void run(const script_command_t *command)
+{
+    uint32_t node = node_of(command, 1);
+    if (script_is(command, 0, "new")) {
+        start_group(node);
+    } else if (script_is(command, 0, "elect")) {
+        elect(script_number(command, 1, 0));
+    } else if (script_is(command, 0, "run")) {
+        for (uint64_t end_ms = now_ms + script_number(command, 1, 0); now_ms < end_ms;) {
+            step();
+        }
+    } else if (script_is(command, 0, "dark")) {
+        alive[node] = false;
+    } else if (script_is(command, 0, "kill")) {
+        alive[node] = false;
+        for (uint32_t peer = 1; peer <= node_count; peer++) {
+            lose(peer, node);
+        }
+    } else if (script_is(command, 0, "reset")) {
+        uint32_t other = node_of(command, 2);
+        lose(node, other);
+        lose(other, node);
+    } else if (script_is(command, 0, "leader")) {
+        tell_leader();
+    } else {
+        script_print("unknown command\n");
+    }
+}
+
+int main(int argc, char **argv)
+{
+    int status = script_main(argc > 1 ? argv[1] : "tests/scripted/election.script", run);
+    end_group();
+    return status;
+}
