--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -153,19 +153,32 @@
     log_state.wall_ms = wall_ms;
 }
 
-void event_log(const char *event, const char *format, ...)
+static void event_log_list(const char *budget, const char *event, const char *format, va_list arguments)
 {
-    if (log_state.category == NULL || !event_kind_allows(event_kind_of(event))) {
+    if (log_state.category == NULL || !event_kind_allows(event_kind_of(budget))) {
         return;
     }
-    va_list arguments;
-    va_start(arguments, format);
     json_t *object = json_vpack_ex(NULL, 0, format, arguments);
-    va_end(arguments);
     event_emit(event, object);
     json_decref(object);
 }
 
+void event_log(const char *event, const char *format, ...)
+{
+    va_list arguments;
+    va_start(arguments, format);
+    event_log_list(event, event, format, arguments);
+    va_end(arguments);
+}
+
+void event_log_within(const char *budget, const char *event, const char *format, ...)
+{
+    va_list arguments;
+    va_start(arguments, format);
+    event_log_list(budget, event, format, arguments);
+    va_end(arguments);
+}
+
 void event_log_flush(void)
 {
     event_report_left_out();
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -36,6 +36,12 @@
  */
 void event_log(const char *event, const char *format, ...);
 
+/**
+ * The same with a budget apart from that of other lines of the kind, so that
+ * what is common does not crowd out what is rare. `budget` is a literal.
+ */
+void event_log_within(const char *budget, const char *event, const char *format, ...);
+
 /** Writes as much as the reader takes without waiting. */
 void event_log_flush(void);
 
