Keep a split route's weights over gateways and configurations

Cause (reading NEWS against the code): smooth weighted round robin began anew in each gateway and with each configuration, always with the heaviest part; a request that was sent again counted twice. Scripted: 48 gateways with 5 requests each gave 240 to 0 instead of 216 to 24, and configurations in quick succession 16 to 0. Now a table goes on from the shares before it, or begins at a point picked by the gateway's random id, and a request stays in its part while that has servers. Test: scripted_shares, 17 commands, 6 differ without the change.

--- a/src/core/route_table.c
+++ b/src/core/route_table.c
@@ -7,6 +7,11 @@
 
 #include "base/buffer.h"
 
+enum {
+    ROUTE_SHARE_STEPS = 101, /* points at which the shares of a route may begin */
+    ROUTE_RANDOM_SHIFT = 48  /* routes take different bits of the random number */
+};
+
 struct route_table *route_table_new(void)
 {
     struct route_table *table = memory_new(sizeof(*table));
@@ -193,6 +198,52 @@
     return best;
 }
 
+static bool route_has_same_parts(const struct route *a, const struct route *b)
+{
+    bool same =
+        a->part_count == b->part_count && strcasecmp(a->host, b->host) == 0 && strcmp(a->prefix, b->prefix) == 0;
+    for (uint32_t i = 0; same && i < a->part_count; i++) {
+        same = a->parts[i].weight == b->parts[i].weight && strcmp(a->parts[i].service, b->parts[i].service) == 0;
+    }
+    return same;
+}
+
+static bool route_carry_shares(struct route *route, const struct route_table *previous)
+{
+    for (uint32_t i = 0; previous != NULL && i < previous->route_count; i++) {
+        const struct route *old = &previous->routes[i];
+        if (!route_has_same_parts(route, old)) {
+            continue;
+        }
+        for (uint32_t k = 0; k < route->part_count; k++) {
+            route->parts[k].credit = old->parts[k].credit;
+        }
+        return true;
+    }
+    return false;
+}
+
+static bool route_any_part(void *context, const char *service)
+{
+    (void)context;
+    (void)service;
+    return true;
+}
+
+void route_table_begin_shares(struct route_table *table, const struct route_table *previous, uint64_t random)
+{
+    for (uint32_t i = 0; i < table->route_count; i++) {
+        struct route *route = &table->routes[i];
+        if (route->part_count < 2 || route_carry_shares(route, previous)) {
+            continue;
+        }
+        uint64_t skipped = (random >> (i % ROUTE_RANDOM_SHIFT)) % ROUTE_SHARE_STEPS;
+        for (uint64_t k = 0; k < skipped; k++) {
+            route_choose_part(route, route_any_part, NULL);
+        }
+    }
+}
+
 bool route_may_repeat(const struct route *route)
 {
     return route->kind == ROUTE_SAFE || (route->kind == ROUTE_STREAM && route->resumable);
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -89,6 +89,13 @@
 struct route_service *route_table_add_service(struct route_table *table);
 struct route_part *route_add_part(struct route *route);
 
+/**
+ * Before a table comes into force: each split route goes on from its shares in
+ * `previous` (may be NULL), or begins at a point that `random` picks, so that
+ * many gateways, or many configurations in a row, keep the weights together.
+ */
+void route_table_begin_shares(struct route_table *table, const struct route_table *previous, uint64_t random);
+
 /** Adds every fault of the whole to `findings`. */
 void route_table_check(const struct route_table *table, struct findings *findings);
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -16,6 +16,9 @@
     FORWARD_NUMBER_MAX = 24
 };
 
+/* Outcome of an answer that was passed on whole. */
+static const char FORWARD_COMPLETED[] = "completed";
+
 /* Seconds after which a refused caller may ask again. */
 static const char FORWARD_RETRY_SOON[] = "0.1";  /* another daemon can serve it */
 static const char FORWARD_RETRY_BUSY[] = "0.2";  /* servers have no room */
@@ -74,15 +77,17 @@
     const struct forward_stream *stream = &forward->stream;
     uint64_t begun_ms = forward->call->received_ms;
     uint64_t first_ms = stream->first_event_ms > begun_ms ? stream->first_event_ms - begun_ms : 0;
-    event_log("request", "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s}", "id",
-              text_or_empty(forward->id), "route", forward->route == NULL ? "" : text_or_empty(forward->route->name),
-              "outcome", forward->reason, "status", forward->told_status, "server", text_or_empty(forward->last_server),
-              "total_ms", (json_int_t)(node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends",
-              (int)forward->sends, "runs", (int)forward->runs, "hedged", forward->hedged, "events",
-              (json_int_t)stream->event_count, "configuration",
-              (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
-              (json_int_t)node->state.servers_number, "state_age_ms", (json_int_t)node_state_age(node), "program",
-              text_or_empty(forward->turn.program));
+    bool completed = strcmp(forward->reason, FORWARD_COMPLETED) == 0;
+    event_log_within(completed ? "request" : "request_not_served", "request",
+                     "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s}", "id", text_or_empty(forward->id),
+                     "route", forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome",
+                     forward->reason, "status", forward->told_status, "server", text_or_empty(forward->last_server),
+                     "total_ms", (json_int_t)(node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends",
+                     (int)forward->sends, "runs", (int)forward->runs, "hedged", forward->hedged, "events",
+                     (json_int_t)stream->event_count, "configuration",
+                     (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
+                     (json_int_t)node->state.servers_number, "state_age_ms", (json_int_t)node_state_age(node),
+                     "program", text_or_empty(forward->turn.program));
 }
 
 void forward_end_attempt(struct forward_attempt *attempt)
@@ -208,7 +213,7 @@
 {
     struct http_call *call = forward->call;
     forward->front->counters.completed++;
-    forward->reason = "completed";
+    forward->reason = FORWARD_COMPLETED;
     histogram_note(&forward->front->total, node_now(forward->front->node) - call->received_ms);
     call->owner = NULL;
     forward_close(forward);
@@ -219,7 +224,7 @@
 {
     struct http_call *call = forward->call;
     forward->front->counters.completed++;
-    forward->reason = "completed";
+    forward->reason = FORWARD_COMPLETED;
     forward->told_status = status;
     histogram_note(&forward->front->total, node_now(forward->front->node) - call->received_ms);
     call->owner = NULL;
@@ -336,12 +341,23 @@
         upstream_start(&front->node->upstreams, &address, &request, head_request, &forward_upstream_events, attempt);
 }
 
-static struct server *forward_choose(struct forward *forward)
+static struct server *forward_choose_in_part(struct forward *forward)
 {
     struct front *front = forward->front;
-    const struct route_part *part = route_choose_part(forward->route, forward_part_is_usable, front);
-    forward->wish.service = part == NULL ? NULL : part->service;
-    return part == NULL ? NULL : server_table_choose(&front->servers, node_now(front->node), &forward->wish);
+    return forward->wish.service == NULL ? NULL
+                                         : server_table_choose(&front->servers, node_now(front->node), &forward->wish);
+}
+
+/* A request that is sent again stays in its part of the route, as long as that has another server. */
+static struct server *forward_choose(struct forward *forward)
+{
+    struct server *server = forward_choose_in_part(forward);
+    if (server == NULL) {
+        const struct route_part *part = route_choose_part(forward->route, forward_part_is_usable, forward->front);
+        forward->wish.service = part == NULL ? NULL : part->service;
+        server = forward_choose_in_part(forward);
+    }
+    return server;
 }
 
 void forward_place(struct forward *forward)
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -89,6 +89,7 @@
     event_log("configuration_in_force", "{s:I,s:b,s:I}", "version", (json_int_t)front->node->state.document_version,
               "taken", newer, "routes", (json_int_t)(table == NULL ? 0 : table->route_count));
     if (newer) {
+        route_table_begin_shares(table, front->table, front->node->boot_id);
         route_table_release(front->table);
         front->table = table;
         front_apply_limits(front);
