Count a new connection to a server as two calls when choosing one

Cause: a resting connection won only ties, so idle servers got a new connection each. Test: routing a_resting_connection_is_worth_some_calls.

--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -119,13 +119,14 @@
     return server->slots == 0 ? 1 : server->slots;
 }
 
-/* Calls per slot in a scale that keeps fractions. A resting connection, then the own zone, win ties. */
+/* Calls per slot in a scale that keeps fractions; a new connection counts as calls. The own zone wins ties. */
 static uint64_t server_load(const struct server_table *table, const struct server *server,
                             const struct server_wish *wish, uint64_t now_ms)
 {
     uint64_t remote = text_equal(server->zone, wish->zone) ? 0 : 1;
-    uint64_t cold = wish->warm != NULL && !wish->warm(wish->context, server->address) ? 2 : 0;
-    return (((uint64_t)server_calls(table, server, now_ms) << 16) / server_slots(server)) * 4 + cold + remote;
+    bool cold = wish->warm != NULL && !wish->warm(wish->context, server->address);
+    uint64_t calls = server_calls(table, server, now_ms) + (cold ? SERVER_COLD_CALLS : 0);
+    return ((calls << 16) / server_slots(server)) * 2 + remote;
 }
 
 /* Where no server is sound, any open one is better than none. */
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -185,6 +185,31 @@
 }
 END_TEST
 
+static bool first_is_warm(void *context, const char *address)
+{
+    (void)context;
+    return strcmp(address, "127.0.0.1:1") == 0;
+}
+
+/* A new connection is opened only where the servers with a resting one have more to do. */
+START_TEST(a_resting_connection_is_worth_some_calls)
+{
+    ServerRecord list[] = {record("a", false), record("b", false)};
+    struct server_wish wish = {.service = "s", .zone = "z", .warm = first_is_warm};
+    list[1].address = (char *)"127.0.0.1:2";
+    take_servers(list, 2);
+    for (int i = 0; i < SERVER_COLD_CALLS; i++) {
+        struct server *server = server_table_choose(&servers, 1, &wish);
+        ck_assert_str_eq(server->id, "a");
+        server_begin(server, 1);
+    }
+    struct server *warm = NULL;
+    HASH_FIND_STR(servers.servers, "a", warm);
+    server_begin(warm, 1);
+    ck_assert_str_eq(server_table_choose(&servers, 1, &wish)->id, "b");
+}
+END_TEST
+
 /* What other gateways have under way counts, for a while. */
 START_TEST(loads_of_other_gateways_count)
 {
@@ -401,6 +426,7 @@
     tcase_add_test(placement, a_draining_server_gets_nothing_for_good);
     tcase_add_test(placement, calls_spread_over_idle_servers);
     tcase_add_test(placement, a_program_stays_at_its_home_until_it_is_busy);
+    tcase_add_test(placement, a_resting_connection_is_worth_some_calls);
     tcase_add_test(placement, loads_of_other_gateways_count);
     tcase_add_test(placement, reports_replace_each_other_and_fade);
     tcase_add_test(placement, a_silent_server_is_passed_over);
