Hold a stream back for a caller that reads slowly; wait longer for a start

Now reading from the server stops above 64 KiB and goes on when the caller has taken all, so that the server's sending stops in turn.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -92,6 +92,12 @@
     free(write);
     if (status < 0 && status != UV_ECANCELED) {
         http_connection_lost(connection);
+        return;
+    }
+    const struct http_handler *handler = &connection->listener->handler;
+    bool drained = status == 0 && connection->state == HTTP_ANSWERING && http_call_pending(&connection->call) == 0;
+    if (drained && handler->drained != NULL) {
+        handler->drained(handler->context, &connection->call);
     }
 }
 
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -47,6 +47,8 @@
     void (*request)(void *context, struct http_call *call);
     /** The client left before the answer ended; the call must not be used any more. */
     void (*gone)(void *context, struct http_call *call);
+    /** All of the answer so far has left (http_call_pending() is 0 again); may be NULL. */
+    void (*drained)(void *context, struct http_call *call);
 };
 
 /** Events so far, one counter each. */
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -18,16 +18,17 @@
 #include "proxy/front.h"
 
 enum {
-    FORWARD_MAX_PARALLEL = 2,     /**< Servers asked at the same time. */
-    FORWARD_HEDGE_MS = 150,       /**< Time without an answer before a second server is asked, at least. */
-    FORWARD_MAX_SENDS = 5,        /**< Servers asked, those that refuse included. */
-    FORWARD_MAX_ANSWER = 8 << 20, /**< Largest answer that is not streamed. */
-    FORWARD_STATE_MS = 1500,      /**< Time the state replicas may take to reserve or to fetch. */
-    FORWARD_NEAR_MS = 120,        /**< Time a near replica may take before the leader is asked. */
-    FORWARD_LEAST_MS = 30,        /**< Least time left to ask a server. */
-    FORWARD_START_MS = 1000,      /**< Time a request waits for a gateway that has just started, at most. */
-    FORWARD_START_SHARE = 3,      /**< Part of the caller's time it waits, at most: one in so many. */
-    FORWARD_MAX_WAITING = 256     /**< Requests that wait for that. */
+    FORWARD_MAX_PARALLEL = 2,       /**< Servers asked at the same time. */
+    FORWARD_HEDGE_MS = 150,         /**< Time without an answer before a second server is asked, at least. */
+    FORWARD_MAX_SENDS = 5,          /**< Servers asked, those that refuse included. */
+    FORWARD_MAX_ANSWER = 8 << 20,   /**< Largest answer that is not streamed. */
+    FORWARD_STATE_MS = 1500,        /**< Time the state replicas may take to reserve or to fetch. */
+    FORWARD_NEAR_MS = 120,          /**< Time a near replica may take before the leader is asked. */
+    FORWARD_MAX_PENDING = 64 << 10, /**< Bytes of a stream kept for a caller that reads slowly. */
+    FORWARD_LEAST_MS = 30,          /**< Least time left to ask a server. */
+    FORWARD_START_MS = 1500,        /**< Time a request waits for a gateway that has just started, at most. */
+    FORWARD_START_SHARE = 2,        /**< Part of the caller's time it waits, at most: one in so many. */
+    FORWARD_MAX_WAITING = 256       /**< Requests that wait for that. */
 };
 
 /** Phase of a request. */
@@ -70,6 +71,7 @@
     uint64_t event_count;       /**< Events passed on. */
     uint64_t last_event;        /**< Id of the last one. */
     uint64_t first_event_ms;    /**< Loop time of the first one. */
+    bool paused;                /**< The caller reads slowly: the server's answer is not read meanwhile. */
 };
 
 /** The request. */
@@ -102,6 +104,9 @@
 /** Goes on with the requests that waited for configuration and servers. */
 void forward_resume_waiting(struct front *front);
 
+/** The caller has taken all of the answer so far. */
+void forward_caller_drained(struct forward *forward);
+
 /** The caller has left. */
 void forward_caller_gone(struct forward *forward);
 
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -126,6 +126,32 @@
     return true;
 }
 
+/* What a slow caller has not taken yet stays with the server, whose sending stops in turn. */
+static void forward_pause_for_caller(struct forward_attempt *attempt)
+{
+    struct forward *forward = attempt->forward;
+    if (!forward->stream.paused && http_call_pending(forward->call) > FORWARD_MAX_PENDING) {
+        forward->stream.paused = true;
+        forward->front->counters.pauses++;
+        upstream_pause(attempt->exchange, true);
+    }
+}
+
+void forward_caller_drained(struct forward *forward)
+{
+    if (!forward->stream.paused) {
+        return;
+    }
+    forward->stream.paused = false;
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        struct forward_attempt *attempt = &forward->attempts[i];
+        if (attempt->streaming && attempt->exchange != NULL) {
+            server_heard(attempt->server, node_now(forward->front->node));
+            upstream_pause(attempt->exchange, false);
+        }
+    }
+}
+
 static void forward_on_body(void *owner, struct view part)
 {
     struct forward_attempt *attempt = owner;
@@ -137,7 +163,9 @@
     if (attempt->streaming) {
         if (!event_stream_feed(&forward->stream.events, part, forward_on_event, forward)) {
             forward_may_have_run(attempt, "events out of order");
+            return;
         }
+        forward_pause_for_caller(attempt);
         return;
     }
     buffer_append(&attempt->body, part.data, part.length);
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -30,6 +30,14 @@
     }
 }
 
+static void front_on_drained(void *context, struct http_call *call)
+{
+    (void)context;
+    if (call->owner != NULL) {
+        forward_caller_drained(call->owner);
+    }
+}
+
 struct front *front_open(struct node *node)
 {
     static const struct http_limits limits = {FRONT_HEAD_BYTES, FRONT_BODY_BYTES, FRONT_HEADER_MS, FRONT_IDLE_MS};
@@ -37,7 +45,12 @@
     struct address address;
     front->node = node;
     node->upstreams.max_connections = FRONT_CONNECTIONS;
-    struct http_handler handler = {.context = front, .request = front_on_request, .gone = front_on_gone};
+    struct http_handler handler = {
+        .context = front,
+        .request = front_on_request,
+        .gone = front_on_gone,
+        .drained = front_on_drained,
+    };
     int result = address_parse(node->settings.caller_address, &address)
                      ? http_listener_start(&front->callers, &node->loop, &address, &handler, &limits)
                      : -1;
@@ -186,6 +199,7 @@
     metrics_write_counter(out, "server_refusals_total", "Servers that did not run a request.",
                           counters->server_refusals);
     metrics_write_counter(out, "hedges_total", "Second servers asked for want of an answer.", counters->hedges);
+    metrics_write_counter(out, "pauses_total", "Streams held back for a slow caller.", counters->pauses);
     metrics_write_counter(out, "crossed_total", "Answers to other requests, dropped.", counters->crossed);
     metrics_write_counter(out, "budget_refusals_total", "Turns refused for the budget.", counters->budget_refusals);
     metrics_write_counter(out, "conversation_hits_total", "Conversations found near.", counters->cache_hits);
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -13,7 +13,7 @@
 
 #include "base/buffer.h"
 
-enum { SITE_STATES = 3, SITE_GATEWAYS = 2, SITE_SERVERS = 4, SITE_LIMIT_MS = 20000 };
+enum { SITE_STATES = 3, SITE_GATEWAYS = 2, SITE_SERVERS = 4, SITE_LIMIT_MS = 20000, SITE_LONG_EVENTS = 12000 };
 
 /** How a server answers. */
 enum site_mode {
@@ -27,7 +27,8 @@
     SITE_ENCODED,     /**< An answer with a content encoding. */
     SITE_EXTRA,       /**< A whole answer, and bytes behind it. */
     SITE_SILENT,      /**< Runs and says nothing. */
-    SITE_SLOW         /**< Runs for a second, then answers. */
+    SITE_SLOW,        /**< Runs for a second, then answers. */
+    SITE_LONG         /**< Streams SITE_LONG_EVENTS events of more than a KiB each. */
 };
 
 /** An answer to a caller. */
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -19,7 +19,13 @@
 #include "base/clock.h"
 #include "net/http_reader.h"
 
-enum { SITE_DAEMONS = SITE_STATES + SITE_GATEWAYS, SITE_HEAD = 1 << 14, SITE_EVENTS = 3, SITE_STEP_US = 10000 };
+enum {
+    SITE_DAEMONS = SITE_STATES + SITE_GATEWAYS,
+    SITE_HEAD = 1 << 14,
+    SITE_EVENTS = 3,
+    SITE_STEP_US = 10000,
+    SITE_PADDING = 1024
+};
 
 const char *site_build = "build";
 int site_caller_port;
@@ -153,9 +159,11 @@
                   "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
                   "Bankbank-Request-Id: %s\r\nBankbank-Server-Signature: signed\r\n\r\n",
                   id);
-    for (int i = 1; i <= SITE_EVENTS; i++) {
-        char event[64];
-        int length = snprintf(event, sizeof(event), "id: %d\ndata: piece-%d\n\n", i, i);
+    int events = mode == SITE_LONG ? SITE_LONG_EVENTS : SITE_EVENTS;
+    int padding = mode == SITE_LONG ? SITE_PADDING : 0;
+    for (int i = 1; i <= events; i++) {
+        char event[SITE_PADDING + 64];
+        int length = snprintf(event, sizeof(event), "id: %d\ndata: piece-%d%*s\n\n", i, i, padding, "");
         buffer_printf(&out, "%x\r\n%s\r\n", length, event);
         if (mode == SITE_CUT_MIDWAY && i == 2) {
             site_send(file, buffer_text(&out), out.length);
--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -409,6 +409,44 @@
     return status_of("GET", "/safe/x") == 200;
 }
 
+static bool a_stream_is_held_back(void *context)
+{
+    (void)context;
+    return site_metric(SITE_STATES, "pauses_total") > 0;
+}
+
+/* Reads until the connection closes; returns how many events came. */
+static int count_events(int file)
+{
+    struct buffer answer = {0};
+    ssize_t got = 0;
+    do {
+        got = recv(file, buffer_reserve(&answer, FLOOD), FLOOD, 0);
+        answer.length += got > 0 ? (size_t)got : 0;
+    } while (got > 0);
+    int events = 0;
+    for (const char *at = strstr(buffer_text(&answer), "data: piece-"); at != NULL;
+         at = strstr(at + 1, "data: piece-")) {
+        events++;
+    }
+    buffer_close(&answer);
+    return events;
+}
+
+/* A caller that does not read holds its stream back; later it gets all of it. */
+START_TEST(a_slow_reader_gets_its_whole_stream)
+{
+    static const char request[] = "POST /chat/x HTTP/1.1\r\nHost: app.example\r\nBankbank-Request-Id: slow-reader\r\n"
+                                  "Bankbank-Deadline-Ms: 60000\r\nConnection: close\r\nContent-Length: 1\r\n\r\nb";
+    site_set_mode(-1, SITE_LONG);
+    int file = site_connect(site_caller_ip(0), site_caller_port);
+    ck_assert_int_eq(send(file, request, sizeof(request) - 1, 0), (ssize_t)sizeof(request) - 1);
+    site_wait(a_stream_is_held_back, NULL, "the stream is held back");
+    ck_assert_int_eq(count_events(file), SITE_LONG_EVENTS);
+    close(file);
+}
+END_TEST
+
 static bool a_request_waits(void *context)
 {
     (void)context;
@@ -540,6 +578,7 @@
     tcase_add_test(tests, everything_killed_at_once_forgets_nothing);
     tcase_add_test(tests, a_planned_stop_ends_what_is_under_way);
     tcase_add_test(tests, a_leaving_server_gets_nothing_new);
+    tcase_add_test(tests, a_slow_reader_gets_its_whole_stream);
     tcase_add_test(tests, a_call_waits_for_a_fresh_gateway);
     tcase_add_test(tests, a_call_does_not_wait_for_ever);
     tcase_add_test(tests, a_stopped_log_reader_blocks_nothing);
