--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -19,6 +19,7 @@
 enum {
     NODE_EXIT_SETTINGS = 2,
     NODE_SETTINGS_CHECK_MS = 1000,
+    NODE_STALL_MS = 400,  /* a gap between ticks that is told */
     NODE_LEAVE_MS = 2200, /* time after which the platform sends no new connections */
     NODE_STOP_MARGIN_MS = 400,
     NODE_MAX_HEAD = 16 << 10,
@@ -106,10 +107,21 @@
     }
 }
 
+/* A process that was frozen or starved sees it only in its clock, once it runs again. */
+static void node_report_stall(struct node *node)
+{
+    uint64_t gap_ms = node_now(node) - node->ticked_ms;
+    if (node->ticked_ms != 0 && gap_ms >= NODE_STALL_MS) {
+        event_log("stalled", "{s:I}", "gap_ms", (json_int_t)gap_ms);
+    }
+    node->ticked_ms = node_now(node);
+}
+
 static void node_on_tick(uv_timer_t *timer)
 {
     struct node *node = timer->data;
     event_log_time(node_now(node), clock_wall_ms());
+    node_report_stall(node);
     links_round(&node->links, node_now(node));
     control_client_tick(&node->client, node_now(node));
     if (node->host != NULL) {
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -70,6 +70,7 @@
     struct front *front;            /**< Gateway, or NULL. */
     struct http_listener ready;     /**< Readiness question. */
     struct http_listener metrics;   /**< Metrics. */
+    uint64_t ticked_ms;             /**< Last tick. */
     uint64_t heard_ms;              /**< Last frame of another daemon. */
     bool fresh_told;                /**< Whether the log last told that the state replicas are in touch. */
     bool draining;                  /**< The stop has begun. */
--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -206,6 +206,23 @@
     snprintf(name, size, "snapshot-%" PRIu32, group);
 }
 
+/* Of all that follows the checksum in the header, without putting the parts together: a state may be large. */
+static uint64_t log_snapshot_checksum(const struct view *parts, size_t count)
+{
+    size_t skipped = offsetof(struct log_snapshot_header, index);
+    XXH64_state_t *sum = XXH64_createState();
+    XXH64_reset(sum, 0);
+    XXH64_update(sum, parts[0].data + skipped, parts[0].length - skipped);
+    for (size_t i = 1; i < count; i++) {
+        if (parts[i].length > 0) {
+            XXH64_update(sum, parts[i].data, parts[i].length);
+        }
+    }
+    uint64_t checksum = XXH64_digest(sum);
+    XXH64_freeState(sum);
+    return checksum;
+}
+
 bool log_store_save_snapshot(struct log_store *store, uint32_t group, uint64_t index, uint64_t term,
                              const struct raft_members *members, struct view state)
 {
@@ -218,18 +235,13 @@
         .term = term,
         .state_length = state.length,
     };
-    struct buffer content = {0};
-    buffer_append(&content, &header, sizeof(header));
-    buffer_append(&content, encoded_members.data, encoded_members.length);
-    buffer_append(&content, state.data, state.length);
-    size_t checked = offsetof(struct log_snapshot_header, index);
-    uint64_t checksum = XXH64(content.data + checked, content.length - checked, 0);
-    memcpy(content.data + offsetof(struct log_snapshot_header, checksum), &checksum, sizeof(checksum));
+    struct view parts[] = {view_of(&header, sizeof(header)), buffer_view(&encoded_members), state};
+    size_t part_count = sizeof(parts) / sizeof(parts[0]);
+    header.checksum = log_snapshot_checksum(parts, part_count);
     char name[LOG_NAME_MAX];
     log_snapshot_name(group, name, sizeof(name));
-    bool saved = file_replace(store->folder, name, buffer_view(&content));
+    bool saved = file_replace_parts(store->folder, name, parts, part_count);
     buffer_close(&encoded_members);
-    buffer_close(&content);
     if (!saved) {
         log_store_fail(store, "cannot write the snapshot", name);
         store->failed = !log_disk_is_full();
