--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -119,14 +119,16 @@
     return server->slots == 0 ? 1 : server->slots;
 }
 
-/* Calls per slot in a scale that keeps fractions; a new connection counts as calls. The own zone wins ties. */
+/* Calls per slot in a scale that keeps fractions; a new connection and the way to another zone count as calls. */
 static uint64_t server_load(const struct server_table *table, const struct server *server,
                             const struct server_wish *wish, uint64_t now_ms)
 {
-    uint64_t remote = text_equal(server->zone, wish->zone) ? 0 : 1;
+    bool remote = !text_equal(server->zone, wish->zone);
     bool cold = wish->warm != NULL && !wish->warm(wish->context, server->address);
-    uint64_t calls = server_calls(table, server, now_ms) + (cold ? SERVER_COLD_CALLS : 0);
-    return ((calls << 16) / server_slots(server)) * 2 + remote;
+    uint64_t calls = server_calls(table, server, now_ms);
+    calls += cold ? SERVER_COLD_CALLS : 0;
+    calls += remote ? SERVER_REMOTE_CALLS : 0;
+    return (calls << 16) / server_slots(server);
 }
 
 /* Where no server is sound, any open one is better than none. */
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -24,6 +24,7 @@
     SERVER_SHED_PAUSE_MS = 30,  /**< Time a server that was full is passed over. */
     SERVER_HOME_QUEUE = 6,      /**< Requests beyond its slots that a program's home may have. */
     SERVER_COLD_CALLS = 2,      /**< Requests that opening a connection counts as. */
+    SERVER_REMOTE_CALLS = 2,    /**< Requests that a server in another zone counts as. */
     SERVER_LEAVE_CALLS = 6,     /**< Requests that the home must have more than another one to be left. */
     SERVER_LOADS_VALID_MS = 700 /**< Time the loads of other gateways count. */
 };
