Compare servers by how often they fail, as all gateways see it

Cause: only five failures in a row ejected a server, so one that fails half of its requests was used for good (30% of the servers, connections reset: 4 to 10 programs in 100 lost). Lines server_failing and server_sound tell what a gateway believes. What a frozen gateway missed does not count either.

--- a/src/core/load_table.c
+++ b/src/core/load_table.c
@@ -22,7 +22,8 @@
     for (pb_size_t i = 0; i < gateway->count; i++) {
         struct load_server *server = load_server_of(table, gateway->loads[i].server);
         server->calls -= gateway->loads[i].calls;
-        if (server->calls == 0) {
+        server->failures -= gateway->loads[i].failures;
+        if (server->calls == 0 && server->failures == 0) {
             HASH_DEL(table->servers, server);
             free(server);
         }
@@ -59,9 +60,12 @@
     gateway->told_ms = now_ms;
     gateway->loads = memory_new((report->loads_count + 1U) * sizeof(*gateway->loads));
     for (pb_size_t i = 0; i < report->loads_count; i++) {
-        if (report->loads[i].calls > 0) {
-            gateway->loads[gateway->count++] = report->loads[i];
-            load_server_of(table, report->loads[i].server)->calls += report->loads[i].calls;
+        const ServerLoad *load = &report->loads[i];
+        if (load->calls > 0 || load->failures > 0) {
+            struct load_server *server = load_server_of(table, load->server);
+            gateway->loads[gateway->count++] = *load;
+            server->calls += load->calls;
+            server->failures += load->failures;
         }
     }
 }
@@ -78,14 +82,14 @@
     }
 }
 
-static uint32_t load_own(const struct load_gateway *gateway, uint64_t hash)
+static ServerLoad load_own(const struct load_gateway *gateway, uint64_t hash)
 {
     for (pb_size_t i = 0; gateway != NULL && i < gateway->count; i++) {
         if (gateway->loads[i].server == hash) {
-            return gateway->loads[i].calls;
+            return gateway->loads[i];
         }
     }
-    return 0;
+    return (ServerLoad){0};
 }
 
 void load_table_others(const struct load_table *table, uint32_t node, LoadTotals *totals)
@@ -96,10 +100,14 @@
     totals->gateways = HASH_COUNT(table->gateways);
     totals->loads = memory_new((HASH_COUNT(table->servers) + 1) * sizeof(*totals->loads));
     for (const struct load_server *server = table->servers; server != NULL; server = server->hh.next) {
-        uint32_t others = server->calls - load_own(own, server->hash);
-        if (others > 0) {
-            totals->loads[totals->loads_count].server = server->hash;
-            totals->loads[totals->loads_count++].calls = others;
+        ServerLoad mine = load_own(own, server->hash);
+        ServerLoad others = {
+            .server = server->hash,
+            .calls = server->calls - mine.calls,
+            .failures = server->failures - mine.failures,
+        };
+        if (others.calls > 0 || others.failures > 0) {
+            totals->loads[totals->loads_count++] = others;
         }
     }
 }
--- a/src/core/load_table.h
+++ b/src/core/load_table.h
@@ -1,7 +1,7 @@
 /**
  * @file load_table.h
- * The leader's sum of what gateways have under way at each server, so that
- * they place requests as if one of them saw all. Soft state: reports replace
+ * The leader's sums of what gateways have under way at each server, and how
+ * often it failed them, so that they place requests as if one of them saw all. Soft state: reports replace
  * each other and fade. Pure.
  */
 #ifndef BANKBANK_CORE_LOAD_TABLE_H
@@ -20,6 +20,7 @@
 struct load_server {
     uint64_t hash;     /**< Hash of the server's id. */
     uint32_t calls;    /**< Requests of all gateways. */
+    uint32_t failures; /**< Sum of the shares of failures that they see (health.h). */
     UT_hash_handle hh; /**< By hash. */
 };
 
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -114,12 +114,31 @@
     return server->calls + (told ? server->others : 0);
 }
 
+/* Share of failures as this gateway or several others see it: one other alone may have a bad way to it. */
+uint32_t server_failures(const struct server_table *table, const struct server *server, uint64_t now_ms)
+{
+    uint32_t own = health_share(&server->health, now_ms);
+    bool told = now_ms < table->loads_ms + SERVER_LOADS_VALID_MS;
+    uint32_t others = told ? server->others_failed / SERVER_WITNESSES : 0;
+    others = others > HEALTH_ONE ? HEALTH_ONE : others;
+    return own > others ? own : others;
+}
+
 static uint64_t server_slots(const struct server *server)
 {
     return server->slots == 0 ? 1 : server->slots;
 }
 
-/* Calls per slot in a scale that keeps fractions; a new connection and the way to another zone count as calls. */
+/* A server that fails is still better than a long queue elsewhere. */
+static uint64_t server_failure_calls(const struct server_table *table, const struct server *server, uint64_t now_ms)
+{
+    uint64_t calls = health_calls(server_failures(table, server, now_ms));
+    uint64_t most = SERVER_FAILING_QUEUE * server_slots(server);
+    return calls < most ? calls : most;
+}
+
+/* Calls per slot in a scale that keeps fractions. What speaks against a server counts as calls: a new
+ * connection, the way to another zone, failures. */
 static uint64_t server_load(const struct server_table *table, const struct server *server,
                             const struct server_wish *wish, uint64_t now_ms)
 {
@@ -128,6 +147,7 @@
     uint64_t calls = server_calls(table, server, now_ms);
     calls += cold ? SERVER_COLD_CALLS : 0;
     calls += remote ? SERVER_REMOTE_CALLS : 0;
+    calls += server_failure_calls(table, server, now_ms);
     return (calls << 16) / server_slots(server);
 }
 
@@ -165,10 +185,14 @@
     return idlest;
 }
 
-/* Reading a prompt anew costs all that run there: a program leaves its home only for a much idler server. */
+/* Reading a prompt anew costs all that run there: a program leaves its home only for a much idler server, or
+ * when it fails. */
 static bool server_should_leave(const struct server_table *table, const struct server *home, const struct server *other,
                                 uint64_t now_ms)
 {
+    if (health_is_bad(server_failures(table, home, now_ms)) && !health_is_bad(server_failures(table, other, now_ms))) {
+        return true;
+    }
     uint32_t at_home = server_calls(table, home, now_ms);
     uint32_t elsewhere = server_calls(table, other, now_ms);
     return at_home >= server_slots(home) + SERVER_HOME_QUEUE && elsewhere + SERVER_LEAVE_CALLS <= at_home;
@@ -191,26 +215,50 @@
     table->loads_ms = now_ms;
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
         server->others = 0;
+        server->others_failed = 0;
         for (pb_size_t i = 0; i < totals->loads_count; i++) {
             if (totals->loads[i].server == server->hash) {
                 server->others = totals->loads[i].calls;
+                server->others_failed = totals->loads[i].failures;
             }
         }
     }
 }
 
-void server_table_report_loads(const struct server_table *table, LoadReport *report)
+void server_table_report_loads(const struct server_table *table, uint64_t now_ms, LoadReport *report)
 {
     memset(report, 0, sizeof(*report));
     report->loads = memory_new((HASH_COUNT(table->servers) + 1) * sizeof(*report->loads));
     for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        if (server->calls > 0) {
-            report->loads[report->loads_count].server = server->hash;
-            report->loads[report->loads_count++].calls = server->calls;
+        uint32_t share = health_share(&server->health, now_ms);
+        uint32_t failures = health_is_bad(share) ? share : 0;
+        if (server->calls > 0 || failures > 0) {
+            report->loads[report->loads_count++] =
+                (ServerLoad){.server = server->hash, .calls = server->calls, .failures = failures};
         }
     }
 }
 
+static bool server_has_room(const struct server_table *table, const struct server *server, uint64_t now_ms)
+{
+    return server_calls(table, server, now_ms) < server_slots(server);
+}
+
+void server_refused(const struct server_table *table, struct server *server, uint64_t now_ms)
+{
+    server->full_until_ms = now_ms + SERVER_SHED_PAUSE_MS;
+    if (server_has_room(table, server, now_ms)) {
+        health_note(&server->health, now_ms, HEALTH_REFUSED);
+    }
+}
+
+void server_unanswered(const struct server_table *table, struct server *server, uint64_t now_ms)
+{
+    if (server_has_room(table, server, now_ms)) {
+        health_note(&server->health, now_ms, HEALTH_UNANSWERED);
+    }
+}
+
 void server_heard(struct server *server, uint64_t now_ms)
 {
     server->heard_ms = now_ms;
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -16,6 +16,7 @@
 #include <uthash.h>
 
 #include "control.pb.h"
+#include "core/health.h"
 #include "core/retry.h"
 
 enum {
@@ -25,6 +26,8 @@
     SERVER_HOME_QUEUE = 6,      /**< Requests beyond its slots that a program's home may have. */
     SERVER_COLD_CALLS = 2,      /**< Requests that opening a connection counts as. */
     SERVER_REMOTE_CALLS = 2,    /**< Requests that a server in another zone counts as. */
+    SERVER_FAILING_QUEUE = 2,   /**< Slots' worth of calls that failures count as, at most. */
+    SERVER_WITNESSES = 2,       /**< Other gateways whose shares of failures together count as one's own. */
     SERVER_LEAVE_CALLS = 6,     /**< Requests that the home must have more than another one to be left. */
     SERVER_LOADS_VALID_MS = 700 /**< Time the loads of other gateways count. */
 };
@@ -41,9 +44,12 @@
     bool misplaced;         /**< Another incarnation answered at its address. */
     uint32_t calls;         /**< Own requests under way there. */
     uint32_t others;        /**< Requests of other gateways there, as told last. */
+    uint32_t others_failed; /**< Sum of the shares of failures that they see, as told last. */
     uint64_t heard_ms;      /**< Time it was heard last, or got a request while it had none. */
     uint64_t full_until_ms; /**< Passed over until then, after it refused. */
-    struct circuit circuit; /**< Health by own traffic. */
+    struct circuit circuit; /**< Ejects it when it cannot be reached or always fails. */
+    health_t health;        /**< How often it fails. */
+    bool told_failing;      /**< Whether the log last told that it fails. */
     uint64_t hash;          /**< Of its id. */
     UT_hash_handle hh;      /**< By id. */
 };
@@ -75,8 +81,8 @@
 /** Takes what other gateways have under way. */
 void server_table_take_loads(struct server_table *table, uint64_t now_ms, const LoadTotals *totals);
 
-/** Fills what this gateway has under way; free `report->loads`. */
-void server_table_report_loads(const struct server_table *table, LoadReport *report);
+/** Fills what this gateway has under way and sees failing; free `report->loads`. */
+void server_table_report_loads(const struct server_table *table, uint64_t now_ms, LoadReport *report);
 
 /** Chooses a server, or NULL if none may be used. */
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish);
@@ -88,6 +94,15 @@
 void server_begin(struct server *server, uint64_t now_ms);
 void server_end(struct server_table *table, struct server *server);
 
+/** Share of failures of a server, as this gateway or several others see it, of HEALTH_ONE. */
+uint32_t server_failures(const struct server_table *table, const struct server *server, uint64_t now_ms);
+
+/** Notes that a server refused a request: it is passed over for a moment. */
+void server_refused(const struct server_table *table, struct server *server, uint64_t now_ms);
+
+/** Notes that a server has left a request without an answer for long; a queue there excuses it. */
+void server_unanswered(const struct server_table *table, struct server *server, uint64_t now_ms);
+
 /** Notes that something came from a server. */
 void server_heard(struct server *server, uint64_t now_ms);
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -329,6 +329,7 @@
     server_begin(server, node_now(front->node));
     attempt->forward = forward;
     attempt->server = server;
+    attempt->sent_ms = node_now(front->node);
     free(forward->last_server);
     forward->last_server = text_copy(server->id);
     if (forward->wish.tried_count < SERVER_MAX_TRIED) {
@@ -428,15 +429,24 @@
     forward_place(forward);
 }
 
+/* Where this process itself stood still meanwhile, the failure is not the server's. */
+static void forward_note_failure(const struct forward_attempt *attempt)
+{
+    const struct node *node = attempt->forward->front->node;
+    if (attempt->sent_ms >= node->woke_ms) {
+        circuit_note_failure(&attempt->server->circuit, node_now(node));
+        health_note(&attempt->server->health, node_now(node), HEALTH_FAILED);
+    }
+}
+
 void forward_may_have_run(struct forward_attempt *attempt, const char *reason)
 {
     struct forward *forward = attempt->forward;
-    struct front *front = forward->front;
     event_log("attempt_unknown", "{s:s,s:s,s:s,s:i,s:b}", "id", text_or_empty(forward->id), "server",
               attempt->server->id, "reason", reason, "sends", (int)forward->sends, "answer_begun",
               forward->stream.begun);
     forward->runs++;
-    circuit_note_failure(&attempt->server->circuit, node_now(front->node));
+    forward_note_failure(attempt);
     forward_end_attempt(attempt);
     if (forward_is_asking(forward)) {
         return;
@@ -450,6 +460,30 @@
     }
 }
 
+/* ---- Silence ------------------------------------------------------------------------------------- */
+
+static uint64_t forward_patience_ms(const struct forward *forward)
+{
+    uint64_t aimed_ms = HEALTH_UNANSWERED_AIMS * forward->route->target_latency_ms;
+    return aimed_ms > HEALTH_UNANSWERED_MS ? aimed_ms : HEALTH_UNANSWERED_MS;
+}
+
+void forward_note_silence(struct forward *forward)
+{
+    const struct node *node = forward->front->node;
+    uint64_t now_ms = node_now(node);
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        struct forward_attempt *attempt = &forward->attempts[i];
+        uint64_t since_ms = attempt->sent_ms > node->woke_ms ? attempt->sent_ms : node->woke_ms;
+        bool silent = attempt->exchange != NULL && attempt->status == 0 && !attempt->silent &&
+                      now_ms >= since_ms + forward_patience_ms(forward);
+        if (silent) {
+            attempt->silent = true;
+            server_unanswered(&forward->front->servers, attempt->server, now_ms);
+        }
+    }
+}
+
 /* ---- Begin --------------------------------------------------------------------------------------- */
 
 static struct forward *forward_new(struct front *front, struct http_call *call)
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -57,7 +57,9 @@
     struct forward *forward;            /**< The request; NULL: the attempt is free. */
     struct server *server;              /**< Server asked. */
     struct upstream_exchange *exchange; /**< Exchange under way, or NULL. */
-    int status;                         /**< Status of the answer. */
+    uint64_t sent_ms;                   /**< Loop time at which it was sent. */
+    bool silent;                        /**< It was noted that no answer has begun for long. */
+    int status;                         /**< Status of the answer, 0: none yet. */
     bool refused;                       /**< The server did not run the request. */
     bool streaming;                     /**< The answer is passed on event by event. */
     struct buffer lines;                /**< Header lines to pass on. */
@@ -104,6 +106,9 @@
 /** Goes on with the requests that waited for configuration and servers. */
 void forward_resume_waiting(struct front *front);
 
+/** Notes the servers that have not begun to answer it for long. */
+void forward_note_silence(struct forward *forward);
+
 /** The caller has taken all of the answer so far. */
 void forward_caller_drained(struct forward *forward);
 
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -5,7 +5,13 @@
 #include "base/event_log.h"
 #include "proxy/forward.h"
 
-enum { FORWARD_OK = 200, FORWARD_MISDIRECTED = 421, FORWARD_FIRST_FAILURE = 300 };
+enum {
+    FORWARD_OK = 200,
+    FORWARD_MISDIRECTED = 421,
+    FORWARD_FIRST_FAILURE = 300,
+    FORWARD_SERVER_ERROR = 500,
+    FORWARD_OUT_OF_TIME = 504
+};
 
 /* ---- Head ------------------------------------------------------------------------------- */
 
@@ -196,7 +202,7 @@
         forward_not_run(attempt, "another server has the address");
         return;
     }
-    attempt->server->full_until_ms = node_now(front->node) + SERVER_SHED_PAUSE_MS;
+    server_refused(&front->servers, attempt->server, node_now(front->node));
     forward_not_run(attempt, "the server refused");
 }
 
@@ -216,6 +222,13 @@
     }
 }
 
+/* A server whose time ran out has worked as told: a queue is no failure. */
+static health_outcome_t forward_outcome(int status)
+{
+    bool failed = status >= FORWARD_SERVER_ERROR && status != FORWARD_OUT_OF_TIME;
+    return failed ? HEALTH_FAILED : HEALTH_SERVED;
+}
+
 static void forward_on_end(void *owner, enum upstream_end end)
 {
     struct forward_attempt *attempt = owner;
@@ -235,6 +248,7 @@
         return;
     }
     circuit_note_success(&attempt->server->circuit);
+    health_note(&attempt->server->health, node_now(node), forward_outcome(attempt->status));
     if (attempt->streaming) {
         forward_finish_stream(attempt);
     } else {
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -168,15 +168,44 @@
     }
     Frame frame = {0};
     frame.which_payload = Frame_load_report_tag;
-    server_table_report_loads(&front->servers, &frame.payload.load_report);
+    server_table_report_loads(&front->servers, node_now(node), &frame.payload.load_report);
     front->loads_due_ms = node_now(node) + FRONT_LOADS_MS;
     front->loads_told = frame.payload.load_report.loads_count > 0;
     node_send_frame(node, leader, &frame);
     free(frame.payload.load_report.loads);
 }
 
+static void front_report_failing(struct front *front, struct server *server)
+{
+    uint64_t now_ms = node_now(front->node);
+    uint32_t share = server_failures(&front->servers, server, now_ms);
+    if (health_is_bad(share) == server->told_failing) {
+        return;
+    }
+    server->told_failing = health_is_bad(share);
+    event_log(server->told_failing ? "server_failing" : "server_sound", "{s:s,s:s,s:f,s:f}", "server", server->id,
+              "service", server->service, "own_share", (double)health_share(&server->health, now_ms) / HEALTH_ONE,
+              "share", (double)share / HEALTH_ONE);
+}
+
+/* Looks for servers that do not answer, and tells which ones have come to fail. */
+static void front_review_servers(struct front *front)
+{
+    if (node_now(front->node) < front->review_due_ms) {
+        return;
+    }
+    front->review_due_ms = node_now(front->node) + FRONT_REVIEW_MS;
+    for (struct forward *forward = front->forwards; forward != NULL; forward = forward->next) {
+        forward_note_silence(forward);
+    }
+    for (struct server *server = front->servers.servers; server != NULL; server = server->hh.next) {
+        front_report_failing(front, server);
+    }
+}
+
 void front_tick(struct front *front)
 {
+    front_review_servers(front);
     front_report_loads(front);
     turn_store_shrink(&front->cache, FRONT_CACHE_BYTES);
 }
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -16,6 +16,7 @@
 enum {
     FRONT_CACHE_BYTES = 8 << 20, /**< Turns kept near. */
     FRONT_CONNECTIONS = 24,      /**< Connections of this gateway to one server. */
+    FRONT_REVIEW_MS = 100,       /**< Period of looking for servers that fail. */
     FRONT_LOADS_MS = 100         /**< Period of telling the leader what is under way. */
 };
 
@@ -52,6 +53,7 @@
     uint32_t active;                /**< Their number. */
     uint32_t waiting;               /**< Those of them that wait for configuration and servers. */
     uint64_t loads_due_ms;          /**< Next time to tell what is under way. */
+    uint64_t review_due_ms;         /**< Next look at the servers. */
     bool loads_told;                /**< The last report was not empty. */
     struct retry_budget retries;    /**< Keeps second servers a small share. */
     struct front_counters counters; /**< Events. */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -113,6 +113,7 @@
     uint64_t gap_ms = node_now(node) - node->ticked_ms;
     if (node->ticked_ms != 0 && gap_ms >= NODE_STALL_MS) {
         event_log("stalled", "{s:I}", "gap_ms", (json_int_t)gap_ms);
+        node->woke_ms = node_now(node);
     }
     node->ticked_ms = node_now(node);
 }
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -71,6 +71,7 @@
     struct http_listener ready;     /**< Readiness question. */
     struct http_listener metrics;   /**< Metrics. */
     uint64_t ticked_ms;             /**< Last tick. */
+    uint64_t woke_ms;               /**< End of the last stall: what began before says nothing of others. */
     uint64_t heard_ms;              /**< Last frame of another daemon. */
     bool fresh_told;                /**< Whether the log last told that the state replicas are in touch. */
     bool draining;                  /**< The stop has begun. */
--- /dev/null
+++ b/tests/scripted/run_health.c
@@ -0,0 +1,124 @@
+/* Health of servers and the choice among them:
+ *   servers COUNT SLOTS           names s1, s2, ... of one service and zone
+ *   at MS                         the time moves on
+ *   note SERVER OUTCOME COUNT     so many outcomes: served, failed, refused, unanswered
+ *   others SERVER HUNDREDTHS      the sum of the shares that other gateways see
+ *   share SERVER                  tells the share of failures, in hundredths
+ *   call COUNT                    so many calls, all under way at once; tells how many each server got
+ *   call COUNT home SERVER        the same for programs that have their home there */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/buffer.h"
+#include "core/server_table.h"
+#include "script.h"
+
+enum { MAX_SERVERS = 16, MAX_CALLS = 256, NAME_MAX_BYTES = 16, HUNDRED = 100 };
+
+static struct server_table servers;
+static uint64_t server_count;
+static uint64_t now_ms = 1000000;
+
+static struct server *find(const char *name)
+{
+    struct server *server = NULL;
+    HASH_FIND_STR(servers.servers, name, server);
+    return server;
+}
+
+static struct server *server_of(const script_command_t *command, int position)
+{
+    char name[NAME_MAX_BYTES];
+    script_copy(command, position, name, sizeof(name));
+    return find(name);
+}
+
+static void start(uint64_t count, uint64_t slots)
+{
+    char names[MAX_SERVERS][NAME_MAX_BYTES];
+    ServerRecord records[MAX_SERVERS];
+    server_table_close(&servers);
+    memset(&servers, 0, sizeof(servers));
+    memset(records, 0, sizeof(records));
+    server_count = count < MAX_SERVERS ? count : MAX_SERVERS;
+    for (uint64_t i = 0; i < server_count; i++) {
+        snprintf(names[i], sizeof(names[i]), "s%llu", (unsigned long long)i + 1);
+        records[i].id = names[i];
+        records[i].service = (char *)(uintptr_t) "service";
+        records[i].zone = (char *)(uintptr_t) "zone";
+        records[i].address = (char *)(uintptr_t) "127.0.0.1:1";
+        records[i].slots = (uint32_t)slots;
+    }
+    ServerList list = {.servers_count = (pb_size_t)server_count, .servers = records};
+    server_table_update(&servers, &list);
+}
+
+static health_outcome_t outcome_of(const script_command_t *command)
+{
+    static const char *const names[] = {"served", "failed", "refused", "unanswered"};
+    for (int i = 0; i < 4; i++) {
+        if (script_is(command, 2, names[i])) {
+            return (health_outcome_t)i;
+        }
+    }
+    script_print("unknown outcome\n");
+    return HEALTH_SERVED;
+}
+
+static void take_others(const struct server *server, uint64_t hundredths)
+{
+    ServerLoad load = {.server = server->hash, .failures = (uint32_t)(hundredths * HEALTH_ONE / HUNDRED)};
+    LoadTotals totals = {.loads_count = 1, .loads = &load};
+    server_table_take_loads(&servers, now_ms, &totals);
+}
+
+static void call(uint64_t count, const char *home)
+{
+    struct server *taken[MAX_CALLS];
+    struct server_wish wish = {.service = "service", .zone = "zone", .home = home};
+    count = count < MAX_CALLS ? count : MAX_CALLS;
+    for (uint64_t i = 0; i < count; i++) {
+        taken[i] = server_table_choose(&servers, now_ms, &wish);
+        server_begin(taken[i], now_ms);
+    }
+    for (uint64_t i = 1; i <= server_count; i++) {
+        char name[NAME_MAX_BYTES];
+        snprintf(name, sizeof(name), "s%llu", (unsigned long long)i);
+        script_print("%s %u\n", name, find(name)->calls);
+    }
+    for (uint64_t i = 0; i < count; i++) {
+        server_end(&servers, taken[i]);
+    }
+}
+
+static void run(const script_command_t *command)
+{
+    struct server *server = server_of(command, 1);
+    if (script_is(command, 0, "servers")) {
+        start(script_number(command, 1, 0), script_number(command, 2, 1));
+    } else if (script_is(command, 0, "at")) {
+        now_ms = 1000000 + script_number(command, 1, 0);
+    } else if (script_is(command, 0, "note") && server != NULL) {
+        health_outcome_t outcome = outcome_of(command);
+        for (uint64_t i = 0; i < script_number(command, 3, 1); i++) {
+            health_note(&server->health, now_ms, outcome);
+        }
+    } else if (script_is(command, 0, "others") && server != NULL) {
+        take_others(server, script_number(command, 2, 0));
+    } else if (script_is(command, 0, "share") && server != NULL) {
+        script_print("%u\n", (unsigned)((uint64_t)health_share(&server->health, now_ms) * HUNDRED / HEALTH_ONE));
+    } else if (script_is(command, 0, "call")) {
+        char home[NAME_MAX_BYTES];
+        script_copy(command, 3, home, sizeof(home));
+        call(script_number(command, 1, 0), home[0] == '\0' ? NULL : home);
+    } else {
+        script_print("unknown command\n");
+    }
+}
+
+int main(int argc, char **argv)
+{
+    int status = script_main(argc > 1 ? argv[1] : "tests/scripted/health.script", run);
+    server_table_close(&servers);
+    return status;
+}
