--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -22,6 +22,7 @@
     FORWARD_HEDGE_MS = 150,         /**< Time without an answer before a second server is asked, at least. */
     FORWARD_MAX_SENDS = 5,          /**< Servers asked, those that refuse included. */
     FORWARD_MAX_ANSWER = 8 << 20,   /**< Largest answer that is not streamed. */
+    FORWARD_STATE_PERCENT = 40,     /**< Part of a caller's time left that the state replicas may take, at most. */
     FORWARD_STATE_MS = 1500,        /**< Time the state replicas may take to reserve or to fetch. */
     FORWARD_NEAR_MS = 120,          /**< Time a near replica may take before the leader is asked. */
     FORWARD_MAX_PENDING = 64 << 10, /**< Bytes of a stream kept for a caller that reads slowly. */
@@ -106,7 +107,7 @@
 /** Goes on with the requests that waited for configuration and servers. */
 void forward_resume_waiting(struct front *front);
 
-/** Notes the servers that have not begun to answer it for long. */
+/** forward_attempt.c: notes the servers that have not begun to answer it for long. */
 void forward_note_silence(struct forward *forward);
 
 /** The caller has taken all of the answer so far. */
@@ -115,7 +116,7 @@
 /** The caller has left. */
 void forward_caller_gone(struct forward *forward);
 
-/** Goes on once a turn is reserved and its conversation is there. */
+/** forward_attempt.c: goes on once a turn is reserved and its conversation is there. */
 void forward_place(struct forward *forward);
 
 /** Ends as not run, with a time to come back. */
@@ -148,13 +149,25 @@
 /** forward_answer.c: the events of exchanges with servers. */
 extern const struct upstream_events forward_upstream_events;
 
-/** forward.c: a server did not run the request; the attempt ends. */
+/** forward.c: ends for want of time; what may have run is not promised otherwise. */
+void forward_out_of_time(struct forward *forward);
+
+/** forward_attempt.c: ends all attempts. */
+void forward_end_attempts(struct forward *forward);
+
+/** forward_attempt.c: whether some server may have begun on the request. */
+bool forward_was_sent(const struct forward *forward);
+
+/** forward_attempt.c: asks a second server, if the request may run again and has had no answer. */
+void forward_hedge(struct forward *forward);
+
+/** forward_attempt.c: a server did not run the request; the attempt ends. */
 void forward_not_run(struct forward_attempt *attempt, const char *reason);
 
-/** forward.c: a server may have run the request, and no answer came; the attempt ends. */
+/** forward_attempt.c: a server may have run the request, and no answer came; the attempt ends. */
 void forward_may_have_run(struct forward_attempt *attempt, const char *reason);
 
-/** forward.c: ends an attempt: its exchange, if any, is given up. */
+/** forward_attempt.c: ends an attempt: its exchange, if any, is given up. */
 void forward_end_attempt(struct forward_attempt *attempt);
 
 /** Value of a header of the request as a number; `absent` where it is missing or not one. */
--- /dev/null
+++ b/src/proxy/forward_attempt.c
@@ -0,0 +1,278 @@
+/* The servers that a request is sent to: choice, attempts, what their failures mean. */
+#include "proxy/forward.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event_log.h"
+
+enum { FORWARD_UNAVAILABLE = 503, FORWARD_BAD_GATEWAY = 502 };
+
+/* ---- Attempts --------------------------------------------------------------------------------- */
+
+void forward_end_attempt(struct forward_attempt *attempt)
+{
+    struct front *front = attempt->forward->front;
+    if (attempt->exchange != NULL) {
+        upstream_cancel(&front->node->upstreams, attempt->exchange);
+    }
+    if (attempt->server != NULL) {
+        server_end(&front->servers, attempt->server);
+    }
+    buffer_close(&attempt->lines);
+    buffer_close(&attempt->body);
+    memset(attempt, 0, sizeof(*attempt));
+}
+
+void forward_end_attempts(struct forward *forward)
+{
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        struct forward_attempt *attempt = &forward->attempts[i];
+        if (attempt->forward != NULL) {
+            forward_end_attempt(attempt);
+        }
+    }
+}
+
+static bool forward_is_asking(const struct forward *forward)
+{
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        if (forward->attempts[i].forward != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether some server may have begun on the request. */
+bool forward_was_sent(const struct forward *forward)
+{
+    bool sent = forward->runs > 0;
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        const struct upstream_exchange *exchange = forward->attempts[i].exchange;
+        sent = sent || (exchange != NULL && upstream_was_sent(exchange));
+    }
+    return sent;
+}
+
+/* ---- Placement -------------------------------------------------------------------------------- */
+
+static bool forward_part_is_usable(void *context, const char *service)
+{
+    struct front *front = context;
+    return server_table_serves(&front->servers, node_now(front->node), service);
+}
+
+static bool forward_is_warm(void *context, const char *address)
+{
+    struct front *front = context;
+    return upstream_idle_count(&front->node->upstreams, address) > 0;
+}
+
+static void forward_write_headers(const struct forward *forward, struct buffer *out)
+{
+    const struct http_reader *request = forward->call->request;
+    const struct dialect *dialect = forward->front->node->dialect;
+    static const enum dialect_header own[] = {DIALECT_DEADLINE_MS, DIALECT_EXPECT_SERVER, DIALECT_PRIORITY};
+    for (int i = 0; i < request->header_count; i++) {
+        const struct http_header *header = &request->headers[i];
+        bool dropped = http_reader_is_hop_header(request, header->name);
+        for (size_t k = 0; k < sizeof(own) / sizeof(own[0]); k++) {
+            dropped = dropped || http_name_equal(header->name, dialect->headers[own[k]]);
+        }
+        if (!dropped) {
+            buffer_append(out, header->name.data, header->name.length);
+            buffer_append(out, ": ", 2);
+            buffer_append(out, header->value.data, header->value.length);
+            buffer_append(out, "\r\n", 2);
+        }
+    }
+}
+
+static void forward_write_request(const struct forward *forward, const struct server *server, struct buffer *out)
+{
+    const struct http_reader *request = forward->call->request;
+    const struct dialect *dialect = forward->front->node->dialect;
+    const struct buffer *history = &forward->turn.history;
+    const struct buffer *body = &forward->call->body;
+    uint64_t left_ms = forward->limit_ms - node_now(forward->front->node);
+    buffer_append(out, request->method.data, request->method.length);
+    buffer_append(out, " ", 1);
+    buffer_append(out, request->target.data, request->target.length);
+    buffer_append_text(out, " HTTP/1.1\r\n");
+    forward_write_headers(forward, out);
+    buffer_printf(out, "%s: %llu\r\n", dialect->headers[DIALECT_DEADLINE_MS], (unsigned long long)left_ms);
+    buffer_printf(out, "%s: %s\r\n", dialect->headers[DIALECT_EXPECT_SERVER], server->id);
+    bool has_body = http_reader_has(request, "Content-Length") || http_reader_has(request, "Transfer-Encoding");
+    if (has_body || history->length > 0) {
+        buffer_printf(out, "Content-Length: %zu\r\n", history->length + body->length);
+    }
+    buffer_append_text(out, "\r\n");
+    buffer_append(out, history->data, history->length);
+    buffer_append(out, body->data, body->length);
+}
+
+static struct forward_attempt *forward_free_attempt(struct forward *forward)
+{
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        if (forward->attempts[i].forward == NULL) {
+            return &forward->attempts[i];
+        }
+    }
+    return NULL;
+}
+
+static void forward_send(struct forward *forward, struct server *server)
+{
+    struct front *front = forward->front;
+    struct forward_attempt *attempt = forward_free_attempt(forward);
+    struct address address;
+    struct buffer request = {0};
+    forward->phase = FORWARD_RUNNING;
+    forward->sends++;
+    front->counters.sends++;
+    server_begin(server, node_now(front->node));
+    attempt->forward = forward;
+    attempt->server = server;
+    attempt->sent_ms = node_now(front->node);
+    free(forward->last_server);
+    forward->last_server = text_copy(server->id);
+    if (forward->wish.tried_count < SERVER_MAX_TRIED) {
+        forward->wish.tried[forward->wish.tried_count++] = server;
+    }
+    address_parse(server->address, &address);
+    forward_write_request(forward, server, &request);
+    bool head_request = http_name_equal(forward->call->request->method, "HEAD");
+    attempt->exchange =
+        upstream_start(&front->node->upstreams, &address, &request, head_request, &forward_upstream_events, attempt);
+}
+
+static struct server *forward_choose_in_part(struct forward *forward)
+{
+    struct front *front = forward->front;
+    return forward->wish.service == NULL ? NULL
+                                         : server_table_choose(&front->servers, node_now(front->node), &forward->wish);
+}
+
+/* A request that is sent again stays in its part of the route, as long as that has another server. */
+static struct server *forward_choose(struct forward *forward)
+{
+    forward->wish.zone = forward->front->node->settings.zone;
+    forward->wish.warm = forward_is_warm;
+    forward->wish.context = forward->front;
+    struct server *server = forward_choose_in_part(forward);
+    if (server == NULL) {
+        const struct route_part *part = route_choose_part(forward->route, forward_part_is_usable, forward->front);
+        forward->wish.service = part == NULL ? NULL : part->service;
+        server = forward_choose_in_part(forward);
+    }
+    return server;
+}
+
+void forward_place(struct forward *forward)
+{
+    if (node_now(forward->front->node) + FORWARD_LEAST_MS >= forward->limit_ms) {
+        forward_out_of_time(forward);
+        return;
+    }
+    struct server *server = forward_choose(forward);
+    if (server != NULL) {
+        forward_send(forward, server);
+    } else if (forward->runs > 0) {
+        forward_fail(forward, FORWARD_BAD_GATEWAY, "no other server");
+    } else {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, "no server");
+    }
+}
+
+/* A request that may run again is sent to a second server when the first one
+ * is slow to answer, as long as such seconds are few. */
+static bool forward_may_hedge(struct forward *forward)
+{
+    return forward->route->kind == ROUTE_SAFE && !forward->hedged && forward->phase == FORWARD_RUNNING &&
+           forward_is_asking(forward) && forward->sends < forward->route->max_attempts &&
+           forward->limit_ms > node_now(forward->front->node) + FORWARD_LEAST_MS;
+}
+
+void forward_hedge(struct forward *forward)
+{
+    struct server *server = forward_may_hedge(forward) ? forward_choose(forward) : NULL;
+    if (server != NULL && retry_budget_take(&forward->front->retries)) {
+        forward->hedged = true;
+        forward->front->counters.hedges++;
+        forward_send(forward, server);
+    }
+}
+
+/* ---- Failures --------------------------------------------------------------------------------- */
+
+void forward_not_run(struct forward_attempt *attempt, const char *reason)
+{
+    struct forward *forward = attempt->forward;
+    event_log("attempt_not_run", "{s:s,s:s,s:s,s:i}", "id", text_or_empty(forward->id), "server", attempt->server->id,
+              "reason", reason, "sends", (int)forward->sends);
+    forward_end_attempt(attempt);
+    if (forward_is_asking(forward)) {
+        return;
+    }
+    if (forward->sends >= FORWARD_MAX_SENDS && forward->runs == 0) {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, reason);
+        return;
+    }
+    forward_place(forward);
+}
+
+/* Where this process itself stood still meanwhile, the failure is not the server's. */
+static void forward_note_failure(const struct forward_attempt *attempt)
+{
+    const struct node *node = attempt->forward->front->node;
+    if (attempt->sent_ms >= node->woke_ms) {
+        circuit_note_failure(&attempt->server->circuit, node_now(node));
+        health_note(&attempt->server->health, node_now(node), HEALTH_FAILED);
+    }
+}
+
+void forward_may_have_run(struct forward_attempt *attempt, const char *reason)
+{
+    struct forward *forward = attempt->forward;
+    event_log("attempt_unknown", "{s:s,s:s,s:s,s:i,s:b}", "id", text_or_empty(forward->id), "server",
+              attempt->server->id, "reason", reason, "sends", (int)forward->sends, "answer_begun",
+              forward->stream.begun);
+    forward->runs++;
+    forward_note_failure(attempt);
+    forward_end_attempt(attempt);
+    if (forward_is_asking(forward)) {
+        return;
+    }
+    bool again = !forward->stream.begun && forward->route->kind == ROUTE_SAFE &&
+                 forward->runs < forward->route->max_attempts && forward->sends < FORWARD_MAX_SENDS;
+    if (again) {
+        forward_place(forward);
+    } else {
+        forward_fail(forward, FORWARD_BAD_GATEWAY, reason);
+    }
+}
+
+/* ---- Silence ------------------------------------------------------------------------------------- */
+
+static uint64_t forward_patience_ms(const struct forward *forward)
+{
+    uint64_t aimed_ms = HEALTH_UNANSWERED_AIMS * forward->route->target_latency_ms;
+    return aimed_ms > HEALTH_UNANSWERED_MS ? aimed_ms : HEALTH_UNANSWERED_MS;
+}
+
+void forward_note_silence(struct forward *forward)
+{
+    const struct node *node = forward->front->node;
+    uint64_t now_ms = node_now(node);
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        struct forward_attempt *attempt = &forward->attempts[i];
+        uint64_t since_ms = attempt->sent_ms > node->woke_ms ? attempt->sent_ms : node->woke_ms;
+        bool silent = attempt->exchange != NULL && attempt->status == 0 && !attempt->silent &&
+                      now_ms >= since_ms + forward_patience_ms(forward);
+        if (silent) {
+            attempt->silent = true;
+            server_unanswered(&forward->front->servers, attempt->server, now_ms);
+        }
+    }
+}
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -34,6 +34,15 @@
     return service == NULL || service->chunk_tokens == 0 ? 1 : service->chunk_tokens;
 }
 
+/* The state replicas may take a while to elect a leader; most of the caller's time stays for another try. */
+static uint64_t forward_state_deadline(const struct forward *forward)
+{
+    uint64_t now_ms = node_now(forward->front->node);
+    uint64_t left_ms = forward->limit_ms > now_ms ? forward->limit_ms - now_ms : 0;
+    uint64_t share_ms = left_ms * FORWARD_STATE_PERCENT / 100;
+    return now_ms + (share_ms < FORWARD_STATE_MS ? share_ms : FORWARD_STATE_MS);
+}
+
 /* ---- Before the turn runs ------------------------------------------------------------------ */
 
 static void forward_turn_go_on(struct forward *forward)
@@ -78,7 +87,7 @@
     entry.command.turn_begin.reserve_tokens = turn->most;
     turn->begun = true;
     turn->since_ms = node_now(node);
-    turn->reserving = node_propose(node, &entry, node_now(node) + FORWARD_STATE_MS, forward_on_reserved, forward);
+    turn->reserving = node_propose(node, &entry, forward_state_deadline(forward), forward_on_reserved, forward);
 }
 
 /* Keeps a fetched chain near, and takes the conversation from it. */
@@ -129,7 +138,7 @@
     struct node *node = forward->front->node;
     struct buffer body = {0};
     forward_encode_query(forward, &body);
-    forward->turn.fetching = node_submit(node, REQUEST_TURNS, buffer_view(&body), node_now(node) + FORWARD_STATE_MS,
+    forward->turn.fetching = node_submit(node, REQUEST_TURNS, buffer_view(&body), forward_state_deadline(forward),
                                          forward_on_fetched, forward);
     buffer_close(&body);
 }
