Demote a voter too many instead of removing it

Cause: a dark voter's successor had just been promoted when the voter came back; with four sound voters where three are wanted, the first one in the list was removed, a healthy one, which noticed after a second without a leader and joined anew. The leader itself could have been the one. Now a voter too many becomes a learner and goes on holding the state: not the leader, and rather one that lacks entries. Ruled out: a cut (no peer_lost), a freeze (no stalled line).

--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -61,16 +61,31 @@
     return step;
 }
 
+/* A voter that is gone, or to go, and whose seat is not needed. */
 static bool membership_voter_may_leave(const struct raft_members *members, const struct membership_view *views,
                                        uint32_t position)
 {
-    uint32_t sound = membership_sound_count(members, views, true);
-    const struct membership_view *view = &views[position];
-    if (membership_is_sound(view)) {
-        return raft_voter_count(members) > membership_wanted_voters(members, views) &&
-               sound > membership_wanted_voters(members, views);
+    return !membership_is_sound(&views[position]) && membership_sound_count(members, views, true) >= MEMBERSHIP_VOTERS;
+}
+
+/* Where a voter came back after its successor was promoted, one is too many: not the leader, and rather one
+ * that lacks entries. */
+static struct membership_step membership_plan_demote(const struct raft_members *members,
+                                                     const struct membership_view *views)
+{
+    struct membership_step step = {0};
+    bool chosen_is_current = true;
+    if (membership_sound_count(members, views, true) <= membership_wanted_voters(members, views)) {
+        return step;
     }
-    return sound >= MEMBERSHIP_VOTERS;
+    for (uint32_t i = 0; i < members->count; i++) {
+        bool may = !members->learners[i] && membership_is_sound(&views[i]) && !views[i].leads;
+        if (may && (!step.wanted || (chosen_is_current && !views[i].caught_up))) {
+            step = membership_step_of(MEMBER_DEMOTE, members->nodes[i]);
+            chosen_is_current = views[i].caught_up;
+        }
+    }
+    return step;
 }
 
 static struct membership_step membership_plan_remove(const struct raft_members *members,
@@ -98,6 +113,9 @@
     if (!step.wanted) {
         step = membership_plan_remove(members, views);
     }
+    if (!step.wanted) {
+        step = membership_plan_demote(members, views);
+    }
     return step;
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -2,8 +2,9 @@
  * @file membership.h
  * Chooses the next change of a group's members where nobody lists them: who
  * asked to join becomes a learner, a caught-up learner takes the place of a
- * voter that is gone, and a machine to be emptied leaves. One change at a
- * time; a voter leaves only when enough others that are in touch stay.
+ * voter that is gone, and a machine to be emptied leaves. A voter in touch that
+ * is one too many becomes a learner: it goes on holding the state. One change at
+ * a time; a voter leaves only when enough others that are in touch stay.
  */
 #ifndef BANKBANK_CORE_MEMBERSHIP_H
 #define BANKBANK_CORE_MEMBERSHIP_H
@@ -31,6 +32,7 @@
     bool caught_up;     /**< It lacks only what is in flight. */
     bool replaced;      /**< Its address or name belongs to another node now. */
     bool retiring;      /**< Its machine is to be emptied. */
+    bool leads;         /**< It is the leader. */
 };
 
 /** A change to make. */
--- a/src/core/replica_requests.c
+++ b/src/core/replica_requests.c
@@ -213,7 +213,13 @@
         }
         members->learners[position] = false;
         return true;
-    default:
+    case MEMBER_DEMOTE:
+        if (!listed || members->learners[position]) {
+            return false;
+        }
+        members->learners[position] = true;
+        return true;
+    case MEMBER_REMOVE:
         if (!listed) {
             return false;
         }
@@ -223,13 +229,15 @@
         members->places[position] = members->places[members->count];
         return true;
     }
+    return false;
 }
 
 /* Whether the leader may propose the change now; it gives its own seat to another first. */
 static bool replica_may_change(struct replica *replica, uint32_t group, const struct membership_step *change)
 {
     struct raft *raft = &replica->groups[group].raft;
-    if (change->action == MEMBER_REMOVE && change->node == replica->config.node) {
+    bool leaves = change->action == MEMBER_REMOVE || change->action == MEMBER_DEMOTE;
+    if (leaves && change->node == replica->config.node) {
         raft_transfer(raft, replica->now_ms, replica_best_successor(replica, raft));
         return false;
     }
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -135,6 +135,7 @@
         bool self = raft->members.nodes[i] == replica->config.node;
         uint64_t heard_ms = replica_heard_ms(replica, raft, i);
         memset(&views[i], 0, sizeof(views[i]));
+        views[i].leads = self;
         views[i].silent_ms = self || heard_ms >= replica->now_ms ? 0 : replica->now_ms - heard_ms;
         views[i].caught_up = self || raft_has_caught_up(raft, raft->members.nodes[i], replica->now_ms);
         views[i].retiring = site_state_is_retired(site, place->name);
--- a/tests/unit/membership.c
+++ b/tests/unit/membership.c
@@ -118,6 +118,22 @@
 }
 END_TEST
 
+/* A voter came back just after its successor was promoted: nobody in touch leaves, one becomes a learner. */
+START_TEST(a_voter_too_many_becomes_a_learner)
+{
+    add(4, false);
+    views[0].leads = true;
+    expect(MEMBER_DEMOTE, 2);
+    views[2].caught_up = false;
+    expect(MEMBER_DEMOTE, 3);
+    views[1].silent_ms = MEMBERSHIP_SILENT_MS;
+    expect(MEMBER_REMOVE, 2);
+    members.learners[2] = true;
+    views[1].silent_ms = 0;
+    expect_nothing();
+}
+END_TEST
+
 START_TEST(retiring_needs_enough_others)
 {
     ck_assert(!membership_may_retire(&members, views, "store-1"));
@@ -141,6 +157,7 @@
     tcase_add_test(tests, a_retiring_voter_leaves_after_its_successor_votes);
     tcase_add_test(tests, a_retiring_learner_leaves);
     tcase_add_test(tests, five_members_vote_where_five_are_in_touch);
+    tcase_add_test(tests, a_voter_too_many_becomes_a_learner);
     tcase_add_test(tests, retiring_needs_enough_others);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
