Split the listener: answers stand in a file of their own

Ruled out: a second public header; the connection is shared by the two files only (http_connection.h).

--- /dev/null
+++ b/src/net/http_answer.c
@@ -0,0 +1,209 @@
+/* Writing answers of calls, and what a connection does behind them. */
+#include "net/http_connection.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* A write under way. */
+struct http_write {
+    uv_write_t request;
+    uint8_t *data;
+};
+
+/* ---- Writing --------------------------------------------------------------------------- */
+
+static void http_on_written(uv_write_t *request, int status)
+{
+    struct http_write *write = (struct http_write *)request;
+    struct http_connection *connection = request->handle->data;
+    free(write->data);
+    free(write);
+    if (status < 0 && status != UV_ECANCELED) {
+        http_connection_lost(connection);
+        return;
+    }
+    const struct http_handler *handler = &connection->listener->handler;
+    bool drained = status == 0 && connection->state == HTTP_ANSWERING && http_call_pending(&connection->call) == 0;
+    if (drained && handler->drained != NULL) {
+        handler->drained(handler->context, &connection->call);
+    }
+}
+
+void http_connection_write(struct http_connection *connection, struct view data)
+{
+    uv_buf_t part = uv_buf_init((char *)(uintptr_t)data.data, (unsigned)data.length);
+    int written = uv_stream_get_write_queue_size((uv_stream_t *)&connection->socket) > 0
+                      ? 0
+                      : uv_try_write((uv_stream_t *)&connection->socket, &part, 1);
+    if (written < 0) {
+        written = 0;
+    }
+    size_t left = data.length - (size_t)written;
+    if (left == 0) {
+        return;
+    }
+    struct http_write *write = memory_new(sizeof(*write));
+    write->data = (uint8_t *)memory_copy(data.data + written, left);
+    part = uv_buf_init((char *)write->data, (unsigned)left);
+    if (uv_write(&write->request, (uv_stream_t *)&connection->socket, &part, 1, http_on_written) != 0) {
+        free(write->data);
+        free(write);
+    }
+}
+
+static void http_on_shutdown(uv_shutdown_t *request, int status)
+{
+    (void)status;
+    free(request);
+}
+
+/* Ends the sending side and waits for the client's end, so that no reset overtakes the answer. */
+void http_connection_linger(struct http_connection *connection)
+{
+    connection->state = HTTP_LINGERING;
+    connection->since_ms = uv_now(connection->listener->loop);
+    uv_shutdown_t *request = memory_new(sizeof(*request));
+    if (uv_shutdown(request, (uv_stream_t *)&connection->socket, http_on_shutdown) != 0) {
+        free(request);
+        http_connection_close(connection);
+    }
+}
+
+/* The answer is written: the next request may come. */
+void http_connection_finish(struct http_connection *connection)
+{
+    if (connection->close_after) {
+        http_connection_linger(connection);
+        return;
+    }
+    connection->state = HTTP_READING;
+    connection->since_ms = uv_now(connection->listener->loop);
+    connection->arriving = connection->ahead.length > 0;
+    buffer_close(&connection->call.body);
+    memset(&connection->call, 0, sizeof(connection->call));
+    connection->call.connection = connection;
+    connection->call.request = &connection->reader;
+    http_reader_reset(&connection->reader);
+    uv_read_start((uv_stream_t *)&connection->socket, connection->socket.alloc_cb, connection->socket.read_cb);
+    if (!connection->handling) {
+        http_connection_advance(connection);
+    }
+}
+
+/* ---- Answers ------------------------------------------------------------------------------ */
+
+static const char *http_status_text(int status)
+{
+    switch (status) {
+#define HTTP_STATUS_CASE(number, name, text)                                                                           \
+    case number: return #text;
+        HTTP_STATUS_MAP(HTTP_STATUS_CASE)
+#undef HTTP_STATUS_CASE
+    default: return "Unknown";
+    }
+}
+
+static bool http_call_is_head(const struct http_call *call)
+{
+    return http_name_equal(call->request->method, "HEAD");
+}
+
+static void http_write_status(const struct http_call *call, int status, struct view headers, struct buffer *out)
+{
+    struct http_connection *connection = call->connection;
+    connection->close_after = connection->close_after || connection->listener->draining;
+    buffer_printf(out, "HTTP/1.1 %d %s\r\n", status, http_status_text(status));
+    buffer_append(out, headers.data, headers.length);
+    if (connection->close_after) {
+        buffer_append_text(out, "Connection: close\r\n");
+    }
+}
+
+void http_call_reply(struct http_call *call, int status, const char *headers, const char *content_type,
+                     struct view body)
+{
+    struct http_connection *connection = call->connection;
+    struct buffer out = {0};
+    http_write_status(call, status, view_of_string(headers), &out);
+    if (content_type != NULL) {
+        buffer_printf(&out, "Content-Type: %s\r\n", content_type);
+    }
+    bool bodyless = status == 204 || status == 304;
+    if (!bodyless) {
+        buffer_printf(&out, "Content-Length: %zu\r\n", body.length);
+    }
+    buffer_append_text(&out, "\r\n");
+    if (!bodyless && !http_call_is_head(call)) {
+        buffer_append(&out, body.data, body.length);
+    }
+    call->head_sent = true;
+    http_connection_write(connection, buffer_view(&out));
+    buffer_close(&out);
+    http_connection_finish(connection);
+}
+
+void http_call_begin(struct http_call *call, int status, struct view headers)
+{
+    struct buffer out = {0};
+    /* A client of HTTP/1.0 knows no chunks: its answer ends with the connection. */
+    call->chunked = call->request->parser.http_minor >= 1;
+    call->connection->close_after = call->connection->close_after || !call->chunked;
+    http_write_status(call, status, headers, &out);
+    buffer_append_text(&out, call->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+    call->head_sent = true;
+    http_connection_write(call->connection, buffer_view(&out));
+    buffer_close(&out);
+}
+
+void http_call_data(struct http_call *call, struct view data)
+{
+    if (data.length == 0) {
+        return;
+    }
+    struct buffer out = {0};
+    if (call->chunked) {
+        buffer_printf(&out, "%zx\r\n", data.length);
+    }
+    buffer_append(&out, data.data, data.length);
+    if (call->chunked) {
+        buffer_append_text(&out, "\r\n");
+    }
+    http_connection_write(call->connection, buffer_view(&out));
+    buffer_close(&out);
+}
+
+void http_call_end(struct http_call *call)
+{
+    if (call->chunked) {
+        http_connection_write(call->connection, view_of_string("0\r\n\r\n"));
+    }
+    http_connection_finish(call->connection);
+}
+
+void http_call_cut(struct http_call *call)
+{
+    struct http_connection *connection = call->connection;
+    /* An answer that ends with its connection looks cut only by a reset. */
+    if (call->head_sent && !call->chunked) {
+        uv_os_fd_t file;
+        struct linger reset = {.l_onoff = 1, .l_linger = 0};
+        if (uv_fileno((uv_handle_t *)&connection->socket, &file) == 0) {
+            setsockopt(file, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        }
+        http_connection_close(connection);
+        return;
+    }
+    http_connection_linger(connection);
+}
+
+void http_call_close_after(struct http_call *call)
+{
+    call->connection->close_after = true;
+}
+
+size_t http_call_pending(const struct http_call *call)
+{
+    return uv_stream_get_write_queue_size((const uv_stream_t *)&call->connection->socket);
+}
