--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -16,6 +16,7 @@
 #include "store/file.h"
 #include "store/history_store.h"
 #include "store/log_store.h"
+#include "store/replica_restore.h"
 
 enum { CONTROL_TICK_MS = 10, CONTROL_HANDOVER_MS = 3000 };
 
@@ -325,22 +326,6 @@
 
 /* ---- Start ----------------------------------------------------------------------------- */
 
-static bool control_restore_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                                     const struct raft_members *members, struct view state)
-{
-    return replica_restore_snapshot(&((struct control *)context)->replica, group, index, term, members, state);
-}
-
-static void control_restore_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
-{
-    raft_restore_state(&((struct control *)context)->replica.groups[group].raft, term, vote);
-}
-
-static bool control_restore_entry(void *context, uint32_t group, const struct raft_entry *entry)
-{
-    return raft_restore_entry(&((struct control *)context)->replica.groups[group].raft, entry);
-}
-
 static bool control_open_replica(struct control *control, uint64_t boot_id)
 {
     const struct settings *settings = control->settings;
@@ -362,12 +347,6 @@
         .seed = boot_id,
     };
     settings_members(settings, &config.members);
-    struct log_restore restore = {
-        .context = control,
-        .snapshot = control_restore_snapshot,
-        .state = control_restore_state,
-        .entry = control_restore_entry,
-    };
     char *log_folder = file_path(settings->data, "log");
     char *history_folder = file_path(settings->data, "history");
     bool opened = false;
@@ -377,7 +356,7 @@
     }
     replica_init(&control->replica, &config, &io, &history);
     control->has_replica = true;
-    if (!log_store_open(&control->log_store, log_folder, config.groups, &restore)) {
+    if (!replica_restore_log(&control->replica, &control->log_store, log_folder)) {
         log_error(STATE_LOG, "cannot start: %s", control->log_store.error);
         goto out;
     }
--- a/src/proxy/state_host_disk.c
+++ b/src/proxy/state_host_disk.c
@@ -4,6 +4,7 @@
 
 #include "base/event_log.h"
 #include "proxy/state_host_internal.h"
+#include "store/replica_restore.h"
 
 enum {
     STATE_HOST_SNAPSHOT_ENTRIES = 16384,
@@ -95,22 +96,6 @@
 
 /* ---- Opening ----------------------------------------------------------------------------- */
 
-static bool host_restore_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                                  const struct raft_members *members, struct view state)
-{
-    return replica_restore_snapshot(&((struct state_host *)context)->replica, group, index, term, members, state);
-}
-
-static void host_restore_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
-{
-    raft_restore_state(&((struct state_host *)context)->replica.groups[group].raft, term, vote);
-}
-
-static bool host_restore_entry(void *context, uint32_t group, const struct raft_entry *entry)
-{
-    return raft_restore_entry(&((struct state_host *)context)->replica.groups[group].raft, entry);
-}
-
 bool state_host_open_replica(struct state_host *host)
 {
     struct replica_config config = {
@@ -141,14 +126,8 @@
         .drop = host_history_ignore,
         .keep = host_history_ignore,
     };
-    struct log_restore restore = {
-        .context = host,
-        .snapshot = host_restore_snapshot,
-        .state = host_restore_state,
-        .entry = host_restore_entry,
-    };
     replica_init(&host->replica, &config, &io, &history);
-    if (!log_store_open(&host->log, host->node->settings.data, config.groups, &restore)) {
+    if (!replica_restore_log(&host->replica, &host->log, host->node->settings.data)) {
         event_log("disk_failed", "{s:s}", "error", host->log.error);
         return false;
     }
--- /dev/null
+++ b/src/store/replica_restore.c
@@ -0,0 +1,30 @@
+#include "store/replica_restore.h"
+
+static bool restore_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
+                             const struct raft_members *members, struct view state)
+{
+    return replica_restore_snapshot(context, group, index, term, members, state);
+}
+
+static void restore_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
+{
+    struct replica *replica = context;
+    raft_restore_state(&replica->groups[group].raft, term, vote);
+}
+
+static bool restore_entry(void *context, uint32_t group, const struct raft_entry *entry)
+{
+    struct replica *replica = context;
+    return raft_restore_entry(&replica->groups[group].raft, entry);
+}
+
+bool replica_restore_log(struct replica *replica, struct log_store *log, const char *folder)
+{
+    struct log_restore restore = {
+        .context = replica,
+        .snapshot = restore_snapshot,
+        .state = restore_state,
+        .entry = restore_entry,
+    };
+    return log_store_open(log, folder, replica->config.groups, &restore);
+}
