--- a/src/core/health.h
+++ b/src/core/health.h
@@ -18,10 +18,10 @@
 #include <stdint.h>
 
 enum {
-    HEALTH_ONE = 1 << 16,       /**< A share of 1. */
-    HEALTH_HALF_LIFE_MS = 4000, /**< Time in which a share halves without outcomes. */
-    HEALTH_WINDOW = 4,          /**< An outcome moves the share by one part in so many. */
-    HEALTH_CALLS = 100,         /**< Calls that each share above HEALTH_EXCUSED counts as, times HEALTH_ONE. */
+    HEALTH_ONE = 1 << 16,                 /**< A share of 1. */
+    HEALTH_HALF_LIFE_MS = 4000,           /**< Time in which a share halves without outcomes. */
+    HEALTH_WINDOW = 4,                    /**< An outcome moves the share by one part in so many. */
+    HEALTH_CALLS = 100,                   /**< Calls that a share of 1 beyond HEALTH_EXCUSED counts as. */
     HEALTH_EXCUSED = HEALTH_ONE * 3 / 10, /**< Share that counts for nothing: more than one failure leaves. */
     HEALTH_UNANSWERED_MS = 800,           /**< An attempt without an answer for that long has failed, at least. */
     HEALTH_UNANSWERED_AIMS = 4            /**< And for so many times the latency that its route aims at. */
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -100,10 +100,10 @@
     return false;
 }
 
-/* Order of preference of a program, the same at every gateway: rendezvous hashing. */
-static uint64_t server_rank(const struct server *server, uint64_t affinity)
+/* Breaks ties: an order of the servers that changes with each choice. */
+static uint64_t server_rank(const struct server *server, uint64_t choice)
 {
-    uint64_t material[2] = {server->hash, affinity};
+    uint64_t material[2] = {server->hash, choice};
     return XXH64(material, sizeof(material), 0);
 }
 
