Give names of the health script's servers room for any number

The sanitizer build warns of a cut name (16 bytes for a number of 20 digits), which the plain build does not; nothing was ever cut.

--- a/tests/scripted/run_health.c
+++ b/tests/scripted/run_health.c
@@ -13,7 +13,7 @@
 #include "core/server_table.h"
 #include "script.h"
 
-enum { MAX_SERVERS = 16, MAX_CALLS = 256, NAME_MAX_BYTES = 16, HUNDRED = 100 };
+enum { MAX_SERVERS = 16, MAX_CALLS = 256, NAME_MAX_BYTES = 32, HUNDRED = 100 };
 
 static struct server_table servers;
 static uint64_t server_count;
