Make the tests of placement's preferences able to fail

Found on rereading: a_resting_connection_is_worth_some_calls counted with the constant under test, so that it passed with 0 as well, and the own zone's preference had no test. Both now name calls: preferred with one more, not with three more.

--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -191,6 +191,18 @@
     return strcmp(address, "127.0.0.1:1") == 0;
 }
 
+/* The preferred server is chosen although it has one call under way and the other none, and not with three. */
+static void expect_choices_after_calls(const char *preferred, const char *other, const struct server_wish *wish)
+{
+    struct server *server = NULL;
+    HASH_FIND_STR(servers.servers, preferred, server);
+    server_begin(server, 1);
+    ck_assert_str_eq(server_table_choose(&servers, 1, wish)->id, preferred);
+    server_begin(server, 1);
+    server_begin(server, 1);
+    ck_assert_str_eq(server_table_choose(&servers, 1, wish)->id, other);
+}
+
 /* A new connection is opened only where the servers with a resting one have more to do. */
 START_TEST(a_resting_connection_is_worth_some_calls)
 {
@@ -198,15 +210,18 @@
     struct server_wish wish = {.service = "s", .zone = "z", .warm = first_is_warm};
     list[1].address = (char *)"127.0.0.1:2";
     take_servers(list, 2);
-    for (int i = 0; i < SERVER_COLD_CALLS; i++) {
-        struct server *server = server_table_choose(&servers, 1, &wish);
-        ck_assert_str_eq(server->id, "a");
-        server_begin(server, 1);
-    }
-    struct server *warm = NULL;
-    HASH_FIND_STR(servers.servers, "a", warm);
-    server_begin(warm, 1);
-    ck_assert_str_eq(server_table_choose(&servers, 1, &wish)->id, "b");
+    expect_choices_after_calls("a", "b", &wish);
+}
+END_TEST
+
+/* Another zone is used only where the servers of the own one have more to do. */
+START_TEST(the_own_zone_is_worth_some_calls)
+{
+    ServerRecord list[] = {record("near", false), record("far", false)};
+    struct server_wish wish = {.service = "s", .zone = "z"};
+    list[1].zone = (char *)"other";
+    take_servers(list, 2);
+    expect_choices_after_calls("near", "far", &wish);
 }
 END_TEST
 
@@ -427,6 +442,7 @@
     tcase_add_test(placement, calls_spread_over_idle_servers);
     tcase_add_test(placement, a_program_stays_at_its_home_until_it_is_busy);
     tcase_add_test(placement, a_resting_connection_is_worth_some_calls);
+    tcase_add_test(placement, the_own_zone_is_worth_some_calls);
     tcase_add_test(placement, loads_of_other_gateways_count);
     tcase_add_test(placement, reports_replace_each_other_and_fade);
     tcase_add_test(placement, a_silent_server_is_passed_over);
