Give tests ports that no other process of theirs has

Cause: the test harness asked the kernel for a free port and closed it, ten times for each fleet. The kernel may give a closed port again, so two processes of a test got the same one. Seen in one of 24 runs of the suite (8 at once): 34615 was node 1's caller port and node 2's peer port, node 1 could not listen. A leader lost after readiness was ruled out as the only way: the order is sent again then.

--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -46,7 +46,11 @@
     json_t *error = json_input_parse(buffer_view(reply), NULL);
     const char *code = json_string_value(json_object_get(error, "code"));
     const char *message = json_string_value(json_object_get(error, "message"));
-    fprintf(stderr, "bankbankctl: %s: %s\n", code == NULL ? "error" : code, text_or_empty(message));
+    if (code != NULL) {
+        fprintf(stderr, "bankbankctl: %s: %s\n", code, text_or_empty(message));
+    } else {
+        fprintf(stderr, "bankbankctl: error: HTTP status %d, and no error in the answer\n", status);
+    }
     json_decref(error);
 }
 
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -15,7 +15,7 @@
 
 #include "base/buffer.h"
 
-enum { FLEET_MAX = 5, FLEET_LIMIT_MS = 30000, FLEET_MAX_TOKENS = 24 };
+enum { FLEET_MAX = 5, FLEET_LIMIT_MS = 30000, FLEET_MAX_TOKENS = 24, FLEET_LOG_LINES = 12 };
 
 /** One daemon. */
 struct fleet_node {
@@ -101,6 +101,9 @@
 /** Runs bankbankctl against a node; words end with NULL. Returns its exit status and output (owned). */
 int fleet_ctl(const struct fleet *fleet, uint32_t node, const char *const *words, char **output);
 
+/** Runs bankbankctl and fails with its output and the daemons' last log lines unless it exits with 0. */
+void fleet_must_ctl(const struct fleet *fleet, uint32_t node, const char *const *words);
+
 /** Repeats `reached` until it is true or the limit is over. */
 bool fleet_wait_for(bool (*reached)(void *context), void *context);
 
--- a/tests/integration/support_fleet.c
+++ b/tests/integration/support_fleet.c
@@ -1,4 +1,5 @@
 #include "fleet.h"
+#include "ports.h"
 
 #include <arpa/inet.h>
 #include <check.h>
@@ -35,17 +36,6 @@
 
 /* ---- Processes ----------------------------------------------------------------------- */
 
-static int fleet_free_port(void)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t length = sizeof(address);
-    int file = socket(AF_INET, SOCK_STREAM, 0);
-    ck_assert_int_eq(bind(file, (struct sockaddr *)&address, sizeof(address)), 0);
-    getsockname(file, (struct sockaddr *)&address, &length);
-    close(file);
-    return ntohs(address.sin_port);
-}
-
 /* Starts BUILD/NAME with its output in a file of the folder. */
 static pid_t fleet_spawn(const struct fleet *fleet, const char *name, const char *log, char *const *arguments)
 {
@@ -106,7 +96,7 @@
 {
     char address[64];
     char engines[16];
-    fleet->emulator_port = fleet_free_port();
+    fleet->emulator_port = ports_take();
     snprintf(address, sizeof(address), "127.0.0.1:%d", fleet->emulator_port);
     snprintf(engines, sizeof(engines), "%d", FLEET_ENGINES);
     char *arguments[] = {(char *)(uintptr_t) "bankbank-emulator",
@@ -165,11 +155,11 @@
         pool[4 + i] = texts[i];
         service[3 + i] = texts[FLEET_ENGINES + i];
     }
-    ck_assert_int_eq(fleet_ctl(fleet, 1, pool, NULL), 0);
-    ck_assert_int_eq(fleet_ctl(fleet, 1, policy, NULL), 0);
-    ck_assert_int_eq(fleet_ctl(fleet, 1, service, NULL), 0);
+    fleet_must_ctl(fleet, 1, pool);
+    fleet_must_ctl(fleet, 1, policy);
+    fleet_must_ctl(fleet, 1, service);
     static const char *const wait_for_all[] = {"wait", "4", NULL};
-    ck_assert_int_eq(fleet_ctl(fleet, 1, wait_for_all, NULL), 0);
+    fleet_must_ctl(fleet, 1, wait_for_all);
 }
 
 void fleet_lose_disk(const struct fleet *fleet, uint32_t node)
@@ -191,9 +181,9 @@
     fleet->count = count;
     fleet_start_emulator(fleet);
     for (uint32_t i = 0; i < count; i++) {
-        fleet->nodes[i].caller_port = fleet_free_port();
-        fleet->nodes[i].operator_port = fleet_free_port();
-        fleet->nodes[i].peer_port = fleet_free_port();
+        fleet->nodes[i].caller_port = ports_take();
+        fleet->nodes[i].operator_port = ports_take();
+        fleet->nodes[i].peer_port = ports_take();
     }
     for (uint32_t node = 1; node <= count; node++) {
         fleet_write_settings(fleet, node);
@@ -261,6 +251,28 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+/* The last lines of each daemon's log, for a test that has failed. */
+static void fleet_print_logs(const struct fleet *fleet)
+{
+    char command[1024];
+    snprintf(command, sizeof(command), "tail -n %d '%s'/node-*.log '%s'/emulator.log", FLEET_LOG_LINES, fleet->folder,
+             fleet->folder);
+    int status = system(command);
+    (void)status;
+}
+
+void fleet_must_ctl(const struct fleet *fleet, uint32_t node, const char *const *words)
+{
+    char *output = NULL;
+    int status = fleet_ctl(fleet, node, words, &output);
+    if (status != 0) {
+        fleet_print_logs(fleet);
+    }
+    ck_assert_msg(status == 0, "bankbankctl %s %s at daemon %u exited with %d: %s", words[0], words[1], node, status,
+                  output);
+    free(output);
+}
+
 /* ---- Requests ---------------------------------------------------------------------------- */
 
 static bool fleet_on_data(void *context, int status, struct view data)
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -1,3 +1,4 @@
+#include "ports.h"
 #include "site.h"
 
 #include <arpa/inet.h>
@@ -89,13 +90,6 @@
     return file;
 }
 
-static int site_free_port(void)
-{
-    int port = 0;
-    close(site_listen("127.0.0.1", &port));
-    return port;
-}
-
 static void site_send(int file, const char *text, size_t length)
 {
     while (length > 0) {
@@ -593,11 +587,11 @@
     signal(SIGPIPE, SIG_IGN);
     snprintf(site_folder, sizeof(site_folder), "/tmp/bankbank-site-XXXXXX");
     ck_assert_ptr_nonnull(mkdtemp(site_folder));
-    site_caller_port = site_free_port();
-    site_control_port = site_free_port();
-    site_ready_port = site_free_port();
-    site_metrics_port = site_free_port();
-    site_peer_port = site_free_port();
+    site_caller_port = ports_take();
+    site_control_port = ports_take();
+    site_ready_port = ports_take();
+    site_metrics_port = ports_take();
+    site_peer_port = ports_take();
     site_list_listener = site_listen("127.0.0.1", &site_list_port);
     pthread_create(&thread, NULL, site_run_list, NULL);
     for (int i = 0; i < SITE_SERVERS; i++) {
--- a/tests/integration/test_fleet.c
+++ b/tests/integration/test_fleet.c
@@ -122,13 +122,13 @@
 {
     fleet_end_node(&fleet, 3, SIGKILL);
     static const char *const create[] = {"create", "tenant", "bank", "api_key=key-of-aaa", NULL};
-    ck_assert_int_eq(fleet_ctl(&fleet, 1, create, NULL), 0);
+    fleet_must_ctl(&fleet, 1, create);
     json_int_t before = revision_at(1);
     for (int i = 0; i < CHANGES; i++) {
         char weight[32];
         snprintf(weight, sizeof(weight), "weight=%d", 1 + i % 9);
         const char *const update[] = {"update", "tenant", "bank", "api_key=key-of-aaa", weight, NULL};
-        ck_assert_int_eq(fleet_ctl(&fleet, 1 + (uint32_t)(i % 2), update, NULL), 0);
+        fleet_must_ctl(&fleet, 1 + (uint32_t)(i % 2), update);
     }
     fleet_start_node(&fleet, 3);
     fleet_wait_ready(&fleet, 3);
@@ -162,15 +162,15 @@
     snprintf(old_site, sizeof(old_site), "http://127.0.0.1:%d/old-site", fleet.emulator_port);
     const char *const prepare[] = {"handover", "prepare", "old-1", NULL};
     const char *const run[] = {"handover", "run", "old-1", "--old-site", old_site, NULL};
-    ck_assert_int_eq(fleet_ctl(&fleet, 1, prepare, NULL), 0);
+    fleet_must_ctl(&fleet, 1, prepare);
     fleet_ask(&fleet, 2, "old-1", 2, "before the commit", false, NULL, &answer);
     ck_assert_int_eq(answer.status, 421);
     ck_assert_str_eq(answer.run_state, "not-run");
     ck_assert_ptr_nonnull(strstr(buffer_text(&answer.body), "old-site"));
     fleet_answer_close(&answer);
-    ck_assert_int_eq(fleet_ctl(&fleet, 1, run, NULL), 0);
+    fleet_must_ctl(&fleet, 1, run);
     fleet_end_node(&fleet, 1, SIGKILL);
-    ck_assert_int_eq(fleet_ctl(&fleet, 2, run, NULL), 0);
+    fleet_must_ctl(&fleet, 2, run);
     free(fleet_must_answer(&fleet, 3, "old-1", 2, "after the commit"));
     fleet_request(fleet.nodes[1].caller_port, "GET", "/v1/programs/old-1/history", NULL, NULL, &answer);
     json_t *history = json_loads(buffer_text(&answer.body), 0, NULL);
@@ -239,9 +239,9 @@
     free(fleet_must_answer(&fleet, 1, program, 1, "one"));
     fleet_end_node(&fleet, 3, SIGKILL);
     fleet_lose_disk(&fleet, 3);
-    ck_assert_int_eq(fleet_ctl(&fleet, 1, remove_lost, NULL), 0);
-    ck_assert_int_eq(fleet_ctl(&fleet, 2, remove_lost, NULL), 0); /* repeated */
-    ck_assert_int_eq(fleet_ctl(&fleet, 2, add_spare, NULL), 0);
+    fleet_must_ctl(&fleet, 1, remove_lost);
+    fleet_must_ctl(&fleet, 2, remove_lost); /* repeated */
+    fleet_must_ctl(&fleet, 2, add_spare);
     free(fleet_must_answer(&fleet, 4, program, 2, "two"));
     /* The new replica makes the quorum with one of the old ones. */
     fleet_end_node(&fleet, 1, SIGKILL);
--- a/tests/integration/test_inputs.c
+++ b/tests/integration/test_inputs.c
@@ -17,7 +17,7 @@
 {
     static const char *const tenant[] = {"create", "tenant", "bank", "api_key=bank-key", NULL};
     fleet_start(&fleet, 1);
-    ck_assert_int_eq(fleet_ctl(&fleet, 1, tenant, NULL), 0);
+    fleet_must_ctl(&fleet, 1, tenant);
 }
 
 static void setup(void)
--- a/tests/integration/test_restart.c
+++ b/tests/integration/test_restart.c
@@ -160,7 +160,7 @@
 {
     static const char *const policy[] = {"update", "policy", "default", "pool=agents", "call_timeout_ms=300", NULL};
     struct fleet_answer answer;
-    ck_assert_int_eq(fleet_ctl(&fleet, 1, policy, NULL), 0);
+    fleet_must_ctl(&fleet, 1, policy);
     fleet_set_fault(&fleet, "hang", 0, 0);
     fleet_ask(&fleet, 1, program, 1, "hangs", false, NULL, &answer);
     ck_assert_int_eq(answer.status, 502);
