Leave a zone's callers to other zones while most of its gateways are silent

Once less than half of a zone is in, the platform sends callers to all of its gateways, and to other zones only when none is in.

Change: gateways tell the leader their machine and zone with their loads, every 0.5 s when idle; the leader counts silent ones (src/core/presence.c, pure) and tells the counts; a gateway whose zone is mostly silent answers that it is not ready, as long as at least half of all others are there.

--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -3,8 +3,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "base/event_log.h"
 #include "base/message.h"
+#include "core/presence.h"
 #include "proxy/forward.h"
 #include "proxy/node_metrics.h"
 #include "proxy/state_host.h"
@@ -139,9 +142,14 @@
     return front->table != NULL && front->servers_known;
 }
 
+static bool front_is_withdrawn(const struct front *front)
+{
+    return node_now(front->node) < front->withdrawn_until_ms;
+}
+
 bool front_is_ready(const struct front *front)
 {
-    return front_knows_site(front) && !node_is_isolated(front->node);
+    return front_knows_site(front) && !node_is_isolated(front->node) && !front_is_withdrawn(front);
 }
 
 bool front_is_busy(const struct front *front)
@@ -159,20 +167,53 @@
     http_listener_stop_accepting(&front->callers);
 }
 
+static uint64_t front_hash(const char *name)
+{
+    return XXH64(text_or_empty(name), strlen(text_or_empty(name)), 0);
+}
+
+/* Tells the leader what is under way here, and that this gateway runs. */
 static void front_report_loads(struct front *front)
 {
     struct node *node = front->node;
     uint32_t leader = node->host != NULL ? state_host_leader(node->host) : node->watch.leader;
-    if (node_now(node) < front->loads_due_ms || leader == RAFT_NO_NODE || (front->active == 0 && !front->loads_told)) {
+    bool idle = front->active == 0 && !front->loads_told;
+    uint64_t due_ms = front->loads_reported_ms + (idle ? PRESENCE_REPORT_MS : FRONT_LOADS_MS);
+    if (node_now(node) < due_ms || leader == RAFT_NO_NODE) {
         return;
     }
     Frame frame = {0};
+    LoadReport *report = &frame.payload.load_report;
     frame.which_payload = Frame_load_report_tag;
-    server_table_report_loads(&front->servers, node_now(node), &frame.payload.load_report);
-    front->loads_due_ms = node_now(node) + FRONT_LOADS_MS;
-    front->loads_told = frame.payload.load_report.loads_count > 0;
+    server_table_report_loads(&front->servers, node_now(node), report);
+    report->machine = front_hash(node->settings.name);
+    report->zone = front_hash(node->settings.zone);
+    report->leaving = node->draining;
+    front->loads_reported_ms = node_now(node);
+    front->loads_told = report->loads_count > 0;
     node_send_frame(node, leader, &frame);
-    free(frame.payload.load_report.loads);
+    free(report->loads);
+}
+
+static void front_tell_withdrawn(struct front *front, const LoadTotals *totals)
+{
+    bool withdrawn = front_is_withdrawn(front);
+    if (withdrawn == front->withdrawn_told) {
+        return;
+    }
+    front->withdrawn_told = withdrawn;
+    event_log(withdrawn ? "withdrawn" : "withdrawal_ends", "{s:I,s:I,s:I,s:I}", "zone_gateways",
+              (json_int_t)totals->own_zone.gateways, "zone_silent", (json_int_t)totals->own_zone.silent,
+              "other_gateways", (json_int_t)totals->other_zones.gateways, "other_silent",
+              (json_int_t)totals->other_zones.silent);
+}
+
+void front_take_totals(struct front *front, const LoadTotals *totals)
+{
+    uint64_t now_ms = node_now(front->node);
+    server_table_take_loads(&front->servers, now_ms, totals);
+    front->withdrawn_until_ms = presence_should_withdraw(totals) ? now_ms + FRONT_WITHDRAWN_MS : 0;
+    front_tell_withdrawn(front, totals);
 }
 
 static void front_report_failing(struct front *front, struct server *server)
@@ -207,6 +248,7 @@
 {
     front_review_servers(front);
     front_report_loads(front);
+    front_tell_withdrawn(front, &(const LoadTotals){0});
     turn_store_shrink(&front->cache, FRONT_CACHE_BYTES);
 }
 
@@ -236,6 +278,8 @@
     metrics_write_gauge(out, "requests_active", "Requests under way.", front->active);
     metrics_write_gauge(out, "requests_waiting", "Requests that wait for configuration and servers after a start.",
                         front->waiting);
+    metrics_write_gauge(out, "withdrawn", "Whether callers are left to other zones.",
+                        front_is_withdrawn(front) ? 1 : 0);
     metrics_write_gauge(out, "servers_known", "Servers known.", HASH_COUNT(front->servers.servers));
     histogram_write(&front->first_event, "first_event_seconds", "Time to the first event of a stream.", out);
     histogram_write(&front->total, "answer_seconds", "Time to the end of an answer.", out);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -17,7 +17,8 @@
     FRONT_CACHE_BYTES = 8 << 20, /**< Turns kept near. */
     FRONT_CONNECTIONS = 24,      /**< Connections of this gateway to one server. */
     FRONT_REVIEW_MS = 100,       /**< Period of looking for servers that fail. */
-    FRONT_LOADS_MS = 100         /**< Period of telling the leader what is under way. */
+    FRONT_LOADS_MS = 100,        /**< Period of telling the leader what is under way. */
+    FRONT_WITHDRAWN_MS = 1000    /**< Time that the leader's word to withdraw holds. */
 };
 
 /** Events so far, one counter each. */
@@ -52,9 +53,11 @@
     struct forward *forwards;       /**< Requests under way. */
     uint32_t active;                /**< Their number. */
     uint32_t waiting;               /**< Those of them that wait for configuration and servers. */
-    uint64_t loads_due_ms;          /**< Next time to tell what is under way. */
+    uint64_t loads_reported_ms;     /**< Last report to the leader. */
     uint64_t review_due_ms;         /**< Next look at the servers. */
     bool loads_told;                /**< The last report was not empty. */
+    uint64_t withdrawn_until_ms;    /**< Callers are left to other zones until then (presence.h). */
+    bool withdrawn_told;            /**< Whether the log last told so. */
     struct retry_budget retries;    /**< Keeps second servers a small share. */
     struct front_counters counters; /**< Events. */
     struct histogram first_event;   /**< Time to the first event of a stream. */
@@ -78,6 +81,9 @@
 /** Takes a list that this gateway read itself. */
 void front_take_own_servers(struct front *front, struct view encoded);
 
+/** Takes the leader's word on the other gateways: what they have under way, and which are silent. */
+void front_take_totals(struct front *front, const LoadTotals *totals);
+
 /** Whether it knows a configuration and servers. */
 bool front_knows_site(const struct front *front);
 
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -55,7 +55,7 @@
     }
     case Frame_load_totals_tag:
         if (node->front != NULL) {
-            server_table_take_loads(&node->front->servers, node_now(node), &frame->payload.load_totals);
+            front_take_totals(node->front, &frame->payload.load_totals);
         }
         break;
     default:
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -70,6 +70,7 @@
         http_listener_close(&host->control);
     }
     load_table_close(&host->loads);
+    presence_clear(&host->presence);
     if (host->running) {
         replica_close(&host->replica);
         log_store_close(&host->log);
@@ -109,6 +110,7 @@
     }
     host->told_leader = raft->leader;
     host->told_leading = leads;
+    presence_clear(&host->presence); /* silence is counted from the first report to this leader */
     event_log("leader_changed", "{s:I,s:b,s:I,s:I}", "leader", (json_int_t)raft->leader, "own", leads, "term",
               (json_int_t)raft->term, "commit", (json_int_t)raft->commit);
 }
@@ -166,7 +168,7 @@
     node_send_frame(host->node, from, &frame);
 }
 
-/* Adds a gateway's load, and tells it those of the others. */
+/* Adds a gateway's load, and tells it those of the others and which gateways are silent. */
 static void host_handle_load(struct state_host *host, uint32_t from, const LoadReport *report)
 {
     uint64_t now_ms = node_now(host->node);
@@ -178,6 +180,9 @@
     load_table_report(&host->loads, now_ms, from, report);
     load_table_fade(&host->loads, now_ms);
     load_table_others(&host->loads, from, &frame.payload.load_totals);
+    presence_hear(&host->presence, now_ms, report);
+    presence_fade(&host->presence, now_ms);
+    presence_count(&host->presence, now_ms, report->zone, &frame.payload.load_totals);
     node_send_frame(host->node, from, &frame);
     free(frame.payload.load_totals.loads);
 }
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -7,6 +7,7 @@
 #define BANKBANK_PROXY_STATE_HOST_H
 
 #include "core/load_table.h"
+#include "core/presence.h"
 #include "core/replica.h"
 #include "proxy/node.h"
 #include "store/identity.h"
@@ -29,6 +30,7 @@
     struct log_store log;         /**< Its disk. */
     struct watch_server watchers; /**< Daemons that watch it. */
     struct load_table loads;      /**< Leader: what gateways have under way. */
+    presence_t presence;          /**< Leader: which gateways were heard of lately. */
     struct http_listener control; /**< Operators' calls. */
     bool serves_control;          /**< It has a control address. */
     uint64_t join_due_ms;         /**< Next request to join. */
