Give a reservation back after a long outage and before a gateway stops

Cause, reproduced: a leader that has lost its followers logs a turn's begin and dies. The gateway answers 503 and proposes the settlement, but gave that up after ten seconds; a gateway told to stop gave it up at once. When the replica came back, the begin committed and its tokens stayed reserved, so the program was told 402 with its budget unspent. The earlier tests kept the leader alive, which takes the settlement behind the begin.

Change: a settlement is proposed until the program is forgotten (300 s); the stop waits for it within the grace; also a turn whose commit failed is settled (it was marked as settled before it was). Such requests pause 250 ms instead of 20 ms while no leader is known, so that many of them cost little, and go on at once when one is.

--- a/src/core/control_client.c
+++ b/src/core/control_client.c
@@ -73,6 +73,11 @@
 
 /* ---- Requests ---------------------------------------------------------------- */
 
+static uint64_t control_retry_pause(const struct control_request *request)
+{
+    return request->patient ? CONTROL_PATIENT_MS : CONTROL_RETRY_MS;
+}
+
 static void control_try(struct control_client *client, uint64_t now_ms, struct control_request *request)
 {
     uint32_t known = request->pinned ? request->target : client->leaders[request->group];
@@ -93,7 +98,7 @@
         request->deadline_ms = now_ms;
         return;
     }
-    request->next_ms = now_ms + CONTROL_RETRY_MS;
+    request->next_ms = now_ms + control_retry_pause(request);
     client->leaders[request->group] = RAFT_NO_NODE;
 }
 
@@ -118,6 +123,14 @@
     control_try(client, now_ms, control_add(client, group, kind, body, deadline_ms, token));
 }
 
+void control_client_post(struct control_client *client, uint64_t now_ms, uint32_t group, RequestKind kind,
+                         struct view body, uint64_t deadline_ms, void *token)
+{
+    struct control_request *request = control_add(client, group, kind, body, deadline_ms, token);
+    request->patient = true;
+    control_try(client, now_ms, request);
+}
+
 void control_client_ask(struct control_client *client, uint64_t now_ms, uint32_t node, uint32_t group, RequestKind kind,
                         struct view body, uint64_t deadline_ms, void *token)
 {
@@ -201,12 +214,26 @@
 {
     bool better = leader != RAFT_NO_NODE && leader != from;
     client->leaders[request->group] = better ? leader : RAFT_NO_NODE;
-    request->next_ms = better ? now_ms : now_ms + CONTROL_RETRY_MS;
+    request->next_ms = better ? now_ms : now_ms + control_retry_pause(request);
     if (better) {
         control_try(client, now_ms, request);
     }
 }
 
+/* Requests that paused for want of a leader go on at once. */
+static void control_learn_leader(struct control_client *client, uint64_t now_ms, uint32_t group, uint32_t leader)
+{
+    if (client->leaders[group] == leader) {
+        return;
+    }
+    client->leaders[group] = leader;
+    for (struct control_request *request = client->requests; request != NULL; request = request->hh.next) {
+        if (request->group == group && request->target != leader && !request->pinned) {
+            request->next_ms = now_ms;
+        }
+    }
+}
+
 static void control_handle_reply(struct control_client *client, uint64_t now_ms, uint32_t from, const Reply *reply)
 {
     struct control_request *request = NULL;
@@ -221,7 +248,7 @@
         return;
     }
     if (reply->leader != RAFT_NO_NODE) {
-        client->leaders[request->group] = reply->leader;
+        control_learn_leader(client, now_ms, request->group, reply->leader);
     }
     control_complete(client, request, reply->code, reply->body);
 }
--- a/src/core/control_client.h
+++ b/src/core/control_client.h
@@ -22,6 +22,7 @@
     CONTROL_HEARTBEAT_MS = 500, /**< Period of the daemon's heartbeat. */
     CONTROL_RESEND_MS = 400,    /**< Time without an answer before a request goes elsewhere. */
     CONTROL_RETRY_MS = 20,      /**< Pause after "not leader" without a better address. */
+    CONTROL_PATIENT_MS = 250,   /**< That pause of a request that nobody waits for. */
     CONTROL_SEARCH_MS = 100,    /**< Heartbeat period while no leader of group 0 is known. */
     CONTROL_SILENCE_MS = 1200   /**< Time without a heartbeat reply before another replica is tried. */
 };
@@ -59,6 +60,7 @@
     uint64_t next_ms;     /**< Time of the next send. */
     uint32_t target;      /**< Replica it was last sent to. */
     bool pinned;          /**< Only `target` is asked, once. */
+    bool patient;         /**< Nobody waits for it: it pauses longer while no leader is known. */
     bool sent;            /**< It may have been received. */
     void *token;          /**< Caller's handle; NULL for the client's own requests. */
     UT_hash_handle hh;    /**< By id. */
@@ -96,6 +98,10 @@
 void control_client_submit(struct control_client *client, uint64_t now_ms, uint32_t group, RequestKind kind,
                            struct view body, uint64_t deadline_ms, void *token);
 
+/** The same for a request that nobody waits for; many of them may wait for a leader at once. */
+void control_client_post(struct control_client *client, uint64_t now_ms, uint32_t group, RequestKind kind,
+                         struct view body, uint64_t deadline_ms, void *token);
+
 /** Asks one replica once; ends as RESULT_UNAVAILABLE if it cannot be reached. */
 void control_client_ask(struct control_client *client, uint64_t now_ms, uint32_t node, uint32_t group, RequestKind kind,
                         struct view body, uint64_t deadline_ms, void *token);
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -4,9 +4,13 @@
 
 #include "base/event_log.h"
 #include "base/message.h"
+#include "core/budget_table.h"
 #include "proxy/forward.h"
 
-enum { FORWARD_PAYMENT_REQUIRED = 402, FORWARD_NO_TURN = 404, FORWARD_NO_STATE = 503, FORWARD_SETTLE_MS = 10000 };
+enum { FORWARD_PAYMENT_REQUIRED = 402, FORWARD_NO_TURN = 404, FORWARD_NO_STATE = 503 };
+
+/* A reservation that is not given back is held against its program: it is tried for as long as that is remembered. */
+enum { FORWARD_SETTLE_MS = BUDGET_RETENTION_MS };
 
 void forward_turn_read(struct forward *forward)
 {
@@ -214,7 +218,7 @@
     Entry entry = {0};
     turn->settled = true;
     forward_fill_finish(forward, false, &entry);
-    node_propose(node, &entry, node_now(node) + FORWARD_SETTLE_MS, NULL, NULL);
+    node_post(node, &entry, node_now(node) + FORWARD_SETTLE_MS);
 }
 
 static void forward_remember_turn(struct forward *forward)
@@ -240,6 +244,7 @@
     }
     histogram_note(&forward->front->commit, node_now(forward->front->node) - forward->turn.since_ms);
     if (code == RESULT_OK) {
+        forward->turn.settled = true;
         forward_remember_turn(forward);
         forward_complete(forward);
     } else {
@@ -258,7 +263,6 @@
     }
     Entry entry = {0};
     forward->phase = FORWARD_COMMITTING;
-    turn->settled = true;
     turn->since_ms = node_now(node);
     forward_fill_finish(forward, true, &entry);
     turn->reserving = node_propose(node, &entry, forward->limit_ms, forward_on_committed, forward);
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -92,7 +92,13 @@
     }
 }
 
-/* A gateway stops when its requests have ended and the platform sends no new ones. */
+/* Whether the state replicas are still to learn what a gateway's last turns used. */
+static bool node_is_settling(const struct node *node)
+{
+    return node->front != NULL && node->client.requests != NULL;
+}
+
+/* A gateway stops when its requests have ended and are settled, and the platform sends no new ones. */
 static void node_drain(struct node *node)
 {
     uint64_t since_ms = node_now(node) - node->drain_since_ms;
@@ -102,7 +108,7 @@
     if (node->front != NULL && since_ms >= NODE_LEAVE_MS) {
         front_stop_accepting(node->front);
     }
-    if (late || (!handing_over && !serving)) {
+    if (late || (!handing_over && !serving && !node_is_settling(node))) {
         node_stop(node);
     }
 }
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -93,6 +93,9 @@
 struct node_request *node_propose(struct node *node, const Entry *entry, uint64_t deadline_ms, node_reply reply,
                                   void *context);
 
+/** Proposes an entry that nobody waits for; it is tried until `deadline_ms`. */
+void node_post(struct node *node, const Entry *entry, uint64_t deadline_ms);
+
 /** Asks one replica once. */
 struct node_request *node_ask(struct node *node, uint32_t replica, RequestKind kind, struct view body,
                               uint64_t deadline_ms, node_reply reply, void *context);
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -134,6 +134,15 @@
     return request;
 }
 
+void node_post(struct node *node, const Entry *entry, uint64_t deadline_ms)
+{
+    struct buffer body = {0};
+    message_encode(&body, Entry_fields, entry);
+    control_client_post(&node->client, node_now(node), STATE_CONFIG_GROUP, REQUEST_PROPOSE, buffer_view(&body),
+                        deadline_ms, node_request_new(NULL, NULL));
+    buffer_close(&body);
+}
+
 struct node_request *node_ask(struct node *node, uint32_t replica, RequestKind kind, struct view body,
                               uint64_t deadline_ms, node_reply reply, void *context)
 {
--- a/tests/unit/control_client.c
+++ b/tests/unit/control_client.c
@@ -5,9 +5,10 @@
 #include "core/control_client.h"
 #include "suite.h"
 
-enum { REPLICA = 1, NODE = 7, NOW_MS = 1000 };
+enum { REPLICA = 1, OTHER = 2, NODE = 7, NOW_MS = 1000 };
 
 static uint64_t sent_request;
+static uint32_t sends;
 static uint32_t completed;
 
 static bool note_sent(void *context, uint32_t to, struct view bytes)
@@ -17,6 +18,7 @@
     (void)to;
     if (message_decode(bytes, Frame_fields, &frame) && frame.which_payload == Frame_request_tag) {
         sent_request = frame.payload.request.id;
+        sends++;
     }
     message_free(Frame_fields, &frame);
     return true;
@@ -71,11 +73,76 @@
 }
 END_TEST
 
+static void answer_not_leader(struct control_client *client, uint64_t now_ms, uint64_t request)
+{
+    Frame frame = {0};
+    frame.which_payload = Frame_reply_tag;
+    frame.payload.reply.id = request;
+    frame.payload.reply.code = RESULT_NOT_LEADER;
+    control_client_receive(client, now_ms, REPLICA, &frame);
+}
+
+/* Sends in a second without a leader. */
+static uint32_t sends_in_a_second(struct control_client *client)
+{
+    sends = 0;
+    for (uint64_t now_ms = NOW_MS; now_ms < NOW_MS + 1000; now_ms++) {
+        uint32_t before = sends;
+        control_client_tick(client, now_ms);
+        if (sends > before) {
+            answer_not_leader(client, now_ms, sent_request);
+        }
+    }
+    return sends;
+}
+
+START_TEST(a_request_that_nobody_waits_for_pauses_longer)
+{
+    struct control_client client;
+    start(&client, 1);
+    client.config.requests_only = true;
+    control_client_post(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 60000, &client);
+    answer_not_leader(&client, NOW_MS, sent_request);
+    ck_assert_uint_le(sends_in_a_second(&client), 4);
+    control_client_close(&client);
+    start(&client, 2);
+    client.config.requests_only = true;
+    control_client_submit(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 60000, &client);
+    answer_not_leader(&client, NOW_MS, sent_request);
+    ck_assert_uint_ge(sends_in_a_second(&client), 40);
+    control_client_close(&client);
+}
+END_TEST
+
+/* A turn's settlement must not come after the next turn of its program is refused. */
+START_TEST(a_paused_request_goes_on_once_a_leader_is_known)
+{
+    struct control_client client;
+    start(&client, 1);
+    client.config.requests_only = true;
+    control_client_post(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 60000, &client);
+    uint64_t paused = sent_request;
+    answer_not_leader(&client, NOW_MS, paused);
+    control_client_submit(&client, NOW_MS + 10, 0, REQUEST_PROPOSE, view_of_string("r"), NOW_MS + 5000, &client);
+    Frame frame = {0};
+    frame.which_payload = Frame_reply_tag;
+    frame.payload.reply.id = sent_request;
+    frame.payload.reply.code = RESULT_OK;
+    frame.payload.reply.leader = OTHER;
+    control_client_receive(&client, NOW_MS + 11, REPLICA, &frame);
+    control_client_tick(&client, NOW_MS + 12);
+    ck_assert_uint_eq(sent_request, paused);
+    control_client_close(&client);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("control client");
     TCase *tests = tcase_create("pure");
     tcase_add_test(tests, an_answer_to_an_earlier_start_is_ignored);
+    tcase_add_test(tests, a_request_that_nobody_waits_for_pauses_longer);
+    tcase_add_test(tests, a_paused_request_goes_on_once_a_leader_is_known);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
 }
