--- a/src/core/health.c
+++ b/src/core/health.c
@@ -42,3 +42,8 @@
 {
     return share > HEALTH_EXCUSED;
 }
+
+bool health_told_failing(bool told, uint32_t share)
+{
+    return told ? share >= HEALTH_SOUND : health_is_bad(share);
+}
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -23,6 +23,7 @@
     HEALTH_WINDOW = 4,                    /**< An outcome moves the share by one part in so many. */
     HEALTH_CALLS = 100,                   /**< Calls that a share of 1 beyond HEALTH_EXCUSED counts as. */
     HEALTH_EXCUSED = HEALTH_ONE * 3 / 10, /**< Share that counts for nothing: more than one failure leaves. */
+    HEALTH_SOUND = HEALTH_ONE / 10,       /**< Share below which a server that failed counts as sound in the log. */
     HEALTH_UNANSWERED_MS = 800,           /**< An attempt without an answer for that long has failed, at least. */
     HEALTH_UNANSWERED_AIMS = 4            /**< And for so many times the latency that its route aims at. */
 };
@@ -53,4 +54,7 @@
 /** Whether a program should leave its home for such a share. */
 bool health_is_bad(uint32_t share);
 
+/** What the log tells of a server: it fails above HEALTH_EXCUSED, and is sound again below HEALTH_SOUND only. */
+bool health_told_failing(bool told, uint32_t share);
+
 #endif
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -220,10 +220,11 @@
 {
     uint64_t now_ms = node_now(front->node);
     uint32_t share = server_failures(&front->servers, server, now_ms);
-    if (health_is_bad(share) == server->told_failing) {
+    bool failing = health_told_failing(server->told_failing, share);
+    if (failing == server->told_failing) {
         return;
     }
-    server->told_failing = health_is_bad(share);
+    server->told_failing = failing;
     event_log(server->told_failing ? "server_failing" : "server_sound", "{s:s,s:s,s:f,s:f}", "server", server->id,
               "service", server->service, "own_share", (double)health_share(&server->health, now_ms) / HEALTH_ONE,
               "share", (double)share / HEALTH_ONE);
--- a/tests/scripted/run_health.c
+++ b/tests/scripted/run_health.c
@@ -4,6 +4,7 @@
  *   note SERVER OUTCOME COUNT     so many outcomes: served, failed, refused, unanswered
  *   others SERVER HUNDREDTHS      the sum of the shares that other gateways see
  *   share SERVER                  tells the share of failures, in hundredths
+ *   told SERVER                   what the log tells of it now
  *   call COUNT                    so many calls, all under way at once; tells how many each server got
  *   call COUNT home SERVER        the same for programs that have their home there */
 #include <stdio.h>
@@ -107,6 +108,9 @@
         take_others(server, script_number(command, 2, 0));
     } else if (script_is(command, 0, "share") && server != NULL) {
         script_print("%u\n", (unsigned)((uint64_t)health_share(&server->health, now_ms) * HUNDRED / HEALTH_ONE));
+    } else if (script_is(command, 0, "told") && server != NULL) {
+        server->told_failing = health_told_failing(server->told_failing, health_share(&server->health, now_ms));
+        script_print("%s\n", server->told_failing ? "failing" : "sound");
     } else if (script_is(command, 0, "call")) {
         char home[NAME_MAX_BYTES];
         script_copy(command, 3, home, sizeof(home));
