--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -93,6 +93,9 @@
 /** Opens a connection. */
 int site_connect(const char *ip, int port);
 
+/** Reads an answer's status from a connection and closes it; 0: no answer came. */
+int site_read_status(int file);
+
 /** Ports, the same on all machines. */
 extern int site_caller_port;
 extern int site_control_port;
--- a/tests/integration/support_site_io.c
+++ b/tests/integration/support_site_io.c
@@ -4,13 +4,17 @@
 #include <arpa/inet.h>
 #include <check.h>
 #include <netinet/tcp.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "site.h"
 
-enum { SITE_HEAD = 1 << 14 };
+enum {
+    SITE_HEAD = 1 << 14,
+    SITE_STATUS_OFFSET = 9 /* of the digits in an answer's first line */
+};
 
 /* ---- Sockets ------------------------------------------------------------------------ */
 
@@ -95,3 +99,11 @@
     }
     return reader->complete;
 }
+
+int site_read_status(int file)
+{
+    char answer[512] = "";
+    ssize_t got = recv(file, answer, sizeof(answer) - 1, 0);
+    close(file);
+    return got > SITE_STATUS_OFFSET ? atoi(answer + SITE_STATUS_OFFSET) : 0;
+}
--- a/tests/integration/test_reservations.c
+++ b/tests/integration/test_reservations.c
@@ -10,10 +10,9 @@
 #include "site.h"
 
 enum {
-    BUDGET = 20,      /* tokens of each program here */
-    MOST = 15,        /* reserved by a turn: two do not fit */
-    OUTAGE_S = 12,    /* longer than the ten seconds for which a settlement was once proposed */
-    STATUS_OFFSET = 9 /* of the digits in an answer's first line */
+    BUDGET = 20,  /* tokens of each program here */
+    MOST = 15,    /* reserved by a turn: two do not fit */
+    OUTAGE_S = 12 /* longer than the ten seconds for which a settlement was once proposed */
 };
 
 static void turn_lines(char *out, size_t size, const char *program)
@@ -37,14 +36,6 @@
     return fd;
 }
 
-static int turn_status(int fd)
-{
-    char answer[512] = "";
-    ssize_t got = recv(fd, answer, sizeof(answer) - 1, 0);
-    close(fd);
-    return got > STATUS_OFFSET ? atoi(answer + STATUS_OFFSET) : 0;
-}
-
 static int turn_run(int gateway, const char *program)
 {
     static int number;
@@ -116,7 +107,7 @@
     for (int state = 0; state < SITE_STATES; state++) {
         site_end_daemon(state, SIGKILL);
     }
-    ck_assert_int_eq(turn_status(fd), 503);
+    ck_assert_int_eq(site_read_status(fd), 503);
     return leader;
 }
 
--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -480,21 +480,13 @@
     return file;
 }
 
-static int status_from(int file)
-{
-    char answer[256] = "";
-    ssize_t got = recv(file, answer, sizeof(answer) - 1, 0);
-    close(file);
-    return got > 9 ? atoi(answer + 9) : 0;
-}
-
 /* A gateway that has just started keeps a call until it knows the site, for a while. */
 START_TEST(a_call_waits_for_a_fresh_gateway)
 {
     int file = call_a_fresh_gateway("waits");
     site_wait(a_request_waits, NULL, "the call waits");
     signal_states(SIGCONT);
-    ck_assert_int_eq(status_from(file), 200);
+    ck_assert_int_eq(site_read_status(file), 200);
     site_wait(turn_is_served, (void *)"", "turns are served again");
 }
 END_TEST
@@ -502,7 +494,7 @@
 START_TEST(a_call_does_not_wait_for_ever)
 {
     int file = call_a_fresh_gateway("refused");
-    ck_assert_int_eq(status_from(file), 503);
+    ck_assert_int_eq(site_read_status(file), 503);
     signal_states(SIGCONT);
     site_wait(turn_is_served, (void *)"", "turns are served again");
 }
