--- a/tests/integration/test_reservations.c
+++ b/tests/integration/test_reservations.c
@@ -158,10 +158,5 @@
     tcase_add_test(tests, a_reservation_is_given_back_after_a_long_outage);
     tcase_add_test(tests, a_stopping_gateway_gives_its_reservation_back);
     suite_add_tcase(suite, tests);
-    SRunner *runner = srunner_create(suite);
-    srunner_set_fork_status(runner, CK_NOFORK);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return suite_run_in_process(suite);
 }
--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -575,10 +575,5 @@
     tcase_add_test(tests, a_call_does_not_wait_for_ever);
     tcase_add_test(tests, a_stopped_log_reader_blocks_nothing);
     suite_add_tcase(suite, tests);
-    SRunner *runner = srunner_create(suite);
-    srunner_set_fork_status(runner, CK_NOFORK);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return suite_run_in_process(suite);
 }
