Take an answer without a length as whole only when its connection ends in order

Cause: libuv reports the end of a connection (UV_EOF) on a hang-up after a partial read, without another read; a reset is a hang-up too. Ruled out: framing (http_reader_end), which is right for an orderly end. Now the socket is looked at: only an orderly end (recv gives 0) completes such an answer.

Test first: an_answer_that_is_reset_is_not_whole (stand-in with SO_LINGER 0) failed before, 200 in place of 502; 46 checks of test_site pass after.

--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -198,9 +198,18 @@
     }
 }
 
+/* libuv tells the end of a connection where the kernel tells a hang-up, which a reset is too. */
+static bool upstream_ended_in_order(const struct upstream_connection *connection)
+{
+    uv_os_fd_t file;
+    char byte;
+    return uv_fileno((const uv_handle_t *)&connection->socket, &file) == 0 &&
+           recv(file, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void upstream_ended(struct upstream_connection *connection, ssize_t reason)
 {
-    if (connection->state == UPSTREAM_ACTIVE && reason == UV_EOF) {
+    if (connection->state == UPSTREAM_ACTIVE && reason == UV_EOF && upstream_ended_in_order(connection)) {
         http_reader_end(&connection->reader);
         if (connection->exchange == NULL) {
             return;
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -28,7 +28,9 @@
     SITE_EXTRA,       /**< A whole answer, and bytes behind it. */
     SITE_SILENT,      /**< Runs and says nothing. */
     SITE_SLOW,        /**< Runs for a second, then answers. */
-    SITE_LONG         /**< Streams SITE_LONG_EVENTS events of more than a KiB each. */
+    SITE_LONG,        /**< Streams SITE_LONG_EVENTS events of more than a KiB each. */
+    SITE_UNFRAMED,    /**< A whole answer without a length, which ends with its connection. */
+    SITE_RESET        /**< Part of an answer without a length, whose connection is reset. */
 };
 
 /** An answer to a caller. */
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -63,12 +63,12 @@
 static void site_write_plain(int file, const char *id, enum site_mode mode)
 {
     struct buffer out = {0};
-    buffer_printf(&out,
-                  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\nBankbank-Request-Id: %s\r\n",
-                  mode == SITE_CROSSED ? "another" : id);
+    bool unframed = mode == SITE_UNFRAMED || mode == SITE_RESET;
+    buffer_printf(&out, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n%sBankbank-Request-Id: %s\r\n",
+                  unframed ? "" : "Content-Length: 5\r\n", mode == SITE_CROSSED ? "another" : id);
     buffer_append_text(&out, mode == SITE_UNSIGNED ? "" : "Bankbank-Server-Signature: signed\r\n");
     buffer_append_text(&out, mode == SITE_ENCODED ? "Content-Encoding: gzip\r\n" : "");
-    buffer_append_text(&out, mode == SITE_CUT_MIDWAY ? "\r\nhe" : "\r\nhello");
+    buffer_append_text(&out, mode == SITE_CUT_MIDWAY || mode == SITE_RESET ? "\r\nhe" : "\r\nhello");
     buffer_append_text(&out, mode == SITE_EXTRA ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" : "");
     site_send(file, buffer_text(&out), out.length);
     buffer_close(&out);
@@ -83,6 +83,13 @@
     return recv(file, &byte, 1, 0) == 0;
 }
 
+/* The connection's end is a reset, not an orderly one. */
+static void site_reset_at_close(int file)
+{
+    struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(file, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 /* Serves one request; false: the connection ends. */
 static bool site_serve(int file, struct site_server *server)
 {
@@ -134,7 +141,10 @@
         } else {
             site_write_plain(file, id, mode);
         }
-        goes_on = mode != SITE_CUT_MIDWAY;
+        goes_on = mode != SITE_CUT_MIDWAY && mode != SITE_UNFRAMED && mode != SITE_RESET;
+        if (mode == SITE_RESET) {
+            site_reset_at_close(file);
+        }
         break;
     }
 out:
--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -12,7 +12,7 @@
 #include "framing_cases.h"
 #include "site.h"
 
-enum { FLOOD = 3000, MUTATIONS = 300, SHED_PAUSE_US = 50000 };
+enum { FLOOD = 3000, MUTATIONS = 300, RESETS = 4, SHED_PAUSE_US = 50000 };
 
 /* The stand-in lives in this process, so that no test may run in one of its own. */
 static void setup(void)
@@ -106,6 +106,17 @@
 }
 END_TEST
 
+START_TEST(an_answer_that_is_reset_is_not_whole)
+{
+    site_set_mode(-1, SITE_RESET);
+    for (int i = 0; i < RESETS; i++) {
+        ck_assert_int_eq(status_of("POST", "/once/x"), 502);
+    }
+    site_set_mode(-1, SITE_UNFRAMED);
+    ck_assert_int_eq(status_of("POST", "/once/x"), 200);
+}
+END_TEST
+
 START_TEST(a_silent_server_costs_a_safe_call_little)
 {
     site_set_mode(2, SITE_SILENT);
@@ -556,6 +567,7 @@
     tcase_add_loop_test(tests, what_may_have_run_is_not_repeated, 0, broken);
     tcase_add_loop_test(tests, what_may_run_again_does, 0, broken);
     tcase_add_test(tests, bytes_behind_an_answer_reach_nobody);
+    tcase_add_test(tests, an_answer_that_is_reset_is_not_whole);
     tcase_add_test(tests, a_silent_server_costs_a_safe_call_little);
     tcase_add_test(tests, an_answer_out_of_time_is_504);
     tcase_add_test(tests, a_caller_that_leaves_frees_its_server);
