--- /dev/null
+++ b/src/core/resume.h
@@ -0,0 +1,44 @@
+/**
+ * @file resume.h
+ * Where a stream that broke off goes on. Pure.
+ *
+ * A run that a caller reads may be taken up with the id of the last event that
+ * was passed on. The server that broke off is asked first: it keeps the prompt,
+ * and a run there counts as no further server. It is passed over only when it
+ * is known to have ended, to leave or to be out of reach: only then can the
+ * former run not go on beside the new one, and only then do the attempts that a
+ * route allows not count it.
+ */
+#ifndef BANKBANK_CORE_RESUME_H
+#define BANKBANK_CORE_RESUME_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    RESUME_MAX = 4,       /**< Times that one stream is taken up. */
+    RESUME_LEAST_MS = 40, /**< Least time left of the caller's for that. */
+    RESUME_SAME_MAX = 2   /**< Times in a row at the server that broke off, where the route allows others. */
+};
+
+/** Where a broken stream goes on. */
+typedef enum resume_way_t {
+    RESUME_NOT,  /**< It ends. */
+    RESUME_SAME, /**< At the server that broke off. */
+    RESUME_OTHER /**< At another one. */
+} resume_way_t;
+
+/** A stream that broke off. */
+typedef struct resume_view_t {
+    bool resumable;        /**< Its route allows it. */
+    bool server_gone;      /**< The server is not listed any more, leaves, or another one has its address. */
+    uint32_t resumes;      /**< Times it was taken up so far. */
+    uint32_t servers;      /**< Servers that may have run it. */
+    uint32_t max_attempts; /**< Most servers that the route allows. */
+    uint64_t left_ms;      /**< Time left of the caller's. */
+} resume_view_t;
+
+/** Decides. */
+resume_way_t resume_decide(const resume_view_t *view);
+
+#endif
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -90,6 +90,13 @@
     return false;
 }
 
+void server_wish_note_tried(struct server_wish *wish, const struct server *server)
+{
+    if (!server_was_tried(server, wish) && wish->tried_count < SERVER_MAX_TRIED) {
+        wish->tried[wish->tried_count++] = server;
+    }
+}
+
 bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service)
 {
     for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -90,6 +90,9 @@
 /** Whether a service has a server that may be used. */
 bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service);
 
+/** Notes that a request was sent to a server; a second time there counts once. */
+void server_wish_note_tried(struct server_wish *wish, const struct server *server);
+
 /** Notes begin and end of a request. The server may be freed by the end. */
 void server_begin(struct server *server, uint64_t now_ms);
 void server_end(struct server_table *table, struct server *server);
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -73,6 +73,7 @@
     struct event_stream events; /**< Splitter. */
     uint64_t event_count;       /**< Events passed on. */
     uint64_t last_event;        /**< Id of the last one. */
+    uint32_t resumes;           /**< Times it was taken up after it broke off. */
     uint64_t first_event_ms;    /**< Loop time of the first one. */
     bool paused;                /**< The caller reads slowly: the server's answer is not read meanwhile. */
 };
@@ -152,6 +153,12 @@
 /** forward.c: ends for want of time; what may have run is not promised otherwise. */
 void forward_out_of_time(struct forward *forward);
 
+/** forward_resume.c: takes a stream that broke off up at a server; false: it cannot go on. Ends the attempt if so. */
+bool forward_resume(struct forward_attempt *attempt, const char *reason);
+
+/** forward_attempt.c: sends the request to a server. */
+void forward_send(struct forward *forward, struct server *server);
+
 /** forward_attempt.c: ends all attempts. */
 void forward_end_attempts(struct forward *forward);
 
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -82,6 +82,12 @@
     }
     forward_keep_lines(attempt, answer);
     attempt->streaming = forward->route->kind == ROUTE_STREAM && answer->status == FORWARD_OK;
+    if (forward->stream.begun) {
+        if (!attempt->streaming) {
+            forward_may_have_run(attempt, "a stream that was not taken up");
+        }
+        return; /* the caller keeps the head of the first answer */
+    }
     if (attempt->streaming) {
         forward->stream.begun = true;
         forward->told_status = answer->status;
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -69,8 +69,12 @@
     return upstream_idle_count(&front->node->upstreams, address) > 0;
 }
 
+/* Where a stream goes on. */
+static const char FORWARD_LAST_EVENT[] = "Last-Event-Id";
+
 static void forward_write_headers(const struct forward *forward, struct buffer *out)
 {
+    bool goes_on = forward->stream.event_count > 0;
     const struct http_reader *request = forward->call->request;
     const struct dialect *dialect = forward->front->node->dialect;
     static const enum dialect_header own[] = {DIALECT_DEADLINE_MS, DIALECT_EXPECT_SERVER, DIALECT_PRIORITY};
@@ -80,6 +84,7 @@
         for (size_t k = 0; k < sizeof(own) / sizeof(own[0]); k++) {
             dropped = dropped || http_name_equal(header->name, dialect->headers[own[k]]);
         }
+        dropped = dropped || (goes_on && http_name_equal(header->name, FORWARD_LAST_EVENT));
         if (!dropped) {
             buffer_append(out, header->name.data, header->name.length);
             buffer_append(out, ": ", 2);
@@ -103,6 +108,9 @@
     forward_write_headers(forward, out);
     buffer_printf(out, "%s: %llu\r\n", dialect->headers[DIALECT_DEADLINE_MS], (unsigned long long)left_ms);
     buffer_printf(out, "%s: %s\r\n", dialect->headers[DIALECT_EXPECT_SERVER], server->id);
+    if (forward->stream.event_count > 0) {
+        buffer_printf(out, "%s: %llu\r\n", FORWARD_LAST_EVENT, (unsigned long long)forward->stream.last_event);
+    }
     bool has_body = http_reader_has(request, "Content-Length") || http_reader_has(request, "Transfer-Encoding");
     if (has_body || history->length > 0) {
         buffer_printf(out, "Content-Length: %zu\r\n", history->length + body->length);
@@ -122,7 +130,7 @@
     return NULL;
 }
 
-static void forward_send(struct forward *forward, struct server *server)
+void forward_send(struct forward *forward, struct server *server)
 {
     struct front *front = forward->front;
     struct forward_attempt *attempt = forward_free_attempt(forward);
@@ -137,9 +145,7 @@
     attempt->sent_ms = node_now(front->node);
     free(forward->last_server);
     forward->last_server = text_copy(server->id);
-    if (forward->wish.tried_count < SERVER_MAX_TRIED) {
-        forward->wish.tried[forward->wish.tried_count++] = server;
-    }
+    server_wish_note_tried(&forward->wish, server);
     address_parse(server->address, &address);
     forward_write_request(forward, server, &request);
     bool head_request = http_name_equal(forward->call->request->method, "HEAD");
@@ -240,6 +246,9 @@
               forward->stream.begun);
     forward->runs++;
     forward_note_failure(attempt);
+    if (forward_resume(attempt, reason)) {
+        return;
+    }
     forward_end_attempt(attempt);
     if (forward_is_asking(forward)) {
         return;
--- /dev/null
+++ b/src/proxy/forward_resume.c
@@ -0,0 +1,62 @@
+/* A stream that broke off goes on inside the same answer: where, is decided in core/resume.h. */
+#include "base/event_log.h"
+#include "core/resume.h"
+#include "proxy/forward.h"
+
+static resume_view_t forward_resume_view(const struct forward_attempt *attempt)
+{
+    const struct forward *forward = attempt->forward;
+    const struct server *server = attempt->server;
+    uint64_t now_ms = node_now(forward->front->node);
+    return (resume_view_t){
+        .resumable = forward->route->resumable && !forward->turn.keep,
+        .server_gone = !server->listed || server->draining || server->misplaced,
+        .resumes = forward->stream.resumes,
+        .servers = forward->wish.tried_count,
+        .max_attempts = forward->route->max_attempts,
+        .left_ms = forward->limit_ms > now_ms ? forward->limit_ms - now_ms : 0,
+    };
+}
+
+static const char *forward_resume_word(resume_way_t way)
+{
+    switch (way) {
+    case RESUME_NOT: return "none";
+    case RESUME_SAME: return "same";
+    case RESUME_OTHER: return "other";
+    }
+    return "";
+}
+
+/* What is kept of a torn event belongs to the run that broke off. */
+static void forward_drop_torn_event(struct forward *forward)
+{
+    event_stream_close(&forward->stream.events);
+    forward->stream.events = (struct event_stream){0};
+    forward->stream.paused = false;
+}
+
+bool forward_resume(struct forward_attempt *attempt, const char *reason)
+{
+    struct forward *forward = attempt->forward;
+    struct server *server = attempt->server;
+    const resume_view_t view = forward_resume_view(attempt);
+    resume_way_t way = resume_decide(&view);
+    if (way == RESUME_NOT) {
+        return false;
+    }
+    event_log("stream_resumed", "{s:s,s:s,s:s,s:s,s:I,s:i,s:I}", "id", text_or_empty(forward->id), "server", server->id,
+              "reason", reason, "way", forward_resume_word(way), "last_event", (json_int_t)forward->stream.last_event,
+              "resumes", (int)forward->stream.resumes, "left_ms", (json_int_t)view.left_ms);
+    forward->stream.resumes++;
+    forward->front->counters.resumes++;
+    forward_drop_torn_event(forward);
+    if (way == RESUME_SAME) {
+        forward_send(forward, server);
+        forward_end_attempt(attempt);
+    } else {
+        forward_end_attempt(attempt);
+        forward_place(forward);
+    }
+    return true;
+}
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -270,6 +270,7 @@
     metrics_write_counter(out, "sends_total", "Requests sent to servers.", counters->sends);
     metrics_write_counter(out, "server_refusals_total", "Servers that did not run a request.",
                           counters->server_refusals);
+    metrics_write_counter(out, "resumes_total", "Streams taken up after they broke off.", counters->resumes);
     metrics_write_counter(out, "hedges_total", "Second servers asked for want of an answer.", counters->hedges);
     metrics_write_counter(out, "pauses_total", "Streams held back for a slow caller.", counters->pauses);
     metrics_write_counter(out, "crossed_total", "Answers to other requests, dropped.", counters->crossed);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -35,6 +35,7 @@
     uint64_t crossed;         /**< Answers to other requests, dropped. */
     uint64_t budget_refusals; /**< Turns refused for their program's budget. */
     uint64_t pauses;          /**< Streams held back for a slow caller. */
+    uint64_t resumes;         /**< Streams taken up after they broke off. */
     uint64_t hedges;          /**< Second servers asked for want of an answer. */
     uint64_t cache_hits;      /**< Conversations found near. */
     uint64_t cache_misses;    /**< Conversations fetched from a replica. */
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -22,6 +22,7 @@
     SITE_MISDIRECTED, /**< 421: another incarnation has the address. */
     SITE_CUT,         /**< Runs, then closes without an answer. */
     SITE_CUT_MIDWAY,  /**< Runs, and closes in the middle of the answer. */
+    SITE_TORN,        /**< Streams, and closes in the middle of its second event, once for each request. */
     SITE_CROSSED,     /**< Answers with another request's id. */
     SITE_UNSIGNED,    /**< A success without its signature. */
     SITE_ENCODED,     /**< An answer with a content encoding. */
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -198,7 +198,10 @@
         "\"timeout-ms\":3000,\"service\":\"plain\",\"max-attempts\":1},"
         "{\"name\":\"chat\",\"host\":\"app.example\",\"path-prefix\":\"/chat/\",\"kind\":\"streaming\","
         "\"timeout-ms\":3000,\"service\":\"engine\",\"max-attempts\":1,\"stateful\":true,\"retention-s\":60.0,"
-        "\"sticky\":true}],"
+        "\"sticky\":true},"
+        "{\"name\":\"open\",\"host\":\"app.example\",\"path-prefix\":\"/open/\",\"kind\":\"streaming\","
+        "\"timeout-ms\":3000,\"service\":\"engine\",\"max-attempts\":1,\"retention-s\":60.0,"
+        "\"sticky\":true,\"resumable\":true}],"
         "\"services\":[{\"name\":\"engine\",\"engine\":{\"chunk-size\":5,\"slots\":4}},{\"name\":\"plain\"}],"
         "\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":65536,\"header-timeout-ms\":1000,"
         "\"idle-timeout-ms\":5000}}";
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -36,7 +36,8 @@
     struct site_server *server;
 };
 
-static void site_write_events(int file, const char *id, enum site_mode mode)
+/* The events after `last`; a stream that is cut ends with its second event, or inside it. */
+static void site_write_events(int file, const char *id, enum site_mode mode, int last)
 {
     struct buffer out = {0};
     buffer_printf(&out,
@@ -45,11 +46,15 @@
                   id);
     int events = mode == SITE_LONG ? SITE_LONG_EVENTS : SITE_EVENTS;
     int padding = mode == SITE_LONG ? SITE_PADDING : 0;
-    for (int i = 1; i <= events; i++) {
+    for (int i = last + 1; i <= events; i++) {
         char event[SITE_PADDING + 64];
         int length = snprintf(event, sizeof(event), "id: %d\ndata: piece-%d%*s\n\n", i, i, padding, "");
+        if (mode == SITE_TORN && i == 2 && last == 0) {
+            event[--length] = '\0';
+            event[--length] = '\0';
+        }
         buffer_printf(&out, "%x\r\n%s\r\n", length, event);
-        if (mode == SITE_CUT_MIDWAY && i == 2) {
+        if ((mode == SITE_CUT_MIDWAY || (mode == SITE_TORN && last == 0)) && i == 2) {
             site_send(file, buffer_text(&out), out.length);
             buffer_close(&out);
             return;
@@ -111,6 +116,8 @@
         site_body = memory_copy(body.data, body.length);
     }
     pthread_mutex_unlock(&site_lock);
+    struct view last_view = http_reader_header(&reader, "Last-Event-Id");
+    int last = last_view.length == 0 ? 0 : atoi((const char *)last_view.data);
     bool stream = memmem(reader.target.data, reader.target.length, "/chat/", 6) != NULL;
     goes_on = true;
     switch (mode) {
@@ -137,11 +144,11 @@
         /* fall through */
     default:
         if (stream) {
-            site_write_events(file, id, mode);
+            site_write_events(file, id, mode, last);
         } else {
             site_write_plain(file, id, mode);
         }
-        goes_on = mode != SITE_CUT_MIDWAY && mode != SITE_UNFRAMED && mode != SITE_RESET;
+        goes_on = mode != SITE_CUT_MIDWAY && mode != SITE_TORN && mode != SITE_UNFRAMED && mode != SITE_RESET;
         if (mode == SITE_RESET) {
             site_reset_at_close(file);
         }
--- /dev/null
+++ b/tests/integration/test_resume.c
@@ -0,0 +1,106 @@
+/* Streams that break off, on a route that may be resumed: real daemons before servers that cut their answers. */
+#include <stdio.h>
+
+#include "../unit/suite.h"
+#include "site.h"
+
+enum { TOKENS_A_TURN = 15 };
+
+static const char WHOLE[] = "id: 1\ndata: piece-1\n\nid: 2\ndata: piece-2\n\nid: 3\ndata: piece-3\n\n";
+
+/* The stand-in lives in this process, so that no test may run in one of its own. */
+static void setup(void)
+{
+    site_set_mode(-1, SITE_NORMAL);
+}
+
+static int turn(const char *id, const char *program, int budget, struct site_answer *answer)
+{
+    char lines[256];
+    snprintf(lines, sizeof(lines),
+             "Bankbank-Deadline-Ms: 2500\r\nBankbank-Program-Id: %s\r\nBankbank-Token-Budget: %d\r\n"
+             "Bankbank-Token-Usage: 10,%d\r\n",
+             program, budget, TOKENS_A_TURN);
+    site_call_as(0, id, "POST", "/open/chat/x", lines, "prompt", answer);
+    return answer->whole ? answer->status : -answer->status;
+}
+
+/* The caller gets each event once, in order, in one whole answer. */
+static void expect_whole(const char *id, const char *program)
+{
+    struct site_answer answer;
+    ck_assert_int_eq(turn(id, program, 1000, &answer), 200);
+    ck_assert_str_eq(buffer_text(&answer.body), WHOLE);
+    site_answer_close(&answer);
+}
+
+START_TEST(a_cut_stream_goes_on_at_its_server)
+{
+    site_set_mode(-1, SITE_CUT_MIDWAY);
+    expect_whole("r1", "p1");
+    ck_assert_int_eq(site_runs(-1), 2);
+    ck_assert(site_runs(0) == 2 || site_runs(1) == 2);
+}
+END_TEST
+
+START_TEST(a_torn_event_is_dropped)
+{
+    site_set_mode(-1, SITE_TORN);
+    expect_whole("r2", "p2");
+    ck_assert(site_runs(0) == 2 || site_runs(1) == 2);
+}
+END_TEST
+
+START_TEST(a_server_that_always_breaks_off_ends_the_stream)
+{
+    struct site_answer answer;
+    site_set_mode(-1, SITE_CUT);
+    ck_assert_int_eq(turn("r3", "p3", 1000, &answer), 502);
+    site_answer_close(&answer);
+    ck_assert(site_runs(0) == 0 || site_runs(1) == 0);
+}
+END_TEST
+
+START_TEST(a_resumed_turn_settles_what_was_handed_out)
+{
+    struct site_answer answer;
+    site_set_mode(-1, SITE_CUT_MIDWAY);
+    ck_assert_int_eq(turn("r4", "p4", 2 * TOKENS_A_TURN, &answer), 200);
+    site_answer_close(&answer);
+    ck_assert_int_eq(turn("r5", "p4", 2 * TOKENS_A_TURN, &answer), 200);
+    site_answer_close(&answer);
+    int before = site_runs(-1);
+    ck_assert_int_eq(turn("r6", "p4", 2 * TOKENS_A_TURN, &answer), 402);
+    site_answer_close(&answer);
+    ck_assert_int_eq(site_runs(-1), before);
+}
+END_TEST
+
+/* A conversation that is kept here has no route to be resumed on: it looks cut. */
+START_TEST(other_streams_still_look_cut)
+{
+    struct site_answer answer;
+    site_set_mode(-1, SITE_CUT_MIDWAY);
+    site_call(0, "POST", "/chat/x", "Bankbank-Program-Id: p5\r\n", "x", &answer);
+    ck_assert(!answer.whole);
+    ck_assert_int_eq(site_runs(-1), 1);
+    site_answer_close(&answer);
+}
+END_TEST
+
+int main(int argc, char **argv)
+{
+    site_build = argc > 1 ? argv[1] : "build";
+    Suite *suite = suite_create("resume");
+    TCase *tests = tcase_create("one site");
+    tcase_set_timeout(tests, 60);
+    tcase_add_checked_fixture(tests, setup, NULL);
+    tcase_add_unchecked_fixture(tests, site_start, site_stop);
+    tcase_add_test(tests, a_cut_stream_goes_on_at_its_server);
+    tcase_add_test(tests, a_torn_event_is_dropped);
+    tcase_add_test(tests, a_server_that_always_breaks_off_ends_the_stream);
+    tcase_add_test(tests, a_resumed_turn_settles_what_was_handed_out);
+    tcase_add_test(tests, other_streams_still_look_cut);
+    suite_add_tcase(suite, tests);
+    return suite_run_in_process(suite);
+}
