--- a/src/proxy/state_host_disk.c
+++ b/src/proxy/state_host_disk.c
@@ -8,8 +8,7 @@
 
 enum {
     STATE_HOST_SNAPSHOT_ENTRIES = 16384,
-    STATE_HOST_SNAPSHOT_EARLY = 2048, /* of a small state */
-    STATE_HOST_SNAPSHOT_SPREAD = 1024 /* replicas take their snapshots apart from each other */
+    STATE_HOST_SNAPSHOT_SPREAD = 4096 /* replicas take their snapshots apart from each other */
 };
 
 /* ---- The replica's effects --------------------------------------------------------------- */
@@ -99,7 +98,6 @@
 
 bool state_host_open_replica(struct state_host *host)
 {
-    uint32_t spread = host->identity.node % STATE_HOST_SNAPSHOT_SPREAD;
     struct replica_config config = {
         .node = host->identity.node,
         .groups = 1,
@@ -109,8 +107,7 @@
         .lease_ms = STATE_HOST_ELECTION_MS,
         .seed = host->node->boot_id,
         .first_election_ms = STATE_HOST_FIRST_ELECTION_MS,
-        .snapshot_entries = STATE_HOST_SNAPSHOT_ENTRIES + spread,
-        .snapshot_early = STATE_HOST_SNAPSHOT_EARLY + spread,
+        .snapshot_entries = STATE_HOST_SNAPSHOT_ENTRIES + host->identity.node % STATE_HOST_SNAPSHOT_SPREAD,
         .self_organized = true,
         .steady_stamps = true,
     };
