--- /dev/null
+++ b/src/core/reach.h
@@ -0,0 +1,56 @@
+/**
+ * @file reach.h
+ * Whether a server that says nothing can still be reached. Pure.
+ *
+ * A server that has crashed without a word and one that only works long look
+ * alike on a connection that is open. A new connection tells them apart: the
+ * former's never comes up. So a server with requests under way that has been
+ * silent for a while is dialled; one that does not take two connections in a
+ * row is lost, until it takes one again. Dials to a server that is merely slow
+ * become rare.
+ *
+ *   HEARD -> (silence) DIALLED -> (it answers) HEARD, asked half as often
+ *                              -> (no answer, twice) LOST -> (it answers) HEARD
+ */
+#ifndef BANKBANK_CORE_REACH_H
+#define BANKBANK_CORE_REACH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    REACH_SILENT_MS = 150, /**< Silence after which a server with requests under way is dialled. */
+    REACH_AGAIN_MS = 200,  /**< Pause between dials to a server that is lost. */
+    REACH_DIALS = 2,       /**< Dials without an answer after which it is lost. */
+    REACH_STEPS_MAX = 5    /**< Doublings of the silence that is borne. */
+};
+
+/** What is known of the way to one server; all zero: it was heard. */
+typedef struct reach_t {
+    bool dialling;       /**< A dial is under way. */
+    bool lost;           /**< It took no connection lately. */
+    uint32_t failures;   /**< Dials without an answer in a row. */
+    uint32_t steps;      /**< Doublings of the silence borne, since it was heard last. */
+    uint64_t dialled_ms; /**< Time of the last dial's outcome. */
+} reach_t;
+
+/** What a dial's outcome changes. */
+typedef enum reach_change_t {
+    REACH_AS_BEFORE, /**< Nothing. */
+    REACH_LOST,      /**< The server is lost from now on. */
+    REACH_REGAINED   /**< It can be reached again. */
+} reach_change_t;
+
+/** Whether to dial now a server that has `busy` requests under way and was heard last at `heard_ms`. */
+bool reach_is_due(const reach_t *reach, uint64_t now_ms, bool busy, uint64_t heard_ms);
+
+/** Notes that a dial has begun. */
+void reach_note_dial(reach_t *reach);
+
+/** Notes a dial's outcome. */
+reach_change_t reach_note_outcome(reach_t *reach, uint64_t now_ms, bool answered);
+
+/** Notes that something came from the server. */
+reach_change_t reach_note_heard(reach_t *reach);
+
+#endif
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -77,7 +77,7 @@
 static bool server_is_sound(const struct server *server, uint64_t now_ms)
 {
     bool silent = server->calls > 0 && now_ms >= server->heard_ms + SERVER_SILENT_MS;
-    return !silent && circuit_allows(&server->circuit, now_ms);
+    return !silent && !server->reach.lost && circuit_allows(&server->circuit, now_ms);
 }
 
 static bool server_was_tried(const struct server *server, const struct server_wish *wish)
@@ -114,8 +114,7 @@
     return XXH64(material, sizeof(material), 0);
 }
 
-/* Requests there of all gateways, as far as they are known now. */
-static uint32_t server_calls(const struct server_table *table, const struct server *server, uint64_t now_ms)
+uint32_t server_calls(const struct server_table *table, const struct server *server, uint64_t now_ms)
 {
     bool told = now_ms < table->loads_ms + SERVER_LOADS_VALID_MS;
     return server->calls + (told ? server->others : 0);
@@ -269,6 +268,7 @@
 void server_heard(struct server *server, uint64_t now_ms)
 {
     server->heard_ms = now_ms;
+    reach_note_heard(&server->reach);
 }
 
 void server_begin(struct server *server, uint64_t now_ms)
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -17,6 +17,7 @@
 
 #include "control.pb.h"
 #include "core/health.h"
+#include "core/reach.h"
 #include "core/retry.h"
 
 enum {
@@ -49,6 +50,7 @@
     uint64_t full_until_ms; /**< Passed over until then, after it refused. */
     struct circuit circuit; /**< Ejects it when it cannot be reached or always fails. */
     health_t health;        /**< How often it fails. */
+    reach_t reach;          /**< Whether it can be reached. */
     bool told_failing;      /**< Whether the log last told that it fails. */
     uint64_t hash;          /**< Of its id. */
     UT_hash_handle hh;      /**< By id. */
@@ -93,6 +95,9 @@
 /** Notes that a request was sent to a server; a second time there counts once. */
 void server_wish_note_tried(struct server_wish *wish, const struct server *server);
 
+/** Requests there of all gateways, as far as they are known now. */
+uint32_t server_calls(const struct server_table *table, const struct server *server, uint64_t now_ms);
+
 /** Notes begin and end of a request. The server may be freed by the end. */
 void server_begin(struct server *server, uint64_t now_ms);
 void server_end(struct server_table *table, struct server *server);
--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
-enum { UPSTREAM_SWEEP_MS = 100, UPSTREAM_READ_BYTES = 1 << 16, UPSTREAM_FIRST_FINAL = 200, UPSTREAM_MS_PER_S = 1000 };
+enum { UPSTREAM_SWEEP_MS = 50, UPSTREAM_READ_BYTES = 1 << 16, UPSTREAM_FIRST_FINAL = 200, UPSTREAM_MS_PER_S = 1000 };
 
 /* CONNECTING -> ACTIVE (an exchange is under way) <-> IDLE -> CLOSED. */
 enum upstream_state { UPSTREAM_CONNECTING, UPSTREAM_ACTIVE, UPSTREAM_IDLE, UPSTREAM_CLOSED };
@@ -24,6 +24,7 @@
     uint64_t rest_ms;  /* longest rest */
     bool written;      /* the request has left whole */
     bool once;         /* closes after the current answer */
+    bool probe;        /* asks whether the server can be reached */
     struct upstream_connection *next_idle;
     struct upstream_connection *previous;
     struct upstream_connection *next;
@@ -93,6 +94,15 @@
 
 static void upstream_serve_waiting(struct upstream_pool *pool, struct upstream_server *server);
 
+static void upstream_tell_probed(struct upstream_connection *connection, bool answered)
+{
+    struct upstream_pool *pool = connection->pool;
+    if (connection->probe) {
+        connection->probe = false;
+        pool->probed(pool->probed_context, connection->server->key, answered);
+    }
+}
+
 /* The connection failed: so does its exchange. */
 static void upstream_connection_fail(struct upstream_connection *connection)
 {
@@ -100,6 +110,7 @@
     struct upstream_server *server = connection->server;
     struct upstream_exchange *exchange = connection->exchange;
     upstream_connection_close(connection);
+    upstream_tell_probed(connection, false);
     if (exchange != NULL) {
         upstream_finish(pool, exchange, exchange->sent ? UPSTREAM_BROKEN : UPSTREAM_NOT_SENT);
     }
@@ -154,6 +165,14 @@
     return true;
 }
 
+static void upstream_rest(struct upstream_connection *connection)
+{
+    connection->state = UPSTREAM_IDLE;
+    connection->since_ms = uv_now(connection->pool->loop);
+    connection->next_idle = connection->server->idle;
+    connection->server->idle = connection;
+}
+
 /* The answer is whole: the connection rests, or serves the next exchange. */
 static void upstream_complete(struct upstream_connection *connection, bool bytes_left)
 {
@@ -165,10 +184,7 @@
     pool->counters.stray_bytes += bytes_left ? 1 : 0;
     bool reusable = !bytes_left && !connection->once && connection->written && connection->rest_ms > 0;
     if (reusable) {
-        connection->state = UPSTREAM_IDLE;
-        connection->since_ms = uv_now(pool->loop);
-        connection->next_idle = server->idle;
-        server->idle = connection;
+        upstream_rest(connection);
         http_reader_reset(&connection->reader);
     } else {
         upstream_connection_close(connection);
@@ -304,6 +320,7 @@
     }
     if (status != 0) {
         connection->pool->counters.refused++;
+        upstream_tell_probed(connection, true); /* a refusal is an answer too */
         upstream_connection_fail(connection);
         return;
     }
@@ -311,11 +328,15 @@
     uv_read_start((uv_stream_t *)&connection->socket, upstream_on_alloc, upstream_on_read);
     if (connection->exchange != NULL) {
         upstream_send(connection, connection->exchange);
+        return;
     }
+    upstream_rest(connection);
+    upstream_tell_probed(connection, true);
+    upstream_serve_waiting(connection->pool, connection->server);
 }
 
-static void upstream_connect(struct upstream_pool *pool, struct upstream_server *server,
-                             struct upstream_exchange *exchange)
+static struct upstream_connection *upstream_connect(struct upstream_pool *pool, struct upstream_server *server,
+                                                    struct upstream_exchange *exchange)
 {
     struct upstream_connection *connection = memory_new(sizeof(*connection));
     connection->pool = pool;
@@ -339,7 +360,9 @@
     pool->all = connection;
     server->open++;
     pool->counters.connections++;
-    exchange->connection = connection;
+    if (exchange != NULL) {
+        exchange->connection = connection;
+    }
     uv_tcp_init(pool->loop, &connection->socket);
     connection->socket.data = connection;
     connection->connect.data = connection;
@@ -347,6 +370,7 @@
                        upstream_on_connect) != 0) {
         connection->since_ms = 0; /* the sweep ends it */
     }
+    return connection;
 }
 
 /* A connection that the server has closed, or that holds stray bytes, is not used. */
@@ -441,6 +465,13 @@
     return exchange;
 }
 
+void upstream_probe(struct upstream_pool *pool, const struct address *address)
+{
+    struct upstream_connection *connection = upstream_connect(pool, upstream_server_of(pool, address), NULL);
+    connection->rest_ms = UPSTREAM_REST_MS;
+    connection->probe = true;
+}
+
 void upstream_cancel(struct upstream_pool *pool, struct upstream_exchange *exchange)
 {
     struct upstream_server *server = exchange->server;
@@ -498,7 +529,8 @@
     struct upstream_connection *connection = pool->all;
     while (connection != NULL) {
         struct upstream_connection *next = connection->next;
-        bool late = connection->state == UPSTREAM_CONNECTING && now_ms >= connection->since_ms + UPSTREAM_CONNECT_MS;
+        uint64_t limit_ms = connection->probe ? UPSTREAM_PROBE_MS : UPSTREAM_CONNECT_MS;
+        bool late = connection->state == UPSTREAM_CONNECTING && now_ms >= connection->since_ms + limit_ms;
         bool rested = connection->state == UPSTREAM_IDLE && now_ms >= connection->since_ms + connection->rest_ms;
         if (late || rested) {
             pool->counters.refused += late ? 1 : 0;
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -23,6 +23,7 @@
 
 enum {
     UPSTREAM_CONNECT_MS = 400,     /**< Time a connection may take to come up. */
+    UPSTREAM_PROBE_MS = 50,        /**< The same for one that only asks whether the server can be reached. */
     UPSTREAM_REST_MS = 4000,       /**< Longest rest where the server names no time. */
     UPSTREAM_REST_MARGIN_MS = 700, /**< Retired this much before the time the server names. */
     UPSTREAM_MAX_HEAD = 64 << 10,  /**< Largest head of an answer. */
@@ -80,6 +81,9 @@
     UT_hash_handle hh;                 /**< By key. */
 };
 
+/** Receives whether a server took a connection that asked for no more than that. */
+typedef void (*upstream_probed)(void *context, const char *address, bool answered);
+
 /** All servers. */
 struct upstream_pool {
     uv_loop_t *loop;                   /**< Event loop. */
@@ -87,6 +91,8 @@
     struct upstream_server *servers;   /**< By address. */
     struct upstream_connection *all;   /**< Every connection. */
     uint32_t max_connections;          /**< To one server; 0: no limit. */
+    upstream_probed probed;            /**< Receiver of what upstream_probe() asked. */
+    void *probed_context;              /**< Its first argument. */
     struct upstream_counters counters; /**< Events. */
 };
 
@@ -101,6 +107,9 @@
                                          struct buffer *request, bool head_request,
                                          const struct upstream_events *events, void *owner);
 
+/** Opens a connection to see whether the server takes it; it is kept for a later exchange. `probed` is told, later. */
+void upstream_probe(struct upstream_pool *pool, const struct address *address);
+
 /** Gives an exchange up: its connection is closed, no event follows. */
 void upstream_cancel(struct upstream_pool *pool, struct upstream_exchange *exchange);
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -68,6 +68,7 @@
     }
     front->active--;
     front->waiting -= forward->phase == FORWARD_WAITING ? 1 : 0;
+    front->queued -= forward->phase == FORWARD_QUEUED ? 1 : 0;
 }
 
 static void forward_log(const struct forward *forward)
@@ -251,6 +252,8 @@
         forward->route->target_latency_ms > FORWARD_HEDGE_MS ? forward->route->target_latency_ms : FORWARD_HEDGE_MS;
     bool hedges = forward->route->kind == ROUTE_SAFE && forward->route->max_attempts > 1 && hedge_ms < left_ms;
     forward->limit_ms = forward->call->received_ms + left_ms;
+    forward->program_due_ms =
+        forward->call->received_ms + forward_number(forward, DIALECT_PROGRAM_LEFT_MS, deadline_ms);
     uv_timer_start(&forward->limit, forward_on_timer, hedges ? hedge_ms : left_ms, 0);
 }
 
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -4,6 +4,7 @@
  *
  * WAITING (the gateway has just started and knows no configuration or servers yet)
  *   -> PREPARING (a turn: its tokens are reserved and its conversation fetched)
+ *   -> QUEUED (no server has a place for it now: place_wait.h)
  *   -> RUNNING (at a server; again at another one where that is allowed)
  *   -> COMMITTING (a turn: it is stored before its answer ends) -> closed.
  *
@@ -20,7 +21,7 @@
 enum {
     FORWARD_MAX_PARALLEL = 2,       /**< Servers asked at the same time. */
     FORWARD_HEDGE_MS = 150,         /**< Time without an answer before a second server is asked, at least. */
-    FORWARD_MAX_SENDS = 5,          /**< Servers asked, those that refuse included. */
+    FORWARD_MAX_SENDS = 8,          /**< Servers asked, those that refuse included. */
     FORWARD_MAX_ANSWER = 8 << 20,   /**< Largest answer that is not streamed. */
     FORWARD_STATE_PERCENT = 40,     /**< Part of a caller's time left that the state replicas may take, at most. */
     FORWARD_STATE_MS = 1500,        /**< Time the state replicas may take to reserve or to fetch. */
@@ -33,7 +34,7 @@
 };
 
 /** Phase of a request. */
-enum forward_phase { FORWARD_WAITING, FORWARD_PREPARING, FORWARD_RUNNING, FORWARD_COMMITTING };
+enum forward_phase { FORWARD_WAITING, FORWARD_PREPARING, FORWARD_QUEUED, FORWARD_RUNNING, FORWARD_COMMITTING };
 
 /** A turn of a program. */
 struct forward_turn {
@@ -80,16 +81,18 @@
 
 /** The request. */
 struct forward {
-    struct front *front;                                   /**< The gateway. */
-    struct http_call *call;                                /**< The caller's side. */
-    struct route_table *table;                             /**< Configuration it began under. */
-    struct route *route;                                   /**< Its route. */
-    enum forward_phase phase;                              /**< Phase. */
-    uv_timer_t limit;                                      /**< Asks a second server, and ends it in time. */
-    uint64_t limit_ms;                                     /**< Loop time of that. */
-    char *id;                                              /**< The attempt's id. */
-    struct forward_turn turn;                              /**< As a turn. */
-    struct server_wish wish;                               /**< Where it may go. */
+    struct front *front;       /**< The gateway. */
+    struct http_call *call;    /**< The caller's side. */
+    struct route_table *table; /**< Configuration it began under. */
+    struct route *route;       /**< Its route. */
+    enum forward_phase phase;  /**< Phase. */
+    uv_timer_t limit;          /**< Asks a second server, and ends it in time. */
+    uint64_t limit_ms;         /**< Loop time of that. */
+    char *id;                  /**< The attempt's id. */
+    struct forward_turn turn;  /**< As a turn. */
+    struct server_wish wish;   /**< Where it may go. */
+    uint64_t queued_ms;        /**< Loop time at which its wait for a place began; 0: none. */
+    uint64_t program_due_ms;   /**< Loop time at which its program should be over. */
     struct forward_attempt attempts[FORWARD_MAX_PARALLEL]; /**< Servers that are being asked. */
     bool hedged;                                           /**< A second server was asked for want of an answer. */
     char *last_server;                                     /**< Server asked last, for the log. */
@@ -117,6 +120,15 @@
 /** The caller has left. */
 void forward_caller_gone(struct forward *forward);
 
+/** forward_resume.c: a server cannot be reached any more: what may go on elsewhere does. */
+void forward_server_lost(struct front *front, const struct server *server);
+
+/** forward_queue.c: it waits for a place at a server. */
+void forward_queue_join(struct forward *forward);
+
+/** forward_queue.c: places those that wait, as far as there are places, and refuses those that have waited too long. */
+void forward_queue_serve(struct front *front);
+
 /** forward_attempt.c: goes on once a turn is reserved and its conversation is there. */
 void forward_place(struct forward *forward);
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/event_log.h"
+#include "core/place_wait.h"
 
 enum { FORWARD_UNAVAILABLE = 503, FORWARD_BAD_GATEWAY = 502 };
 
@@ -18,6 +19,7 @@
     }
     if (attempt->server != NULL) {
         server_end(&front->servers, attempt->server);
+        front->place_freed = true;
     }
     buffer_close(&attempt->lines);
     buffer_close(&attempt->body);
@@ -175,6 +177,22 @@
     return server;
 }
 
+static place_view_t forward_place_view(const struct forward *forward, const struct server *server)
+{
+    const struct front *front = forward->front;
+    uint64_t now_ms = node_now(front->node);
+    const struct forward_turn *turn = &forward->turn;
+    return (place_view_t){
+        .found = server != NULL,
+        .begins = turn->program != NULL && text_or_empty(turn->home)[0] == '\0' && forward->runs == 0,
+        .calls = server == NULL ? 0 : server_calls(&front->servers, server, now_ms),
+        .slots = server == NULL ? 0 : server->slots,
+        .waited_ms = forward->queued_ms == 0 ? 0 : now_ms - forward->queued_ms,
+        .left_ms = forward->limit_ms - now_ms,
+        .target_ms = forward->route->target_latency_ms,
+    };
+}
+
 void forward_place(struct forward *forward)
 {
     if (node_now(forward->front->node) + FORWARD_LEAST_MS >= forward->limit_ms) {
@@ -182,12 +200,17 @@
         return;
     }
     struct server *server = forward_choose(forward);
-    if (server != NULL) {
-        forward_send(forward, server);
-    } else if (forward->runs > 0) {
-        forward_fail(forward, FORWARD_BAD_GATEWAY, "no other server");
-    } else {
-        forward_refuse(forward, FORWARD_UNAVAILABLE, "no server");
+    const place_view_t view = forward_place_view(forward, server);
+    switch (place_decide(&view)) {
+    case PLACE_SEND: forward_send(forward, server); break;
+    case PLACE_QUEUE: forward_queue_join(forward); break;
+    case PLACE_REFUSE:
+        if (forward->runs > 0) {
+            forward_fail(forward, FORWARD_BAD_GATEWAY, "no other server");
+        } else {
+            forward_refuse(forward, FORWARD_UNAVAILABLE, server == NULL ? "no server" : "no place");
+        }
+        break;
     }
 }
 
--- /dev/null
+++ b/src/proxy/forward_queue.c
@@ -0,0 +1,60 @@
+/* Requests that wait for a place at a server; who waits, and how long, is decided in core/place_wait.h. */
+#include <stdlib.h>
+
+#include "proxy/forward.h"
+
+void forward_queue_join(struct forward *forward)
+{
+    struct front *front = forward->front;
+    if (forward->queued_ms == 0) {
+        forward->queued_ms = node_now(front->node);
+        front->counters.queued++;
+    }
+    forward->phase = FORWARD_QUEUED;
+    front->queued++;
+}
+
+/* Servers that refused it may have places by now. */
+static void forward_queue_leave(struct forward *forward)
+{
+    forward->phase = FORWARD_PREPARING;
+    forward->front->queued--;
+    if (forward->runs == 0) {
+        forward->wish.tried_count = 0;
+    }
+}
+
+static int forward_queue_compare(const void *a, const void *b)
+{
+    const struct forward *left = *(struct forward *const *)a;
+    const struct forward *right = *(struct forward *const *)b;
+    if (left->program_due_ms != right->program_due_ms) {
+        return left->program_due_ms < right->program_due_ms ? -1 : 1;
+    }
+    return left->queued_ms < right->queued_ms ? -1 : left->queued_ms > right->queued_ms ? 1 : 0;
+}
+
+/* Those that wait, the program with the least time left first. */
+static struct forward **forward_queue_list(const struct front *front, size_t *count)
+{
+    struct forward **list = memory_new((front->queued + 1U) * sizeof(struct forward *));
+    *count = 0;
+    for (struct forward *forward = front->forwards; forward != NULL; forward = forward->next) {
+        if (forward->phase == FORWARD_QUEUED) {
+            list[(*count)++] = forward;
+        }
+    }
+    qsort(list, *count, sizeof(struct forward *), forward_queue_compare);
+    return list;
+}
+
+void forward_queue_serve(struct front *front)
+{
+    size_t count = 0;
+    struct forward **list = forward_queue_list(front, &count);
+    for (size_t i = 0; i < count; i++) {
+        forward_queue_leave(list[i]);
+        forward_place(list[i]);
+    }
+    free(list);
+}
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -10,7 +10,7 @@
     uint64_t now_ms = node_now(forward->front->node);
     return (resume_view_t){
         .resumable = forward->route->resumable && !forward->turn.keep,
-        .server_gone = !server->listed || server->draining || server->misplaced,
+        .server_gone = !server->listed || server->draining || server->misplaced || server->reach.lost,
         .resumes = forward->stream.resumes,
         .servers = forward->wish.tried_count,
         .max_attempts = forward->route->max_attempts,
@@ -60,3 +60,25 @@
     }
     return true;
 }
+
+/* What has no whole answer yet and may run again. */
+static bool forward_may_leave(const struct forward *forward)
+{
+    return forward->route->kind == ROUTE_SAFE || (forward->route->resumable && !forward->turn.keep);
+}
+
+void forward_server_lost(struct front *front, const struct server *server)
+{
+    struct forward *next = NULL;
+    for (struct forward *forward = front->forwards; forward != NULL; forward = next) {
+        next = forward->next;
+        for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+            struct forward_attempt *attempt = &forward->attempts[i];
+            bool hangs = attempt->forward != NULL && attempt->server == server && attempt->exchange != NULL;
+            if (hangs && forward_may_leave(forward)) {
+                forward_may_have_run(attempt, "the server cannot be reached");
+                break;
+            }
+        }
+    }
+}
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -48,6 +48,7 @@
     struct address address;
     front->node = node;
     node->upstreams.max_connections = FRONT_CONNECTIONS;
+    front_watch_reach(front);
     struct http_handler handler = {
         .context = front,
         .request = front_on_request,
@@ -242,11 +243,23 @@
     }
     for (struct server *server = front->servers.servers; server != NULL; server = server->hh.next) {
         front_report_failing(front, server);
+        front_probe_if_silent(front, server);
+    }
+}
+
+void front_settle(struct front *front)
+{
+    if (front->place_freed && front->queued > 0) {
+        front->place_freed = false;
+        forward_queue_serve(front);
     }
 }
 
 void front_tick(struct front *front)
 {
+    if (front->queued > 0) {
+        forward_queue_serve(front);
+    }
     front_review_servers(front);
     front_report_loads(front);
     front_tell_withdrawn(front, &(const LoadTotals){0});
@@ -270,6 +283,9 @@
     metrics_write_counter(out, "sends_total", "Requests sent to servers.", counters->sends);
     metrics_write_counter(out, "server_refusals_total", "Servers that did not run a request.",
                           counters->server_refusals);
+    metrics_write_counter(out, "probes_total", "Connections opened to see whether a silent server can be reached.",
+                          counters->probes);
+    metrics_write_counter(out, "queued_total", "Requests that waited for a place at a server.", counters->queued);
     metrics_write_counter(out, "resumes_total", "Streams taken up after they broke off.", counters->resumes);
     metrics_write_counter(out, "hedges_total", "Second servers asked for want of an answer.", counters->hedges);
     metrics_write_counter(out, "pauses_total", "Streams held back for a slow caller.", counters->pauses);
@@ -280,6 +296,7 @@
     metrics_write_gauge(out, "requests_active", "Requests under way.", front->active);
     metrics_write_gauge(out, "requests_waiting", "Requests that wait for configuration and servers after a start.",
                         front->waiting);
+    metrics_write_gauge(out, "requests_queued", "Requests that wait for a place at a server.", front->queued);
     metrics_write_gauge(out, "withdrawn", "Whether callers are left to other zones.",
                         front_is_withdrawn(front) ? 1 : 0);
     metrics_write_gauge(out, "servers_known", "Servers known.", HASH_COUNT(front->servers.servers));
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -16,7 +16,8 @@
 enum {
     FRONT_CACHE_BYTES = 8 << 20, /**< Turns kept near. */
     FRONT_CONNECTIONS = 24,      /**< Connections of this gateway to one server. */
-    FRONT_REVIEW_MS = 100,       /**< Period of looking for servers that fail. */
+    FRONT_REVIEW_MS = 50,        /**< Period of looking for servers that fail. */
+    FRONT_WOKE_MS = 200,         /**< Time after a stall of its own for which dials without an answer say nothing. */
     FRONT_LOADS_MS = 100,        /**< Period of telling the leader what is under way. */
     FRONT_WITHDRAWN_MS = 1000    /**< Time that the leader's word to withdraw holds. */
 };
@@ -35,6 +36,8 @@
     uint64_t crossed;         /**< Answers to other requests, dropped. */
     uint64_t budget_refusals; /**< Turns refused for their program's budget. */
     uint64_t pauses;          /**< Streams held back for a slow caller. */
+    uint64_t probes;          /**< Dials to servers that were silent. */
+    uint64_t queued;          /**< Requests that waited for a place. */
     uint64_t resumes;         /**< Streams taken up after they broke off. */
     uint64_t hedges;          /**< Second servers asked for want of an answer. */
     uint64_t cache_hits;      /**< Conversations found near. */
@@ -54,6 +57,8 @@
     struct forward *forwards;       /**< Requests under way. */
     uint32_t active;                /**< Their number. */
     uint32_t waiting;               /**< Those of them that wait for configuration and servers. */
+    uint32_t queued;                /**< Those of them that wait for a place at a server. */
+    bool place_freed;               /**< A request at a server has ended since they were last looked at. */
     uint64_t loads_reported_ms;     /**< Last report to the leader. */
     uint64_t review_due_ms;         /**< Next look at the servers. */
     bool loads_told;                /**< The last report was not empty. */
@@ -101,6 +106,15 @@
 /** Advances time. */
 void front_tick(struct front *front);
 
+/** Before each wait of the loop: gives places that became free to requests that wait. */
+void front_settle(struct front *front);
+
+/** front_reach.c: takes the outcomes of dials to silent servers. */
+void front_watch_reach(struct front *front);
+
+/** front_reach.c: dials a server that has been silent for too long. */
+void front_probe_if_silent(struct front *front, struct server *server);
+
 /** Writes its metrics. */
 void front_write_metrics(const struct front *front, struct buffer *out);
 
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -154,6 +154,9 @@
         if (node->host != NULL) {
             state_host_settle(node->host);
         }
+        if (node->front != NULL) {
+            front_settle(node->front);
+        }
     } while (node->local_first != NULL);
     links_flush(&node->links);
     event_log_flush();
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -22,6 +22,7 @@
     SITE_MISDIRECTED, /**< 421: another incarnation has the address. */
     SITE_CUT,         /**< Runs, then closes without an answer. */
     SITE_CUT_MIDWAY,  /**< Runs, and closes in the middle of the answer. */
+    SITE_STALL,       /**< Streams two events and says nothing more. */
     SITE_TORN,        /**< Streams, and closes in the middle of its second event, once for each request. */
     SITE_CROSSED,     /**< Answers with another request's id. */
     SITE_UNSIGNED,    /**< A success without its signature. */
@@ -61,6 +62,9 @@
 /** Sets how servers answer; -1: all of them. Forgets what they ran. */
 void site_set_mode(int server, enum site_mode mode);
 
+/** Makes a server take no connection any more, without a word, or take them again. */
+void site_set_dark(int server, bool dark);
+
 /** Shows a server as leaving on the list, or as ready. */
 void site_set_draining(int server, bool draining);
 
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -1,7 +1,10 @@
 /* The machine list and the servers of the site's stand-in, with the failures that the platform's pages name. */
 #include "site_internal.h"
 
+#include <arpa/inet.h>
+#include <check.h>
 #include <errno.h>
+#include <netinet/in.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,7 +17,7 @@
 #include "base/clock.h"
 #include "site.h"
 
-enum { SITE_EVENTS = 3, SITE_PADDING = 1024 };
+enum { SITE_EVENTS = 3, SITE_PADDING = 1024, SITE_FILLERS = 4, SITE_BACKLOG = 128, SITE_DARK_US = 10000 };
 
 /* One back end of the stand-in. */
 struct site_server {
@@ -23,6 +26,8 @@
     enum site_mode mode;
     bool draining;
     int runs;
+    bool dark;                 /* takes no connection */
+    int fillers[SITE_FILLERS]; /* connections that fill its backlog meanwhile */
 };
 
 static pthread_mutex_t site_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -36,6 +41,15 @@
     struct site_server *server;
 };
 
+/* Waits until the client closes or a second is over; true: it closed. */
+static bool site_client_closes(int file, int wait_ms)
+{
+    struct timeval limit = {.tv_sec = wait_ms / 1000, .tv_usec = wait_ms % 1000 * 1000};
+    char byte;
+    setsockopt(file, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    return recv(file, &byte, 1, 0) == 0;
+}
+
 /* The events after `last`; a stream that is cut ends with its second event, or inside it. */
 static void site_write_events(int file, const char *id, enum site_mode mode, int last)
 {
@@ -54,6 +68,12 @@
             event[--length] = '\0';
         }
         buffer_printf(&out, "%x\r\n%s\r\n", length, event);
+        if (mode == SITE_STALL && i == 2) {
+            site_send(file, buffer_text(&out), out.length);
+            site_client_closes(file, SITE_LIMIT_MS);
+            buffer_close(&out);
+            return;
+        }
         if ((mode == SITE_CUT_MIDWAY || (mode == SITE_TORN && last == 0)) && i == 2) {
             site_send(file, buffer_text(&out), out.length);
             buffer_close(&out);
@@ -79,15 +99,6 @@
     buffer_close(&out);
 }
 
-/* Waits until the client closes or a second is over; true: it closed. */
-static bool site_client_closes(int file, int wait_ms)
-{
-    struct timeval limit = {.tv_sec = wait_ms / 1000, .tv_usec = wait_ms % 1000 * 1000};
-    char byte;
-    setsockopt(file, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-    return recv(file, &byte, 1, 0) == 0;
-}
-
 /* The connection's end is a reset, not an orderly one. */
 static void site_reset_at_close(int file)
 {
@@ -148,7 +159,8 @@
         } else {
             site_write_plain(file, id, mode);
         }
-        goes_on = mode != SITE_CUT_MIDWAY && mode != SITE_TORN && mode != SITE_UNFRAMED && mode != SITE_RESET;
+        goes_on = mode != SITE_STALL && mode != SITE_CUT_MIDWAY && mode != SITE_TORN && mode != SITE_UNFRAMED &&
+                  mode != SITE_RESET;
         if (mode == SITE_RESET) {
             site_reset_at_close(file);
         }
@@ -170,10 +182,21 @@
     return NULL;
 }
 
+static bool site_is_dark(struct site_server *server)
+{
+    pthread_mutex_lock(&site_lock);
+    bool dark = server->dark;
+    pthread_mutex_unlock(&site_lock);
+    return dark;
+}
+
 static void *site_run_server(void *argument)
 {
     struct site_server *server = argument;
     for (;;) {
+        while (site_is_dark(server)) {
+            clock_sleep_us(SITE_DARK_US);
+        }
         int file = accept(server->listener, NULL, NULL);
         if (file < 0) {
             return NULL;
@@ -241,6 +264,38 @@
     pthread_mutex_unlock(&site_lock);
 }
 
+static int site_fill(const struct site_server *server)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)server->port)};
+    int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (connect(file, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        ck_assert_int_eq(errno, EINPROGRESS);
+    }
+    clock_sleep_us(SITE_DARK_US);
+    return file;
+}
+
+/* With a full backlog the kernel drops what would open a connection, as a machine without power does. */
+void site_set_dark(int server, bool dark)
+{
+    struct site_server *it = &site_servers[server];
+    pthread_mutex_lock(&site_lock);
+    it->dark = dark;
+    pthread_mutex_unlock(&site_lock);
+    if (dark) {
+        it->fillers[0] = site_fill(it); /* ends the accept under way */
+    }
+    ck_assert_int_eq(listen(it->listener, dark ? 0 : SITE_BACKLOG), 0);
+    for (int i = dark ? 1 : 0; i < SITE_FILLERS; i++) {
+        if (dark) {
+            it->fillers[i] = site_fill(it);
+        } else {
+            close(it->fillers[i]);
+        }
+    }
+}
+
 void site_set_draining(int server, bool draining)
 {
     pthread_mutex_lock(&site_lock);
--- a/tests/integration/test_resume.c
+++ b/tests/integration/test_resume.c
@@ -1,4 +1,5 @@
 /* Streams that break off, on a route that may be resumed: real daemons before servers that cut their answers. */
+#include <pthread.h>
 #include <stdio.h>
 
 #include "../unit/suite.h"
@@ -6,6 +7,8 @@
 
 enum { TOKENS_A_TURN = 15 };
 
+static int stalled; /* server that was made to fall silent */
+
 static const char WHOLE[] = "id: 1\ndata: piece-1\n\nid: 2\ndata: piece-2\n\nid: 3\ndata: piece-3\n\n";
 
 /* The stand-in lives in this process, so that no test may run in one of its own. */
@@ -76,6 +79,44 @@
 }
 END_TEST
 
+static bool a_server_stalls(void *context)
+{
+    (void)context;
+    return site_runs(-1) > 0;
+}
+
+static void *go_dark(void *context)
+{
+    (void)context;
+    site_wait(a_server_stalls, NULL, "a stream begins");
+    stalled = site_runs(0) > 0 ? 0 : 1;
+    site_set_dark(stalled, true);
+    return NULL;
+}
+
+/* A server that falls silent with a stream under way, and takes no connection: the stream goes on at the other. */
+START_TEST(a_stream_leaves_a_server_that_is_lost)
+{
+    pthread_t thread;
+    site_set_mode(-1, SITE_STALL);
+    pthread_create(&thread, NULL, go_dark, NULL);
+    expect_whole("r7", "p7");
+    pthread_join(thread, NULL);
+    ck_assert_int_eq(site_runs(stalled), 1);
+    ck_assert_int_eq(site_runs(1 - stalled), 1);
+    site_set_dark(stalled, false);
+}
+END_TEST
+
+/* One that is only slow keeps it. */
+START_TEST(a_stream_stays_at_a_server_that_is_slow)
+{
+    site_set_mode(-1, SITE_SLOW);
+    expect_whole("r8", "p8");
+    ck_assert_int_eq(site_runs(-1), 1);
+}
+END_TEST
+
 /* A conversation that is kept here has no route to be resumed on: it looks cut. */
 START_TEST(other_streams_still_look_cut)
 {
@@ -100,6 +141,8 @@
     tcase_add_test(tests, a_torn_event_is_dropped);
     tcase_add_test(tests, a_server_that_always_breaks_off_ends_the_stream);
     tcase_add_test(tests, a_resumed_turn_settles_what_was_handed_out);
+    tcase_add_test(tests, a_stream_leaves_a_server_that_is_lost);
+    tcase_add_test(tests, a_stream_stays_at_a_server_that_is_slow);
     tcase_add_test(tests, other_streams_still_look_cut);
     suite_add_tcase(suite, tests);
     return suite_run_in_process(suite);
