--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -1,5 +1,12 @@
 #include "core/reach.h"
 
+static uint64_t reach_borne_ms(const reach_t *reach)
+{
+    uint64_t usual_ms = reach->usual_ms + (uint64_t)REACH_SPREADS * reach->spread_ms;
+    uint64_t least_ms = usual_ms > REACH_SILENT_MS ? usual_ms : REACH_SILENT_MS;
+    return least_ms << reach->steps;
+}
+
 bool reach_is_due(const reach_t *reach, uint64_t now_ms, bool busy, uint64_t heard_ms)
 {
     if (reach->dialling) {
@@ -11,7 +18,7 @@
     if (reach->failures > 0) {
         return true;
     }
-    return busy && now_ms >= heard_ms + ((uint64_t)REACH_SILENT_MS << reach->steps);
+    return busy && now_ms >= heard_ms + reach_borne_ms(reach);
 }
 
 void reach_note_dial(reach_t *reach)
@@ -41,6 +48,20 @@
     return now_lost ? REACH_LOST : REACH_AS_BEFORE;
 }
 
+void reach_note_answer(reach_t *reach, uint64_t after_ms)
+{
+    int64_t sample_ms = after_ms < UINT32_MAX / 2 ? (int64_t)after_ms : UINT32_MAX / 2;
+    int64_t off_ms = sample_ms - reach->usual_ms;
+    int64_t distance_ms = off_ms < 0 ? -off_ms : off_ms;
+    if (reach->usual_ms == 0) {
+        reach->usual_ms = (uint32_t)sample_ms;
+        reach->spread_ms = (uint32_t)sample_ms / 2;
+        return;
+    }
+    reach->usual_ms = (uint32_t)(reach->usual_ms + off_ms / REACH_MEAN_SHARE);
+    reach->spread_ms = (uint32_t)(reach->spread_ms + (distance_ms - reach->spread_ms) / REACH_SPREAD_SHARE);
+}
+
 reach_change_t reach_note_heard(reach_t *reach)
 {
     reach->steps = 0;
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -6,8 +6,9 @@
  * alike on a connection that is open. A new connection tells them apart: the
  * former's never comes up. So a server with requests under way that has been
  * silent for a while is dialled; one that does not take two connections in a
- * row is lost, until it takes one again. Dials to a server that is merely slow
- * become rare.
+ * row is lost, until it takes one again. How long a silence is borne follows the
+ * times in which the server answers, by the rule for retransmissions (RFC 6298),
+ * and dials to one that is merely slow become rare.
  *
  *   HEARD -> (silence) DIALLED -> (it answers) HEARD, asked half as often
  *                              -> (no answer, twice) LOST -> (it answers) HEARD
@@ -19,10 +20,13 @@
 #include <stdint.h>
 
 enum {
-    REACH_SILENT_MS = 150, /**< Silence after which a server with requests under way is dialled. */
-    REACH_AGAIN_MS = 200,  /**< Pause between dials to a server that is lost. */
-    REACH_DIALS = 2,       /**< Dials without an answer after which it is lost. */
-    REACH_STEPS_MAX = 5    /**< Doublings of the silence that is borne. */
+    REACH_SILENT_MS = 150,  /**< Least silence after which a server with requests under way is dialled. */
+    REACH_MEAN_SHARE = 8,   /**< An answer moves the usual time by one part in so many. */
+    REACH_SPREAD_SHARE = 4, /**< And its spread by one part in so many. */
+    REACH_SPREADS = 4,      /**< Silence that is borne: the usual time and so many times its spread. */
+    REACH_AGAIN_MS = 200,   /**< Pause between dials to a server that is lost. */
+    REACH_DIALS = 2,        /**< Dials without an answer after which it is lost. */
+    REACH_STEPS_MAX = 5     /**< Doublings of the silence that is borne. */
 };
 
 /** What is known of the way to one server; all zero: it was heard. */
@@ -30,6 +34,8 @@
     bool dialling;       /**< A dial is under way. */
     bool lost;           /**< It took no connection lately. */
     uint32_t failures;   /**< Dials without an answer in a row. */
+    uint32_t usual_ms;   /**< Usual time to the begin of an answer; 0: none came yet. */
+    uint32_t spread_ms;  /**< Its mean deviation. */
     uint32_t steps;      /**< Doublings of the silence borne, since it was heard last. */
     uint64_t dialled_ms; /**< Time of the last dial's outcome. */
 } reach_t;
@@ -50,6 +56,9 @@
 /** Notes a dial's outcome. */
 reach_change_t reach_note_outcome(reach_t *reach, uint64_t now_ms, bool answered);
 
+/** Notes that an answer began, after so long. */
+void reach_note_answer(reach_t *reach, uint64_t after_ms);
+
 /** Notes that something came from the server. */
 reach_change_t reach_note_heard(reach_t *reach);
 
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -114,7 +114,8 @@
     return XXH64(material, sizeof(material), 0);
 }
 
-uint32_t server_calls(const struct server_table *table, const struct server *server, uint64_t now_ms)
+/* Requests there of all gateways, as far as they are known now. */
+static uint32_t server_calls(const struct server_table *table, const struct server *server, uint64_t now_ms)
 {
     bool told = now_ms < table->loads_ms + SERVER_LOADS_VALID_MS;
     return server->calls + (told ? server->others : 0);
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -95,9 +95,6 @@
 /** Notes that a request was sent to a server; a second time there counts once. */
 void server_wish_note_tried(struct server_wish *wish, const struct server *server);
 
-/** Requests there of all gateways, as far as they are known now. */
-uint32_t server_calls(const struct server_table *table, const struct server *server, uint64_t now_ms);
-
 /** Notes begin and end of a request. The server may be freed by the end. */
 void server_begin(struct server *server, uint64_t now_ms);
 void server_end(struct server_table *table, struct server *server);
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -70,6 +70,7 @@
     struct forward_attempt *attempt = owner;
     struct forward *forward = attempt->forward;
     attempt->status = answer->status;
+    reach_note_answer(&attempt->server->reach, node_now(forward->front->node) - attempt->sent_ms);
     server_heard(attempt->server, node_now(forward->front->node));
     if (forward_is_not_run(forward, answer)) {
         attempt->refused = true;
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -177,20 +177,11 @@
     return server;
 }
 
-static place_view_t forward_place_view(const struct forward *forward, const struct server *server)
+static bool forward_may_queue(const struct forward *forward)
 {
-    const struct front *front = forward->front;
-    uint64_t now_ms = node_now(front->node);
-    const struct forward_turn *turn = &forward->turn;
-    return (place_view_t){
-        .found = server != NULL,
-        .begins = turn->program != NULL && text_or_empty(turn->home)[0] == '\0' && forward->runs == 0,
-        .calls = server == NULL ? 0 : server_calls(&front->servers, server, now_ms),
-        .slots = server == NULL ? 0 : server->slots,
-        .waited_ms = forward->queued_ms == 0 ? 0 : now_ms - forward->queued_ms,
-        .left_ms = forward->limit_ms - now_ms,
-        .target_ms = forward->route->target_latency_ms,
-    };
+    uint64_t now_ms = node_now(forward->front->node);
+    uint64_t waited_ms = forward->queued_ms == 0 ? 0 : now_ms - forward->queued_ms;
+    return place_may_wait(waited_ms, forward->limit_ms - now_ms);
 }
 
 void forward_place(struct forward *forward)
@@ -200,17 +191,14 @@
         return;
     }
     struct server *server = forward_choose(forward);
-    const place_view_t view = forward_place_view(forward, server);
-    switch (place_decide(&view)) {
-    case PLACE_SEND: forward_send(forward, server); break;
-    case PLACE_QUEUE: forward_queue_join(forward); break;
-    case PLACE_REFUSE:
-        if (forward->runs > 0) {
-            forward_fail(forward, FORWARD_BAD_GATEWAY, "no other server");
-        } else {
-            forward_refuse(forward, FORWARD_UNAVAILABLE, server == NULL ? "no server" : "no place");
-        }
-        break;
+    if (server != NULL) {
+        forward_send(forward, server);
+    } else if (forward_may_queue(forward)) {
+        forward_queue_join(forward);
+    } else if (forward->runs > 0) {
+        forward_fail(forward, FORWARD_BAD_GATEWAY, "no other server");
+    } else {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, "no server");
     }
 }
 
--- a/tests/scripted/run_reach.c
+++ b/tests/scripted/run_reach.c
@@ -1,6 +1,7 @@
 /* Whether a silent server can be reached:
  *   heard MS                      something came from it; tells `regained` if it was lost
  *   due MS [busy]                 whether it is dialled now; `busy`: it has requests under way
+ *   answer MS                     an answer began after so long
  *   dial                          a dial begins
  *   answers MS | silent MS        the dial's outcome, and what it changes */
 #include "core/reach.h"
@@ -28,6 +29,8 @@
         script_print("%s", change == REACH_AS_BEFORE ? "" : change_word(change));
     } else if (script_is(command, 0, "due")) {
         script_print(reach_is_due(&reach, at_ms, script_is(command, 2, "busy"), heard_ms) ? "yes\n" : "no\n");
+    } else if (script_is(command, 0, "answer")) {
+        reach_note_answer(&reach, at_ms);
     } else if (script_is(command, 0, "dial")) {
         reach_note_dial(&reach);
     } else {
