--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -7,6 +7,8 @@
 
 #include "base/buffer.h"
 
+enum { SERVER_LOAD_SHIFT = 16 };
+
 static void server_free(struct server_table *table, struct server *server)
 {
     HASH_DEL(table->servers, server);
@@ -144,10 +146,20 @@
     return calls < most ? calls : most;
 }
 
+/* What it would have to read anew of the shared parts, as calls in a scale that keeps fractions. */
+static uint64_t server_reading(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
+{
+    if (wish->chain == NULL) {
+        return 0;
+    }
+    uint32_t missing = prefix_table_missing(&server->prefixes, now_ms, wish->chain);
+    return prefix_cost_calls(wish->cost, missing, 1 << SERVER_LOAD_SHIFT);
+}
+
 /* Calls per slot in a scale that keeps fractions. What speaks against a server counts as calls: a new
- * connection, the way to another zone, failures. */
+ * connection, the way to another zone, failures, parts of the prompt to be read. */
 static uint64_t server_load(const struct server_table *table, const struct server *server,
-                            const struct server_wish *wish, uint64_t now_ms)
+                            const struct server_wish *wish, uint64_t now_ms, bool favored)
 {
     bool remote = !text_equal(server->zone, wish->zone);
     bool cold = wish->warm != NULL && !wish->warm(wish->context, server->address);
@@ -155,7 +167,8 @@
     calls += cold ? SERVER_COLD_CALLS : 0;
     calls += remote ? SERVER_REMOTE_CALLS : 0;
     calls += server_failure_calls(table, server, now_ms);
-    return (calls << 16) / server_slots(server);
+    uint64_t reading = favored ? 0 : server_reading(server, wish, now_ms);
+    return ((calls << SERVER_LOAD_SHIFT) + reading) / server_slots(server);
 }
 
 /* Where no server is sound, any open one is better than none. */
@@ -170,18 +183,40 @@
     return server_is_sound(server, now_ms) && server_may_do(server, wish, now_ms);
 }
 
+/* All gateways begin with the same server for the same parts. */
+static const struct server *server_favored(const struct server_table *table, uint64_t now_ms,
+                                           const struct server_wish *wish,
+                                           bool (*fits)(const struct server *, const struct server_wish *, uint64_t))
+{
+    const struct server *favored = NULL;
+    uint64_t highest = 0;
+    if (wish->chain == NULL || wish->chain->count == 0) {
+        return NULL;
+    }
+    uint64_t chain = wish->chain->hashes[wish->chain->count - 1];
+    for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        uint64_t rank = server_rank(server, chain);
+        if (fits(server, wish, now_ms) && (favored == NULL || rank > highest)) {
+            favored = server;
+            highest = rank;
+        }
+    }
+    return favored;
+}
+
 static struct server *server_idlest(struct server_table *table, uint64_t now_ms, const struct server_wish *wish,
                                     bool (*fits)(const struct server *, const struct server_wish *, uint64_t))
 {
     struct server *idlest = NULL;
     uint64_t least = 0;
     uint64_t least_order = 0;
+    const struct server *favored = server_favored(table, now_ms, wish, fits);
     table->rotation++;
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
         if (!fits(server, wish, now_ms)) {
             continue;
         }
-        uint64_t load = server_load(table, server, wish, now_ms);
+        uint64_t load = server_load(table, server, wish, now_ms, server == favored);
         uint64_t order = server_rank(server, table->rotation);
         if (idlest == NULL || load < least || (load == least && order > least_order)) {
             idlest = server;
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -17,6 +17,7 @@
 
 #include "control.pb.h"
 #include "core/health.h"
+#include "core/prefix_table.h"
 #include "core/reach.h"
 #include "core/retry.h"
 
@@ -35,25 +36,26 @@
 
 /** One incarnation of a server. */
 struct server {
-    char *id;               /**< Incarnation. */
-    char *service;          /**< Service it belongs to. */
-    char *address;          /**< IP:PORT. */
-    char *zone;             /**< Zone. */
-    uint32_t slots;         /**< Requests it works on at once. */
-    bool draining;          /**< It leaves. */
-    bool listed;            /**< It is on the newest list. */
-    bool misplaced;         /**< Another incarnation answered at its address. */
-    uint32_t calls;         /**< Own requests under way there. */
-    uint32_t others;        /**< Requests of other gateways there, as told last. */
-    uint32_t others_failed; /**< Sum of the shares of failures that they see, as told last. */
-    uint64_t heard_ms;      /**< Time it was heard last, or got a request while it had none. */
-    uint64_t full_until_ms; /**< Passed over until then, after it refused. */
-    struct circuit circuit; /**< Ejects it when it cannot be reached or always fails. */
-    health_t health;        /**< How often it fails. */
-    reach_t reach;          /**< Whether it can be reached. */
-    bool told_failing;      /**< Whether the log last told that it fails. */
-    uint64_t hash;          /**< Of its id. */
-    UT_hash_handle hh;      /**< By id. */
+    char *id;                /**< Incarnation. */
+    char *service;           /**< Service it belongs to. */
+    char *address;           /**< IP:PORT. */
+    char *zone;              /**< Zone. */
+    uint32_t slots;          /**< Requests it works on at once. */
+    bool draining;           /**< It leaves. */
+    bool listed;             /**< It is on the newest list. */
+    bool misplaced;          /**< Another incarnation answered at its address. */
+    uint32_t calls;          /**< Own requests under way there. */
+    uint32_t others;         /**< Requests of other gateways there, as told last. */
+    uint32_t others_failed;  /**< Sum of the shares of failures that they see, as told last. */
+    uint64_t heard_ms;       /**< Time it was heard last, or got a request while it had none. */
+    uint64_t full_until_ms;  /**< Passed over until then, after it refused. */
+    struct circuit circuit;  /**< Ejects it when it cannot be reached or always fails. */
+    health_t health;         /**< How often it fails. */
+    prefix_table_t prefixes; /**< Shared prompt parts that it keeps, as sent from here. */
+    reach_t reach;           /**< Whether it can be reached. */
+    bool told_failing;       /**< Whether the log last told that it fails. */
+    uint64_t hash;           /**< Of its id. */
+    UT_hash_handle hh;       /**< By id. */
 };
 
 /** All servers. */
@@ -67,6 +69,8 @@
 struct server_wish {
     const char *service;                              /**< Service. */
     const char *zone;                                 /**< The gateway's zone. */
+    const prefix_chain_t *chain;                      /**< Shared parts of its prompt, or NULL. */
+    const prefix_cost_t *cost;                        /**< What a call costs on average; with `chain`. */
     const char *home;                                 /**< Server that keeps the program's prompt, or NULL. */
     const struct server *tried[SERVER_MAX_TRIED];     /**< Not these. */
     uint32_t tried_count;                             /**< Number of those. */
--- a/src/proxy/dialect.h
+++ b/src/proxy/dialect.h
@@ -13,6 +13,7 @@
 #include "base/buffer.h"
 #include "base/findings.h"
 #include "control.pb.h"
+#include "core/prefix_table.h"
 #include "core/route_table.h"
 
 /** Headers of requests and answers. */
@@ -28,6 +29,7 @@
     DIALECT_PROGRAM_LEFT_MS, /**< Time left for the whole program. */
     DIALECT_TOKEN_BUDGET,    /**< Tokens that the program may generate. */
     DIALECT_TOKEN_USAGE,     /**< Prompt tokens, and the most to generate, separated by a comma. */
+    DIALECT_PROMPT_PARTS,    /**< Parts of the prompt, the last one its own. */
     DIALECT_PARENT_TURN,     /**< Turn that this one goes on from. */
     DIALECT_PRIORITY,        /**< Rank at a server, set by the daemon. */
     DIALECT_RETRY_AFTER,     /**< Seconds until the client may ask again. */
@@ -53,6 +55,8 @@
     struct route_table *(*read_configuration)(struct view text, struct findings *findings);
     /** Appends the servers of one page to `list`; `next_page` gets the next page's token, or stays empty. */
     bool (*read_servers)(struct view text, ServerList *list, struct buffer *next_page);
+    /** Reads the value of DIALECT_PROMPT_PARTS: the shared parts, and the tokens of the request's own one. */
+    void (*read_parts)(struct view text, prefix_chain_t *shared, uint32_t *own_tokens);
     /** Appends the target of the machine list's page. */
     void (*write_servers_target)(const char *page, struct buffer *out);
     /** Tells which order a request is; `machine` gets the machine it names. */
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -259,6 +259,16 @@
     uv_timer_start(&forward->limit, forward_on_timer, hedges ? hedge_ms : left_ms, 0);
 }
 
+/* Prompts of a sticky route share parts. */
+static void forward_read_parts(struct forward *forward)
+{
+    const struct dialect *dialect = forward->front->node->dialect;
+    if (forward->route->sticky) {
+        struct view text = http_reader_header(forward->call->request, dialect->headers[DIALECT_PROMPT_PARTS]);
+        dialect->read_parts(text, &forward->chain, &forward->own_tokens);
+    }
+}
+
 /* Finds the route, and begins. */
 static void forward_route(struct forward *forward)
 {
@@ -280,6 +290,7 @@
     front->counters.requests++;
     retry_budget_note_request(&front->retries);
     forward_set_limit(forward);
+    forward_read_parts(forward);
     forward_turn_read(forward);
     if (forward->turn.program == NULL) {
         forward_place(forward);
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -91,6 +91,8 @@
     char *id;                  /**< The attempt's id. */
     struct forward_turn turn;  /**< As a turn. */
     struct server_wish wish;   /**< Where it may go. */
+    prefix_chain_t chain;      /**< Shared parts of its prompt. */
+    uint32_t own_tokens;       /**< Tokens of its own part. */
     uint64_t queued_ms;        /**< Loop time at which its wait for a place began; 0: none. */
     uint64_t program_due_ms;   /**< Loop time at which its program should be over. */
     struct forward_attempt attempts[FORWARD_MAX_PARALLEL]; /**< Servers that are being asked. */
@@ -144,6 +146,9 @@
 /** Ends without a whole answer: `status` if the caller has got nothing yet, else its connection breaks off. */
 void forward_fail(struct forward *forward, int status, const char *reason);
 
+/** forward_turn.c: tokens in one event of its service. */
+uint64_t forward_chunk_tokens(const struct forward *forward);
+
 /** forward_turn.c: reads the turn's headers. */
 void forward_turn_read(struct forward *forward);
 
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -221,6 +221,8 @@
         return;
     }
     forward->turn.ran_at = text_copy(attempt->server->id);
+    prefix_cost_note(&forward->front->call_cost, forward->own_tokens,
+                     forward->stream.event_count * forward_chunk_tokens(forward));
     forward_end_attempt(attempt);
     if (forward->turn.program != NULL) {
         forward_turn_commit(forward);
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -148,6 +148,7 @@
     free(forward->last_server);
     forward->last_server = text_copy(server->id);
     server_wish_note_tried(&forward->wish, server);
+    prefix_table_note(&server->prefixes, node_now(front->node), &forward->chain);
     address_parse(server->address, &address);
     forward_write_request(forward, server, &request);
     bool head_request = http_name_equal(forward->call->request->method, "HEAD");
@@ -168,6 +169,8 @@
     forward->wish.zone = forward->front->node->settings.zone;
     forward->wish.warm = forward_is_warm;
     forward->wish.context = forward->front;
+    forward->wish.chain = forward->chain.count > 0 ? &forward->chain : NULL;
+    forward->wish.cost = &forward->front->call_cost;
     struct server *server = forward_choose_in_part(forward);
     if (server == NULL) {
         const struct route_part *part = route_choose_part(forward->route, forward_part_is_usable, forward->front);
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -29,9 +29,12 @@
     const char *comma = usage == NULL ? NULL : strchr(usage, ',');
     turn->most = comma == NULL ? 0 : strtoull(comma + 1, NULL, 10);
     free(usage);
+    if (forward->front->call_cost.tokens == 0) {
+        prefix_cost_note(&forward->front->call_cost, forward->own_tokens, turn->most);
+    }
 }
 
-static uint64_t forward_chunk_tokens(const struct forward *forward)
+uint64_t forward_chunk_tokens(const struct forward *forward)
 {
     const struct route_service *service =
         forward->wish.service == NULL ? NULL : route_table_service(forward->table, forward->wish.service);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -64,6 +64,7 @@
     bool loads_told;                /**< The last report was not empty. */
     uint64_t withdrawn_until_ms;    /**< Callers are left to other zones until then (presence.h). */
     bool withdrawn_told;            /**< Whether the log last told so. */
+    prefix_cost_t call_cost;        /**< What a call of a model server costs, in tokens. */
     struct retry_budget retries;    /**< Keeps second servers a small share. */
     struct front_counters counters; /**< Events. */
     struct histogram first_event;   /**< Time to the first event of a stream. */
--- /dev/null
+++ b/tests/scripted/run_prefix.c
@@ -0,0 +1,113 @@
+/* Placement by kept prompt parts:
+ *   servers COUNT SLOTS           so many servers of one service and zone, with nothing kept
+ *   at MS                         the time moves on
+ *   cost OWN MADE                 a call of so many tokens has ended
+ *   call COUNT [ID:TOKENS,...]    so many calls, all under way at once, with these shared parts; tells how many
+ *                                 servers got them, or the most and the least that one got
+ *   missing ID:TOKENS,...         tokens that the first server would read anew
+ *   fill COUNT                    so many other chains are sent to the first server */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/buffer.h"
+#include "core/server_table.h"
+#include "script.h"
+
+enum { MAX_SERVERS = 8, NAME_MAX_BYTES = 32, PARTS_MAX_BYTES = 128 };
+
+static struct server_table servers;
+static prefix_cost_t cost;
+static uint64_t now_ms = 1000;
+
+static void start(uint64_t count, uint64_t slots)
+{
+    char names[MAX_SERVERS][NAME_MAX_BYTES];
+    ServerRecord records[MAX_SERVERS];
+    server_table_close(&servers);
+    memset(&servers, 0, sizeof(servers));
+    memset(records, 0, sizeof(records));
+    for (uint64_t i = 0; i < count && i < MAX_SERVERS; i++) {
+        snprintf(names[i], sizeof(names[i]), "s%llu", (unsigned long long)i + 1);
+        records[i].id = names[i];
+        records[i].service = (char *)(uintptr_t) "service";
+        records[i].zone = (char *)(uintptr_t) "zone";
+        records[i].address = (char *)(uintptr_t) "127.0.0.1:1";
+        records[i].slots = (uint32_t)slots;
+    }
+    ServerList list = {.servers_count = (pb_size_t)count, .servers = records};
+    server_table_update(&servers, &list);
+}
+
+static void read_chain(const script_command_t *command, int position, prefix_chain_t *chain)
+{
+    char text[PARTS_MAX_BYTES];
+    char *rest = text;
+    memset(chain, 0, sizeof(*chain));
+    script_copy(command, position, text, sizeof(text));
+    for (char *part = strsep(&rest, ","); part != NULL && part[0] != '\0'; part = strsep(&rest, ",")) {
+        char *tokens = part;
+        const char *id = strsep(&tokens, ":");
+        prefix_chain_add(chain, view_of_string(id), (uint32_t)strtoul(tokens, NULL, 10));
+    }
+}
+
+static void call(const script_command_t *command)
+{
+    prefix_chain_t chain;
+    read_chain(command, 2, &chain);
+    for (uint64_t i = 0; i < script_number(command, 1, 0); i++) {
+        struct server_wish wish = {.service = "service", .zone = "zone", .chain = &chain, .cost = &cost};
+        struct server *server = server_table_choose(&servers, now_ms, &wish);
+        server_begin(server, now_ms);
+        prefix_table_note(&server->prefixes, now_ms, &chain);
+    }
+    uint32_t used = 0;
+    uint32_t most = 0;
+    uint32_t least = UINT32_MAX;
+    for (const struct server *server = servers.servers; server != NULL; server = server->hh.next) {
+        used += server->calls > 0 ? 1 : 0;
+        most = server->calls > most ? server->calls : most;
+        least = server->calls < least ? server->calls : least;
+    }
+    if (used == 1) {
+        script_print("one server %u\n", most);
+    } else {
+        script_print("most %u least %u\n", most, least);
+    }
+}
+
+static void fill(uint64_t count)
+{
+    for (uint64_t i = 0; i < count; i++) {
+        prefix_chain_t chain = {0};
+        prefix_chain_add(&chain, view_of(&i, sizeof(i)), 1);
+        prefix_table_note(&servers.servers->prefixes, now_ms, &chain);
+    }
+}
+
+static void run(const script_command_t *command)
+{
+    prefix_chain_t chain;
+    if (script_is(command, 0, "servers")) {
+        start(script_number(command, 1, 1), script_number(command, 2, 1));
+    } else if (script_is(command, 0, "at")) {
+        now_ms = 1000 + script_number(command, 1, 0);
+    } else if (script_is(command, 0, "cost")) {
+        prefix_cost_note(&cost, script_number(command, 1, 0), script_number(command, 2, 0));
+    } else if (script_is(command, 0, "call")) {
+        call(command);
+    } else if (script_is(command, 0, "missing")) {
+        read_chain(command, 1, &chain);
+        script_print("%u\n", prefix_table_missing(&servers.servers->prefixes, now_ms, &chain));
+    } else if (script_is(command, 0, "fill")) {
+        fill(script_number(command, 1, 0));
+    }
+}
+
+int main(int argc, char **argv)
+{
+    int status = argc > 1 ? script_main(argv[1], run) : 1;
+    server_table_close(&servers);
+    return status;
+}
