--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -75,11 +75,10 @@
     return server->listed && !server->draining && !server->misplaced && now_ms >= server->full_until_ms;
 }
 
-/* Its own traffic shows nothing wrong with it. */
-static bool server_is_sound(const struct server *server, uint64_t now_ms)
+/* Nothing shows that it cannot be reached. */
+static bool server_is_sound(const struct server *server)
 {
-    bool silent = server->calls > 0 && now_ms >= server->heard_ms + SERVER_SILENT_MS;
-    return !silent && !server->reach.lost && circuit_allows(&server->circuit, now_ms);
+    return !server->reach.lost;
 }
 
 static bool server_was_tried(const struct server *server, const struct server_wish *wish)
@@ -180,7 +179,7 @@
 
 static bool server_fits(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
 {
-    return server_is_sound(server, now_ms) && server_may_do(server, wish, now_ms);
+    return server_is_sound(server) && server_may_do(server, wish, now_ms);
 }
 
 /* All gateways begin with the same server for the same parts. */
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -19,11 +19,9 @@
 #include "core/health.h"
 #include "core/prefix_table.h"
 #include "core/reach.h"
-#include "core/retry.h"
 
 enum {
     SERVER_MAX_TRIED = 8,       /**< Servers one request remembers as tried. */
-    SERVER_SILENT_MS = 700,     /**< Silence of a server with requests under way after which it is passed over. */
     SERVER_SHED_PAUSE_MS = 30,  /**< Time a server that was full is passed over. */
     SERVER_HOME_QUEUE = 6,      /**< Requests beyond its slots that a program's home may have. */
     SERVER_COLD_CALLS = 2,      /**< Requests that opening a connection counts as. */
@@ -49,7 +47,6 @@
     uint32_t others_failed;  /**< Sum of the shares of failures that they see, as told last. */
     uint64_t heard_ms;       /**< Time it was heard last, or got a request while it had none. */
     uint64_t full_until_ms;  /**< Passed over until then, after it refused. */
-    struct circuit circuit;  /**< Ejects it when it cannot be reached or always fails. */
     health_t health;         /**< How often it fails. */
     prefix_table_t prefixes; /**< Shared prompt parts that it keeps, as sent from here. */
     reach_t reach;           /**< Whether it can be reached. */
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -244,7 +244,6 @@
     struct node *node = attempt->forward->front->node;
     attempt->exchange = NULL;
     if (end == UPSTREAM_NOT_SENT) {
-        circuit_open(&attempt->server->circuit, node_now(node));
         forward_not_run(attempt, "no connection to the server");
         return;
     }
@@ -256,7 +255,6 @@
         forward_refused_by_server(attempt);
         return;
     }
-    circuit_note_success(&attempt->server->circuit);
     health_note(&attempt->server->health, node_now(node), forward_outcome(attempt->status));
     if (attempt->streaming) {
         forward_finish_stream(attempt);
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -247,7 +247,6 @@
 {
     const struct node *node = attempt->forward->front->node;
     if (attempt->sent_ms >= node->woke_ms) {
-        circuit_note_failure(&attempt->server->circuit, node_now(node));
         health_note(&attempt->server->health, node_now(node), HEALTH_FAILED);
     }
 }
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -67,6 +67,17 @@
     return forward->route->kind == ROUTE_SAFE || (forward->route->resumable && !forward->turn.keep);
 }
 
+/* What was not sent yet has not run; what may not run again waits on, since its answer may still come. */
+static void forward_leave(struct forward_attempt *attempt)
+{
+    static const char reason[] = "the server cannot be reached";
+    if (!upstream_was_sent(attempt->exchange)) {
+        forward_not_run(attempt, reason);
+    } else if (forward_may_leave(attempt->forward)) {
+        forward_may_have_run(attempt, reason);
+    }
+}
+
 void forward_server_lost(struct front *front, const struct server *server)
 {
     struct forward *next = NULL;
@@ -74,9 +85,8 @@
         next = forward->next;
         for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
             struct forward_attempt *attempt = &forward->attempts[i];
-            bool hangs = attempt->forward != NULL && attempt->server == server && attempt->exchange != NULL;
-            if (hangs && forward_may_leave(forward)) {
-                forward_may_have_run(attempt, "the server cannot be reached");
+            if (attempt->forward != NULL && attempt->server == server && attempt->exchange != NULL) {
+                forward_leave(attempt);
                 break;
             }
         }
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -7,6 +7,7 @@
 #ifndef BANKBANK_PROXY_FRONT_H
 #define BANKBANK_PROXY_FRONT_H
 
+#include "core/retry.h"
 #include "core/route_table.h"
 #include "core/server_table.h"
 #include "core/turn_store.h"
