--- a/tests/scripted/run_health.c
+++ b/tests/scripted/run_health.c
@@ -11,10 +11,10 @@
 #include <string.h>
 
 #include "base/buffer.h"
-#include "core/server_table.h"
 #include "script.h"
+#include "server_list.h"
 
-enum { MAX_SERVERS = 16, MAX_CALLS = 256, NAME_MAX_BYTES = 32, HUNDRED = 100 };
+enum { MAX_CALLS = 256, NAME_MAX_BYTES = 32, HUNDRED = 100 };
 
 static struct server_table servers;
 static uint64_t server_count;
@@ -36,22 +36,8 @@
 
 static void start(uint64_t count, uint64_t slots)
 {
-    char names[MAX_SERVERS][NAME_MAX_BYTES];
-    ServerRecord records[MAX_SERVERS];
-    server_table_close(&servers);
-    memset(&servers, 0, sizeof(servers));
-    memset(records, 0, sizeof(records));
-    server_count = count < MAX_SERVERS ? count : MAX_SERVERS;
-    for (uint64_t i = 0; i < server_count; i++) {
-        snprintf(names[i], sizeof(names[i]), "s%llu", (unsigned long long)i + 1);
-        records[i].id = names[i];
-        records[i].service = (char *)(uintptr_t) "service";
-        records[i].zone = (char *)(uintptr_t) "zone";
-        records[i].address = (char *)(uintptr_t) "127.0.0.1:1";
-        records[i].slots = (uint32_t)slots;
-    }
-    ServerList list = {.servers_count = (pb_size_t)server_count, .servers = records};
-    server_table_update(&servers, &list);
+    server_count = count < SERVER_LIST_MAX ? count : SERVER_LIST_MAX;
+    server_list_start(&servers, server_count, slots);
 }
 
 static health_outcome_t outcome_of(const script_command_t *command)
--- a/tests/scripted/run_prefix.c
+++ b/tests/scripted/run_prefix.c
@@ -11,34 +11,15 @@
 #include <string.h>
 
 #include "base/buffer.h"
-#include "core/server_table.h"
 #include "script.h"
+#include "server_list.h"
 
-enum { MAX_SERVERS = 8, NAME_MAX_BYTES = 32, PARTS_MAX_BYTES = 128 };
+enum { PARTS_MAX_BYTES = 128 };
 
 static struct server_table servers;
 static prefix_cost_t cost;
 static uint64_t now_ms = 1000;
 
-static void start(uint64_t count, uint64_t slots)
-{
-    char names[MAX_SERVERS][NAME_MAX_BYTES];
-    ServerRecord records[MAX_SERVERS];
-    server_table_close(&servers);
-    memset(&servers, 0, sizeof(servers));
-    memset(records, 0, sizeof(records));
-    for (uint64_t i = 0; i < count && i < MAX_SERVERS; i++) {
-        snprintf(names[i], sizeof(names[i]), "s%llu", (unsigned long long)i + 1);
-        records[i].id = names[i];
-        records[i].service = (char *)(uintptr_t) "service";
-        records[i].zone = (char *)(uintptr_t) "zone";
-        records[i].address = (char *)(uintptr_t) "127.0.0.1:1";
-        records[i].slots = (uint32_t)slots;
-    }
-    ServerList list = {.servers_count = (pb_size_t)count, .servers = records};
-    server_table_update(&servers, &list);
-}
-
 static void read_chain(const script_command_t *command, int position, prefix_chain_t *chain)
 {
     char text[PARTS_MAX_BYTES];
@@ -90,7 +71,7 @@
 {
     prefix_chain_t chain;
     if (script_is(command, 0, "servers")) {
-        start(script_number(command, 1, 1), script_number(command, 2, 1));
+        server_list_start(&servers, script_number(command, 1, 1), script_number(command, 2, 1));
     } else if (script_is(command, 0, "at")) {
         now_ms = 1000 + script_number(command, 1, 0);
     } else if (script_is(command, 0, "cost")) {
