Log what a replica reads back at its start, and what it holds

Now: restore_begins is written and flushed before the first byte is read, restored after it;

No logic changes.

--- a/src/proxy/node_metrics.c
+++ b/src/proxy/node_metrics.c
@@ -1,6 +1,7 @@
 #include "proxy/node_metrics.h"
 
 #include "base/event_log.h"
+#include "base/process_memory.h"
 #include "proxy/front.h"
 #include "proxy/state_host.h"
 
@@ -41,6 +42,7 @@
                           upstreams->stray_bytes);
     metrics_write_counter(out, "upstream_refused_total", "Connections that did not come up.", upstreams->refused);
     metrics_write_counter(out, "upstream_broken_total", "Requests sent that got no whole answer.", upstreams->broken);
+    metrics_write_gauge(out, "memory_resident_bytes", "Resident memory of the process.", process_memory_resident());
     metrics_write_counter(out, "log_lines_left_out_total", "Log lines left out.", event_log_dropped());
     if (node->front != NULL) {
         front_write_metrics(node->front, out);
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -286,6 +286,7 @@
     metrics_write_counter(out, "raft_synced_bytes_total", "Bytes written to the log.", counters->synced_bytes);
     metrics_write_counter(out, "raft_snapshots_total", "Snapshots taken.", counters->snapshots);
     metrics_write_counter(out, "raft_snapshots_installed_total", "Snapshots received.", counters->installs);
+    metrics_write_gauge(out, "raft_log_bytes", "Payload bytes of the log in memory.", group->raft.log.bytes);
     metrics_write_gauge(out, "turns_stored", "Turns stored.", HASH_COUNT(group->machine.site.turns.turns));
     metrics_write_gauge(out, "turn_bytes", "Bytes of turns stored.", group->machine.site.turns.bytes);
     metrics_write_gauge(out, "programs_budgeted", "Programs with a budget.",
--- a/src/proxy/state_host_disk.c
+++ b/src/proxy/state_host_disk.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/event_log.h"
+#include "base/process_memory.h"
 #include "proxy/state_host_internal.h"
 #include "store/replica_restore.h"
 
@@ -62,8 +63,9 @@
     if (!saved && host->log.failed) {
         host_disk_failed(host);
     }
-    event_log("snapshot", "{s:I,s:I,s:b}", "index", (json_int_t)index, "bytes", (json_int_t)state.length, "saved",
-              saved);
+    event_log("snapshot", "{s:I,s:I,s:b,s:I,s:I}", "index", (json_int_t)index, "bytes", (json_int_t)state.length,
+              "saved", saved, "log_bytes", (json_int_t)host->replica.groups[group].raft.log.bytes, "resident_bytes",
+              (json_int_t)process_memory_resident());
     uv_update_time(&host->node->loop);
     return saved;
 }
@@ -96,6 +98,17 @@
 
 /* ---- Opening ----------------------------------------------------------------------------- */
 
+/* Written before anything is read: a process that ends while it reads its state back leaves this line. */
+static void host_report_restore(const struct state_host *host)
+{
+    uint64_t log_bytes = 0;
+    uint64_t snapshot_bytes = 0;
+    log_store_measure(host->node->settings.data, &log_bytes, &snapshot_bytes);
+    event_log("restore_begins", "{s:I,s:I,s:I}", "log_bytes", (json_int_t)log_bytes, "snapshot_bytes",
+              (json_int_t)snapshot_bytes, "resident_bytes", (json_int_t)process_memory_resident());
+    event_log_flush();
+}
+
 bool state_host_open_replica(struct state_host *host)
 {
     struct replica_config config = {
@@ -127,6 +140,7 @@
         .keep = host_history_ignore,
     };
     replica_init(&host->replica, &config, &io, &history);
+    host_report_restore(host);
     if (!replica_restore_log(&host->replica, &host->log, host->node->settings.data)) {
         event_log("disk_failed", "{s:s}", "error", host->log.error);
         return false;
@@ -137,7 +151,8 @@
 /* The replica begins to run. */
 void state_host_start(struct state_host *host)
 {
-    struct raft *raft = &host->replica.groups[STATE_CONFIG_GROUP].raft;
+    struct replica_group *group = &host->replica.groups[STATE_CONFIG_GROUP];
+    struct raft *raft = &group->raft;
     host->running = true;
     host->led_ms = node_now(host->node);
     replica_start(&host->replica, node_now(host->node));
@@ -145,4 +160,6 @@
     event_log("replica_started", "{s:I,s:I,s:I,s:I}", "id", (json_int_t)host->identity.node, "term",
               (json_int_t)raft->term, "last_index", (json_int_t)raft_last_index(raft), "members",
               (json_int_t)raft->members.count);
+    event_log("restored", "{s:I,s:I,s:I}", "turns", (json_int_t)HASH_COUNT(group->machine.site.turns.turns),
+              "log_bytes", (json_int_t)raft->log.bytes, "resident_bytes", (json_int_t)process_memory_resident());
 }
--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <xxhash.h>
@@ -451,6 +452,29 @@
     return log_store_begin_segment(store, 1) && log_store_sync(store);
 }
 
+void log_store_measure(const char *folder, uint64_t *log_bytes, uint64_t *snapshot_bytes)
+{
+    DIR *items = opendir(folder);
+    struct stat status;
+    *log_bytes = 0;
+    *snapshot_bytes = 0;
+    if (items == NULL) {
+        return;
+    }
+    for (struct dirent *item = readdir(items); item != NULL; item = readdir(items)) {
+        uint64_t number = 0;
+        char *path = file_path(folder, item->d_name);
+        uint64_t bytes = stat(path, &status) == 0 ? (uint64_t)status.st_size : 0;
+        if (sscanf(item->d_name, "log-%" SCNu64, &number) == 1) {
+            *log_bytes += bytes;
+        } else if (sscanf(item->d_name, "snapshot-%" SCNu64, &number) == 1) {
+            *snapshot_bytes += bytes;
+        }
+        free(path);
+    }
+    closedir(items);
+}
+
 void log_store_close(struct log_store *store)
 {
     if (store->file >= 0) {
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -62,6 +62,9 @@
 /** Opens or creates the store and replays it; false: see `error`. */
 bool log_store_open(struct log_store *store, const char *folder, uint32_t groups, const struct log_restore *restore);
 
+/** Adds up the bytes on disk of the segments and of the snapshots of a store that may not exist. */
+void log_store_measure(const char *folder, uint64_t *log_bytes, uint64_t *snapshot_bytes);
+
 /** Closes the files; pending records are lost. */
 void log_store_close(struct log_store *store);
 
