--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -27,6 +28,7 @@
 static char site_folder[64];
 static pid_t site_processes[SITE_DAEMONS];
 static bool site_formed;
+static int site_memory_mb;
 
 /* ---- Daemons ------------------------------------------------------------------------------------- */
 
@@ -74,6 +76,21 @@
     fclose(file);
 }
 
+void site_limit_memory(int megabytes)
+{
+    site_memory_mb = megabytes;
+}
+
+/* In the daemon's own process, before its program begins. */
+static void site_apply_limit(int daemon)
+{
+    rlim_t bytes = (rlim_t)site_memory_mb << 20;
+    struct rlimit limit = {.rlim_cur = bytes, .rlim_max = bytes};
+    if (daemon < SITE_STATES && site_memory_mb > 0) {
+        setrlimit(RLIMIT_DATA, &limit);
+    }
+}
+
 void site_start_daemon(int daemon)
 {
     char settings[128];
@@ -92,6 +109,7 @@
         int file = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
+        site_apply_limit(daemon);
         execl(program, program, "--config", settings, (char *)NULL);
         _exit(127);
     }
