--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -60,6 +60,14 @@
     buffer->length = 0;
 }
 
+void buffer_reuse(struct buffer *buffer, size_t most)
+{
+    buffer->length = 0;
+    if (buffer->capacity > most) {
+        buffer_close(buffer);
+    }
+}
+
 uint8_t *buffer_reserve(struct buffer *buffer, size_t extra)
 {
     size_t needed = buffer->length + extra;
--- a/src/base/buffer.h
+++ b/src/base/buffer.h
@@ -24,6 +24,9 @@
 /** Forgets the content but keeps the storage. */
 void buffer_clear(struct buffer *buffer);
 
+/** Forgets the content, and frees the storage where it is larger than `most`: after a burst. */
+void buffer_reuse(struct buffer *buffer, size_t most);
+
 /** Makes room for `extra` more bytes and returns the place of the first. */
 uint8_t *buffer_reserve(struct buffer *buffer, size_t extra);
 
--- a/src/core/budget_table.c
+++ b/src/core/budget_table.c
@@ -3,19 +3,34 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
+#include "base/message.h"
+
+enum { BUDGET_SETTLED_STEP = 8 /* turns for which room is made at a time */ };
+
+static uint64_t budget_turn_key(const char *turn)
+{
+    const char *id = text_or_empty(turn);
+    return XXH64(id, strlen(id), 0);
+}
+
+/* ---- Programs --------------------------------------------------------------- */
+
+static size_t budget_program_bytes(const struct budget_program *program)
+{
+    size_t server = program->server == NULL ? 0 : strlen(program->server) + 1;
+    return sizeof(*program) + strlen(program->id) + 1 + server + program->open_count * sizeof(*program->open) +
+           program->settled_capacity * sizeof(*program->settled) + BUDGET_HELD_BYTES;
+}
+
 static void budget_program_free(struct budget_table *table, struct budget_program *program)
 {
-    struct budget_reservation *item;
-    struct budget_reservation *next;
-    HASH_ITER(hh, program->reservations, item, next)
-    {
-        HASH_DEL(program->reservations, item);
-        free(item->turn);
-        free(item);
-    }
+    table->bytes -= budget_program_bytes(program);
     HASH_DEL(table->programs, program);
-    free(program->id);
     free(program->server);
+    free(program->open);
+    free(program->settled);
     free(program);
 }
 
@@ -37,44 +52,92 @@
 static struct budget_program *budget_use(struct budget_table *table, uint64_t now_ms, const char *id)
 {
     struct budget_program *program = budget_find(table, id);
+    size_t length = strlen(text_or_empty(id));
     if (program == NULL) {
-        program = memory_new(sizeof(*program));
-        program->id = text_copy(id);
+        program = memory_new(sizeof(*program) + length + 1);
+        memcpy(program->id, text_or_empty(id), length);
+        table->bytes += budget_program_bytes(program);
     } else {
         HASH_DEL(table->programs, program);
     }
     program->expires_ms = now_ms + BUDGET_RETENTION_MS;
-    HASH_ADD_KEYPTR(hh, table->programs, program->id, strlen(program->id), program);
+    HASH_ADD_KEYPTR(hh, table->programs, program->id, length, program);
     return program;
 }
 
-static struct budget_reservation *budget_reservation_of(const struct budget_program *program, const char *turn)
+static void budget_note_server(struct budget_table *table, struct budget_program *program, const char *server)
+{
+    table->bytes -= budget_program_bytes(program);
+    free(program->server);
+    program->server = text_copy(server);
+    table->bytes += budget_program_bytes(program);
+}
+
+/* ---- Turns ------------------------------------------------------------------ */
+
+static budget_reservation_t *budget_open_of(const struct budget_program *program, uint64_t turn)
+{
+    for (uint32_t i = 0; i < program->open_count; i++) {
+        if (program->open[i].turn == turn) {
+            return &program->open[i];
+        }
+    }
+    return NULL;
+}
+
+static bool budget_is_settled(const struct budget_program *program, uint64_t turn)
 {
-    struct budget_reservation *item = NULL;
-    HASH_FIND_STR(program->reservations, text_or_empty(turn), item);
-    return item;
+    for (uint32_t i = 0; i < program->settled_count; i++) {
+        if (program->settled[i] == turn) {
+            return true;
+        }
+    }
+    return false;
 }
 
-static struct budget_reservation *budget_add(struct budget_program *program, const char *turn, uint64_t tokens)
+static void budget_add_open(struct budget_table *table, struct budget_program *program, uint64_t turn, uint64_t tokens)
 {
-    struct budget_reservation *item = memory_new(sizeof(*item));
-    item->turn = text_copy(turn);
-    item->tokens = tokens;
+    budget_reservation_t item = {.turn = turn, .tokens = tokens};
+    program->open = memory_resize(program->open, (program->open_count + 1) * sizeof(item));
+    program->open[program->open_count++] = item;
     program->committed += tokens;
-    HASH_ADD_KEYPTR(hh, program->reservations, item->turn, strlen(item->turn), item);
-    return item;
+    table->bytes += sizeof(item);
+}
+
+static void budget_remove_open(struct budget_table *table, struct budget_program *program, budget_reservation_t *item)
+{
+    program->committed -= item->tokens;
+    *item = program->open[--program->open_count];
+    table->bytes -= sizeof(*item);
+}
+
+static void budget_add_settled(struct budget_table *table, struct budget_program *program, uint64_t turn)
+{
+    if (program->settled_count == BUDGET_TURNS_MOST) {
+        program->settled_count /= 2; /* the older half is beyond any repeat */
+        memmove(program->settled, program->settled + program->settled_count,
+                program->settled_count * sizeof(*program->settled));
+    }
+    if (program->settled_count == program->settled_capacity) {
+        program->settled_capacity += BUDGET_SETTLED_STEP;
+        program->settled = memory_resize(program->settled, program->settled_capacity * sizeof(*program->settled));
+        table->bytes += BUDGET_SETTLED_STEP * sizeof(*program->settled);
+    }
+    program->settled[program->settled_count++] = turn;
 }
 
 bool budget_table_reserve(struct budget_table *table, uint64_t now_ms, const TurnBegin *begin)
 {
     struct budget_program *program = budget_use(table, now_ms, begin->program);
-    if (budget_reservation_of(program, begin->turn) != NULL) {
+    uint64_t turn = budget_turn_key(begin->turn);
+    if (budget_open_of(program, turn) != NULL || budget_is_settled(program, turn)) {
         return true;
     }
-    if (program->committed + begin->reserve_tokens > begin->budget_tokens) {
+    bool fits = program->committed + begin->reserve_tokens <= begin->budget_tokens;
+    if (!fits || program->open_count == BUDGET_TURNS_MOST) {
         return false;
     }
-    budget_add(program, begin->turn, begin->reserve_tokens);
+    budget_add_open(table, program, turn, begin->reserve_tokens);
     return true;
 }
 
@@ -87,19 +150,18 @@
 void budget_table_settle(struct budget_table *table, uint64_t now_ms, const TurnFinish *finish)
 {
     struct budget_program *program = budget_use(table, now_ms, finish->program);
-    struct budget_reservation *item = budget_reservation_of(program, finish->turn);
-    if (item == NULL) {
-        item = budget_add(program, finish->turn, 0);
-    }
-    if (item->settled) {
+    uint64_t turn = budget_turn_key(finish->turn);
+    if (budget_is_settled(program, turn)) {
         return;
     }
-    program->committed = program->committed - item->tokens + finish->used_tokens;
-    item->tokens = finish->used_tokens;
-    item->settled = true;
+    budget_reservation_t *item = budget_open_of(program, turn);
+    if (item != NULL) {
+        budget_remove_open(table, program, item);
+    }
+    program->committed += finish->used_tokens;
+    budget_add_settled(table, program, turn);
     if (text_or_empty(finish->server)[0] != '\0') {
-        free(program->server);
-        program->server = text_copy(finish->server);
+        budget_note_server(table, program, finish->server);
     }
 }
 
@@ -110,47 +172,53 @@
     }
 }
 
-static void budget_export_program(const struct budget_program *program, BudgetRecord *record)
-{
-    record->program = program->id;
-    record->expires_ms = program->expires_ms;
-    record->server = program->server;
-    record->reservations = memory_new((HASH_COUNT(program->reservations) + 1) * sizeof(*record->reservations));
-    for (const struct budget_reservation *item = program->reservations; item != NULL; item = item->hh.next) {
-        ReservationRecord *out = &record->reservations[record->reservations_count++];
-        out->turn = item->turn;
-        out->tokens = item->tokens;
-        out->settled = item->settled;
-    }
-}
+/* ---- Snapshots -------------------------------------------------------------- */
 
-void budget_table_export(const struct budget_table *table, BudgetRecord **records, pb_size_t *count)
+void budget_program_export(const struct budget_program *program, struct buffer *out)
 {
-    *records = memory_new((HASH_COUNT(table->programs) + 1) * sizeof(**records));
-    *count = 0;
-    for (const struct budget_program *program = table->programs; program != NULL; program = program->hh.next) {
-        budget_export_program(program, &(*records)[*count]);
-        (*count)++;
+    BudgetRecord record = {
+        .program = (char *)(uintptr_t)program->id,
+        .spent = program->committed,
+        .expires_ms = program->expires_ms,
+        .server = program->server,
+        .settled = program->settled,
+        .settled_count = (pb_size_t)program->settled_count,
+    };
+    record.reservations = memory_new((program->open_count + 1) * sizeof(*record.reservations));
+    for (uint32_t i = 0; i < program->open_count; i++) {
+        record.reservations[i].key = program->open[i].turn;
+        record.reservations[i].tokens = program->open[i].tokens;
+        record.spent -= program->open[i].tokens;
     }
+    record.reservations_count = (pb_size_t)program->open_count;
+    message_encode(out, BudgetRecord_fields, &record);
+    free(record.reservations);
 }
 
-void budget_records_close(BudgetRecord *records, pb_size_t count)
+static void budget_import_reservation(struct budget_table *table, struct budget_program *program,
+                                      const ReservationRecord *record)
 {
-    for (pb_size_t i = 0; i < count; i++) {
-        free(records[i].reservations);
+    uint64_t turn = record->turn == NULL ? record->key : budget_turn_key(record->turn);
+    if (record->settled) {
+        program->committed += record->tokens;
+        budget_add_settled(table, program, turn);
+    } else {
+        budget_add_open(table, program, turn, record->tokens);
     }
-    free(records);
 }
 
-void budget_table_import(struct budget_table *table, const BudgetRecord *records, pb_size_t count)
+void budget_table_import(struct budget_table *table, const BudgetRecord *record)
 {
-    for (pb_size_t i = 0; i < count; i++) {
-        struct budget_program *program = budget_use(table, 0, records[i].program);
-        program->expires_ms = records[i].expires_ms;
-        program->server = records[i].server == NULL ? NULL : text_copy(records[i].server);
-        for (pb_size_t k = 0; k < records[i].reservations_count; k++) {
-            const ReservationRecord *in = &records[i].reservations[k];
-            budget_add(program, in->turn, in->tokens)->settled = in->settled;
-        }
+    struct budget_program *program = budget_use(table, 0, record->program);
+    program->expires_ms = record->expires_ms;
+    program->committed += record->spent;
+    if (record->server != NULL) {
+        budget_note_server(table, program, record->server);
+    }
+    for (pb_size_t i = 0; i < record->reservations_count; i++) {
+        budget_import_reservation(table, program, &record->reservations[i]);
+    }
+    for (pb_size_t i = 0; i < record->settled_count; i++) {
+        budget_add_settled(table, program, record->settled[i]);
     }
 }
--- a/src/core/history.h
+++ b/src/core/history.h
@@ -29,6 +29,8 @@
     void (*drop)(void *context, const struct history_ref *ref);
     /** Tells that a text restored from a snapshot is in use. */
     void (*keep)(void *context, const struct history_ref *ref);
+    /** May give back the room of texts that are not in use; NULL: nothing to do. */
+    void (*sweep)(void *context);
 };
 
 #endif
--- /dev/null
+++ b/src/core/memory_budget.c
@@ -0,0 +1,18 @@
+#include "core/memory_budget.h"
+
+static size_t memory_share(size_t total, size_t percent)
+{
+    return total / 100 * percent;
+}
+
+memory_budget_t memory_budget_of(size_t total)
+{
+    memory_budget_t budget = {
+        .total = total,
+        .log = memory_share(total, MEMORY_BUDGET_LOG_PERCENT),
+        .log_most = memory_share(total, MEMORY_BUDGET_LOG_MOST_PERCENT),
+        .state = memory_share(total, MEMORY_BUDGET_STATE_PERCENT),
+        .queues = memory_share(total, MEMORY_BUDGET_QUEUES_PERCENT),
+    };
+    return budget;
+}
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -134,9 +134,8 @@
 void raft_close(struct raft *raft)
 {
     raft_log_close(&raft->log);
-    buffer_close(&raft->incoming);
     for (int i = 0; i < RAFT_MAX_MEMBERS; i++) {
-        buffer_close(&raft->progress[i].snapshot);
+        buffer_close(&raft->progress[i].snapshot_bytes);
     }
 }
 
@@ -157,6 +156,9 @@
     raft->base_members = *members;
     raft->members_index = index;
     raft->previous_members_index = index;
+    raft->snapshot.index = index;
+    raft->snapshot.term = term;
+    raft->snapshot.members = *members;
 }
 
 bool raft_restore_entry(struct raft *raft, const struct raft_entry *entry)
@@ -204,7 +206,7 @@
         int before = raft_member_position(&raft->previous_members, members->nodes[i]);
         if (before >= 0) {
             *progress = old[before];
-            memset(&old[before].snapshot, 0, sizeof(old[before].snapshot));
+            memset(&old[before].snapshot_bytes, 0, sizeof(old[before].snapshot_bytes));
             continue;
         }
         progress->node = members->nodes[i];
@@ -212,7 +214,7 @@
         progress->probing = true;
     }
     for (int i = 0; i < RAFT_MAX_MEMBERS; i++) {
-        buffer_close(&old[i].snapshot);
+        buffer_close(&old[i].snapshot_bytes);
     }
 }
 
@@ -256,7 +258,7 @@
 uint64_t raft_propose(struct raft *raft, uint64_t now_ms, struct view data)
 {
     bool accepting = raft->role == RAFT_LEADER && raft->transfer_target == RAFT_NO_NODE;
-    if (!accepting) {
+    if (!accepting || raft_log_is_full(raft)) {
         return 0;
     }
     raft_append_local(raft, RAFT_ENTRY_COMMAND, data);
@@ -322,7 +324,12 @@
     return index;
 }
 
-void raft_compact(struct raft *raft, uint64_t index)
+bool raft_log_is_full(const struct raft *raft)
+{
+    return raft->config.log_bytes_most > 0 && raft->log.bytes >= raft->config.log_bytes_most;
+}
+
+static void raft_compact(struct raft *raft, uint64_t index)
 {
     if (index <= raft->log.base_index || index > raft->applied) {
         return;
@@ -331,6 +338,14 @@
     raft_log_compact(&raft->log, index, raft_term_at(raft, index));
 }
 
+void raft_snapshot_saved(struct raft *raft, uint64_t keep_after)
+{
+    raft->snapshot.index = raft->applied;
+    raft->snapshot.term = raft_term_at(raft, raft->applied);
+    raft->snapshot.members = *raft_applied_members(raft);
+    raft_compact(raft, keep_after);
+}
+
 static void raft_tick_leader(struct raft *raft, uint64_t now_ms)
 {
     if (raft->transfer_target != RAFT_NO_NODE && now_ms >= raft->transfer_deadline_ms) {
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -27,14 +27,16 @@
 #include "control.pb.h"
 
 enum {
-    RAFT_MAX_MEMBERS = 16,           /**< Voters and learners of one group. */
-    RAFT_NAME_MAX = 48,              /**< Bytes of a member's machine name, NUL included. */
-    RAFT_ZONE_MAX = 32,              /**< Bytes of a member's zone, NUL included. */
-    RAFT_MAX_PENDING_READS = 256,    /**< Reads that wait for a round. */
-    RAFT_MAX_INFLIGHT_ENTRIES = 512, /**< Entries sent to a follower beyond its acknowledgement. */
-    RAFT_MAX_BATCH_BYTES = 1 << 20,  /**< Entry bytes of one append message. */
-    RAFT_SNAPSHOT_CHUNK = 256 << 10, /**< Bytes of one snapshot message. */
-    RAFT_NO_NODE = 0                 /**< Node ids start at 1. */
+    RAFT_MAX_MEMBERS = 16,             /**< Voters and learners of one group. */
+    RAFT_NAME_MAX = 48,                /**< Bytes of a member's machine name, NUL included. */
+    RAFT_ZONE_MAX = 32,                /**< Bytes of a member's zone, NUL included. */
+    RAFT_MAX_PENDING_READS = 256,      /**< Reads that wait for a round. */
+    RAFT_MAX_INFLIGHT_ENTRIES = 512,   /**< Entries sent to a follower beyond its acknowledgement. */
+    RAFT_MAX_INFLIGHT_BYTES = 1 << 20, /**< Entry bytes sent to a follower beyond its acknowledgement. */
+    RAFT_MAX_BATCH_BYTES = 256 << 10,  /**< Entry bytes of one append message. */
+    RAFT_ENTRY_HELD_BYTES = 64,        /**< Memory of an entry beside its payload: record and allocator, about. */
+    RAFT_SNAPSHOT_CHUNK = 256 << 10,   /**< Bytes of one snapshot message. */
+    RAFT_NO_NODE = 0                   /**< Node ids start at 1. */
 };
 
 enum raft_role { RAFT_FOLLOWER, RAFT_PRE_CANDIDATE, RAFT_CANDIDATE, RAFT_LEADER };
@@ -83,6 +85,13 @@
     struct raft_member_place places[RAFT_MAX_MEMBERS]; /**< Where they run. */
 };
 
+/** What a stored snapshot covers. */
+struct raft_snapshot {
+    uint64_t index;              /**< Last entry covered; 0: there is none. */
+    uint64_t term;               /**< Its term. */
+    struct raft_members members; /**< Members at that entry. */
+};
+
 /** Effects of a group, carried out by its host. */
 struct raft_io {
     void *context; /**< First argument of every function. */
@@ -96,11 +105,17 @@
     void (*apply)(void *context, uint32_t group, const struct raft_entry *entry);
     /** Reports a read started with raft_read(): may run now (`ok`) or must be retried elsewhere. */
     void (*read_ready)(void *context, uint32_t group, uint64_t read_id, bool ok);
-    /** Appends the whole state at the applied index to `out`. */
-    void (*export_state)(void *context, uint32_t group, struct buffer *out);
-    /** Replaces state and log by a received snapshot and syncs it; false: refused. */
-    bool (*install_state)(void *context, uint32_t group, uint64_t index, uint64_t term,
-                          const struct raft_members *members, struct view state);
+    /**
+     * Appends the next bytes, for another machine, of the snapshot stored at `index`; `at` is the place reached in
+     * it, 0 at first. Nothing is appended at its end. False: that snapshot is not there any more.
+     */
+    bool (*read_snapshot)(void *context, uint32_t group, uint64_t index, uint64_t *at, struct buffer *out);
+    /**
+     * Takes bytes of a snapshot from the leader in their order, up to the `last`; then state and log are replaced,
+     * durably. False: refused, it must come again from its `first` bytes.
+     */
+    bool (*take_snapshot)(void *context, uint32_t group, const struct raft_snapshot *snapshot, struct view bytes,
+                          bool first, bool last);
     /** Tells that role, term or leader changed. */
     void (*role_changed)(void *context, uint32_t group);
 };
@@ -114,23 +129,26 @@
     uint32_t first_election_ms;   /**< The same after the start, or after the connection to the leader ended;
                                        0: election_timeout_ms. */
     uint64_t seed;                /**< Seed of the election jitter. */
+    size_t log_bytes_most;        /**< Log in memory above which no entry is taken; 0: no limit. */
 };
 
 /** What a leader knows of one member. */
 struct raft_progress {
-    uint32_t node;                        /**< Member's id. */
-    uint64_t match;                       /**< Highest entry known to be synced there. */
-    uint64_t next;                        /**< Next entry to send. */
-    uint64_t last_heard_ms;               /**< Time of the last reply. */
-    uint64_t acked_round;                 /**< Highest heartbeat round answered. */
-    bool probing;                         /**< One message at a time until an acknowledgement. */
-    bool snapshot_active;                 /**< A snapshot is being sent. */
-    uint64_t snapshot_index;              /**< Last entry covered by that snapshot. */
-    uint64_t snapshot_term;               /**< Term of that entry. */
-    uint64_t snapshot_offset;             /**< Bytes acknowledged. */
-    uint64_t snapshot_sent_ms;            /**< Time the last chunk went out. */
-    struct raft_members snapshot_members; /**< Members at that entry. */
-    struct buffer snapshot;               /**< Exported state while sending. */
+    uint32_t node;                 /**< Member's id. */
+    uint64_t match;                /**< Highest entry known to be synced there. */
+    uint64_t next;                 /**< Next entry to send. */
+    uint64_t last_heard_ms;        /**< Time of the last reply. */
+    uint64_t acked_round;          /**< Highest heartbeat round answered. */
+    bool probing;                  /**< One message at a time until an acknowledgement. */
+    size_t inflight_bytes;         /**< Entry bytes sent and not acknowledged. */
+    bool snapshot_active;          /**< A snapshot is being sent. */
+    struct raft_snapshot snapshot; /**< Which one. */
+    uint64_t snapshot_at;          /**< Place reached in the stored one. */
+    bool snapshot_read;            /**< It was read to its end. */
+    uint64_t snapshot_offset;      /**< Bytes acknowledged. */
+    size_t snapshot_sent;          /**< Bytes of the chunk that is under way. */
+    uint64_t snapshot_sent_ms;     /**< Time it went out. */
+    struct buffer snapshot_bytes;  /**< Bytes that were read and not acknowledged. */
 };
 
 /** A linearizable read that waits for a heartbeat round. */
@@ -147,7 +165,7 @@
     struct raft_entry *entries; /**< Entries base_index + 1 ... */
     size_t count;               /**< Number of entries. */
     size_t capacity;            /**< Allocated entries. */
-    size_t bytes;               /**< Payload bytes held. */
+    size_t bytes;               /**< Memory of the entries. */
 };
 
 /** One replica of one group. */
@@ -179,9 +197,9 @@
     size_t read_count;                                      /**< Number of waiting reads. */
     uint32_t transfer_target;                               /**< Leader transfer in progress, or RAFT_NO_NODE. */
     uint64_t transfer_deadline_ms;                          /**< Time the transfer is given up. */
-    struct buffer incoming;                                 /**< Follower: snapshot received so far. */
-    uint64_t incoming_index;                                /**< Entry covered by it. */
-    uint64_t incoming_term;                                 /**< Term of that entry. */
+    struct raft_snapshot snapshot;                          /**< The one stored here. */
+    struct raft_snapshot incoming;                          /**< Follower: the one that is being received. */
+    uint64_t incoming_offset;                               /**< Bytes of it taken so far. */
 };
 
 /** Starts an empty replica as a follower. `members` are the bootstrap members. */
@@ -231,8 +249,11 @@
 /** Tells that everything written before this call is durable. */
 void raft_synced(struct raft *raft, uint64_t now_ms);
 
-/** Drops entries up to `index`, which must be applied and covered by a snapshot. */
-void raft_compact(struct raft *raft, uint64_t index);
+/** Tells that a snapshot at the applied entry was stored; drops entries up to `keep_after`, at most that one. */
+void raft_snapshot_saved(struct raft *raft, uint64_t keep_after);
+
+/** Whether a member that was heard of lately is being sent a snapshot. */
+bool raft_is_sending_snapshot(const struct raft *raft, uint64_t now_ms);
 
 /** Index of the last entry in the log. */
 uint64_t raft_last_index(const struct raft *raft);
@@ -243,6 +264,9 @@
 /** Members at the applied index. */
 const struct raft_members *raft_applied_members(const struct raft *raft);
 
+/** Whether the log in memory has reached its limit. */
+bool raft_log_is_full(const struct raft *raft);
+
 /** Whether this replica leads. */
 bool raft_is_leader(const struct raft *raft);
 
--- a/src/core/raft_election.c
+++ b/src/core/raft_election.c
@@ -52,7 +52,7 @@
     if (was_leader) {
         raft_fail_reads(raft);
         for (int i = 0; i < RAFT_MAX_MEMBERS; i++) {
-            buffer_close(&raft->progress[i].snapshot);
+            raft_end_snapshot(&raft->progress[i]);
         }
     }
     if (changed) {
@@ -67,6 +67,9 @@
     raft->quorum_checked_ms = now_ms;
     raft->transfer_target = RAFT_NO_NODE;
     raft->round = 0;
+    for (int i = 0; i < RAFT_MAX_MEMBERS; i++) {
+        raft_end_snapshot(&raft->progress[i]);
+    }
     memset(raft->progress, 0, sizeof(raft->progress));
     for (uint32_t i = 0; i < raft->members.count; i++) {
         struct raft_progress *progress = &raft->progress[i];
--- a/src/core/raft_internal.h
+++ b/src/core/raft_internal.h
@@ -5,7 +5,8 @@
  *   raft.c              lifecycle, time, dispatch, membership
  *   raft_log.c          entries in memory
  *   raft_election.c     pre-vote, vote, role changes
- *   raft_replication.c  append, commit, reads, snapshots
+ *   raft_replication.c  append, commit, reads
+ *   raft_snapshot.c     snapshots, sent and received in chunks
  */
 #ifndef BANKBANK_CORE_RAFT_INTERNAL_H
 #define BANKBANK_CORE_RAFT_INTERNAL_H
@@ -41,10 +42,18 @@
 void raft_broadcast_heartbeat(struct raft *raft, uint64_t now_ms);
 void raft_handle_append(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
 void raft_handle_append_reply(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
-void raft_handle_snapshot(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
-void raft_handle_snapshot_reply(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
+void raft_fail_reads(struct raft *raft);
 void raft_advance_commit(struct raft *raft, uint64_t now_ms);
 void raft_apply_committed(struct raft *raft);
-void raft_fail_reads(struct raft *raft);
+void raft_follow(struct raft *raft, uint64_t now_ms, uint32_t leader);
+void raft_send_append(struct raft *raft, uint64_t now_ms, struct raft_progress *progress, bool heartbeat);
+struct raft_progress *raft_progress_of(struct raft *raft, uint32_t node);
+
+/* raft_snapshot.c */
+void raft_begin_snapshot(struct raft *raft, uint64_t now_ms, struct raft_progress *progress);
+void raft_continue_snapshot(struct raft *raft, uint64_t now_ms, struct raft_progress *progress);
+void raft_end_snapshot(struct raft_progress *progress);
+void raft_handle_snapshot(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
+void raft_handle_snapshot_reply(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
 
 #endif
--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -1,4 +1,4 @@
-/* Replication: append, commit, linearizable reads and snapshots. */
+/* Replication: append, commit and linearizable reads. */
 #include "core/raft_internal.h"
 
 #include <stdlib.h>
@@ -8,37 +8,6 @@
 
 /* ---- Leader: sending ---------------------------------------------------- */
 
-static void raft_send_snapshot_chunk(struct raft *raft, uint64_t now_ms, struct raft_progress *p)
-{
-    size_t left = p->snapshot.length - (size_t)p->snapshot_offset;
-    size_t size = left < RAFT_SNAPSHOT_CHUNK ? left : RAFT_SNAPSHOT_CHUNK;
-    Member items[RAFT_MAX_MEMBERS];
-    RaftMessage message = {0};
-    message.type = RAFT_SNAPSHOT;
-    message.term = raft->term;
-    message.index = p->snapshot_index;
-    message.log_term = p->snapshot_term;
-    message.offset = p->snapshot_offset;
-    message.data = view_of(p->snapshot.data == NULL ? NULL : p->snapshot.data + p->snapshot_offset, size);
-    message.last_chunk = size == left;
-    message.has_members = true;
-    raft_members_to_wire(&p->snapshot_members, items, &message.members);
-    p->snapshot_sent_ms = now_ms;
-    raft->io.send(raft->io.context, raft->config.group, p->node, &message, false);
-}
-
-static void raft_begin_snapshot(struct raft *raft, uint64_t now_ms, struct raft_progress *progress)
-{
-    buffer_clear(&progress->snapshot);
-    raft->io.export_state(raft->io.context, raft->config.group, &progress->snapshot);
-    progress->snapshot_active = true;
-    progress->snapshot_index = raft->applied;
-    progress->snapshot_term = raft_term_at(raft, raft->applied);
-    progress->snapshot_members = *raft_applied_members(raft);
-    progress->snapshot_offset = 0;
-    raft_send_snapshot_chunk(raft, now_ms, progress);
-}
-
 static size_t raft_fill_batch(const struct raft *raft, uint64_t from, RaftEntry *batch)
 {
     size_t count = 0;
@@ -59,13 +28,10 @@
 }
 
 /* Sends what `progress` lacks; with `heartbeat` also when it lacks nothing. */
-static void raft_send_append(struct raft *raft, uint64_t now_ms, struct raft_progress *progress, bool heartbeat)
+void raft_send_append(struct raft *raft, uint64_t now_ms, struct raft_progress *progress, bool heartbeat)
 {
     if (progress->snapshot_active) {
-        /* A chunk that was lost is sent again after an election timeout. */
-        if (now_ms >= progress->snapshot_sent_ms + raft->config.election_timeout_ms) {
-            raft_send_snapshot_chunk(raft, now_ms, progress);
-        }
+        raft_continue_snapshot(raft, now_ms, progress);
         if (!heartbeat) {
             return;
         }
@@ -75,7 +41,8 @@
             return;
         }
     }
-    bool window_open = !progress->probing && progress->next - progress->match <= RAFT_MAX_INFLIGHT_ENTRIES;
+    bool window_open = !progress->probing && progress->next - progress->match <= RAFT_MAX_INFLIGHT_ENTRIES &&
+                       progress->inflight_bytes < RAFT_MAX_INFLIGHT_BYTES;
     bool may_send_entries = !progress->snapshot_active && (window_open || (progress->probing && heartbeat));
     RaftEntry batch[RAFT_MAX_BATCH_ENTRIES];
     memset(batch, 0, sizeof(batch));
@@ -95,8 +62,9 @@
     message.entries = batch;
     message.entries_count = (pb_size_t)count;
     raft->io.send(raft->io.context, raft->config.group, progress->node, &message, false);
-    if (!progress->probing) {
-        progress->next += count;
+    for (size_t i = 0; i < count && !progress->probing; i++) {
+        progress->next++;
+        progress->inflight_bytes += batch[i].data.length;
     }
 }
 
@@ -265,12 +233,27 @@
     raft->io.send(raft->io.context, raft->config.group, progress->node, &message, false);
 }
 
-static struct raft_progress *raft_progress_of(struct raft *raft, uint32_t node)
+struct raft_progress *raft_progress_of(struct raft *raft, uint32_t node)
 {
     int position = raft_member_position(&raft->members, node);
     return raft->role == RAFT_LEADER && position >= 0 ? &raft->progress[position] : NULL;
 }
 
+/* Entries up to `index` are synced at a member. */
+static void raft_note_match(const struct raft *raft, struct raft_progress *progress, uint64_t index)
+{
+    for (uint64_t i = progress->match + 1; i <= index && progress->inflight_bytes > 0; i++) {
+        const struct raft_entry *entry = raft_log_get(&raft->log, i);
+        size_t length = entry == NULL ? 0 : entry->length;
+        progress->inflight_bytes -= length < progress->inflight_bytes ? length : progress->inflight_bytes;
+    }
+    progress->match = index > progress->match ? index : progress->match;
+    if (progress->next <= progress->match + 1) {
+        progress->next = progress->match + 1;
+        progress->inflight_bytes = 0;
+    }
+}
+
 void raft_handle_append_reply(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message)
 {
     struct raft_progress *progress = raft_progress_of(raft, from);
@@ -296,18 +279,14 @@
             progress->next = raft_last_index(raft) + 1;
         }
         progress->probing = true;
+        progress->inflight_bytes = 0;
         raft_send_append(raft, now_ms, progress, true);
         return;
     }
     if (message->index > raft_last_index(raft)) {
         return;
     }
-    if (message->index > progress->match) {
-        progress->match = message->index;
-    }
-    if (progress->next <= progress->match) {
-        progress->next = progress->match + 1;
-    }
+    raft_note_match(raft, progress, message->index);
     progress->probing = false;
     raft_advance_commit(raft, now_ms);
     if (raft->role != RAFT_LEADER) {
@@ -317,40 +296,9 @@
     raft_continue_transfer(raft, progress);
 }
 
-void raft_handle_snapshot_reply(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message)
-{
-    struct raft_progress *progress = raft_progress_of(raft, from);
-    if (progress == NULL) {
-        return;
-    }
-    progress->last_heard_ms = now_ms;
-    if (!progress->snapshot_active || message->index != progress->snapshot_index) {
-        return;
-    }
-    if (message->last_chunk) {
-        progress->snapshot_active = false;
-        buffer_close(&progress->snapshot);
-        if (!message->reject) {
-            progress->match = message->index > progress->match ? message->index : progress->match;
-        }
-        progress->next = progress->match + 1;
-        progress->probing = true;
-        raft_advance_commit(raft, now_ms);
-        if (raft->role == RAFT_LEADER) {
-            raft_send_append(raft, now_ms, progress, true);
-        }
-        return;
-    }
-    if (message->offset > progress->snapshot.length || message->offset == progress->snapshot_offset) {
-        return;
-    }
-    progress->snapshot_offset = message->offset;
-    raft_send_snapshot_chunk(raft, now_ms, progress);
-}
-
 /* ---- Follower ------------------------------------------------------------ */
 
-static void raft_follow(struct raft *raft, uint64_t now_ms, uint32_t leader)
+void raft_follow(struct raft *raft, uint64_t now_ms, uint32_t leader)
 {
     if (raft->role != RAFT_FOLLOWER || raft->leader != leader) {
         raft_become_follower(raft, now_ms, raft->term, leader);
@@ -374,13 +322,17 @@
     return index;
 }
 
-static void raft_store_entries(struct raft *raft, const RaftMessage *message)
+/* Returns the index up to which it has what the message holds: a log that is full takes no more. */
+static uint64_t raft_store_entries(struct raft *raft, const RaftMessage *message)
 {
     for (pb_size_t i = 0; i < message->entries_count; i++) {
         const RaftEntry *wire = &message->entries[i];
         if (wire->index <= raft->commit) {
             continue;
         }
+        if (raft_log_is_full(raft)) {
+            return message->index + i;
+        }
         if (wire->index <= raft_last_index(raft)) {
             if (raft_term_at(raft, wire->index) == wire->term) {
                 continue;
@@ -397,6 +349,7 @@
         raft_adopt_entry(raft, &entry);
         raft->io.append(raft->io.context, raft->config.group, &entry);
     }
+    return message->index + message->entries_count;
 }
 
 static bool raft_entries_are_contiguous(const RaftMessage *message)
@@ -425,8 +378,7 @@
         raft->io.send(raft->io.context, raft->config.group, from, &reply, true);
         return;
     }
-    raft_store_entries(raft, message);
-    uint64_t matched = message->index + message->entries_count;
+    uint64_t matched = raft_store_entries(raft, message);
     if (matched < raft->log.base_index) {
         matched = raft->log.base_index;
     }
@@ -438,53 +390,3 @@
     reply.index = matched;
     raft->io.send(raft->io.context, raft->config.group, from, &reply, true);
 }
-
-static bool raft_receive_chunk(struct raft *raft, const RaftMessage *message)
-{
-    bool restart =
-        message->offset == 0 || raft->incoming_index != message->index || raft->incoming_term != message->log_term;
-    if (restart) {
-        buffer_clear(&raft->incoming);
-        raft->incoming_index = message->index;
-        raft->incoming_term = message->log_term;
-    }
-    if (message->offset != raft->incoming.length) {
-        return false;
-    }
-    buffer_append(&raft->incoming, message->data.data, message->data.length);
-    return true;
-}
-
-static bool raft_install(struct raft *raft, const RaftMessage *message)
-{
-    struct raft_members members;
-    if (!raft_members_from_wire(&message->members, &members)) {
-        return false;
-    }
-    bool installed = raft->io.install_state(raft->io.context, raft->config.group, message->index, message->log_term,
-                                            &members, buffer_view(&raft->incoming));
-    buffer_close(&raft->incoming);
-    if (installed) {
-        raft_restore_snapshot(raft, message->index, message->log_term, &members);
-    }
-    return installed;
-}
-
-void raft_handle_snapshot(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message)
-{
-    raft_follow(raft, now_ms, from);
-    RaftMessage reply = {0};
-    reply.type = RAFT_SNAPSHOT_REPLY;
-    reply.term = raft->term;
-    reply.index = message->index;
-    if (message->index <= raft->commit) {
-        reply.last_chunk = true;
-    } else if (raft_receive_chunk(raft, message)) {
-        if (message->last_chunk) {
-            reply.last_chunk = true;
-            reply.reject = !raft_install(raft, message);
-        }
-    }
-    reply.offset = raft->incoming.length;
-    raft->io.send(raft->io.context, raft->config.group, from, &reply, true);
-}
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -73,7 +73,7 @@
         replica->io.send(replica->io.context, header[0], view_of(replica->held.data + position, header[1]));
         position += header[1];
     }
-    buffer_clear(&replica->held);
+    buffer_reuse(&replica->held, REPLICA_HELD_KEPT);
 }
 
 /* ---- Effects of the consensus groups ------------------------------------------ */
@@ -165,39 +165,6 @@
     }
 }
 
-static void replica_on_export(void *context, uint32_t group, struct buffer *out)
-{
-    struct replica *replica = context;
-    state_machine_export(&replica->groups[group].machine, true, out);
-}
-
-static bool replica_on_install(void *context, uint32_t group, uint64_t index, uint64_t term,
-                               const struct raft_members *members, struct view state)
-{
-    struct replica *replica = context;
-    struct state_machine *machine = &replica->groups[group].machine;
-    struct state_machine fresh;
-    state_machine_init(&fresh, group, &machine->ledger.history);
-    if (!state_machine_import(&fresh, state)) {
-        state_machine_close(&fresh);
-        return false;
-    }
-    replica->counters.installs++;
-    struct buffer local = {0};
-    state_machine_export(&fresh, false, &local);
-    bool saved = replica->io.save_snapshot(replica->io.context, group, index, term, members, buffer_view(&local), true);
-    buffer_close(&local);
-    if (!saved) {
-        state_machine_close(&fresh);
-        return false;
-    }
-    /* Texts of the old state may go only now that the new one is durable. */
-    ledger_clear(&machine->ledger);
-    state_machine_close(machine);
-    *machine = fresh;
-    return true;
-}
-
 static void replica_on_role_changed(void *context, uint32_t group)
 {
     struct replica *replica = context;
@@ -240,8 +207,8 @@
         .send = replica_on_send,
         .apply = replica_on_apply,
         .read_ready = replica_on_read_ready,
-        .export_state = replica_on_export,
-        .install_state = replica_on_install,
+        .read_snapshot = replica_read_snapshot,
+        .take_snapshot = replica_take_snapshot,
         .role_changed = replica_on_role_changed,
     };
     for (uint32_t group = 0; group < config->groups; group++) {
@@ -252,8 +219,12 @@
             .heartbeat_ms = config->heartbeat_ms,
             .first_election_ms = config->first_election_ms,
             .seed = config->seed,
+            .log_bytes_most = config->log_bytes_most,
         };
-        state_machine_init(&replica->groups[group].machine, group, history);
+        struct replica_group *state = &replica->groups[group];
+        state->history = *history;
+        struct history_io deferred = replica_group_history(state);
+        state_machine_init(&state->machine, group, &deferred);
         raft_init(&replica->groups[group].raft, &raft_config, &raft_io, &config->members);
     }
 }
@@ -264,6 +235,8 @@
         struct replica_group *state = &replica->groups[group];
         raft_close(&state->raft);
         state_machine_close(&state->machine);
+        state_reader_close(&state->reader);
+        buffer_close(&state->dropped);
         replica_waiters_drop(&state->proposals, state->proposals.count);
         replica_waiters_drop(&state->reads, state->reads.count);
         free(state->proposals.items);
@@ -273,16 +246,6 @@
     buffer_close(&replica->held);
 }
 
-bool replica_restore_snapshot(struct replica *replica, uint32_t group, uint64_t index, uint64_t term,
-                              const struct raft_members *members, struct view state)
-{
-    if (!state_machine_import(&replica->groups[group].machine, state)) {
-        return false;
-    }
-    raft_restore_snapshot(&replica->groups[group].raft, index, term, members);
-    return true;
-}
-
 void replica_start(struct replica *replica, uint64_t now_ms)
 {
     replica->now_ms = now_ms;
@@ -292,38 +255,6 @@
     replica_flush(replica, now_ms);
 }
 
-/* Log bytes that a group may keep in memory before a snapshot is due. */
-static size_t replica_log_share(const struct replica *replica)
-{
-    size_t share = REPLICA_LOG_BYTES / replica->config.groups;
-    return share < REPLICA_LOG_BYTES_LEAST ? REPLICA_LOG_BYTES_LEAST : share;
-}
-
-static void replica_snapshot_if_due(struct replica *replica, uint32_t group)
-{
-    struct replica_group *state = &replica->groups[group];
-    struct raft *raft = &state->raft;
-    uint64_t fresh = raft->applied - raft->log.base_index;
-    uint64_t trailing = REPLICA_TRAILING_ENTRIES < replica->config.snapshot_entries ? REPLICA_TRAILING_ENTRIES : 0;
-    size_t share = replica_log_share(replica);
-    bool due = fresh >= replica->config.snapshot_entries + trailing || (raft->log.bytes >= share && fresh > 0);
-    if (!due || replica->now_ms < replica->snapshot_after_ms) {
-        return;
-    }
-    uint64_t keep_after = raft_tail_start(raft, trailing, share / 2);
-    struct buffer local = {0};
-    state_machine_export(&state->machine, false, &local);
-    bool saved = replica->io.save_snapshot(replica->io.context, group, raft->applied, raft_term_at(raft, raft->applied),
-                                           raft_applied_members(raft), buffer_view(&local), false);
-    buffer_close(&local);
-    if (!saved) {
-        replica->snapshot_after_ms = replica->now_ms + REPLICA_SNAPSHOT_RETRY_MS;
-        return;
-    }
-    replica->counters.snapshots++;
-    raft_compact(raft, keep_after);
-}
-
 /* What waits for a blocked disk stays held: votes and acknowledgements go out
  * only once it took them. A leader goes on by the disks of the others. */
 static bool replica_sync(struct replica *replica)
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -24,8 +24,8 @@
     REPLICA_MAINTENANCE_MS = 200,      /**< Period of lease and expiry checks. */
     REPLICA_BALANCE_MS = 2000,         /**< Period of leader placement checks. */
     REPLICA_BLOCKED_MS = 50,           /**< Pause before a blocked disk is tried again. */
-    REPLICA_SNAPSHOT_RETRY_MS = 1000,  /**< Pause before a snapshot that failed is tried again. */
     REPLICA_EXPIRE_BATCH = 256,        /**< Programs expired by one entry. */
+    REPLICA_HELD_KEPT = 256 << 10,     /**< Room for frames that wait for a sync, kept after a burst, in bytes. */
     REPLICA_MAX_JOINS = 16             /**< Machines that may ask to join at once. */
 };
 
@@ -45,9 +45,18 @@
     void (*append)(void *context, uint32_t group, const struct raft_entry *entry);
     /** Makes all writes durable. */
     enum replica_sync (*sync)(void *context);
-    /** Durably stores a snapshot, then drops log entries up to `index`, or all with `reset_log`; false: not now. */
-    bool (*save_snapshot)(void *context, uint32_t group, uint64_t index, uint64_t term,
-                          const struct raft_members *members, struct view state, bool reset_log);
+    /** Begins a snapshot of a group beside the stored one; false: not now. One at a time. */
+    bool (*snapshot_begin)(void *context, uint32_t group, const struct raft_snapshot *snapshot);
+    /** Adds the next bytes of its state; false: the disk does not take them. */
+    bool (*snapshot_write)(void *context, uint32_t group, struct view bytes);
+    /** Makes texts and snapshot durable, in place of the stored one, and drops log entries that it covers, or all
+        with `reset_log`; false: not now, and it is given up. */
+    bool (*snapshot_commit)(void *context, uint32_t group, bool reset_log);
+    /** Gives up what was begun. */
+    void (*snapshot_abort)(void *context, uint32_t group);
+    /** Appends up to `most` bytes, from `at` on, of the state stored at `index`; nothing at its end. False: that
+        snapshot is not there, or cannot be read. */
+    bool (*snapshot_read)(void *context, uint32_t group, uint64_t index, uint64_t at, size_t most, struct buffer *out);
     /** Sends an encoded Frame to a node, which may be this one. */
     void (*send)(void *context, uint32_t to, struct view frame);
 };
@@ -63,6 +72,9 @@
     uint32_t lease_ms;            /**< Lease granted by one heartbeat of a daemon. */
     uint64_t seed;                /**< Seed of election jitter. */
     uint32_t snapshot_entries;    /**< 0: REPLICA_SNAPSHOT_ENTRIES. */
+    size_t log_bytes;             /**< 0: REPLICA_LOG_BYTES. */
+    size_t log_bytes_most;        /**< Log in memory, of each group, above which no entry is taken; 0: no limit. */
+    size_t state_bytes;           /**< Memory of turns and budgets above which no turn begins; 0: no limit. */
     bool self_organized;          /**< Nobody lists the members: they join, and are replaced when gone. */
     bool steady_stamps;           /**< Entries are stamped from the steady clock instead of the wall clock. */
 };
@@ -87,6 +99,13 @@
 
 /** One group of a replica. */
 struct replica_group {
+    struct history_io history;        /**< Where texts are. */
+    struct buffer dropped;            /**< struct history_ref of texts dropped since the stored snapshot. */
+    uint64_t snapshot_after_ms;       /**< No snapshot before this time. */
+    bool rewrite;                     /**< The stored snapshot has the form of an older version. */
+    bool receiving;                   /**< A snapshot is being received. */
+    uint64_t received_ms;             /**< When its last bytes came. */
+    state_reader_t reader;            /**< Takes it apart. */
     struct raft raft;                 /**< Consensus. */
     struct state_machine machine;     /**< Replicated state. */
     struct replica_waiters proposals; /**< By log index. */
@@ -108,6 +127,7 @@
     uint64_t snapshots;      /**< Snapshots taken. */
     uint64_t installs;       /**< Snapshots received from a leader. */
     uint64_t role_changes;   /**< Role, term or leader changes of any group. */
+    uint64_t refused;        /**< Proposals refused for want of memory. */
 };
 
 /** A state replica. */
@@ -119,7 +139,6 @@
     bool dirty;                                      /**< Something was written since the last sync. */
     bool failed;                                     /**< The disk failed; nothing is acknowledged any more. */
     uint64_t blocked_until_ms;                       /**< The disk is blocked; next try. 0: it is not. */
-    uint64_t snapshot_after_ms;                      /**< No snapshot before this time. */
     uint64_t now_ms;                                 /**< Time of the current event. */
     uint64_t wall_offset_ms;                         /**< Wall clock minus monotonic clock, set by the host. */
     uint64_t maintenance_due_ms;                     /**< Next lease and expiry check. */
@@ -135,9 +154,8 @@
 /** Frees it. */
 void replica_close(struct replica *replica);
 
-/** Restores a stored snapshot; false if it does not decode. */
-bool replica_restore_snapshot(struct replica *replica, uint32_t group, uint64_t index, uint64_t term,
-                              const struct raft_members *members, struct view state);
+/** Restores the stored snapshot; false if it does not decode. */
+bool replica_restore_snapshot(struct replica *replica, uint32_t group, const struct raft_snapshot *snapshot);
 
 /** Starts all groups. */
 void replica_start(struct replica *replica, uint64_t now_ms);
--- a/src/core/replica_internal.h
+++ b/src/core/replica_internal.h
@@ -2,7 +2,8 @@
  * @file replica_internal.h
  * Functions shared by the parts of the replica; not for others.
  *
- *   replica.c              lifecycle, effects of consensus, sync, snapshots
+ *   replica.c              lifecycle, effects of consensus, sync
+ *   replica_snapshot.c     snapshots: written, read back, sent, received
  *   replica_requests.c     requests of daemons: proposals, reads
  *   replica_maintenance.c  leases, expiry, placement of leaders
  *   replica_site.c         a site's document, turns, joining and leaving members
@@ -18,6 +19,13 @@
 void replica_reply(struct replica *replica, uint32_t group, const struct replica_waiter *waiter, ResultCode code,
                    struct view body);
 
+/* replica_snapshot.c */
+struct history_io replica_group_history(struct replica_group *state);
+void replica_snapshot_if_due(struct replica *replica, uint32_t group);
+bool replica_read_snapshot(void *context, uint32_t group, uint64_t index, uint64_t *at, struct buffer *out);
+bool replica_take_snapshot(void *context, uint32_t group, const struct raft_snapshot *snapshot, struct view bytes,
+                           bool first, bool last);
+
 /* replica_requests.c */
 void replica_answer_read(struct replica *replica, uint32_t group, const struct replica_waiter *waiter);
 void replica_handle_request(struct replica *replica, uint32_t from, uint32_t group, const Request *request);
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -58,16 +58,17 @@
         replica_reply(replica, group, waiter, RESULT_INVALID, view_of(NULL, 0));
         return;
     }
-    const struct turn *turn = turn_store_find(&replica->groups[group].machine.site.turns, query.turn);
+    const struct turn_store *turns = &replica->groups[group].machine.site.turns;
+    const struct turn *turn = turn_store_find(turns, query.turn);
     message_free(TurnQuery_fields, &query);
     if (turn == NULL) {
         replica_reply(replica, group, waiter, RESULT_NOT_FOUND, view_of(NULL, 0));
         return;
     }
-    TurnChain chain;
-    turn_chain_fill(turn, &chain);
-    replica_reply_message(replica, group, waiter, TurnChain_fields, &chain);
-    free(chain.turns);
+    struct buffer chain = {0};
+    bool read = turn_chain_encode(turns, turn, &chain);
+    replica_reply(replica, group, waiter, read ? RESULT_OK : RESULT_UNAVAILABLE, buffer_view(&chain));
+    buffer_close(&chain);
 }
 
 /* The positions of members by the name of their machine. */
@@ -194,10 +195,33 @@
 }
 
 /* An encoded Entry holds one field, and begins with its key: most entries need no look inside. */
-static bool replica_is_retire(struct view entry)
+static bool replica_entry_is(struct view entry, int tag)
 {
-    const uint8_t key = (Entry_retire_start_tag << 3) | PB_WT_STRING;
-    return entry.length > 0 && entry.data[0] == key;
+    return entry.length > 0 && entry.data[0] == ((tag << 3) | PB_WT_STRING);
+}
+
+/*
+ * Refuses what there is no memory for. A turn's begin is refused first, by a
+ * code that its caller passes on at once: nothing has run yet. Everything else
+ * finishes what was begun, and is tried again until there is room.
+ */
+static bool replica_check_room(struct replica *replica, uint32_t group, const Request *request,
+                               const struct replica_waiter *waiter)
+{
+    const struct replica_group *state = &replica->groups[group];
+    const struct replica_config *config = &replica->config;
+    bool begins = replica_entry_is(request->body, Entry_turn_begin_tag);
+    size_t begin_most = (config->log_bytes + config->log_bytes_most) / 2;
+    bool log_full =
+        raft_log_is_full(&state->raft) || (begins && config->log_bytes_most > 0 && state->raft.log.bytes >= begin_most);
+    bool state_full =
+        begins && config->state_bytes > 0 && site_state_bytes(&state->machine.site) >= config->state_bytes;
+    if (!raft_is_leader(&state->raft) || (!log_full && !state_full)) {
+        return true;
+    }
+    replica->counters.refused++;
+    replica_reply(replica, group, waiter, begins ? RESULT_LIMIT : RESULT_NOT_LEADER, view_of(NULL, 0));
+    return false;
 }
 
 /* Refuses to empty a machine when too few others would be left. */
@@ -207,7 +231,7 @@
     struct raft *raft = &replica->groups[group].raft;
     const struct site_state *site = &replica->groups[group].machine.site;
     Entry entry = {0};
-    bool looks = raft_is_leader(raft) && replica_is_retire(request->body);
+    bool looks = raft_is_leader(raft) && replica_entry_is(request->body, Entry_retire_start_tag);
     if (!looks || !message_decode(request->body, Entry_fields, &entry)) {
         return true;
     }
@@ -241,7 +265,8 @@
         replica_answer_turns(replica, group, waiter, request->body);
         return true;
     }
-    return request->kind == REQUEST_PROPOSE && !replica_check_retire(replica, group, request, waiter);
+    return request->kind == REQUEST_PROPOSE && (!replica_check_room(replica, group, request, waiter) ||
+                                                !replica_check_retire(replica, group, request, waiter));
 }
 
 void replica_organize(struct replica *replica)
--- a/src/core/site_state.c
+++ b/src/core/site_state.c
@@ -3,6 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+void site_state_init(struct site_state *state, const struct history_io *history)
+{
+    memset(state, 0, sizeof(*state));
+    state->turns.history = *history;
+}
+
 void site_state_close(struct site_state *state)
 {
     free((void *)(uintptr_t)state->document.content.data);
@@ -97,35 +103,38 @@
     }
 }
 
+size_t site_state_bytes(const struct site_state *state)
+{
+    return state->turns.index_bytes + state->budgets.bytes;
+}
+
 void site_state_export(const struct site_state *state, SiteSnapshot *snapshot)
 {
     memset(snapshot, 0, sizeof(*snapshot));
     snapshot->time_ms = state->time_ms;
+    snapshot->expired_ms = state->expired_ms;
     snapshot->has_document = true;
     snapshot->document.version = state->document.version;
     snapshot->document.content = state->document.content;
-    turn_store_export(&state->turns, &snapshot->turns, &snapshot->turns_count);
-    budget_table_export(&state->budgets, &snapshot->budgets, &snapshot->budgets_count);
     snapshot->retired = state->retired;
     snapshot->retired_count = (pb_size_t)state->retired_count;
 }
 
-void site_snapshot_close(SiteSnapshot *snapshot)
-{
-    free(snapshot->turns);
-    budget_records_close(snapshot->budgets, snapshot->budgets_count);
-}
-
 void site_state_import(struct site_state *state, const SiteSnapshot *snapshot)
 {
     state->time_ms = snapshot->time_ms;
+    state->expired_ms = snapshot->expired_ms;
     if (snapshot->has_document) {
         struct view content = snapshot->document.content;
         state->document.version = snapshot->document.version;
         state->document.content = view_of(memory_copy(content.data, content.length), content.length);
     }
-    turn_store_import(&state->turns, snapshot->turns, snapshot->turns_count);
-    budget_table_import(&state->budgets, snapshot->budgets, snapshot->budgets_count);
+    for (pb_size_t i = 0; i < snapshot->turns_count; i++) {
+        turn_store_import_wire(&state->turns, &snapshot->turns[i]);
+    }
+    for (pb_size_t i = 0; i < snapshot->budgets_count; i++) {
+        budget_table_import(&state->budgets, &snapshot->budgets[i]);
+    }
     for (pb_size_t i = 0; i < snapshot->retired_count; i++) {
         RetireStart start = {.machine = snapshot->retired[i]};
         site_start_retire(state, &start);
--- a/src/core/site_state.h
+++ b/src/core/site_state.h
@@ -36,6 +36,9 @@
     uint32_t retired_count;        /**< Number of those. */
 };
 
+/** Starts an empty state, whose turns keep their texts in `history`; all zero is one that holds them in memory. */
+void site_state_init(struct site_state *state, const struct history_io *history);
+
 /** Frees everything. */
 void site_state_close(struct site_state *state);
 
@@ -45,11 +48,13 @@
 /** Whether a machine is to be emptied. */
 bool site_state_is_retired(const struct site_state *state, const char *machine);
 
-/** Fills a snapshot that borrows from the state; free with site_snapshot_close(). */
+/** Memory that grows with the traffic: the index of turns, and budgets. */
+size_t site_state_bytes(const struct site_state *state);
+
+/** Fills a snapshot that borrows from the state: all but turns and budgets, which have records of their own. */
 void site_state_export(const struct site_state *state, SiteSnapshot *snapshot);
-void site_snapshot_close(SiteSnapshot *snapshot);
 
-/** Loads a snapshot into an empty state. */
+/** Loads such a snapshot, or one of an older version with turns and budgets, into an empty state. */
 void site_state_import(struct site_state *state, const SiteSnapshot *snapshot);
 
 #endif
--- a/src/core/state_machine.c
+++ b/src/core/state_machine.c
@@ -6,12 +6,14 @@
 #include <xxhash.h>
 
 #include "base/message.h"
+#include "core/turn_record.h"
 
 void state_machine_init(struct state_machine *machine, uint32_t group, const struct history_io *history)
 {
     memset(machine, 0, sizeof(*machine));
     machine->group = group;
     config_store_init(&machine->config);
+    site_state_init(&machine->site, history);
     ledger_init(&machine->ledger, history);
 }
 
@@ -95,11 +97,14 @@
     }
 }
 
-void state_machine_export(const struct state_machine *machine, bool with_text, struct buffer *out)
+/* ---- Snapshots ----------------------------------------------------------------- */
+
+/* All but turns and budgets. */
+static void state_export_head(const struct state_machine *machine, struct buffer *out)
 {
     StateSnapshot snapshot = {0};
     if (machine->group != STATE_CONFIG_GROUP) {
-        ledger_export(&machine->ledger, with_text, &snapshot);
+        ledger_export(&machine->ledger, false, &snapshot);
         message_encode(out, StateSnapshot_fields, &snapshot);
         message_free(StateSnapshot_fields, &snapshot);
         return;
@@ -109,13 +114,12 @@
     snapshot.has_site = true;
     site_state_export(&machine->site, &snapshot.site);
     message_encode(out, StateSnapshot_fields, &snapshot);
-    site_snapshot_close(&snapshot.site);
     config_state_close(&snapshot.config);
     free(snapshot.requests);
     free(snapshot.leases);
 }
 
-bool state_machine_import(struct state_machine *machine, struct view data)
+static bool state_import_head(struct state_machine *machine, struct view data)
 {
     StateSnapshot snapshot = {0};
     if (!message_decode(data, StateSnapshot_fields, &snapshot)) {
@@ -132,6 +136,104 @@
     return true;
 }
 
+bool state_machine_write(const struct state_machine *machine, const state_sink_t *sink)
+{
+    struct buffer record = {0};
+    state_export_head(machine, &record);
+    bool written = state_stream_begin(sink) && state_stream_put(sink, STATE_RECORD_HEAD, buffer_view(&record));
+    /* The hash keeps the order of insertion, in which parents come first. */
+    for (const struct turn *turn = machine->site.turns.turns; written && turn != NULL; turn = turn->hh.next) {
+        buffer_clear(&record);
+        turn_export(turn, &record);
+        written = state_stream_put(sink, STATE_RECORD_TURN, buffer_view(&record));
+    }
+    const struct budget_program *program = machine->site.budgets.programs;
+    for (; written && program != NULL; program = program->hh.next) {
+        buffer_clear(&record);
+        budget_program_export(program, &record);
+        written = state_stream_put(sink, STATE_RECORD_BUDGET, buffer_view(&record));
+    }
+    buffer_close(&record);
+    return written;
+}
+
+static bool state_import_budget(struct state_machine *machine, struct view payload)
+{
+    BudgetRecord record = {0};
+    if (!message_decode(payload, BudgetRecord_fields, &record)) {
+        return false;
+    }
+    budget_table_import(&machine->site.budgets, &record);
+    message_free(BudgetRecord_fields, &record);
+    return true;
+}
+
+bool state_machine_read(struct state_machine *machine, state_record_kind_t kind, struct view payload)
+{
+    switch (kind) {
+    case STATE_RECORD_HEAD: return state_import_head(machine, payload);
+    case STATE_RECORD_TURN: return turn_store_import(&machine->site.turns, payload);
+    case STATE_RECORD_BUDGET: return state_import_budget(machine, payload);
+    }
+    return false;
+}
+
+void state_machine_read_end(struct state_machine *machine)
+{
+    turn_store_order(&machine->site.turns);
+}
+
+/* A ledger's head names its texts by place on one machine, and holds them between machines. */
+static bool state_convert_ledger(uint32_t group, const struct history_io *history, struct view payload, bool with_text,
+                                 struct buffer *out)
+{
+    struct state_machine scratch;
+    StateSnapshot snapshot = {0};
+    state_machine_init(&scratch, group, history);
+    bool read = state_import_head(&scratch, payload);
+    if (read) {
+        ledger_export(&scratch.ledger, with_text, &snapshot);
+        read = message_encode(out, StateSnapshot_fields, &snapshot);
+        message_free(StateSnapshot_fields, &snapshot);
+    }
+    ledger_clear(&scratch.ledger);
+    state_machine_close(&scratch);
+    return read;
+}
+
+static bool state_record_convert(uint32_t group, const struct history_io *history, state_record_kind_t kind,
+                                 struct view payload, bool to_wire, const state_sink_t *sink)
+{
+    struct buffer converted = {0};
+    bool done = false;
+    switch (kind) {
+    case STATE_RECORD_HEAD:
+        done = group != STATE_CONFIG_GROUP && state_convert_ledger(group, history, payload, to_wire, &converted);
+        break;
+    case STATE_RECORD_TURN:
+        done = to_wire ? turn_record_to_wire(history, payload, &converted)
+                       : turn_record_from_wire(history, payload, &converted);
+        break;
+    case STATE_RECORD_BUDGET: break;
+    }
+    bool same = kind == STATE_RECORD_BUDGET || (kind == STATE_RECORD_HEAD && group == STATE_CONFIG_GROUP);
+    bool put = (same || done) && state_stream_put(sink, kind, same ? payload : buffer_view(&converted));
+    buffer_close(&converted);
+    return put;
+}
+
+bool state_record_to_wire(uint32_t group, const struct history_io *history, state_record_kind_t kind,
+                          struct view payload, const state_sink_t *sink)
+{
+    return state_record_convert(group, history, kind, payload, true, sink);
+}
+
+bool state_record_from_wire(uint32_t group, const struct history_io *history, state_record_kind_t kind,
+                            struct view payload, const state_sink_t *sink)
+{
+    return state_record_convert(group, history, kind, payload, false, sink);
+}
+
 /* Sub-programs share the part of the id before the dash with their root, so
  * that a whole tree lives in one group. */
 uint32_t state_machine_group_of(const char *program_id, uint32_t groups)
--- a/src/core/state_machine.h
+++ b/src/core/state_machine.h
@@ -13,6 +13,7 @@
 #include "core/lease_table.h"
 #include "core/ledger.h"
 #include "core/site_state.h"
+#include "core/state_stream.h"
 
 enum {
     STATE_CONFIG_GROUP = 0,      /**< Group of configuration and leases. */
@@ -44,11 +45,22 @@
 /** Applies stamped data and appends the encoded EntryResult to `result`. */
 void state_machine_apply(struct state_machine *machine, struct view data, struct buffer *result);
 
-/** Appends an encoded StateSnapshot; `with_text` as in ledger_export(). */
-void state_machine_export(const struct state_machine *machine, bool with_text, struct buffer *out);
+/** Writes the state as a stream that holds texts by their places in the history store. */
+bool state_machine_write(const struct state_machine *machine, const state_sink_t *sink);
 
-/** Loads a snapshot into an empty machine; false, and unchanged, if it does not decode. */
-bool state_machine_import(struct state_machine *machine, struct view data);
+/** Loads a record of such a stream; false: it does not decode. */
+bool state_machine_read(struct state_machine *machine, state_record_kind_t kind, struct view payload);
+
+/** After the last record. */
+void state_machine_read_end(struct state_machine *machine);
+
+/** Writes a record of this machine in the form that goes to another machine, texts included. */
+bool state_record_to_wire(uint32_t group, const struct history_io *history, state_record_kind_t kind,
+                          struct view payload, const state_sink_t *sink);
+
+/** The other way: texts go into `history`, where they are not counted as in use. */
+bool state_record_from_wire(uint32_t group, const struct history_io *history, state_record_kind_t kind,
+                            struct view payload, const state_sink_t *sink);
 
 /** Group of a program in a system with `groups` groups, group 0 included. */
 uint32_t state_machine_group_of(const char *program_id, uint32_t groups);
--- a/src/core/turn_store.c
+++ b/src/core/turn_store.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/message.h"
+#include "core/turn_record.h"
+
 static void turn_unlink(struct turn_store *store, struct turn *turn)
 {
     if (turn->earlier != NULL) {
@@ -30,17 +33,30 @@
     store->latest = turn;
 }
 
+/* Memory of a turn beside its text. */
+static size_t turn_index_bytes(size_t id_length)
+{
+    return sizeof(struct turn) + id_length + 1 + TURN_HELD_BYTES;
+}
+
+static void turn_text_free(struct turn_store *store, turn_text_t *text)
+{
+    switch (text->kind) {
+    case TURN_TEXT_HELD: free(text->at.held); break;
+    case TURN_TEXT_STORED: store->history.drop(store->history.context, &text->at.stored); break;
+    }
+}
+
 static void turn_free(struct turn_store *store, struct turn *turn)
 {
     turn_unlink(store, turn);
     HASH_DEL(store->turns, turn);
-    store->bytes -= turn->input.length + turn->output.length;
+    store->bytes -= turn->text.length;
+    store->index_bytes -= turn_index_bytes(strlen(turn->id));
     if (turn->parent != NULL) {
         turn->parent->children--;
     }
-    free((void *)(uintptr_t)turn->input.data);
-    free((void *)(uintptr_t)turn->output.data);
-    free(turn->id);
+    turn_text_free(store, &turn->text);
     free(turn);
 }
 
@@ -73,32 +89,59 @@
     }
 }
 
-static struct view turn_copy(struct view bytes)
+/* Puts input and output, one behind the other, where this store keeps texts. */
+static void turn_text_keep(struct turn_store *store, struct view input, struct view output, turn_text_t *text)
 {
-    return view_of(memory_copy(bytes.data, bytes.length), bytes.length);
+    struct buffer both = {0};
+    buffer_append(&both, input.data, input.length);
+    buffer_append(&both, output.data, output.length);
+    text->input_length = (uint32_t)input.length;
+    text->length = (uint32_t)both.length;
+    if (store->history.append != NULL) {
+        text->kind = TURN_TEXT_STORED;
+        store->history.append(store->history.context, buffer_view(&both), &text->at.stored);
+        buffer_close(&both);
+    } else {
+        text->kind = TURN_TEXT_HELD;
+        text->at.held = (uint8_t *)memory_copy(both.data, both.length);
+        buffer_close(&both);
+    }
 }
 
-bool turn_store_add(struct turn_store *store, uint64_t now_ms, const struct turn_content *content)
+/* Adds a turn that is not there yet; NULL: its parent is not there. */
+static struct turn *turn_add(struct turn_store *store, struct view id, struct view parent_id)
 {
-    bool has_parent = text_or_empty(content->parent)[0] != '\0';
-    struct turn *parent = has_parent ? turn_store_find(store, content->parent) : NULL;
-    if (turn_store_find(store, content->id) != NULL) {
-        return true;
-    }
-    if (has_parent && parent == NULL) {
-        return false;
+    struct turn *parent = NULL;
+    if (parent_id.length > 0) {
+        HASH_FIND(hh, store->turns, parent_id.data, parent_id.length, parent);
+        if (parent == NULL) {
+            return NULL;
+        }
     }
-    struct turn *turn = memory_new(sizeof(*turn));
-    turn->id = text_copy(content->id);
+    struct turn *turn = memory_new(sizeof(*turn) + id.length + 1);
+    memcpy(turn->id, id.data, id.length);
     turn->parent = parent;
-    turn->input = turn_copy(content->input);
-    turn->output = turn_copy(content->output);
-    store->bytes += turn->input.length + turn->output.length;
-    HASH_ADD_KEYPTR(hh, store->turns, turn->id, strlen(turn->id), turn);
+    HASH_ADD_KEYPTR(hh, store->turns, turn->id, id.length, turn);
     turn_link_last(store, turn);
+    store->index_bytes += turn_index_bytes(id.length);
     if (parent != NULL) {
         parent->children++;
     }
+    return turn;
+}
+
+bool turn_store_add(struct turn_store *store, uint64_t now_ms, const struct turn_content *content)
+{
+    if (turn_store_find(store, content->id) != NULL) {
+        return true;
+    }
+    struct view parent = view_of_string(text_or_empty(content->parent));
+    struct turn *turn = turn_add(store, view_of_string(text_or_empty(content->id)), parent);
+    if (turn == NULL) {
+        return false;
+    }
+    turn_text_keep(store, content->input, content->output, &turn->text);
+    store->bytes += turn->text.length;
     turn_touch_chain(store, turn, now_ms + content->retention_ms);
     return true;
 }
@@ -140,63 +183,122 @@
     return depth;
 }
 
-void turn_chain_text(const struct turn *turn, struct buffer *out)
+/* The turns of a chain, oldest first, in an array that the caller frees. */
+static const struct turn **turn_chain(const struct turn *turn, size_t depth)
 {
-    size_t depth = turn_depth(turn);
     const struct turn **chain = memory_new((depth + 1) * sizeof(struct turn *)); // NOLINT(bugprone-sizeof-expression)
     for (size_t i = depth; i > 0; i--) {
         chain[i - 1] = turn;
         turn = turn->parent;
     }
+    return chain;
+}
+
+bool turn_chain_text(const struct turn_store *store, const struct turn *turn, struct buffer *out)
+{
+    size_t depth = turn_depth(turn);
+    const struct turn **chain = turn_chain(turn, depth);
+    bool read = true;
+    for (size_t i = 0; read && i < depth; i++) {
+        read = turn_text_read(&store->history, &chain[i]->text, out);
+    }
+    free(chain);
+    return read;
+}
+
+bool turn_chain_encode(const struct turn_store *store, const struct turn *turn, struct buffer *out)
+{
+    struct buffer text = {0};
+    size_t depth = turn_depth(turn);
+    bool encoded = false;
+    const struct turn **chain = NULL;
+    TurnChain wire = {0};
+    if (depth > PB_SIZE_MAX || !turn_chain_text(store, turn, &text)) {
+        goto out;
+    }
+    chain = turn_chain(turn, depth);
+    wire.turns = memory_new((depth + 1) * sizeof(*wire.turns));
+    wire.turns_count = (pb_size_t)depth;
+    const uint8_t *at = text.data;
     for (size_t i = 0; i < depth; i++) {
-        buffer_append(out, chain[i]->input.data, chain[i]->input.length);
-        buffer_append(out, chain[i]->output.data, chain[i]->output.length);
+        const turn_text_t *part = &chain[i]->text;
+        wire.turns[i].turn = (char *)(uintptr_t)chain[i]->id;
+        wire.turns[i].parent = i == 0 ? NULL : (char *)(uintptr_t)chain[i - 1]->id;
+        wire.turns[i].expires_ms = chain[i]->expires_ms;
+        wire.turns[i].input = view_of(at, part->input_length);
+        wire.turns[i].output = view_of(at + part->input_length, part->length - part->input_length);
+        at += part->length;
     }
+    encoded = message_encode(out, TurnChain_fields, &wire);
+out:
+    free(wire.turns);
     free(chain);
+    buffer_close(&text);
+    return encoded;
 }
 
-static void turn_fill_record(const struct turn *turn, TurnRecord *record)
+void turn_export(const struct turn *turn, struct buffer *out)
 {
-    record->turn = turn->id;
-    record->parent = turn->parent == NULL ? NULL : turn->parent->id;
-    record->input = turn->input;
-    record->output = turn->output;
-    record->expires_ms = turn->expires_ms;
+    turn_record_t record = {
+        .id = view_of_string(turn->id),
+        .parent = view_of_string(turn->parent == NULL ? "" : turn->parent->id),
+        .expires_ms = turn->expires_ms,
+        .text = turn->text,
+    };
+    turn_record_encode(&record, out);
 }
 
-void turn_chain_fill(const struct turn *turn, TurnChain *chain)
+bool turn_store_import(struct turn_store *store, struct view data)
 {
-    size_t depth = turn_depth(turn);
-    memset(chain, 0, sizeof(*chain));
-    chain->turns = memory_new((depth + 1) * sizeof(*chain->turns));
-    chain->turns_count = (pb_size_t)depth;
-    for (size_t i = depth; i > 0; i--) {
-        turn_fill_record(turn, &chain->turns[i - 1]);
-        turn = turn->parent;
+    turn_record_t record;
+    struct turn *turn = turn_record_decode(data, &record) ? turn_add(store, record.id, record.parent) : NULL;
+    if (turn == NULL) {
+        return false;
+    }
+    turn->text = record.text;
+    turn->expires_ms = record.expires_ms;
+    store->bytes += record.text.length;
+    switch (record.text.kind) {
+    case TURN_TEXT_HELD: turn->text.at.held = (uint8_t *)memory_copy(record.text.at.held, record.text.length); break;
+    case TURN_TEXT_STORED: store->history.keep(store->history.context, &record.text.at.stored); break;
     }
+    return true;
 }
 
-void turn_store_export(const struct turn_store *store, TurnRecord **records, pb_size_t *count)
+static int turn_compare_expiry(const void *a, const void *b)
 {
-    *records = memory_new((HASH_COUNT(store->turns) + 1) * sizeof(**records));
-    *count = 0;
-    /* The hash keeps the order of insertion, in which parents come first. */
-    for (const struct turn *turn = store->turns; turn != NULL; turn = turn->hh.next) {
-        turn_fill_record(turn, &(*records)[*count]);
-        (*count)++;
-    }
+    const struct turn *left = *(const struct turn *const *)a;
+    const struct turn *right = *(const struct turn *const *)b;
+    return left->expires_ms < right->expires_ms ? -1 : left->expires_ms > right->expires_ms ? 1 : 0;
 }
 
-void turn_store_import(struct turn_store *store, const TurnRecord *records, pb_size_t count)
+/* Records come in the order in which turns were stored, since a turn follows its parent. */
+void turn_store_order(struct turn_store *store)
 {
-    for (pb_size_t i = 0; i < count; i++) {
-        struct turn_content content = {
-            .id = records[i].turn,
-            .parent = records[i].parent,
-            .input = records[i].input,
-            .output = records[i].output,
-            .retention_ms = records[i].expires_ms,
-        };
-        turn_store_add(store, 0, &content);
+    size_t count = HASH_COUNT(store->turns);
+    struct turn **turns = memory_new((count + 1) * sizeof(*turns)); // NOLINT(bugprone-sizeof-expression)
+    size_t i = 0;
+    for (struct turn *turn = store->turns; turn != NULL; turn = turn->hh.next) {
+        turns[i++] = turn;
+    }
+    qsort(turns, count, sizeof(*turns), turn_compare_expiry); // NOLINT(bugprone-sizeof-expression)
+    store->earliest = NULL;
+    store->latest = NULL;
+    for (i = 0; i < count; i++) {
+        turn_link_last(store, turns[i]);
+        turns[i]->later = NULL;
     }
+    free(turns);
+}
+
+bool turn_store_import_wire(struct turn_store *store, const TurnRecord *record)
+{
+    struct turn_content content = {
+        .id = record->turn,
+        .parent = record->parent,
+        .input = record->input,
+        .output = record->output,
+        .retention_ms = record->expires_ms,
+    };
+    return turn_store_add(store, 0, &content);
 }
--- a/src/core/turn_store.h
+++ b/src/core/turn_store.h
@@ -4,6 +4,9 @@
  * from, and several may name the same one. Input and output are opaque bytes.
  * State replicas replicate one; gateways use another as a cache.
  *
+ * A replica's store holds an index: the texts lie in the host's history store
+ * (on disk) and are read when they are asked for. A cache holds the texts.
+ *
  * A turn never changes once stored. It stays, with all turns before it, until
  * the retention of the last turn that goes on from it has passed.
  */
@@ -17,26 +20,49 @@
 
 #include "base/buffer.h"
 #include "control.pb.h"
+#include "core/history.h"
+
+enum {
+    TURN_HELD_BYTES = 32 /**< What the allocator and the hash add to a turn, about. */
+};
+
+/** Where a turn's text is. */
+typedef enum turn_text_kind_t {
+    TURN_TEXT_HELD,  /**< In memory. */
+    TURN_TEXT_STORED /**< In the history store. */
+} turn_text_kind_t;
+
+/** A turn's text: its input, and behind it its output. */
+typedef struct turn_text_t {
+    turn_text_kind_t kind; /**< Which of the union. */
+    uint32_t input_length; /**< Bytes of the input. */
+    uint32_t length;       /**< Bytes of both. */
+    union {
+        uint8_t *held;             /**< Owned bytes. */
+        struct history_ref stored; /**< Place in the history store. */
+    } at;
+} turn_text_t;
 
 /** One stored turn. */
 struct turn {
-    char *id;             /**< Unique id. */
     struct turn *parent;  /**< Turn before it, or NULL. */
     uint32_t children;    /**< Stored turns that go on from it. */
     uint64_t expires_ms;  /**< Time after which it may be dropped. */
-    struct view input;    /**< What the caller brought, owned. */
-    struct view output;   /**< What was made, owned. */
+    turn_text_t text;     /**< What the caller brought and what was made. */
     struct turn *earlier; /**< Order of last use. */
     struct turn *later;   /**< Order of last use. */
     UT_hash_handle hh;    /**< By id. */
+    char id[];            /**< Unique id. */
 };
 
 /** All turns. */
 struct turn_store {
-    struct turn *turns;    /**< By id. */
-    struct turn *earliest; /**< Head of the order of use. */
-    struct turn *latest;   /**< Tail of it. */
-    size_t bytes;          /**< Input and output bytes held. */
+    struct history_io history; /**< Where texts go; all zero: they are held in memory. */
+    struct turn *turns;        /**< By id. */
+    struct turn *earliest;     /**< Head of the order of use. */
+    struct turn *latest;       /**< Tail of it. */
+    size_t bytes;              /**< Input and output bytes stored. */
+    size_t index_bytes;        /**< Memory that the turns take, texts left out. */
 };
 
 /** Content of a turn to store; all is copied. */
@@ -48,7 +74,7 @@
     uint64_t retention_ms; /**< Least time it stays. */
 };
 
-/** Frees everything. */
+/** Frees everything; texts in the history store are no longer needed. */
 void turn_store_close(struct turn_store *store);
 
 /** Finds a turn, or NULL. */
@@ -63,16 +89,22 @@
 /** Drops the least recently used turns until at most `bytes` are held. */
 void turn_store_shrink(struct turn_store *store, size_t bytes);
 
-/** Appends input and output of the whole chain up to `turn`, oldest first. */
-void turn_chain_text(const struct turn *turn, struct buffer *out);
+/** Appends input and output of the whole chain up to `turn`, oldest first; false: a text cannot be read. */
+bool turn_chain_text(const struct turn_store *store, const struct turn *turn, struct buffer *out);
+
+/** Appends an encoded TurnChain, oldest first; false: a text cannot be read. */
+bool turn_chain_encode(const struct turn_store *store, const struct turn *turn, struct buffer *out);
+
+/** Appends a turn's record for a snapshot on this machine (turn_record.h). */
+void turn_export(const struct turn *turn, struct buffer *out);
 
-/** Fills a chain, oldest first, that borrows from the store; free `chain->turns`. */
-void turn_chain_fill(const struct turn *turn, TurnChain *chain);
+/** Adds the turn of such a record; false: it does not decode, or its parent is not there. */
+bool turn_store_import(struct turn_store *store, struct view record);
 
-/** Fills all turns, parents before children, that borrow from the store; free `*records`. */
-void turn_store_export(const struct turn_store *store, TurnRecord **records, pb_size_t *count);
+/** After the last import: puts the turns into the order in which they expire. */
+void turn_store_order(struct turn_store *store);
 
-/** Adds exported turns. */
-void turn_store_import(struct turn_store *store, const TurnRecord *records, pb_size_t count);
+/** Adds a turn with its text, as it comes from another machine or an older snapshot. */
+bool turn_store_import_wire(struct turn_store *store, const TurnRecord *record);
 
 #endif
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -120,21 +120,43 @@
     return REPLICA_SYNC_DONE;
 }
 
-static bool control_on_save_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                                     const struct raft_members *members, struct view state, bool reset_log)
+static bool control_on_snapshot_begin(void *context, uint32_t group, const struct raft_snapshot *snapshot)
+{
+    return log_store_snapshot_begin(&((struct control *)context)->log_store, group, snapshot);
+}
+
+static bool control_on_snapshot_write(void *context, uint32_t group, struct view bytes)
+{
+    return log_store_snapshot_write(&((struct control *)context)->log_store, group, bytes);
+}
+
+static void control_on_snapshot_abort(void *context, uint32_t group)
+{
+    log_store_snapshot_abort(&((struct control *)context)->log_store, group);
+}
+
+static bool control_on_snapshot_read(void *context, uint32_t group, uint64_t index, uint64_t at, size_t most,
+                                     struct buffer *out)
+{
+    return log_store_snapshot_read(&((struct control *)context)->log_store, group, index, at, most, out);
+}
+
+static bool control_on_snapshot_commit(void *context, uint32_t group, bool reset_log)
 {
     struct control *control = context;
     (void)reset_log; /* entries behind an installed snapshot are replaced as the leader sends them */
     if (!history_store_sync(&control->history_store)) {
         log_error(STATE_LOG, "snapshot of group %u failed: %s", group, control->history_store.error);
+        log_store_snapshot_abort(&control->log_store, group);
         return false;
     }
-    if (!log_store_save_snapshot(&control->log_store, group, index, term, members, state)) {
+    if (!log_store_snapshot_commit(&control->log_store, group)) {
         log_error(STATE_LOG, "snapshot of group %u failed: %s", group, control->log_store.error);
         return false;
     }
-    log_info(STATE_LOG, "snapshot of group %u at entry %llu, %zu bytes", group, (unsigned long long)index,
-             state.length);
+    const snapshot_stored_t *stored = &control->log_store.groups[group].stored;
+    log_info(STATE_LOG, "snapshot of group %u at entry %llu, %llu bytes", group,
+             (unsigned long long)stored->snapshot.index, (unsigned long long)stored->state_length);
     return true;
 }
 
@@ -335,7 +357,11 @@
         .save_state = control_on_save_state,
         .append = control_on_append,
         .sync = control_on_sync,
-        .save_snapshot = control_on_save_snapshot,
+        .snapshot_begin = control_on_snapshot_begin,
+        .snapshot_write = control_on_snapshot_write,
+        .snapshot_commit = control_on_snapshot_commit,
+        .snapshot_abort = control_on_snapshot_abort,
+        .snapshot_read = control_on_snapshot_read,
         .send = control_replica_send,
     };
     struct replica_config config = {
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -15,7 +15,7 @@
 #include "base/log.h"
 #include "base/message.h"
 
-enum { LINKS_EVENTS = 64, LINKS_READ_STEP = 1 << 16, LINKS_HEADER = 4, LINKS_BACKLOG = 512 };
+enum { LINKS_EVENTS = 64, LINKS_READ_STEP = 16 << 10, LINKS_HEADER = 4, LINKS_BACKLOG = 512 };
 
 static const char LINKS_LOG[] = "links";
 
@@ -68,7 +68,7 @@
     epoll_ctl(links->epoll, operation, link->file, &event);
 }
 
-static void link_queue(struct link *link, struct view frame)
+static void link_queue(struct links *links, struct link *link, struct view frame)
 {
     uint8_t header[LINKS_HEADER];
     for (int i = 0; i < LINKS_HEADER; i++) {
@@ -76,6 +76,7 @@
     }
     buffer_append(&link->out, header, sizeof(header));
     buffer_append(&link->out, frame.data, frame.length);
+    links->queued += sizeof(header) + frame.length;
 }
 
 static void link_queue_hello(struct links *links, struct link *link)
@@ -96,7 +97,7 @@
     hello->member.port = links->config.place.port;
     struct buffer encoded = {0};
     if (message_encode(&encoded, Frame_fields, &frame)) {
-        link_queue(link, buffer_view(&encoded));
+        link_queue(links, link, buffer_view(&encoded));
     }
     buffer_close(&encoded);
 }
@@ -230,10 +231,16 @@
 bool links_send(struct links *links, uint32_t node, struct view frame)
 {
     struct link *link = links_find(links, node);
-    if (link == NULL || link->out.length - link->out_sent + frame.length > LINKS_MAX_QUEUED) {
+    size_t most = links->config.queued_most == 0 ? LINKS_MAX_QUEUED : links->config.queued_most;
+    if (link == NULL) {
         return false;
     }
-    link_queue(link, frame);
+    /* An empty queue takes any frame: a bound that is smaller than one would stop the peer for good. */
+    if (link->out.length > link->out_sent && links->queued + frame.length > most) {
+        links->frames_refused++;
+        return false;
+    }
+    link_queue(links, link, frame);
     links->frames_out++;
     links->bytes_out += frame.length + LINKS_HEADER;
     return true;
@@ -252,9 +259,10 @@
             break;
         }
         link->out_sent += (size_t)written;
+        links->queued -= (size_t)written;
     }
     if (link->out_sent == link->out.length) {
-        buffer_clear(&link->out);
+        buffer_reuse(&link->out, LINKS_KEPT_BYTES);
         link->out_sent = 0;
     }
     bool wants_write = link->connecting || link->out.length > 0;
@@ -344,6 +352,9 @@
         position += LINKS_HEADER + length;
     }
     buffer_consume(&link->in, position);
+    if (link->in.length == 0) {
+        buffer_reuse(&link->in, LINKS_KEPT_BYTES);
+    }
 }
 
 static void link_read(struct links *links, struct link *link)
@@ -353,10 +364,10 @@
         got = recv(link->file, buffer_reserve(&link->in, LINKS_READ_STEP), LINKS_READ_STEP, 0);
         if (got > 0) {
             link->in.length += (size_t)got;
+            link_handle_buffer(links, link);
         }
-    } while (got == LINKS_READ_STEP || (got < 0 && errno == EINTR));
+    } while (!link->closing && (got == LINKS_READ_STEP || (got < 0 && errno == EINTR)));
     bool ended = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    link_handle_buffer(links, link);
     link->closing = link->closing || ended;
 }
 
@@ -390,6 +401,7 @@
         links->config.watcher->unwatch(link->watch);
     }
     close(link->file);
+    links->queued -= link->out.length - link->out_sent;
     buffer_close(&link->in);
     buffer_close(&link->out);
     free(link);
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -7,8 +7,9 @@
  * Every daemon dials each state replica; a replica answers a gateway over the
  * connection that the gateway made. The first frame each way is a Hello with
  * cluster name and protocol version; a mismatch ends the connection. Frames
- * for a peer that does not take them up to LINKS_MAX_QUEUED bytes are refused,
- * which the layers above treat as loss.
+ * for peers that do not take them are refused once the queues of all peers
+ * hold LINKS_MAX_QUEUED bytes, or the host's bound; the layers above treat that
+ * as loss.
  *
  * Wire form: u32 length (little endian), then an encoded Frame.
  */
@@ -27,7 +28,8 @@
 enum {
     LINKS_VERSION = 1,           /**< Protocol version told in Hello. */
     LINKS_MAX_FRAME = 64 << 20,  /**< Largest frame accepted, in bytes. */
-    LINKS_MAX_QUEUED = 64 << 20, /**< Unsent bytes kept for one connection. */
+    LINKS_MAX_QUEUED = 64 << 20, /**< Unsent bytes kept for all connections, by default. */
+    LINKS_KEPT_BYTES = 32 << 10, /**< Room of an empty buffer that is kept for the next frame. */
     LINKS_SILENCE_MS = 2000      /**< Unacknowledged bytes for that long end a connection. */
 };
 
@@ -74,6 +76,7 @@
     bool replica;                        /**< Told to peers: this daemon holds a replica that joins by itself. */
     struct raft_member_place place;      /**< Where that replica runs. */
     const struct links_watcher *watcher; /**< The host's event loop; NULL: own epoll. */
+    size_t queued_most;                  /**< Unsent bytes kept for all connections; 0: LINKS_MAX_QUEUED. */
 };
 
 /** All connections of a daemon. */
@@ -88,6 +91,8 @@
     struct link *all;                          /**< Every connection. */
     uint64_t frames_in, frames_out;            /**< Frames so far. */
     uint64_t bytes_in, bytes_out;              /**< Their bytes. */
+    size_t queued;                             /**< Unsent bytes of all connections. */
+    uint64_t frames_refused;                   /**< Frames for which there was no room in the queues. */
     char error[256];                           /**< What failed on start. */
 };
 
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -77,6 +77,9 @@
         forward->front->counters.budget_refusals++;
         forward->turn.begun = false;
         forward_refuse(forward, FORWARD_PAYMENT_REQUIRED, "budget spent");
+    } else if (code == RESULT_LIMIT) {
+        forward->turn.begun = false;
+        forward_refuse(forward, FORWARD_NO_STATE, "state full");
     } else {
         forward_refuse(forward, FORWARD_NO_STATE, "budget not learnt");
     }
@@ -168,7 +171,7 @@
     const struct turn *parent = turn_store_find(&front->cache, forward->turn.parent);
     if (parent != NULL) {
         front->counters.cache_hits++;
-        turn_chain_text(parent, &forward->turn.history);
+        turn_chain_text(&front->cache, parent, &forward->turn.history);
         return;
     }
     front->counters.cache_misses++;
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -11,6 +11,7 @@
 #include <uv.h>
 
 #include "core/control_client.h"
+#include "core/memory_budget.h"
 #include "core/watch.h"
 #include "net/http_listener.h"
 #include "net/links.h"
@@ -49,6 +50,7 @@
     const struct dialect *dialect;  /**< The platform's manner of speaking. */
     const char *settings_path;      /**< Settings file. */
     struct node_settings settings;  /**< Settings in force. */
+    memory_budget_t memory;         /**< Shares of the memory that it may use. */
     uv_loop_t loop;                 /**< Event loop. */
     uv_timer_t tick;                /**< Clock tick. */
     uv_prepare_t settle;            /**< Runs before each wait: syncs, flushes. */
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -335,6 +335,7 @@
         .boot_id = node->boot_id,
         .listens = node->host != NULL,
         .replica = node->host != NULL,
+        .queued_most = node->memory.queues,
     };
     struct links_handler handler = {
         .context = node,
--- a/src/proxy/node_settings.c
+++ b/src/proxy/node_settings.c
@@ -11,6 +11,7 @@
     NODE_GRACE_MS = 8000,
     NODE_LOG_LINES_PER_S = 40,
     NODE_MOST_MS = 3600 * 1000,
+    NODE_MOST_MEMORY_MB = 1 << 20,
     NODE_MOST_PORT = 65535
 };
 
@@ -51,6 +52,7 @@
      .type = YAML_SECONDS,
      .offset = offsetof(struct node_settings, grace_ms),
      .maximum = NODE_MOST_MS},
+    NODE_NUMBER(memory_mb, 0, NODE_MOST_MEMORY_MB),
     NODE_NUMBER(log_lines_per_s, 0, 100000),
     NODE_TEXT(log_level),
     {.key = NULL},
--- a/src/proxy/node_settings.h
+++ b/src/proxy/node_settings.h
@@ -33,6 +33,7 @@
     struct yaml_list seeds;   /**< struct node_seed. */
     uint64_t list_period_ms;  /**< Pause between two readings of the machine list. */
     uint64_t grace_ms;        /**< Time a stop may take. */
+    uint64_t memory_mb;       /**< Memory that the process may use; 0: it sets no bounds by it. */
     uint64_t log_lines_per_s; /**< Log lines a second of each kind. */
     char *log_level;          /**< error, warn, info or debug. */
 };
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -74,6 +74,7 @@
     if (host->running) {
         replica_close(&host->replica);
         log_store_close(&host->log);
+        history_store_close(&host->texts);
     }
 }
 
@@ -115,6 +116,62 @@
               (json_int_t)raft->term, "commit", (json_int_t)raft->commit);
 }
 
+/* ---- Memory ------------------------------------------------------------------------------------------ */
+
+/* Bytes that a holder has, and its share. */
+typedef struct host_holding_t {
+    const char *name;
+    size_t held;
+    size_t share;
+} host_holding_t;
+
+static host_holding_t host_holding(const struct state_host *host, state_host_holder_t holder)
+{
+    const memory_budget_t *memory = &host->node->memory;
+    const struct replica_group *group = &host->replica.groups[STATE_CONFIG_GROUP];
+    host_holding_t holding = {0};
+    switch (holder) {
+    case STATE_HOST_LOG: holding = (host_holding_t){"log", group->raft.log.bytes, memory->log_most}; break;
+    case STATE_HOST_STATE:
+        holding = (host_holding_t){"state", site_state_bytes(&group->machine.site), memory->state};
+        break;
+    case STATE_HOST_QUEUES: holding = (host_holding_t){"queues", host->node->links.queued, memory->queues}; break;
+    case STATE_HOST_HOLDERS: break;
+    }
+    return holding;
+}
+
+/* One line when a share is full, and one when a quarter of it is free again. */
+static void host_report_memory(struct state_host *host)
+{
+    for (int i = 0; i < STATE_HOST_HOLDERS; i++) {
+        host_holding_t holding = host_holding(host, (state_host_holder_t)i);
+        size_t room = holding.share / 4;
+        bool full = holding.share > 0 && holding.held >= holding.share - (host->told_full[i] ? room : 0);
+        if (full != host->told_full[i]) {
+            host->told_full[i] = full;
+            event_log(full ? "memory_full" : "memory_regained", "{s:s,s:I,s:I,s:I}", "holder", holding.name,
+                      "held_bytes", (json_int_t)holding.held, "share_bytes", (json_int_t)holding.share, "refused",
+                      (json_int_t)host->replica.counters.refused);
+        }
+    }
+}
+
+static void host_write_memory(const struct state_host *host, struct buffer *out)
+{
+    buffer_printf(out, "# HELP bankbank_memory_held_bytes Memory of a holder.\n"
+                       "# TYPE bankbank_memory_held_bytes gauge\n"
+                       "# HELP bankbank_memory_share_bytes Most memory of a holder, 0: no bound.\n"
+                       "# TYPE bankbank_memory_share_bytes gauge\n");
+    for (int i = 0; i < STATE_HOST_HOLDERS; i++) {
+        host_holding_t holding = host_holding(host, (state_host_holder_t)i);
+        buffer_printf(out, "bankbank_memory_held_bytes{holder=\"%s\"} %zu\n", holding.name, holding.held);
+        buffer_printf(out, "bankbank_memory_share_bytes{holder=\"%s\"} %zu\n", holding.name, holding.share);
+    }
+}
+
+/* ---- Time -------------------------------------------------------------------------------------------- */
+
 void state_host_tick(struct state_host *host)
 {
     struct node *node = host->node;
@@ -128,6 +185,7 @@
     }
     replica_tick(&host->replica, now_ms);
     host_report_role(host);
+    host_report_memory(host);
     if (state_host_leader(host) != RAFT_NO_NODE) {
         host->led_ms = now_ms;
     } else if (now_ms >= host->led_ms + STATE_HOST_LOST_MS) {
@@ -286,7 +344,10 @@
     metrics_write_counter(out, "raft_synced_bytes_total", "Bytes written to the log.", counters->synced_bytes);
     metrics_write_counter(out, "raft_snapshots_total", "Snapshots taken.", counters->snapshots);
     metrics_write_counter(out, "raft_snapshots_installed_total", "Snapshots received.", counters->installs);
-    metrics_write_gauge(out, "raft_log_bytes", "Payload bytes of the log in memory.", group->raft.log.bytes);
+    host_write_memory(host, out);
+    metrics_write_counter(out, "memory_refused_total", "Proposals refused for want of memory.", counters->refused);
+    metrics_write_counter(out, "link_frames_refused_total", "Frames for which the queues to peers had no room.",
+                          host->node->links.frames_refused);
     metrics_write_gauge(out, "turns_stored", "Turns stored.", HASH_COUNT(group->machine.site.turns.turns));
     metrics_write_gauge(out, "turn_bytes", "Bytes of turns stored.", group->machine.site.turns.bytes);
     metrics_write_gauge(out, "programs_budgeted", "Programs with a budget.",
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -10,36 +10,48 @@
 #include "core/presence.h"
 #include "core/replica.h"
 #include "proxy/node.h"
+#include "store/history_store.h"
 #include "store/identity.h"
 #include "store/log_store.h"
 
 enum {
-    STATE_HOST_ELECTION_MS = 400,      /**< Least time without a leader before an election. */
-    STATE_HOST_FIRST_ELECTION_MS = 50, /**< The same after a start, or when the leader's connection ended. */
-    STATE_HOST_HEARTBEAT_MS = 80,      /**< Leader's heartbeat period. */
-    STATE_HOST_JOIN_MS = 250,          /**< Pause between requests to join. */
-    STATE_HOST_LOST_MS = 1000          /**< Time without a leader after which a member asks to join again. */
+    STATE_HOST_ELECTION_MS = 400,         /**< Least time without a leader before an election. */
+    STATE_HOST_FIRST_ELECTION_MS = 50,    /**< The same after a start, or when the leader's connection ended. */
+    STATE_HOST_HEARTBEAT_MS = 80,         /**< Leader's heartbeat period. */
+    STATE_HOST_TEXT_FILE_BYTES = 4 << 20, /**< Size of a file of texts, dropped as a whole. */
+    STATE_HOST_JOIN_MS = 250,             /**< Pause between requests to join. */
+    STATE_HOST_LOST_MS = 1000             /**< Time without a leader after which a member asks to join again. */
 };
 
+/** What of a replica grows with the traffic, each with a share of the memory. */
+typedef enum state_host_holder_t {
+    STATE_HOST_LOG,    /**< Log entries in memory. */
+    STATE_HOST_STATE,  /**< Index of turns, and budgets. */
+    STATE_HOST_QUEUES, /**< Frames that peers have not taken. */
+    STATE_HOST_HOLDERS /**< Number of them. */
+} state_host_holder_t;
+
 /** The host. */
 struct state_host {
-    struct node *node;            /**< The daemon. */
-    struct identity identity;     /**< Who this replica is. */
-    bool running;                 /**< It belongs to a group; `replica` and `log` are open. */
-    struct replica replica;       /**< The replica. */
-    struct log_store log;         /**< Its disk. */
-    struct watch_server watchers; /**< Daemons that watch it. */
-    struct load_table loads;      /**< Leader: what gateways have under way. */
-    presence_t presence;          /**< Leader: which gateways were heard of lately. */
-    struct http_listener control; /**< Operators' calls. */
-    bool serves_control;          /**< It has a control address. */
-    uint64_t join_due_ms;         /**< Next request to join. */
-    bool disk_blocked;            /**< The disk takes nothing now. */
-    bool joining;                 /**< One is under way. */
-    uint64_t led_ms;              /**< Last time a leader was known. */
-    uint32_t told_leader;         /**< Leader that the log told last. */
-    bool told_leading;            /**< Whether that was this node. */
-    uint64_t servers_number;      /**< Changes of the server list read in this term. */
+    struct node *node;                  /**< The daemon. */
+    struct identity identity;           /**< Who this replica is. */
+    bool running;                       /**< It belongs to a group; `replica` and `log` are open. */
+    struct replica replica;             /**< The replica. */
+    struct log_store log;               /**< Its disk. */
+    struct history_store texts;         /**< Texts of turns, on that disk. */
+    struct watch_server watchers;       /**< Daemons that watch it. */
+    struct load_table loads;            /**< Leader: what gateways have under way. */
+    presence_t presence;                /**< Leader: which gateways were heard of lately. */
+    struct http_listener control;       /**< Operators' calls. */
+    bool serves_control;                /**< It has a control address. */
+    uint64_t join_due_ms;               /**< Next request to join. */
+    bool disk_blocked;                  /**< The disk takes nothing now. */
+    bool joining;                       /**< One is under way. */
+    uint64_t led_ms;                    /**< Last time a leader was known. */
+    uint32_t told_leader;               /**< Leader that the log told last. */
+    bool told_leading;                  /**< Whether that was this node. */
+    bool told_full[STATE_HOST_HOLDERS]; /**< Holders of memory that the log last told to be full. */
+    uint64_t servers_number;            /**< Changes of the server list read in this term. */
 };
 
 /** Loads the identity and, if it belongs to a group, the state; NULL: it cannot run. */
--- a/src/proxy/state_host_disk.c
+++ b/src/proxy/state_host_disk.c
@@ -5,6 +5,7 @@
 #include "base/event_log.h"
 #include "base/process_memory.h"
 #include "proxy/state_host_internal.h"
+#include "store/file.h"
 #include "store/replica_restore.h"
 
 enum {
@@ -27,7 +28,8 @@
 /* A disk that fails ends the process: it starts again from what is synced. */
 static void host_disk_failed(struct state_host *host)
 {
-    event_log("disk_failed", "{s:s}", "error", host->log.error);
+    const char *error = host->log.failed ? host->log.error : host->texts.error;
+    event_log("disk_failed", "{s:s}", "error", error);
     event_log_flush();
     node_stop(host->node);
 }
@@ -46,7 +48,7 @@
     struct state_host *host = context;
     bool synced = log_store_sync(&host->log);
     uv_update_time(&host->node->loop);
-    if (!synced && host->log.failed) {
+    if ((!synced && host->log.failed) || host->texts.failed) {
         host_disk_failed(host);
         return REPLICA_SYNC_FAILED;
     }
@@ -54,46 +56,55 @@
     return synced ? REPLICA_SYNC_DONE : REPLICA_SYNC_BLOCKED;
 }
 
-static bool host_on_save_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                                  const struct raft_members *members, struct view state, bool reset_log)
+static bool host_on_snapshot_begin(void *context, uint32_t group, const struct raft_snapshot *snapshot)
 {
     struct state_host *host = context;
-    (void)reset_log;
-    bool saved = log_store_save_snapshot(&host->log, group, index, term, members, state);
-    if (!saved && host->log.failed) {
-        host_disk_failed(host);
-    }
-    event_log("snapshot", "{s:I,s:I,s:b,s:I,s:I}", "index", (json_int_t)index, "bytes", (json_int_t)state.length,
-              "saved", saved, "log_bytes", (json_int_t)host->replica.groups[group].raft.log.bytes, "resident_bytes",
+    event_log("snapshot_begins", "{s:I,s:I,s:I}", "index", (json_int_t)snapshot->index, "log_bytes",
+              (json_int_t)host->replica.groups[group].raft.log.bytes, "resident_bytes",
               (json_int_t)process_memory_resident());
-    uv_update_time(&host->node->loop);
-    return saved;
+    return log_store_snapshot_begin(&host->log, group, snapshot);
 }
 
-static void host_on_send(void *context, uint32_t to, struct view frame)
+static bool host_on_snapshot_write(void *context, uint32_t group, struct view bytes)
 {
-    node_send(((struct state_host *)context)->node, to, frame);
+    return log_store_snapshot_write(&((struct state_host *)context)->log, group, bytes);
+}
+
+static void host_on_snapshot_abort(void *context, uint32_t group)
+{
+    log_store_snapshot_abort(&((struct state_host *)context)->log, group);
 }
 
-/* Texts of the product's own programs have no place here. */
-static void host_history_append(void *context, struct view text, struct history_ref *ref)
+static bool host_on_snapshot_read(void *context, uint32_t group, uint64_t index, uint64_t at, size_t most,
+                                  struct buffer *out)
 {
-    (void)context;
-    (void)text;
-    memset(ref, 0, sizeof(*ref));
+    return log_store_snapshot_read(&((struct state_host *)context)->log, group, index, at, most, out);
 }
 
-static bool host_history_read(void *context, const struct history_ref *ref, struct buffer *out)
+/* Texts first: a stored snapshot names only texts that are on the disk. */
+static bool host_on_snapshot_commit(void *context, uint32_t group, bool reset_log)
 {
-    (void)context;
-    (void)out;
-    return ref->length == 0;
+    struct state_host *host = context;
+    const snapshot_stored_t *stored = &host->log.groups[group].stored;
+    bool texts_synced = history_store_sync(&host->texts);
+    bool saved = texts_synced && log_store_snapshot_commit(&host->log, group);
+    if (!texts_synced) {
+        log_store_snapshot_abort(&host->log, group);
+    }
+    if (host->log.failed || host->texts.failed) {
+        host_disk_failed(host);
+    }
+    event_log("snapshot", "{s:I,s:I,s:b,s:b,s:I,s:I}", "index", (json_int_t)stored->snapshot.index, "bytes",
+              (json_int_t)stored->state_length, "saved", saved, "received", reset_log, "log_bytes",
+              (json_int_t)host->replica.groups[group].raft.log.bytes, "resident_bytes",
+              (json_int_t)process_memory_resident());
+    uv_update_time(&host->node->loop);
+    return saved;
 }
 
-static void host_history_ignore(void *context, const struct history_ref *ref)
+static void host_on_send(void *context, uint32_t to, struct view frame)
 {
-    (void)context;
-    (void)ref;
+    node_send(((struct state_host *)context)->node, to, frame);
 }
 
 /* ---- Opening ----------------------------------------------------------------------------- */
@@ -109,8 +120,21 @@
     event_log_flush();
 }
 
+static bool host_open_texts(struct state_host *host)
+{
+    char *folder = file_path(host->node->settings.data, "texts");
+    bool opened = history_store_open(&host->texts, folder);
+    free(folder);
+    host->texts.segment_bytes = STATE_HOST_TEXT_FILE_BYTES;
+    if (!opened) {
+        event_log("disk_failed", "{s:s}", "error", host->texts.error);
+    }
+    return opened;
+}
+
 bool state_host_open_replica(struct state_host *host)
 {
+    const memory_budget_t *memory = &host->node->memory;
     struct replica_config config = {
         .node = host->identity.node,
         .groups = 1,
@@ -121,6 +145,9 @@
         .seed = host->node->boot_id,
         .first_election_ms = STATE_HOST_FIRST_ELECTION_MS,
         .snapshot_entries = STATE_HOST_SNAPSHOT_ENTRIES + host->identity.node % STATE_HOST_SNAPSHOT_SPREAD,
+        .log_bytes = memory->log,
+        .log_bytes_most = memory->log_most,
+        .state_bytes = memory->state,
         .self_organized = true,
         .steady_stamps = true,
     };
@@ -129,22 +156,24 @@
         .save_state = host_on_save_state,
         .append = host_on_append,
         .sync = host_on_sync,
-        .save_snapshot = host_on_save_snapshot,
+        .snapshot_begin = host_on_snapshot_begin,
+        .snapshot_write = host_on_snapshot_write,
+        .snapshot_commit = host_on_snapshot_commit,
+        .snapshot_abort = host_on_snapshot_abort,
+        .snapshot_read = host_on_snapshot_read,
         .send = host_on_send,
     };
-    struct history_io history = {
-        .context = host,
-        .append = host_history_append,
-        .read = host_history_read,
-        .drop = host_history_ignore,
-        .keep = host_history_ignore,
-    };
-    replica_init(&host->replica, &config, &io, &history);
+    struct history_io history = history_store_io(&host->texts);
     host_report_restore(host);
+    if (!host_open_texts(host)) {
+        return false;
+    }
+    replica_init(&host->replica, &config, &io, &history);
     if (!replica_restore_log(&host->replica, &host->log, host->node->settings.data)) {
         event_log("disk_failed", "{s:s}", "error", host->log.error);
         return false;
     }
+    history_store_sweep(&host->texts);
     return true;
 }
 
--- a/src/sim/sim.h
+++ b/src/sim/sim.h
@@ -50,11 +50,14 @@
 
 /** Storage of a replica. */
 struct sim_disk_group {
-    uint64_t term;               /**< Durable term. */
-    uint32_t vote;               /**< Durable vote. */
-    struct raft_log log;         /**< Durable entries. */
-    struct raft_members members; /**< Members at the snapshot. */
-    struct buffer snapshot;      /**< Durable snapshot. */
+    uint64_t term;                /**< Durable term. */
+    uint32_t vote;                /**< Durable vote. */
+    struct raft_log log;          /**< Durable entries. */
+    struct raft_members members;  /**< Members at the snapshot. */
+    struct buffer snapshot;       /**< Durable snapshot. */
+    uint64_t snapshot_index;      /**< Last entry that it covers. */
+    struct buffer writing;        /**< Snapshot that is being written. */
+    struct raft_snapshot written; /**< What that one covers. */
 };
 /** A write that was not synced. */
 struct sim_write {
--- a/src/sim/sim_disk.c
+++ b/src/sim/sim_disk.c
@@ -26,6 +26,7 @@
     for (uint32_t group = 0; group < disk->group_count; group++) {
         raft_log_close(&disk->groups[group].log);
         buffer_close(&disk->groups[group].snapshot);
+        buffer_close(&disk->groups[group].writing);
     }
     buffer_close(&disk->history);
 }
@@ -89,15 +90,49 @@
     return REPLICA_SYNC_DONE;
 }
 
-static bool sim_disk_save_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                                   const struct raft_members *members, struct view state, bool reset_log)
+static bool sim_disk_snapshot_begin(void *context, uint32_t group, const struct raft_snapshot *snapshot)
+{
+    struct sim_disk_group *stored = &((struct sim_node *)context)->disk.groups[group];
+    buffer_clear(&stored->writing);
+    stored->written = *snapshot;
+    return true;
+}
+
+static bool sim_disk_snapshot_write(void *context, uint32_t group, struct view bytes)
+{
+    struct sim_disk_group *stored = &((struct sim_node *)context)->disk.groups[group];
+    buffer_append(&stored->writing, bytes.data, bytes.length);
+    return true;
+}
+
+static void sim_disk_snapshot_abort(void *context, uint32_t group)
+{
+    buffer_clear(&((struct sim_node *)context)->disk.groups[group].writing);
+}
+
+static bool sim_disk_snapshot_read(void *context, uint32_t group, uint64_t index, uint64_t at, size_t most,
+                                   struct buffer *out)
+{
+    const struct sim_disk_group *stored = &((struct sim_node *)context)->disk.groups[group];
+    if (stored->snapshot_index != index || at > stored->snapshot.length) {
+        return false;
+    }
+    size_t left = stored->snapshot.length - (size_t)at;
+    buffer_append(out, stored->snapshot.data + at, left < most ? left : most);
+    return true;
+}
+
+static bool sim_disk_snapshot_commit(void *context, uint32_t group, bool reset_log)
 {
     struct sim_node *node = context;
     struct sim_disk_group *stored = &node->disk.groups[group];
+    uint64_t index = stored->written.index;
+    uint64_t term = stored->written.term;
     node->disk.history_synced = node->disk.history.length;
     buffer_clear(&stored->snapshot);
-    buffer_append(&stored->snapshot, state.data, state.length);
-    stored->members = *members;
+    buffer_append(&stored->snapshot, stored->writing.data, stored->writing.length);
+    stored->snapshot_index = index;
+    stored->members = stored->written.members;
     uint64_t last = stored->log.base_index + stored->log.count;
     if (reset_log || index >= last) {
         raft_log_reset(&stored->log, index, term);
@@ -120,7 +155,11 @@
         .save_state = sim_disk_save_state,
         .append = sim_disk_append,
         .sync = sim_disk_sync,
-        .save_snapshot = sim_disk_save_snapshot,
+        .snapshot_begin = sim_disk_snapshot_begin,
+        .snapshot_write = sim_disk_snapshot_write,
+        .snapshot_commit = sim_disk_snapshot_commit,
+        .snapshot_abort = sim_disk_snapshot_abort,
+        .snapshot_read = sim_disk_snapshot_read,
         .send = sim_disk_send,
     };
     return io;
@@ -172,9 +211,8 @@
         struct raft *raft = &node->replica.groups[group].raft;
         raft_restore_state(raft, stored->term, stored->vote);
         if (stored->log.base_index > 0) {
-            bool restored =
-                replica_restore_snapshot(&node->replica, group, stored->log.base_index, stored->log.base_term,
-                                         &stored->members, buffer_view(&stored->snapshot));
+            struct raft_snapshot snapshot = {stored->log.base_index, stored->log.base_term, stored->members};
+            bool restored = replica_restore_snapshot(&node->replica, group, &snapshot);
             if (!restored) {
                 sim_fail(node->sim, "node %u cannot load its snapshot of group %u", node->id, group);
             }
--- a/src/store/file.c
+++ b/src/store/file.c
@@ -60,21 +60,7 @@
     return synced;
 }
 
-static bool file_write_parts(int file, const struct view *parts, size_t count)
-{
-    bool written = true;
-    for (size_t i = 0; written && i < count; i++) {
-        written = file_write_all(file, parts[i].data, parts[i].length);
-    }
-    return written;
-}
-
 bool file_replace(const char *folder, const char *name, struct view content)
-{
-    return file_replace_parts(folder, name, &content, 1);
-}
-
-bool file_replace_parts(const char *folder, const char *name, const struct view *parts, size_t count)
 {
     bool done = false;
     struct buffer temporary = {0};
@@ -84,7 +70,7 @@
     if (file < 0) {
         goto out;
     }
-    bool written = file_write_parts(file, parts, count) && fsync(file) == 0;
+    bool written = file_write_all(file, content.data, content.length) && fsync(file) == 0;
     if (close(file) != 0 || !written) {
         goto out;
     }
--- a/src/store/file.h
+++ b/src/store/file.h
@@ -20,9 +20,6 @@
 /** Durably replaces `path`: writes beside it, syncs, renames, syncs the folder. */
 bool file_replace(const char *folder, const char *name, struct view content);
 
-/** The same with a content in parts, written one after the other. */
-bool file_replace_parts(const char *folder, const char *name, const struct view *parts, size_t count);
-
 /** Syncs a folder, so that created and renamed names last. */
 bool file_sync_folder(const char *folder);
 
--- a/src/store/history_store.c
+++ b/src/store/history_store.c
@@ -14,9 +14,10 @@
 
 enum { HISTORY_NAME_MAX = 32 };
 
+/* A full disk may have room again. */
 static void history_fail(struct history_store *store, const char *what)
 {
-    store->failed = true;
+    store->failed = errno != ENOSPC && errno != EDQUOT && errno != EFBIG;
     snprintf(store->error, sizeof(store->error), "%s: %s: %s", store->folder, what, strerror(errno));
 }
 
@@ -104,6 +105,7 @@
     }
     free(store->segments);
     free(store->folder);
+    buffer_close(&store->tail);
     memset(store, 0, sizeof(*store));
 }
 
@@ -127,16 +129,46 @@
     }
 }
 
+static struct history_segment *history_last(const struct history_store *store)
+{
+    return &store->segments[store->segment_count - 1];
+}
+
+/* Writes the tail; on a full disk it stays in memory. */
+static bool history_write_tail(struct history_store *store)
+{
+    struct history_segment *segment = history_last(store);
+    size_t done = 0;
+    while (done < store->tail.length) {
+        ssize_t written =
+            pwrite(segment->file, store->tail.data + done, store->tail.length - done, (off_t)(segment->size + done));
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            history_fail(store, "cannot write");
+            return false;
+        }
+        done += (size_t)written;
+    }
+    segment->size += store->tail.length;
+    segment->dirty = segment->dirty || store->tail.length > 0;
+    buffer_reuse(&store->tail, 2 * (size_t)HISTORY_TAIL_BYTES);
+    return true;
+}
+
 bool history_store_sync(struct history_store *store)
 {
-    if (store->failed) {
+    if (store->failed || !history_write_tail(store)) {
         return false;
     }
     for (size_t i = 0; i < store->segment_count; i++) {
-        if (fdatasync(store->segments[i].file) != 0) {
+        struct history_segment *segment = &store->segments[i];
+        if (segment->dirty && fdatasync(segment->file) != 0) {
             history_fail(store, "cannot sync");
             return false;
         }
+        segment->dirty = false;
     }
     if (!file_sync_folder(store->folder)) {
         history_fail(store, "cannot sync the folder");
@@ -145,6 +177,16 @@
     return true;
 }
 
+/* Begins a new file if the last one is long enough and whole. */
+static void history_roll(struct history_store *store)
+{
+    uint64_t most = store->segment_bytes == 0 ? HISTORY_SEGMENT_BYTES : store->segment_bytes;
+    const struct history_segment *segment = history_last(store);
+    if (segment->size >= most && store->tail.length == 0) {
+        history_add_segment(store, segment->number + 1, true);
+    }
+}
+
 static void history_append(void *context, struct view text, struct history_ref *ref)
 {
     struct history_store *store = context;
@@ -152,35 +194,34 @@
     if (text.length == 0 || store->failed) {
         return;
     }
-    struct history_segment *segment = &store->segments[store->segment_count - 1];
-    if (segment->size >= HISTORY_SEGMENT_BYTES) {
-        if (!history_add_segment(store, segment->number + 1, true)) {
-            return;
-        }
-        segment = &store->segments[store->segment_count - 1];
-    }
-    ssize_t written = pwrite(segment->file, text.data, text.length, (off_t)segment->size);
-    if (written != (ssize_t)text.length) {
-        history_fail(store, "cannot write");
-        return;
-    }
+    history_roll(store);
+    struct history_segment *segment = history_last(store);
     ref->segment = segment->number;
-    ref->offset = segment->size;
+    ref->offset = segment->size + store->tail.length;
     ref->length = (uint32_t)text.length;
-    segment->size += text.length;
     segment->live_bytes += text.length;
+    buffer_append(&store->tail, text.data, text.length);
+    if (store->tail.length >= HISTORY_TAIL_BYTES) {
+        history_write_tail(store);
+    }
 }
 
 static bool history_read(void *context, const struct history_ref *ref, struct buffer *out)
 {
     const struct history_store *store = context;
-    const struct history_segment *segment = history_find(store, ref->segment);
     if (ref->length == 0) {
         return true;
     }
+    const struct history_segment *segment = history_find(store, ref->segment);
     if (segment == NULL) {
         return false;
     }
+    if (segment == history_last(store) && ref->offset >= segment->size) {
+        uint64_t at = ref->offset - segment->size;
+        bool held = at + ref->length <= store->tail.length;
+        buffer_append(out, store->tail.data + (held ? at : 0), held ? ref->length : 0);
+        return held;
+    }
     ssize_t got = pread(segment->file, buffer_reserve(out, ref->length), ref->length, (off_t)ref->offset);
     if (got != (ssize_t)ref->length) {
         return false;
@@ -191,18 +232,17 @@
 
 static void history_drop(void *context, const struct history_ref *ref)
 {
-    struct history_store *store = context;
-    struct history_segment *segment = ref->length == 0 ? NULL : history_find(store, ref->segment);
-    if (segment == NULL) {
-        return;
-    }
-    segment->live_bytes -= ref->length < segment->live_bytes ? ref->length : segment->live_bytes;
-    size_t position = (size_t)(segment - store->segments);
-    if (segment->live_bytes == 0 && position + 1 < store->segment_count) {
-        history_delete_at(store, position);
+    struct history_segment *segment = ref->length == 0 ? NULL : history_find(context, ref->segment);
+    if (segment != NULL) {
+        segment->live_bytes -= ref->length < segment->live_bytes ? ref->length : segment->live_bytes;
     }
 }
 
+static void history_sweep(void *context)
+{
+    history_store_sweep(context);
+}
+
 static void history_keep(void *context, const struct history_ref *ref)
 {
     struct history_segment *segment = history_find(context, ref->segment);
@@ -219,6 +259,7 @@
         .read = history_read,
         .drop = history_drop,
         .keep = history_keep,
+        .sweep = history_sweep,
     };
     return io;
 }
--- a/src/store/history_store.h
+++ b/src/store/history_store.h
@@ -3,14 +3,19 @@
  * Conversation texts in append-only files beside the log. The log holds every
  * text too until the next snapshot; so this store is synced only then, and a
  * restart begins a new file and lets the replay write again what was lost.
- * A file whose texts were all dropped is deleted.
+ * For the same reason the last texts may wait in memory for a write of many,
+ * or for a full disk to have room.
+ * A sweep deletes the files whose texts were all dropped.
  */
 #ifndef BANKBANK_STORE_HISTORY_STORE_H
 #define BANKBANK_STORE_HISTORY_STORE_H
 
 #include "core/history.h"
 
-enum { HISTORY_SEGMENT_BYTES = 128 << 20 /**< Size at which a new file begins. */ };
+enum {
+    HISTORY_SEGMENT_BYTES = 128 << 20, /**< Size at which a new file begins, by default. */
+    HISTORY_TAIL_BYTES = 64 << 10      /**< Texts that wait for a write. */
+};
 
 /** One file. */
 struct history_segment {
@@ -18,6 +23,7 @@
     int file;            /**< Descriptor. */
     uint64_t size;       /**< Bytes written. */
     uint64_t live_bytes; /**< Bytes of texts in use. */
+    bool dirty;          /**< Written since its last sync. */
 };
 
 /** The store. */
@@ -25,6 +31,8 @@
     char *folder;                     /**< Folder of the files. */
     struct history_segment *segments; /**< Oldest first; the last one is written. */
     size_t segment_count;             /**< Files. */
+    uint64_t segment_bytes;           /**< Size at which a new file begins; 0: HISTORY_SEGMENT_BYTES. */
+    struct buffer tail;               /**< Texts of the last file that are not written yet. */
     bool failed;                      /**< A write failed. */
     char error[512];                  /**< What failed, with its place. */
 };
@@ -35,10 +43,10 @@
 /** Closes the files. */
 void history_store_close(struct history_store *store);
 
-/** After recovery: deletes files that nothing refers to. */
+/** Deletes files, the last one aside, of which no text is in use. */
 void history_store_sweep(struct history_store *store);
 
-/** Makes all texts durable; false: see `error`. */
+/** Makes all texts durable; false: see `error`. Unless `failed` is set the disk is full, and it may be tried again. */
 bool history_store_sync(struct history_store *store);
 
 /** The operations given to the ledger. */
--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -14,7 +14,7 @@
 
 #include "store/file.h"
 
-enum { LOG_RECORD_MAGIC = 0x4c424b42, LOG_SNAPSHOT_MAGIC = 0x53424b42, LOG_NAME_MAX = 64 };
+enum { LOG_RECORD_MAGIC = 0x4c424b42, LOG_NAME_MAX = 64, LOG_PENDING_KEPT = 256 << 10 };
 
 enum log_record_kind { LOG_RECORD_STATE = 1, LOG_RECORD_ENTRY = 2 };
 
@@ -31,16 +31,6 @@
     uint32_t reserved;
 };
 
-/* Start of a snapshot file; members and state follow. */
-struct log_snapshot_header {
-    uint32_t magic; /* LOG_SNAPSHOT_MAGIC */
-    uint32_t members_length;
-    uint64_t checksum; /* XXH64 of the rest of the file */
-    uint64_t index;
-    uint64_t term;
-    uint64_t state_length;
-};
-
 static const size_t LOG_CHECKED_FROM = offsetof(struct log_record, kind);
 
 static void log_store_fail(struct log_store *store, const char *what, const char *place)
@@ -189,7 +179,7 @@
         return false;
     }
     store->file_bytes += store->pending.length;
-    buffer_clear(&store->pending);
+    buffer_reuse(&store->pending, LOG_PENDING_KEPT);
     if (store->file_bytes < LOG_STORE_SEGMENT_BYTES) {
         return true;
     }
@@ -202,99 +192,86 @@
 
 /* ---- Snapshots ------------------------------------------------------------------- */
 
-static void log_snapshot_name(uint32_t group, char *name, size_t size)
+/* A full disk may have room again. */
+static void log_snapshot_fail(struct log_store *store, const char *what, uint32_t group)
 {
-    snprintf(name, size, "snapshot-%" PRIu32, group);
+    char *path = snapshot_file_path(store->folder, group);
+    log_store_fail(store, what, path);
+    store->failed = !log_disk_is_full();
+    free(path);
 }
 
-/* Of all that follows the checksum in the header, without putting the parts together: a state may be large. */
-static uint64_t log_snapshot_checksum(const struct view *parts, size_t count)
+bool log_store_snapshot_begin(struct log_store *store, uint32_t group, const struct raft_snapshot *snapshot)
 {
-    size_t skipped = offsetof(struct log_snapshot_header, index);
-    XXH64_state_t *sum = XXH64_createState();
-    XXH64_reset(sum, 0);
-    XXH64_update(sum, parts[0].data + skipped, parts[0].length - skipped);
-    for (size_t i = 1; i < count; i++) {
-        if (parts[i].length > 0) {
-            XXH64_update(sum, parts[i].data, parts[i].length);
-        }
+    bool begun = snapshot_writer_begin(&store->groups[group].writer, store->folder, group, snapshot);
+    if (!begun) {
+        log_snapshot_fail(store, "cannot write the snapshot", group);
     }
-    uint64_t checksum = XXH64_digest(sum);
-    XXH64_freeState(sum);
-    return checksum;
+    return begun;
 }
 
-bool log_store_save_snapshot(struct log_store *store, uint32_t group, uint64_t index, uint64_t term,
-                             const struct raft_members *members, struct view state)
+bool log_store_snapshot_write(struct log_store *store, uint32_t group, struct view bytes)
 {
-    struct buffer encoded_members = {0};
-    raft_members_encode(members, &encoded_members);
-    struct log_snapshot_header header = {
-        .magic = LOG_SNAPSHOT_MAGIC,
-        .members_length = (uint32_t)encoded_members.length,
-        .index = index,
-        .term = term,
-        .state_length = state.length,
-    };
-    struct view parts[] = {view_of(&header, sizeof(header)), buffer_view(&encoded_members), state};
-    size_t part_count = sizeof(parts) / sizeof(parts[0]);
-    header.checksum = log_snapshot_checksum(parts, part_count);
-    char name[LOG_NAME_MAX];
-    log_snapshot_name(group, name, sizeof(name));
-    bool saved = file_replace_parts(store->folder, name, parts, part_count);
-    buffer_close(&encoded_members);
-    if (!saved) {
-        log_store_fail(store, "cannot write the snapshot", name);
-        store->failed = !log_disk_is_full();
+    bool written = snapshot_writer_put(&store->groups[group].writer, bytes);
+    if (!written) {
+        log_snapshot_fail(store, "cannot write the snapshot", group);
+    }
+    return written;
+}
+
+void log_store_snapshot_abort(struct log_store *store, uint32_t group)
+{
+    snapshot_writer_abort(&store->groups[group].writer, store->folder, group);
+}
+
+/* Opens the stored snapshot, if there is one, and checks it. */
+static bool log_snapshot_open(struct log_store *store, uint32_t group)
+{
+    struct log_store_group *state = &store->groups[group];
+    snapshot_stored_close(&state->stored);
+    switch (snapshot_stored_open(&state->stored, store->folder, group)) {
+    case SNAPSHOT_OPEN_DONE: state->snapshot_index = state->stored.snapshot.index; return true;
+    case SNAPSHOT_OPEN_NONE: return true;
+    case SNAPSHOT_OPEN_DAMAGED:
+        errno = EILSEQ;
+        log_snapshot_fail(store, "the snapshot is damaged", group);
+        return false;
+    case SNAPSHOT_OPEN_FAILED: log_snapshot_fail(store, "cannot read the snapshot", group); return false;
+    }
+    return false;
+}
+
+bool log_store_snapshot_commit(struct log_store *store, uint32_t group)
+{
+    struct log_store_group *state = &store->groups[group];
+    if (!snapshot_writer_commit(&state->writer, store->folder, group, &state->stored)) {
+        log_snapshot_fail(store, "cannot write the snapshot", group);
         return false;
     }
-    store->groups[group].snapshot_index = index;
+    state->snapshot_index = state->stored.snapshot.index;
     log_store_drop_covered(store);
     return true;
 }
 
+bool log_store_snapshot_read(const struct log_store *store, uint32_t group, uint64_t index, uint64_t at, size_t most,
+                             struct buffer *out)
+{
+    const snapshot_stored_t *stored = &store->groups[group].stored;
+    return stored->snapshot.index == index && snapshot_stored_read(stored, at, most, out);
+}
+
 static bool log_store_load_snapshot(struct log_store *store, uint32_t group, const struct log_restore *restore)
 {
-    char name[LOG_NAME_MAX];
-    log_snapshot_name(group, name, sizeof(name));
-    char *path = file_path(store->folder, name);
-    struct buffer content = {0};
-    bool loaded = file_read_all(path, &content);
-    if (!loaded) {
-        loaded = errno == ENOENT;
-        if (!loaded) {
-            log_store_fail(store, "cannot read the snapshot", path);
-        }
-        goto out;
-    }
-    loaded = false;
-    struct log_snapshot_header header;
-    struct raft_members members;
-    memset(&header, 0, sizeof(header));
-    if (content.length >= sizeof(header)) {
-        memcpy(&header, content.data, sizeof(header));
-    }
-    size_t checked = offsetof(struct log_snapshot_header, index);
-    bool whole = header.magic == LOG_SNAPSHOT_MAGIC &&
-                 content.length == sizeof(header) + header.members_length + header.state_length &&
-                 header.checksum == XXH64(content.data + checked, content.length - checked, 0);
-    const uint8_t *body = content.data + sizeof(header);
-    if (!whole || !raft_members_decode(view_of(body, header.members_length), &members)) {
-        errno = EILSEQ;
-        log_store_fail(store, "the snapshot is damaged", path);
-        goto out;
+    struct log_store_group *state = &store->groups[group];
+    if (!log_snapshot_open(store, group)) {
+        return false;
     }
-    store->groups[group].snapshot_index = header.index;
-    loaded = restore->snapshot(restore->context, group, header.index, header.term, &members,
-                               view_of(body + header.members_length, (size_t)header.state_length));
-    if (!loaded) {
-        errno = EILSEQ;
-        log_store_fail(store, "the snapshot does not decode", path);
+    if (!state->stored.open || restore->snapshot(restore->context, group, &state->stored.snapshot)) {
+        return true;
     }
-out:
-    free(path);
-    buffer_close(&content);
-    return loaded;
+    errno = EILSEQ;
+    log_snapshot_fail(store, "the snapshot does not decode", group);
+    return false;
 }
 
 /* ---- Replay ------------------------------------------------------------------------ */
@@ -483,6 +460,10 @@
     for (size_t i = 0; i < store->segment_count; i++) {
         free(store->segments[i].last_index);
     }
+    for (uint32_t group = 0; group < store->group_count && store->groups != NULL; group++) {
+        log_store_snapshot_abort(store, group);
+        snapshot_stored_close(&store->groups[group].stored);
+    }
     free(store->segments);
     free(store->groups);
     free(store->folder);
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -2,7 +2,7 @@
  * @file log_store.h
  * The durable log of a state replica: the entries, terms and votes of all
  * groups in one sequence of segment files, so that one sync covers many
- * groups; and one snapshot file a group.
+ * groups; and one snapshot file a group (snapshot_file.h).
  *
  * Record: u32 magic, u32 payload length, u64 XXH64 of all that follows, then
  * u32 kind, u32 group, u64 index, u64 term, u32 entry type or vote, u32 zero,
@@ -17,15 +17,16 @@
 
 #include "base/buffer.h"
 #include "core/raft.h"
+#include "store/snapshot_file.h"
 
-enum { LOG_STORE_SEGMENT_BYTES = 64 << 20 /**< Size at which a new segment begins. */ };
+enum { LOG_STORE_SEGMENT_BYTES = 4 << 20 /**< Size at which a new segment begins; a start reads one at a time. */ };
 
 /** Receives what the store holds while it is opened. */
 struct log_restore {
     void *context; /**< First argument of every function. */
-    /** A group's stored snapshot; called before its entries. False: it does not decode. */
-    bool (*snapshot)(void *context, uint32_t group, uint64_t index, uint64_t term, const struct raft_members *members,
-                     struct view state);
+    /** A group's stored snapshot, to be read by log_store_snapshot_read(); called before its entries. False: it does
+        not decode. */
+    bool (*snapshot)(void *context, uint32_t group, const struct raft_snapshot *snapshot);
     /** Term and vote, in order of writing. */
     void (*state)(void *context, uint32_t group, uint64_t term, uint32_t vote);
     /** An entry, in order of writing. False: it leaves a gap. */
@@ -34,9 +35,11 @@
 
 /** What the store knows of one group. */
 struct log_store_group {
-    uint64_t term;           /**< Last written term. */
-    uint32_t vote;           /**< Last written vote. */
-    uint64_t snapshot_index; /**< Entries up to here are covered by the snapshot. */
+    uint64_t term;            /**< Last written term. */
+    uint32_t vote;            /**< Last written vote. */
+    uint64_t snapshot_index;  /**< Entries up to here are covered by the snapshot. */
+    snapshot_stored_t stored; /**< That snapshot. */
+    snapshot_writer_t writer; /**< The one that is being written. */
 };
 
 /** One segment file. */
@@ -76,8 +79,20 @@
  */
 bool log_store_sync(struct log_store *store);
 
-/** Durably replaces a group's snapshot and drops segments that no group needs; false: see `error`. */
-bool log_store_save_snapshot(struct log_store *store, uint32_t group, uint64_t index, uint64_t term,
-                             const struct raft_members *members, struct view state);
+/** Begins a group's snapshot beside the stored one; false: see `error`. */
+bool log_store_snapshot_begin(struct log_store *store, uint32_t group, const struct raft_snapshot *snapshot);
+
+/** Adds bytes of its state; false: see `error`, and it has to be given up. */
+bool log_store_snapshot_write(struct log_store *store, uint32_t group, struct view bytes);
+
+/** Durably replaces the group's snapshot and drops segments that no group needs; false: see `error`. */
+bool log_store_snapshot_commit(struct log_store *store, uint32_t group);
+
+/** Gives up what was begun. */
+void log_store_snapshot_abort(struct log_store *store, uint32_t group);
+
+/** Appends up to `most` bytes, from `at` on, of the state stored at `index`; false: it is not there. */
+bool log_store_snapshot_read(const struct log_store *store, uint32_t group, uint64_t index, uint64_t at, size_t most,
+                             struct buffer *out);
 
 #endif
--- a/src/store/replica_restore.c
+++ b/src/store/replica_restore.c
@@ -1,9 +1,8 @@
 #include "store/replica_restore.h"
 
-static bool restore_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                             const struct raft_members *members, struct view state)
+static bool restore_snapshot(void *context, uint32_t group, const struct raft_snapshot *snapshot)
 {
-    return replica_restore_snapshot(context, group, index, term, members, state);
+    return replica_restore_snapshot(context, group, snapshot);
 }
 
 static void restore_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
--- a/tests/fuzz/fuzz_site.c
+++ b/tests/fuzz/fuzz_site.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #include "base/message.h"
-#include "core/site_state.h"
+#include "support/streams.h"
 
 enum { TURNS = 24, PROGRAMS = 3, BUDGET = 300, NONE = -1, NAME = 16, RETENTION_MS = 1 << 30 };
 
@@ -130,19 +130,20 @@
     }
 }
 
-static void run_snapshot(struct site_state *site)
+static void start(struct state_machine *machine)
 {
-    SiteSnapshot snapshot;
-    SiteSnapshot decoded = {0};
-    struct buffer encoded = {0};
-    site_state_export(site, &snapshot);
-    require(message_encode(&encoded, SiteSnapshot_fields, &snapshot), "a snapshot encodes");
-    site_snapshot_close(&snapshot);
-    site_state_close(site);
-    require(message_decode(buffer_view(&encoded), SiteSnapshot_fields, &decoded), "a snapshot decodes");
-    site_state_import(site, &decoded);
-    message_free(SiteSnapshot_fields, &decoded);
-    buffer_close(&encoded);
+    struct history_io in_memory = {0};
+    state_machine_init(machine, STATE_CONFIG_GROUP, &in_memory);
+}
+
+static void run_snapshot(struct state_machine *machine)
+{
+    struct buffer stream = {0};
+    require(stream_write(machine, &stream), "a snapshot is written");
+    state_machine_close(machine);
+    start(machine);
+    require(stream_read(machine, &stream), "a snapshot is read");
+    buffer_close(&stream);
 }
 
 static void check_chain(const struct site_state *site, const struct oracle *oracle, int turn)
@@ -161,7 +162,7 @@
         expected[sizeof(expected) - ++length] = '\n';
         expected[sizeof(expected) - ++length] = oracle->input[at];
     }
-    turn_chain_text(found, &text);
+    require(turn_chain_text(&site->turns, found, &text), "a text is there");
     require(text.length == length && memcmp(text.data, expected + sizeof(expected) - length, length) == 0,
             "a conversation is whole and its own");
     buffer_close(&text);
@@ -178,9 +179,10 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-    static struct site_state site;
+    static struct state_machine machine;
+    struct site_state *site = &machine.site;
     static struct oracle oracle;
-    memset(&site, 0, sizeof(site));
+    start(&machine);
     memset(&oracle, 0, sizeof(oracle));
     for (size_t at = 0; at + 5 <= size; at += 5) {
         const uint8_t *step = data + at;
@@ -189,14 +191,14 @@
         int program = step[2] % PROGRAMS;
         int parent = step[4] % (TURNS + 1) - 1;
         switch ((enum operation)(step[0] % OPERATIONS)) {
-        case BEGIN: run_begin(&site, &oracle, now_ms, turn, program, step[3]); break;
-        case KEEP: run_finish(&site, &oracle, now_ms, turn, program, step[3], true, parent); break;
-        case SETTLE: run_finish(&site, &oracle, now_ms, turn, program, step[3], false, NONE); break;
-        case DOCUMENT: run_document(&site, &oracle, now_ms, step[1], step[3]); break;
-        default: run_snapshot(&site); break;
+        case BEGIN: run_begin(site, &oracle, now_ms, turn, program, step[3]); break;
+        case KEEP: run_finish(site, &oracle, now_ms, turn, program, step[3], true, parent); break;
+        case SETTLE: run_finish(site, &oracle, now_ms, turn, program, step[3], false, NONE); break;
+        case DOCUMENT: run_document(site, &oracle, now_ms, step[1], step[3]); break;
+        default: run_snapshot(&machine); break;
         }
-        check(&site, &oracle);
+        check(site, &oracle);
     }
-    site_state_close(&site);
+    state_machine_close(&machine);
     return 0;
 }
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -61,6 +61,9 @@
     fprintf(file, "name: \"machine-%d\"\nzone: \"z%d\"\nip: \"%s\"\npeer_port: %d\nbootstrap: %s\n", daemon,
             daemon % SITE_STATES + 1, site_ip(daemon), site_peer_port, site_formed ? "false" : "true");
     fprintf(file, "machine_list: \"127.0.0.1:%d\"\nlist_period_ms: 100\ngrace_s: 6\n", site_list_port);
+    if (site_memory_mb > 0 && !gateway) {
+        fprintf(file, "memory_mb: %d\n", site_memory_mb);
+    }
     fprintf(file, "metrics_address: \"%s:%d\"\n", site_ip(daemon), site_metrics_port);
     if (gateway) {
         fprintf(file, "caller_address: \"%s:%d\"\nready_address: \"%s:%d\"\n", site_ip(daemon), site_caller_port,
--- a/tests/support/texts.h
+++ b/tests/support/texts.h
@@ -34,6 +34,6 @@
 }
 
 /** Storage to start a ledger with. */
-static const struct history_io texts_history = {NULL, texts_keep, texts_read, texts_ignore, texts_ignore};
+static const struct history_io texts_history = {NULL, texts_keep, texts_read, texts_ignore, texts_ignore, NULL};
 
 #endif
--- a/tests/unit/log_store.c
+++ b/tests/unit/log_store.c
@@ -26,14 +26,10 @@
     uint64_t entries;
 } seen[GROUPS];
 
-static bool on_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                        const struct raft_members *members, struct view state)
+static bool on_snapshot(void *context, uint32_t group, const struct raft_snapshot *snapshot)
 {
     (void)context;
-    (void)term;
-    (void)members;
-    (void)state;
-    seen[group].snapshot_index = index;
+    seen[group].snapshot_index = snapshot->index;
     return true;
 }
 
@@ -86,6 +82,13 @@
     log_store_append(&store, group, &entry);
 }
 
+static bool save_snapshot(uint32_t group, uint64_t index, const char *state)
+{
+    struct raft_snapshot snapshot = {.index = index, .term = 1, .members = {.count = 1, .nodes = {1}}};
+    return log_store_snapshot_begin(&store, group, &snapshot) &&
+           log_store_snapshot_write(&store, group, view_of_string(state)) && log_store_snapshot_commit(&store, group);
+}
+
 static char *segment_path(void)
 {
     return file_path(folder, "log-0000000001");
@@ -153,10 +156,9 @@
 
 START_TEST(a_snapshot_is_loaded_and_a_damaged_one_refused)
 {
-    struct raft_members members = {.count = 1, .nodes = {1}};
     append(0, 1, 1);
     ck_assert(log_store_sync(&store));
-    ck_assert(log_store_save_snapshot(&store, 0, 1, 1, &members, view_of_string("state")));
+    ck_assert(save_snapshot(0, 1, "state"));
     reopen();
     ck_assert_uint_eq(seen[0].snapshot_index, 1);
     log_store_close(&store);
@@ -172,7 +174,6 @@
 
 START_TEST(covered_segments_are_dropped)
 {
-    struct raft_members members = {.count = 1, .nodes = {1}};
     uint8_t *large = memory_new(1 << 20);
     uint64_t index = 0;
     while (store.segment_count < 3) {
@@ -182,7 +183,7 @@
     }
     log_store_save_state(&store, 1, 9, 1);
     ck_assert(log_store_sync(&store));
-    ck_assert(log_store_save_snapshot(&store, 0, index, 1, &members, view_of_string("s")));
+    ck_assert(save_snapshot(0, index, "s"));
     ck_assert_uint_eq(store.segment_count, 1);
     reopen();
     ck_assert_uint_eq(seen[0].snapshot_index, index);
@@ -251,6 +252,10 @@
     ck_assert(io.read(io.context, &second, &text));
     ck_assert_str_eq(buffer_text(&text), "world");
     io.drop(io.context, &second);
+    buffer_clear(&text);
+    ck_assert(io.read(io.context, &second, &text)); /* the stored snapshot may still name it */
+    ck_assert_str_eq(buffer_text(&text), "world");
+    io.sweep(io.context);
     ck_assert(!io.read(io.context, &second, &text));
     buffer_close(&text);
     history_store_close(&history);
--- a/tests/unit/replica_join.c
+++ b/tests/unit/replica_join.c
@@ -31,19 +31,48 @@
     return *(enum replica_sync *)context;
 }
 
-static bool on_save_snapshot(void *context, uint32_t group, uint64_t index, uint64_t term,
-                             const struct raft_members *members, struct view state, bool reset_log)
+static bool on_snapshot_begin(void *context, uint32_t group, const struct raft_snapshot *snapshot)
+{
+    (void)context;
+    (void)group;
+    (void)snapshot;
+    return true;
+}
+
+static bool on_snapshot_write(void *context, uint32_t group, struct view bytes)
+{
+    (void)context;
+    (void)group;
+    (void)bytes;
+    return true;
+}
+
+static bool on_snapshot_commit(void *context, uint32_t group, bool reset_log)
 {
     (void)context;
     (void)group;
-    (void)index;
-    (void)term;
-    (void)members;
-    (void)state;
     (void)reset_log;
     return true;
 }
 
+static void on_snapshot_abort(void *context, uint32_t group)
+{
+    (void)context;
+    (void)group;
+}
+
+static bool on_snapshot_read(void *context, uint32_t group, uint64_t index, uint64_t at, size_t most,
+                             struct buffer *out)
+{
+    (void)context;
+    (void)group;
+    (void)index;
+    (void)at;
+    (void)most;
+    (void)out;
+    return false;
+}
+
 static void on_send(void *context, uint32_t to, struct view data)
 {
     Frame frame = {0};
@@ -68,7 +97,9 @@
 
 static void setup(void)
 {
-    struct replica_io io = {&sync_result, on_save_state, on_append, on_sync, on_save_snapshot, on_send};
+    struct replica_io io = {
+        &sync_result,      on_save_state,      on_append,         on_sync,          on_snapshot_begin,
+        on_snapshot_write, on_snapshot_commit, on_snapshot_abort, on_snapshot_read, on_send};
     struct history_io history = {0};
     struct replica_config config = {
         .node = 1,
--- a/tests/unit/turns.c
+++ b/tests/unit/turns.c
@@ -2,19 +2,20 @@
 #include <string.h>
 
 #include "base/message.h"
-#include "core/site_state.h"
 #include "suite.h"
+#include "support/streams.h"
 
-static struct site_state site;
+static struct state_machine machine;
 
 static void setup(void)
 {
-    memset(&site, 0, sizeof(site));
+    struct history_io in_memory = {0};
+    state_machine_init(&machine, STATE_CONFIG_GROUP, &in_memory);
 }
 
 static void teardown(void)
 {
-    site_state_close(&site);
+    state_machine_close(&machine);
 }
 
 static ResultCode finish(uint64_t now_ms, const char *turn, const char *parent, const char *text, uint64_t retention_ms)
@@ -28,7 +29,7 @@
     entry.command.turn_finish.input = view_of_string(text);
     entry.command.turn_finish.output = view_of_string(">\n");
     entry.command.turn_finish.retention_ms = retention_ms;
-    ck_assert(site_state_apply(&site, now_ms, &entry, &result));
+    ck_assert(site_state_apply(&machine.site, now_ms, &entry, &result));
     return result.code;
 }
 
@@ -41,7 +42,7 @@
     entry.command.turn_begin.program = (char *)"p";
     entry.command.turn_begin.reserve_tokens = reserve;
     entry.command.turn_begin.budget_tokens = budget;
-    ck_assert(site_state_apply(&site, 1, &entry, &result));
+    ck_assert(site_state_apply(&machine.site, 1, &entry, &result));
     return result.code;
 }
 
@@ -53,15 +54,15 @@
     entry.command.turn_finish.turn = (char *)turn;
     entry.command.turn_finish.program = (char *)"p";
     entry.command.turn_finish.used_tokens = used;
-    ck_assert(site_state_apply(&site, 1, &entry, &result));
+    ck_assert(site_state_apply(&machine.site, 1, &entry, &result));
 }
 
 static void expect_chain(const char *turn, const char *expected)
 {
     struct buffer text = {0};
-    const struct turn *found = turn_store_find(&site.turns, turn);
+    const struct turn *found = turn_store_find(&machine.site.turns, turn);
     ck_assert_ptr_nonnull(found);
-    turn_chain_text(found, &text);
+    ck_assert(turn_chain_text(&machine.site.turns, found, &text));
     ck_assert_str_eq(buffer_text(&text), expected);
     buffer_close(&text);
 }
@@ -87,7 +88,7 @@
 START_TEST(a_turn_without_its_parent_is_refused)
 {
     ck_assert_int_eq(finish(1, "b", "a", "B", 1000), RESULT_NOT_FOUND);
-    ck_assert_ptr_null(turn_store_find(&site.turns, "b"));
+    ck_assert_ptr_null(turn_store_find(&machine.site.turns, "b"));
 }
 END_TEST
 
@@ -97,13 +98,13 @@
     uint64_t stays_ms = 1000 + SITE_TURN_SLACK_MS;
     finish(1, "a", "", "A", 1000);
     finish(1 + stays_ms / 2, "b", "a", "B", 1000);
-    turn_store_expire(&site.turns, stays_ms + 2);
+    turn_store_expire(&machine.site.turns, stays_ms + 2);
     expect_chain("b", "A>\nB>\n");
-    turn_store_expire(&site.turns, stays_ms * 2);
-    ck_assert_ptr_null(turn_store_find(&site.turns, "b"));
-    turn_store_expire(&site.turns, stays_ms * 2);
-    ck_assert_ptr_null(turn_store_find(&site.turns, "a"));
-    ck_assert_uint_eq(site.turns.bytes, 0);
+    turn_store_expire(&machine.site.turns, stays_ms * 2);
+    ck_assert_ptr_null(turn_store_find(&machine.site.turns, "b"));
+    turn_store_expire(&machine.site.turns, stays_ms * 2);
+    ck_assert_ptr_null(turn_store_find(&machine.site.turns, "a"));
+    ck_assert_uint_eq(machine.site.turns.bytes, 0);
 }
 END_TEST
 
@@ -111,7 +112,7 @@
 {
     finish(100000, "a", "", "A", 1000);
     finish(50, "b", "", "B", 1000);
-    ck_assert_uint_eq(site.time_ms, 100000);
+    ck_assert_uint_eq(machine.site.time_ms, 100000);
 }
 END_TEST
 
@@ -120,8 +121,8 @@
     finish(1, "a", "", "AAAAAAAA", 1000);
     finish(2, "b", "", "BBBBBBBB", 1000);
     finish(3, "c", "a", "C", 1000);
-    turn_store_shrink(&site.turns, 15);
-    ck_assert_ptr_null(turn_store_find(&site.turns, "b"));
+    turn_store_shrink(&machine.site.turns, 15);
+    ck_assert_ptr_null(turn_store_find(&machine.site.turns, "b"));
     expect_chain("c", "AAAAAAAA>\nC>\n");
 }
 END_TEST
@@ -145,14 +146,14 @@
     entry.command.turn_finish.turn = (char *)"t1";
     entry.command.turn_finish.program = (char *)"p";
     entry.command.turn_finish.server = (char *)"server-7";
-    site_state_apply(&site, 1, &entry, &result);
+    site_state_apply(&machine.site, 1, &entry, &result);
     memset(&entry, 0, sizeof(entry));
     memset(&result, 0, sizeof(result));
     entry.which_command = Entry_turn_begin_tag;
     entry.command.turn_begin.turn = (char *)"t2";
     entry.command.turn_begin.program = (char *)"p";
     entry.command.turn_begin.budget_tokens = 100;
-    site_state_apply(&site, 1, &entry, &result);
+    site_state_apply(&machine.site, 1, &entry, &result);
     ck_assert_str_eq(result.engine, "server-7");
 }
 END_TEST
@@ -185,7 +186,7 @@
     entry.which_command = Entry_document_put_tag;
     entry.command.document_put.version = version;
     entry.command.document_put.content = view_of_string(text);
-    ck_assert(site_state_apply(&site, 1, &entry, &result));
+    ck_assert(site_state_apply(&machine.site, 1, &entry, &result));
     ck_assert_int_eq(result.code, RESULT_OK);
     return result.revision;
 }
@@ -195,7 +196,7 @@
     ck_assert_uint_eq(put_document(7, "seven"), 7);
     ck_assert_uint_eq(put_document(3, "three"), 7);
     ck_assert_uint_eq(put_document(7, "other"), 7);
-    ck_assert_int_eq(memcmp(site.document.content.data, "seven", 5), 0);
+    ck_assert_int_eq(memcmp(machine.site.document.content.data, "seven", 5), 0);
     ck_assert_uint_eq(put_document(9, "nine"), 9);
 }
 END_TEST
@@ -210,23 +211,18 @@
     finish(10, "a", "", "A", 1000);
     finish(20, "b", "a", "B", 1000);
     begin("t1", 60, 100);
-    site_state_apply(&site, 30, &retire, &result);
-    SiteSnapshot snapshot;
-    struct buffer encoded = {0};
-    site_state_export(&site, &snapshot);
-    ck_assert(message_encode(&encoded, SiteSnapshot_fields, &snapshot));
-    site_snapshot_close(&snapshot);
-    site_state_close(&site);
-    SiteSnapshot decoded = {0};
-    ck_assert(message_decode(buffer_view(&encoded), SiteSnapshot_fields, &decoded));
-    site_state_import(&site, &decoded);
-    message_free(SiteSnapshot_fields, &decoded);
-    buffer_close(&encoded);
+    site_state_apply(&machine.site, 30, &retire, &result);
+    struct buffer stream = {0};
+    ck_assert(stream_write(&machine, &stream));
+    teardown();
+    setup();
+    ck_assert(stream_read(&machine, &stream));
+    buffer_close(&stream);
     expect_chain("b", "A>\nB>\n");
-    ck_assert_uint_eq(site.document.version, 4);
+    ck_assert_uint_eq(machine.site.document.version, 4);
     ck_assert_int_eq(begin("t2", 60, 100), RESULT_BUDGET);
-    ck_assert(site_state_is_retired(&site, "store-1"));
-    ck_assert_uint_eq(site.time_ms, 30);
+    ck_assert(site_state_is_retired(&machine.site, "store-1"));
+    ck_assert_uint_eq(machine.site.time_ms, 30);
 }
 END_TEST
 
