Gateways bound their requests, arriving bodies and cache by their memory

Found at gateways: requests under way (body, its copy to the server, conversation, answer, what the caller has not taken) and bodies that arrive had none, the cache had 8 MB for every size. Brought about: a gateway under RLIMIT_DATA of 48 MB with 400 callers of 60 KB at once ended (allocation failed). Now: a request that finds its share full is refused at once, not run, with Retry-After, until a quarter is free again; a body is refused before it is read when those that arrive fill their share; the cache counts its index. One line memory_full, one memory_regained; metrics. Ruled out: looking each 50 ms only; the loopback fills the memory between two looks, so a request counts from its begin. Before: the gateway ended.

--- a/src/core/memory_budget.c
+++ b/src/core/memory_budget.c
@@ -13,6 +13,9 @@
         .log_most = memory_share(total, MEMORY_BUDGET_LOG_MOST_PERCENT),
         .state = memory_share(total, MEMORY_BUDGET_STATE_PERCENT),
         .queues = memory_share(total, MEMORY_BUDGET_QUEUES_PERCENT),
+        .cache = memory_share(total, MEMORY_BUDGET_CACHE_PERCENT),
+        .requests = memory_share(total, MEMORY_BUDGET_REQUESTS_PERCENT),
+        .arriving = memory_share(total, MEMORY_BUDGET_ARRIVING_PERCENT),
     };
     return budget;
 }
--- a/src/core/raft_snapshot.c
+++ b/src/core/raft_snapshot.c
@@ -131,8 +131,7 @@
 static bool raft_take_chunk(struct raft *raft, const RaftMessage *message)
 {
     struct raft_snapshot *incoming = &raft->incoming;
-    bool restart =
-        message->offset == 0 || incoming->index != message->index || incoming->term != message->log_term;
+    bool restart = message->offset == 0 || incoming->index != message->index || incoming->term != message->log_term;
     if (restart) {
         raft->incoming_offset = 0;
         incoming->index = message->index;
--- a/src/core/replica_snapshot.c
+++ b/src/core/replica_snapshot.c
@@ -13,10 +13,10 @@
 #include "core/replica_internal.h"
 
 enum {
-    REPLICA_SNAPSHOT_BLOCK = 64 << 10,     /* bytes read from the stored snapshot at a time */
-    REPLICA_SNAPSHOT_PAUSE_MS = 500,       /* pause after a snapshot that could not shorten the log: not applied yet */
-    REPLICA_SNAPSHOT_RETRY_MS = 1000,      /* pause before a snapshot that failed is tried again */
-    REPLICA_RECEIVE_GIVEN_UP_MS = 2000     /* a snapshot whose sender is silent for that long is given up */
+    REPLICA_SNAPSHOT_BLOCK = 64 << 10, /* bytes read from the stored snapshot at a time */
+    REPLICA_SNAPSHOT_PAUSE_MS = 500,   /* pause after a snapshot that could not shorten the log: not applied yet */
+    REPLICA_SNAPSHOT_RETRY_MS = 1000,  /* pause before a snapshot that failed is tried again */
+    REPLICA_RECEIVE_GIVEN_UP_MS = 2000 /* a snapshot whose sender is silent for that long is given up */
 };
 
 /* ---- Texts ------------------------------------------------------------------ */
@@ -172,8 +172,7 @@
         return;
     }
     replica_stop_receiving(replica, group);
-    uint64_t keep_after =
-        raft_tail_start(&state->raft, replica_trailing(replica), replica_log_share(replica) / 2);
+    uint64_t keep_after = raft_tail_start(&state->raft, replica_trailing(replica), replica_log_share(replica) / 2);
     if (!replica_write_snapshot(replica, group)) {
         state->snapshot_after_ms = replica->now_ms + REPLICA_SNAPSHOT_RETRY_MS;
         return;
@@ -342,8 +341,8 @@
     if (last) {
         state_reader_finish(&state->reader);
     }
-    bool taken = state->receiving && replica_receive_records(replica, group) &&
-                 (!last || state_reader_is_whole(&state->reader));
+    bool taken =
+        state->receiving && replica_receive_records(replica, group) && (!last || state_reader_is_whole(&state->reader));
     if (!taken) {
         replica_stop_receiving(replica, group);
         return false;
--- a/src/core/state_stream.c
+++ b/src/core/state_stream.c
@@ -54,8 +54,8 @@
         return false;
     }
     reader->begun = true;
-    reader->older = reader->held.length < STATE_MAGIC_BYTES ||
-                    memcmp(reader->held.data, STATE_MAGIC, STATE_MAGIC_BYTES) != 0;
+    reader->older =
+        reader->held.length < STATE_MAGIC_BYTES || memcmp(reader->held.data, STATE_MAGIC, STATE_MAGIC_BYTES) != 0;
     reader->at = reader->older ? 0 : STATE_MAGIC_BYTES;
     return true;
 }
--- a/src/core/turn_store.c
+++ b/src/core/turn_store.c
@@ -164,7 +164,7 @@
 void turn_store_shrink(struct turn_store *store, size_t bytes)
 {
     struct turn *turn = store->earliest;
-    while (turn != NULL && store->turns != NULL && store->bytes > bytes) {
+    while (turn != NULL && store->turns != NULL && store->bytes + store->index_bytes > bytes) {
         struct turn *next = turn->later;
         if (turn->children == 0) {
             turn_free(store, turn);
--- a/src/core/turn_store.h
+++ b/src/core/turn_store.h
@@ -86,7 +86,7 @@
 /** Drops what has expired by `now_ms`. */
 void turn_store_expire(struct turn_store *store, uint64_t now_ms);
 
-/** Drops the least recently used turns until at most `bytes` are held. */
+/** Drops the least recently used turns until texts and index take at most `bytes`. */
 void turn_store_shrink(struct turn_store *store, size_t bytes);
 
 /** Appends input and output of the whole chain up to `turn`, oldest first; false: a text cannot be read. */
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -28,6 +28,8 @@
     struct buffer ahead;              /**< Bytes behind the current request. */
     uint64_t since_ms;                /**< Start of the current rest, request or linger. */
     bool arriving;                    /**< A part of a request has come. */
+    size_t arriving_bytes;            /**< Length of the body that is being read, as told or else the most it may be. */
+    bool no_room;                     /**< There is no memory to read it. */
     bool close_after;                 /**< The answer closes the connection. */
     bool handling;                    /**< Guards against recursion while bytes are handled. */
     struct http_connection *previous; /**< Connections of the listener. */
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -10,6 +10,7 @@
     HTTP_LISTENER_BACKLOG = 512,
     HTTP_LISTENER_SWEEP_MS = 250,
     HTTP_LISTENER_READ_BYTES = 1 << 16,
+    HTTP_LISTENER_NO_ROOM = 503,
     HTTP_LISTENER_LINGER_MS = 1000,     /* time for the client to take the last answer */
     HTTP_LISTENER_AHEAD_BYTES = 1 << 16 /* bytes read behind a request that is being answered */
 };
@@ -27,6 +28,13 @@
     free(connection);
 }
 
+/* Its body is read, or will not be. */
+static void http_connection_arrived(struct http_connection *connection)
+{
+    connection->listener->arriving_bytes -= connection->arriving_bytes;
+    connection->arriving_bytes = 0;
+}
+
 void http_connection_close(struct http_connection *connection)
 {
     if (connection->state == HTTP_CLOSED) {
@@ -34,6 +42,7 @@
     }
     struct http_listener *listener = connection->listener;
     connection->state = HTTP_CLOSED;
+    http_connection_arrived(connection);
     if (connection->previous != NULL) {
         connection->previous->next = connection->next;
     } else {
@@ -64,17 +73,49 @@
         [HTTP_FAULT_NONE] = 400,           [HTTP_FAULT_MALFORMED] = 400, [HTTP_FAULT_HEAD_TOO_LARGE] = 431,
         [HTTP_FAULT_BODY_TOO_LARGE] = 413, [HTTP_FAULT_CUT] = 400,
     };
-    connection->listener->counters.malformed++;
+    static const char no_room[] = "{\"error\":{\"code\":\"memory full\",\"run_state\":\"not-run\"}}";
+    static const char body[] = "{\"error\":{\"code\":\"bad_request\",\"run_state\":\"not-run\"}}";
     connection->close_after = true;
     connection->state = HTTP_ANSWERING;
-    static const char body[] = "{\"error\":{\"code\":\"bad_request\",\"run_state\":\"not-run\"}}";
+    http_connection_arrived(connection);
+    if (connection->no_room) {
+        connection->listener->counters.no_room++;
+        http_call_reply(&connection->call, HTTP_LISTENER_NO_ROOM, "X-Run-State: not-run\r\nRetry-After: 1\r\n",
+                        "application/json", view_of_string(no_room));
+        return;
+    }
+    connection->listener->counters.malformed++;
     http_call_reply(&connection->call, statuses[connection->reader.fault], "X-Run-State: not-run\r\n",
                     "application/json", view_of_string(body));
 }
 
+/* Sets the memory of a body aside before it is read; false: there is none. */
+static bool http_connection_expect(struct http_connection *connection, const struct http_reader *reader)
+{
+    struct http_listener *listener = connection->listener;
+    bool told = (reader->parser.flags & F_CHUNKED) == 0;
+    uint64_t length = told ? reader->parser.content_length : listener->limits.max_body_bytes;
+    bool none = told && (length == 0 || length == UINT64_MAX);
+    if (none || length > listener->limits.max_body_bytes) {
+        return true; /* nothing comes, or it is refused for its length */
+    }
+    connection->arriving_bytes = (size_t)length;
+    listener->arriving_bytes += connection->arriving_bytes;
+    size_t most = listener->limits.max_arriving_bytes;
+    bool alone = listener->arriving_bytes == connection->arriving_bytes; /* a body alone is taken at any length */
+    connection->no_room = most > 0 && listener->arriving_bytes > most && !alone;
+    if (told && !connection->no_room) {
+        buffer_reserve(&connection->call.body, connection->arriving_bytes);
+    }
+    return !connection->no_room;
+}
+
 static bool http_on_request_head(void *context, struct http_reader *reader)
 {
     struct http_connection *connection = context;
+    if (!http_connection_expect(connection, reader)) {
+        return false;
+    }
     bool waits = http_name_equal(http_reader_header(reader, "Expect"), "100-continue");
     if (waits && reader->parser.http_minor >= 1) {
         http_connection_write(connection, view_of_string("HTTP/1.1 100 Continue\r\n\r\n"));
@@ -102,6 +143,7 @@
     struct http_listener *listener = connection->listener;
     connection->state = HTTP_ANSWERING;
     connection->arriving = false;
+    http_connection_arrived(connection);
     connection->call.received_ms = uv_now(listener->loop);
     listener->counters.requests++;
     listener->handler.request(listener->handler.context, &connection->call);
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -27,6 +27,7 @@
     size_t max_body_bytes;      /**< Largest body. */
     uint64_t header_timeout_ms; /**< Time a request may take to arrive, once begun. */
     uint64_t idle_timeout_ms;   /**< Time a connection may rest between requests. */
+    size_t max_arriving_bytes;  /**< Bodies that are being read, of all connections; 0: no limit. */
 };
 
 /** A request and its answer. */
@@ -57,6 +58,7 @@
     uint64_t requests;  /**< Whole requests. */
     uint64_t malformed; /**< Requests refused for their form. */
     uint64_t gone;      /**< Clients that left before their answer ended. */
+    uint64_t no_room;   /**< Requests whose body would have been over max_arriving_bytes. */
     uint64_t timeouts;  /**< Connections closed for idleness or slowness. */
 };
 
@@ -70,6 +72,7 @@
     bool draining;                          /**< Answers close their connections. */
     bool listening;                         /**< The socket is open. */
     struct http_connection *connections;    /**< All connections. */
+    size_t arriving_bytes;                  /**< Lengths of the bodies that are being read. */
     struct http_listener_counters counters; /**< Events. */
 };
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -1,5 +1,6 @@
 /* The way of one request: begin, time limit, end. */
 #include "proxy/forward.h"
+#include "proxy/front_memory.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -337,7 +338,9 @@
 void forward_start(struct front *front, struct http_call *call)
 {
     struct forward *forward = forward_new(front, call);
-    if (front_knows_site(front)) {
+    if (!front_memory_admit(front, forward)) {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, "memory full");
+    } else if (front_knows_site(front)) {
         forward_route(forward);
     } else {
         forward_wait(forward);
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -9,6 +9,7 @@
 #include "base/message.h"
 #include "core/presence.h"
 #include "proxy/forward.h"
+#include "proxy/front_memory.h"
 #include "proxy/node_metrics.h"
 #include "proxy/state_host.h"
 
@@ -43,7 +44,7 @@
 
 struct front *front_open(struct node *node)
 {
-    static const struct http_limits limits = {FRONT_HEAD_BYTES, FRONT_BODY_BYTES, FRONT_HEADER_MS, FRONT_IDLE_MS};
+    static const struct http_limits limits = {FRONT_HEAD_BYTES, FRONT_BODY_BYTES, FRONT_HEADER_MS, FRONT_IDLE_MS, 0};
     struct front *front = memory_new(sizeof(*front));
     struct address address;
     front->node = node;
@@ -87,6 +88,7 @@
     front->callers.limits.max_head_bytes = (size_t)front_limit(limits->max_header_bytes, FRONT_HEAD_BYTES);
     front->callers.limits.max_body_bytes = (size_t)front_limit(limits->max_body_bytes, FRONT_BODY_BYTES);
     front->callers.limits.header_timeout_ms = front_limit(limits->header_timeout_ms, FRONT_HEADER_MS);
+    front->callers.limits.max_arriving_bytes = front->node->memory.arriving;
     front->callers.limits.idle_timeout_ms = front_limit(limits->idle_timeout_ms, FRONT_IDLE_MS) + FRONT_IDLE_MARGIN_MS;
 }
 
@@ -234,10 +236,6 @@
 /* Looks for servers that do not answer, and tells which ones have come to fail. */
 static void front_review_servers(struct front *front)
 {
-    if (node_now(front->node) < front->review_due_ms) {
-        return;
-    }
-    front->review_due_ms = node_now(front->node) + FRONT_REVIEW_MS;
     for (struct forward *forward = front->forwards; forward != NULL; forward = forward->next) {
         forward_note_silence(forward);
     }
@@ -260,10 +258,13 @@
     if (front->queued > 0) {
         forward_queue_serve(front);
     }
-    front_review_servers(front);
+    if (node_now(front->node) >= front->review_due_ms) {
+        front->review_due_ms = node_now(front->node) + FRONT_REVIEW_MS;
+        front_review_servers(front);
+        front_memory_review(front);
+    }
     front_report_loads(front);
     front_tell_withdrawn(front, &(const LoadTotals){0});
-    turn_store_shrink(&front->cache, FRONT_CACHE_BYTES);
 }
 
 void front_write_metrics(const struct front *front, struct buffer *out)
@@ -299,6 +300,7 @@
     metrics_write_gauge(out, "requests_queued", "Requests that wait for a place at a server.", front->queued);
     metrics_write_gauge(out, "withdrawn", "Whether callers are left to other zones.",
                         front_is_withdrawn(front) ? 1 : 0);
+    front_memory_write_metrics(front, out);
     metrics_write_gauge(out, "servers_known", "Servers known.", HASH_COUNT(front->servers.servers));
     histogram_write(&front->first_event, "first_event_seconds", "Time to the first event of a stream.", out);
     histogram_write(&front->total, "answer_seconds", "Time to the end of an answer.", out);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -15,7 +15,7 @@
 #include "proxy/node.h"
 
 enum {
-    FRONT_CACHE_BYTES = 8 << 20, /**< Turns kept near. */
+    FRONT_CACHE_BYTES = 8 << 20, /**< Turns kept near, where the memory is not told. */
     FRONT_CONNECTIONS = 24,      /**< Connections of this gateway to one server. */
     FRONT_REVIEW_MS = 50,        /**< Period of looking for servers that fail. */
     FRONT_WOKE_MS = 200,         /**< Time after a stall of its own for which dials without an answer say nothing. */
@@ -43,6 +43,7 @@
     uint64_t hedges;          /**< Second servers asked for want of an answer. */
     uint64_t cache_hits;      /**< Conversations found near. */
     uint64_t cache_misses;    /**< Conversations fetched from a replica. */
+    uint64_t memory_refusals; /**< Requests refused for want of memory. */
 };
 
 struct forward;
@@ -59,6 +60,8 @@
     uint32_t active;                /**< Their number. */
     uint32_t waiting;               /**< Those of them that wait for configuration and servers. */
     uint32_t queued;                /**< Those of them that wait for a place at a server. */
+    size_t requests_bytes;          /**< Memory of requests under way when it was last looked at. */
+    bool memory_full;               /**< It was above its share. */
     bool place_freed;               /**< A request at a server has ended since they were last looked at. */
     uint64_t loads_reported_ms;     /**< Last report to the leader. */
     uint64_t review_due_ms;         /**< Next look at the servers. */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -230,7 +230,7 @@
 static bool node_listen(struct node *node, struct http_listener *listener, const char *text,
                         void (*request)(void *, struct http_call *))
 {
-    static const struct http_limits limits = {NODE_MAX_HEAD, NODE_MAX_BODY, NODE_IDLE_MS, NODE_IDLE_MS};
+    static const struct http_limits limits = {NODE_MAX_HEAD, NODE_MAX_BODY, NODE_IDLE_MS, NODE_IDLE_MS, 0};
     struct address address;
     if (text_or_empty(text)[0] == '\0') {
         return true;
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -8,7 +8,12 @@
 #include "base/message.h"
 #include "proxy/node_metrics.h"
 
-enum { STATE_HOST_CONTROL_HEAD = 16 << 10, STATE_HOST_CONTROL_BODY = 8 << 20, STATE_HOST_CONTROL_MS = 30000 };
+enum {
+    STATE_HOST_CONTROL_HEAD = 16 << 10,
+    STATE_HOST_CONTROL_BODY = 8 << 20,
+    STATE_HOST_CONTROL_BODIES = 8 << 20,
+    STATE_HOST_CONTROL_MS = 30000
+};
 
 struct state_host *state_host_open(struct node *node)
 {
@@ -49,7 +54,7 @@
 bool state_host_listen(struct state_host *host)
 {
     static const struct http_limits limits = {STATE_HOST_CONTROL_HEAD, STATE_HOST_CONTROL_BODY, STATE_HOST_CONTROL_MS,
-                                              STATE_HOST_CONTROL_MS};
+                                              STATE_HOST_CONTROL_MS, STATE_HOST_CONTROL_BODIES};
     struct address address;
     if (!address_parse(host->node->settings.control_address, &address)) {
         return true;
--- a/src/store/snapshot_file.c
+++ b/src/store/snapshot_file.c
@@ -137,8 +137,8 @@
 {
     char *path = snapshot_path(folder, group, ".new");
     char *final_path = snapshot_file_path(folder, group);
-    bool done = writer->active && snapshot_writer_finish(writer) && rename(path, final_path) == 0 &&
-                file_sync_folder(folder);
+    bool done =
+        writer->active && snapshot_writer_finish(writer) && rename(path, final_path) == 0 && file_sync_folder(folder);
     if (done) {
         snapshot_stored_close(stored);
         stored->open = true;
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -53,7 +53,7 @@
 void site_start_daemon(int daemon);
 int site_end_daemon(int daemon, int signal_number);
 
-/** Limits the memory that a state replica started from now on may hold, in MB; 0: no limit. */
+/** Limits the memory that a daemon started from now on may hold, in MB; 0: no limit. */
 void site_limit_memory(int megabytes);
 
 /** Process id of a daemon. */
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -61,7 +61,7 @@
     fprintf(file, "name: \"machine-%d\"\nzone: \"z%d\"\nip: \"%s\"\npeer_port: %d\nbootstrap: %s\n", daemon,
             daemon % SITE_STATES + 1, site_ip(daemon), site_peer_port, site_formed ? "false" : "true");
     fprintf(file, "machine_list: \"127.0.0.1:%d\"\nlist_period_ms: 100\ngrace_s: 6\n", site_list_port);
-    if (site_memory_mb > 0 && !gateway) {
+    if (site_memory_mb > 0) {
         fprintf(file, "memory_mb: %d\n", site_memory_mb);
     }
     fprintf(file, "metrics_address: \"%s:%d\"\n", site_ip(daemon), site_metrics_port);
@@ -85,11 +85,11 @@
 }
 
 /* In the daemon's own process, before its program begins. */
-static void site_apply_limit(int daemon)
+static void site_apply_limit(void)
 {
     rlim_t bytes = (rlim_t)site_memory_mb << 20;
     struct rlimit limit = {.rlim_cur = bytes, .rlim_max = bytes};
-    if (daemon < SITE_STATES && site_memory_mb > 0) {
+    if (site_memory_mb > 0) {
         setrlimit(RLIMIT_DATA, &limit);
     }
 }
@@ -112,7 +112,7 @@
         int file = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
-        site_apply_limit(daemon);
+        site_apply_limit();
         execl(program, program, "--config", settings, (char *)NULL);
         _exit(127);
     }
@@ -270,6 +270,7 @@
     signal(SIGPIPE, SIG_IGN);
     snprintf(site_folder, sizeof(site_folder), "/tmp/bankbank-site-XXXXXX");
     ck_assert_ptr_nonnull(mkdtemp(site_folder));
+    site_formed = false;
     site_caller_port = ports_take();
     site_control_port = ports_take();
     site_ready_port = ports_take();
--- a/tests/integration/test_memory.c
+++ b/tests/integration/test_memory.c
@@ -1,19 +1,22 @@
-/* State replicas under a limit of memory, with conversations of several times that limit. */
+/* Daemons under a limit of memory, with conversations and requests of several times that limit. */
 #include <check.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include "../unit/suite.h"
 #include "site.h"
 
 enum {
-    LIMIT_MB = 48,           /* what a replica may hold */
-    TURN_BYTES = 60 * 1024,  /* what a caller brings; the route takes 64 KiB */
-    TURNS = 2400,            /* three times the limit: 140 MB */
-    TURNS_BETWEEN_KILLS = 60 /* in the run with kills */
+    LIMIT_MB = 48,            /* what a replica may hold */
+    TURN_BYTES = 60 * 1024,   /* what a caller brings; the route takes 64 KiB */
+    TURNS = 2400,             /* three times the limit: 140 MB */
+    TURNS_BETWEEN_KILLS = 60, /* in the run with kills */
+    CALLERS = 400             /* at once, with a body each: twice the share of a gateway's requests */
 };
 
 static char text[TURN_BYTES + 1];
@@ -153,6 +156,58 @@
 }
 END_TEST
 
+/* Sends a request and does not wait for its answer. */
+static int send_request(int number)
+{
+    struct buffer request = {0};
+    buffer_printf(&request,
+                  "POST /once/x HTTP/1.1\r\nHost: app.example\r\nBankbank-Request-Id: many-%d\r\n"
+                  "Content-Length: %d\r\n\r\n%s",
+                  number, TURN_BYTES, turn_text(number));
+    int fd = site_connect(site_caller_ip(0), site_caller_port);
+    size_t sent = 0;
+    while (sent < request.length) {
+        ssize_t step = send(fd, request.data + sent, request.length - sent, MSG_NOSIGNAL);
+        if (step <= 0) {
+            break; /* refused before its body was read */
+        }
+        sent += (size_t)step;
+    }
+    buffer_close(&request);
+    return fd;
+}
+
+static bool one_is_served(void *context)
+{
+    struct site_answer answer;
+    (void)context;
+    site_call(0, "POST", "/once/x", "", "x", &answer);
+    int status = answer.status;
+    site_answer_close(&answer);
+    return status == 200;
+}
+
+/* Refused at once, and truly not run: the servers ran no more than were served or may have run. */
+START_TEST(a_gateway_refuses_above_its_share)
+{
+    int files[CALLERS];
+    int counts[600] = {0};
+    site_set_mode(-1, SITE_SLOW);
+    for (int i = 0; i < CALLERS; i++) {
+        files[i] = send_request(i);
+    }
+    for (int i = 0; i < CALLERS; i++) {
+        counts[site_read_status(files[i])]++;
+    }
+    ck_assert_int_gt(counts[503], 0);
+    ck_assert_int_le(site_runs(-1), CALLERS - counts[503]);
+    ck_assert(site_metric(SITE_STATES, "memory_refusals_total") > 0);
+    ck_assert(waitpid(site_process(SITE_STATES), NULL, WNOHANG) == 0);
+    site_set_mode(-1, SITE_NORMAL);
+    site_wait(one_is_served, NULL, "the gateway serves again");
+}
+END_TEST
+
 static void start_limited(void)
 {
     site_limit_memory(LIMIT_MB);
@@ -163,7 +218,7 @@
 {
     site_build = argc > 1 ? argv[1] : "build";
     Suite *suite = suite_create("memory");
-    TCase *tests = tcase_create("one site");
+    TCase *tests = tcase_create("replicas");
     tcase_set_timeout(tests, 180);
     tcase_add_unchecked_fixture(tests, start_limited, site_stop);
     tcase_add_test(tests, state_of_several_times_the_memory_is_taken);
@@ -171,5 +226,10 @@
     tcase_add_test(tests, a_replica_without_a_disk_catches_up);
     tcase_add_test(tests, kills_at_any_step_lose_nothing);
     suite_add_tcase(suite, tests);
+    TCase *gateway = tcase_create("a gateway");
+    tcase_set_timeout(gateway, 60);
+    tcase_add_unchecked_fixture(gateway, start_limited, site_stop);
+    tcase_add_test(gateway, a_gateway_refuses_above_its_share);
+    suite_add_tcase(suite, gateway);
     return suite_run_in_process(suite);
 }
--- a/tests/scripted/run_snapshot.c
+++ b/tests/scripted/run_snapshot.c
@@ -349,7 +349,8 @@
 static void tell_files(void)
 {
     const struct history_store *texts = &hosts[1].texts;
-    script_print("%s\n", texts->segment_count > 0 && texts->segments[0].number > 1 ? "first ones are gone" : "all kept");
+    script_print("%s\n",
+                 texts->segment_count > 0 && texts->segments[0].number > 1 ? "first ones are gone" : "all kept");
 }
 
 static void tell_log(void)
--- a/tests/unit/turns.c
+++ b/tests/unit/turns.c
@@ -121,7 +121,7 @@
     finish(1, "a", "", "AAAAAAAA", 1000);
     finish(2, "b", "", "BBBBBBBB", 1000);
     finish(3, "c", "a", "C", 1000);
-    turn_store_shrink(&machine.site.turns, 15);
+    turn_store_shrink(&machine.site.turns, machine.site.turns.index_bytes * 2 / 3 + 15);
     ck_assert_ptr_null(turn_store_find(&machine.site.turns, "b"));
     expect_chain("c", "AAAAAAAA>\nC>\n");
 }
