--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -24,6 +24,8 @@
     SITE_CUT_MIDWAY,  /**< Runs, and closes in the middle of the answer. */
     SITE_STALL,       /**< Streams two events and says nothing more. */
     SITE_TORN,        /**< Streams, and closes in the middle of its second event, once for each request. */
+    SITE_UNNUMBERED,  /**< Streams events without ids, and closes after the second one. */
+    SITE_PAUSED,      /**< Streams two events, says nothing for two seconds, and ends in order. */
     SITE_CROSSED,     /**< Answers with another request's id. */
     SITE_UNSIGNED,    /**< A success without its signature. */
     SITE_ENCODED,     /**< An answer with a content encoding. */
@@ -118,6 +120,9 @@
 /** Value of a metric of a daemon; -1: none. */
 double site_metric(int daemon, const char *name);
 
+/** Whether a daemon's log has a text. */
+bool site_log_has(int daemon, const char *text);
+
 /** Folder of the programs under test. */
 extern const char *site_build;
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -16,7 +16,7 @@
 
 #include "base/clock.h"
 
-enum { SITE_DAEMONS = SITE_STATES + SITE_GATEWAYS, SITE_STEP_US = 10000 };
+enum { SITE_DAEMONS = SITE_STATES + SITE_GATEWAYS, SITE_STEP_US = 10000, SITE_LOG_STEP = 1 << 16 };
 
 const char *site_build = "build";
 int site_caller_port;
@@ -247,6 +247,25 @@
     return value;
 }
 
+bool site_log_has(int daemon, const char *text)
+{
+    char path[128];
+    struct buffer log = {0};
+    snprintf(path, sizeof(path), "%s/log-%d", site_folder, daemon);
+    FILE *file = fopen(path, "r");
+    size_t got = 0;
+    do {
+        got = file == NULL ? 0 : fread(buffer_reserve(&log, SITE_LOG_STEP), 1, SITE_LOG_STEP, file);
+        log.length += got;
+    } while (got > 0);
+    if (file != NULL) {
+        fclose(file);
+    }
+    bool has = strstr(buffer_text(&log), text) != NULL;
+    buffer_close(&log);
+    return has;
+}
+
 /* ---- The whole ------------------------------------------------------------------------------------- */
 
 static bool site_takes_configuration(void *context)
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -17,7 +17,7 @@
 #include "base/clock.h"
 #include "site.h"
 
-enum { SITE_EVENTS = 3, SITE_PADDING = 1024, SITE_FILLERS = 4, SITE_BACKLOG = 128, SITE_DARK_US = 10000 };
+enum { SITE_EVENTS = 3, SITE_PADDING = 1024, SITE_FILLERS = 4, SITE_BACKLOG = 128, SITE_DARK_US = 10000, SITE_PAUSE_US = 2000000 };
 
 /* One back end of the stand-in. */
 struct site_server {
@@ -62,7 +62,9 @@
     int padding = mode == SITE_LONG ? SITE_PADDING : 0;
     for (int i = last + 1; i <= events; i++) {
         char event[SITE_PADDING + 64];
-        int length = snprintf(event, sizeof(event), "id: %d\ndata: piece-%d%*s\n\n", i, i, padding, "");
+        int length = mode == SITE_UNNUMBERED
+                         ? snprintf(event, sizeof(event), "data: piece-%d\n\n", i)
+                         : snprintf(event, sizeof(event), "id: %d\ndata: piece-%d%*s\n\n", i, i, padding, "");
         if (mode == SITE_TORN && i == 2 && last == 0) {
             event[--length] = '\0';
             event[--length] = '\0';
@@ -74,7 +76,12 @@
             buffer_close(&out);
             return;
         }
-        if ((mode == SITE_CUT_MIDWAY || (mode == SITE_TORN && last == 0)) && i == 2) {
+        if (mode == SITE_PAUSED && i == 2) {
+            site_send(file, buffer_text(&out), out.length);
+            buffer_clear(&out);
+            clock_sleep_us(SITE_PAUSE_US);
+        }
+        if ((mode == SITE_CUT_MIDWAY || mode == SITE_UNNUMBERED || (mode == SITE_TORN && last == 0)) && i == 2) {
             site_send(file, buffer_text(&out), out.length);
             buffer_close(&out);
             return;
@@ -159,7 +166,7 @@
         } else {
             site_write_plain(file, id, mode);
         }
-        goes_on = mode != SITE_STALL && mode != SITE_CUT_MIDWAY && mode != SITE_TORN && mode != SITE_UNFRAMED &&
+        goes_on = mode != SITE_STALL && mode != SITE_CUT_MIDWAY && mode != SITE_UNNUMBERED && mode != SITE_TORN && mode != SITE_UNFRAMED &&
                   mode != SITE_RESET;
         if (mode == SITE_RESET) {
             site_reset_at_close(file);
--- a/tests/integration/test_resume.c
+++ b/tests/integration/test_resume.c
@@ -129,6 +129,48 @@
 }
 END_TEST
 
+/* Without numbers nobody can tell a server where it broke off: events could come twice. */
+START_TEST(a_stream_without_numbers_is_not_taken_up)
+{
+    struct site_answer answer;
+    site_set_mode(-1, SITE_UNNUMBERED);
+    ck_assert_int_eq(turn("r9", "p9", 1000, &answer), -200);
+    ck_assert_str_eq(buffer_text(&answer.body), "data: piece-1\n\ndata: piece-2\n\n");
+    ck_assert_int_eq(site_runs(-1), 1);
+    site_answer_close(&answer);
+}
+END_TEST
+
+static bool the_server_is_lost(void *context)
+{
+    (void)context;
+    return site_log_has(SITE_STATES, "\"server_lost\"");
+}
+
+static void *pass_by_in_the_dark(void *context)
+{
+    go_dark(context);
+    site_wait(the_server_is_lost, NULL, "the server is lost");
+    return NULL;
+}
+
+/* It takes no connection, but its stream goes on: it is used again, and the log says so. */
+START_TEST(a_lost_server_that_speaks_is_regained)
+{
+    pthread_t thread;
+    struct site_answer answer;
+    site_set_mode(-1, SITE_PAUSED);
+    pthread_create(&thread, NULL, pass_by_in_the_dark, NULL);
+    site_call(0, "POST", "/chat/x", "Bankbank-Program-Id: p10\r\n", "x", &answer);
+    pthread_join(thread, NULL);
+    bool told = site_log_has(SITE_STATES, "\"server_regained\"");
+    site_set_dark(stalled, false);
+    ck_assert(answer.whole && answer.status == 200);
+    ck_assert(told);
+    site_answer_close(&answer);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
     site_build = argc > 1 ? argv[1] : "build";
@@ -137,6 +179,7 @@
     tcase_set_timeout(tests, 60);
     tcase_add_checked_fixture(tests, setup, NULL);
     tcase_add_unchecked_fixture(tests, site_start, site_stop);
+    tcase_add_test(tests, a_lost_server_that_speaks_is_regained);
     tcase_add_test(tests, a_cut_stream_goes_on_at_its_server);
     tcase_add_test(tests, a_torn_event_is_dropped);
     tcase_add_test(tests, a_server_that_always_breaks_off_ends_the_stream);
@@ -144,6 +187,7 @@
     tcase_add_test(tests, a_stream_leaves_a_server_that_is_lost);
     tcase_add_test(tests, a_stream_stays_at_a_server_that_is_slow);
     tcase_add_test(tests, other_streams_still_look_cut);
+    tcase_add_test(tests, a_stream_without_numbers_is_not_taken_up);
     suite_add_tcase(suite, tests);
     return suite_run_in_process(suite);
 }
