Streams without numbers are not taken up; a lost server that speaks says so

Cause: the stream kept 0 as the id of its last event where events have none, and the server was asked to go on from there; what the reach told when something came was dropped. Now a stream with an event whose id is no number ends where it broke off, as on a route that may not be resumed; front_note_heard tells the change, with the silence that it ended.

--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -74,6 +74,7 @@
     struct event_stream events; /**< Splitter. */
     uint64_t event_count;       /**< Events passed on. */
     uint64_t last_event;        /**< Id of the last one. */
+    bool unnumbered;            /**< One of them has no number as its id: nobody could tell where to go on. */
     uint32_t resumes;           /**< Times it was taken up after it broke off. */
     uint64_t first_event_ms;    /**< Loop time of the first one. */
     bool paused;                /**< The caller reads slowly: the server's answer is not read meanwhile. */
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -71,7 +71,7 @@
     struct forward *forward = attempt->forward;
     attempt->status = answer->status;
     reach_note_answer(&attempt->server->reach, node_now(forward->front->node) - attempt->sent_ms);
-    server_heard(attempt->server, node_now(forward->front->node));
+    front_note_heard(forward->front, attempt->server);
     if (forward_is_not_run(forward, answer)) {
         attempt->refused = true;
         return;
@@ -104,10 +104,12 @@
     struct forward_stream *answer = &forward->stream;
     uint64_t id = 0;
     if (!event->has_id) {
+        answer->unnumbered = answer->unnumbered || event->has_data;
         return true;
     }
     for (size_t i = 0; i < event->id.length; i++) {
         if (event->id.data[i] < '0' || event->id.data[i] > '9') {
+            answer->unnumbered = true;
             return true; /* ids that are not numbers carry no order */
         }
         id = id * 10 + (uint64_t)(event->id.data[i] - '0');
@@ -159,7 +161,7 @@
     for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
         struct forward_attempt *attempt = &forward->attempts[i];
         if (attempt->streaming && attempt->exchange != NULL) {
-            server_heard(attempt->server, node_now(forward->front->node));
+            front_note_heard(forward->front, attempt->server);
             upstream_pause(attempt->exchange, false);
         }
     }
@@ -169,7 +171,7 @@
 {
     struct forward_attempt *attempt = owner;
     struct forward *forward = attempt->forward;
-    server_heard(attempt->server, node_now(forward->front->node));
+    front_note_heard(forward->front, attempt->server);
     if (attempt->refused) {
         return;
     }
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -9,7 +9,7 @@
     const struct server *server = attempt->server;
     uint64_t now_ms = node_now(forward->front->node);
     return (resume_view_t){
-        .resumable = forward->route->resumable && !forward->turn.keep,
+        .resumable = forward->route->resumable && !forward->turn.keep && !forward->stream.unnumbered,
         .server_gone = !server->listed || server->draining || server->misplaced || server->reach.lost,
         .resumes = forward->stream.resumes,
         .servers = forward->wish.tried_count,
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -117,6 +117,9 @@
 /** front_reach.c: takes the outcomes of dials to silent servers. */
 void front_watch_reach(struct front *front);
 
+/** front_reach.c: something came from a server. */
+void front_note_heard(struct front *front, struct server *server);
+
 /** front_reach.c: dials a server that has been silent for too long. */
 void front_probe_if_silent(struct front *front, struct server *server);
 
--- a/src/proxy/front_reach.c
+++ b/src/proxy/front_reach.c
@@ -20,6 +20,13 @@
     }
 }
 
+/* The line tells how long it was silent: the time is noted after it. */
+void front_note_heard(struct front *front, struct server *server)
+{
+    front_tell_reach(front, server, reach_note_heard(&server->reach));
+    server_heard(server, node_now(front->node));
+}
+
 /* Where this process stood still meanwhile, a dial without an answer says nothing. */
 static void front_on_probed(void *context, const char *address, bool answered)
 {
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -17,7 +17,14 @@
 #include "base/clock.h"
 #include "site.h"
 
-enum { SITE_EVENTS = 3, SITE_PADDING = 1024, SITE_FILLERS = 4, SITE_BACKLOG = 128, SITE_DARK_US = 10000, SITE_PAUSE_US = 2000000 };
+enum {
+    SITE_EVENTS = 3,
+    SITE_PADDING = 1024,
+    SITE_FILLERS = 4,
+    SITE_BACKLOG = 128,
+    SITE_DARK_US = 10000,
+    SITE_PAUSE_US = 2000000
+};
 
 /* One back end of the stand-in. */
 struct site_server {
@@ -166,8 +173,8 @@
         } else {
             site_write_plain(file, id, mode);
         }
-        goes_on = mode != SITE_STALL && mode != SITE_CUT_MIDWAY && mode != SITE_UNNUMBERED && mode != SITE_TORN && mode != SITE_UNFRAMED &&
-                  mode != SITE_RESET;
+        goes_on = mode != SITE_STALL && mode != SITE_CUT_MIDWAY && mode != SITE_UNNUMBERED && mode != SITE_TORN &&
+                  mode != SITE_UNFRAMED && mode != SITE_RESET;
         if (mode == SITE_RESET) {
             site_reset_at_close(file);
         }
