--- a/src/core/budget_table.c
+++ b/src/core/budget_table.c
@@ -109,6 +109,10 @@
     program->committed -= item->tokens;
     *item = program->open[--program->open_count];
     table->bytes -= sizeof(*item);
+    if (program->open_count == 0) {
+        free(program->open);
+        program->open = NULL;
+    }
 }
 
 static void budget_add_settled(struct budget_table *table, struct budget_program *program, uint64_t turn)
--- a/src/core/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -11,6 +11,9 @@
  *   queues     frames that peers have not taken yet, all together
  *   (rest)     program, libraries, chunks of snapshots, one request's texts, allocator
  *
+ * While the disk takes nothing, what came since waits in two more copies, for
+ * the log and for the texts: each is at most log_most less half of log.
+ *
  * A gateway's:
  *
  *   cache      turns kept near
@@ -26,8 +29,8 @@
 
 enum {
     MEMORY_BUDGET_LOG_PERCENT = 15,      /**< Share `log`. */
-    MEMORY_BUDGET_LOG_MOST_PERCENT = 25, /**< Share `log_most`; the share `log` lies inside it. */
-    MEMORY_BUDGET_STATE_PERCENT = 40,    /**< Share `state`. */
+    MEMORY_BUDGET_LOG_MOST_PERCENT = 22, /**< Share `log_most`; the share `log` lies inside it. */
+    MEMORY_BUDGET_STATE_PERCENT = 35,    /**< Share `state`. */
     MEMORY_BUDGET_QUEUES_PERCENT = 10,   /**< Share `queues`. */
     MEMORY_BUDGET_CACHE_PERCENT = 15,    /**< Share `cache`. */
     MEMORY_BUDGET_REQUESTS_PERCENT = 25, /**< Share `requests`. */
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -303,6 +303,20 @@
     }
 }
 
+/* A leader whose disk takes nothing goes on by the disks of the others, as long as its log has room. */
+static void replica_leave_full_log(struct replica *replica, uint32_t group)
+{
+    struct raft *raft = &replica->groups[group].raft;
+    bool stuck = replica->blocked_until_ms != 0 && raft_log_is_full(raft);
+    if (!stuck || !raft_is_leader(raft) || raft->transfer_target != RAFT_NO_NODE) {
+        return;
+    }
+    uint32_t successor = replica_best_successor(replica, raft);
+    if (successor != RAFT_NO_NODE) {
+        raft_transfer(raft, replica->now_ms, successor);
+    }
+}
+
 void replica_tick(struct replica *replica, uint64_t now_ms)
 {
     replica->now_ms = now_ms;
@@ -311,6 +325,7 @@
     }
     for (uint32_t group = 0; group < replica->config.groups; group++) {
         raft_tick(&replica->groups[group].raft, now_ms);
+        replica_leave_full_log(replica, group);
     }
     replica_maintain(replica);
 }
--- a/tests/scripted/run_snapshot.c
+++ b/tests/scripted/run_snapshot.c
@@ -1,5 +1,9 @@
-/* Two replicas on real files: a leads alone, b is a learner. Ends are as by a kill: what was written stays.
- *   new LOG_KB STATE_KB   empties both and starts a; shares of memory for log and state, 0: none
+/* Replicas on real files: a leads alone, b is a learner. Ends are as by a kill: what was written stays.
+ *   new LOG_KB STATE_KB [three]   empties all and starts a; shares of memory for log and state, 0: none;
+ *                         `three`: a, b and c vote, and all are started
+ *   full NAME, room NAME  its disk takes nothing from now on, or takes it again
+ *   leader                who leads
+ *   pour COUNT BYTES      turns are stored at whoever leads, and nobody waits for them
  *   start NAME            starts a replica from its files
  *   kill NAME             ends it
  *   lose NAME             removes its files
@@ -26,9 +30,11 @@
 enum {
     STEP_MS = 20,
     SETTLE_STEPS = 5,
+    ELECTION_STEPS = 100,
     CALLER = 9,
-    HOSTS = 3, /* by id, from 1 */
+    HOSTS = 4, /* by id, from 1 */
     BRANCH = 10,
+    ENTRY_MOST = 8 << 10, /* the entry that fills a log is still taken */
     RETENTION_MS = 5000,
     TEXT_FILE_BYTES = 64 << 10,
     PATH = 96
@@ -37,6 +43,7 @@
 /* A replica and its files. */
 typedef struct host_t {
     bool up;
+    bool full;
     char folder[PATH];
     struct replica replica;
     struct log_store log;
@@ -62,6 +69,7 @@
 static uint32_t refused;
 static uint32_t chunks;
 static char root[PATH];
+static bool three;
 
 /* ---- Effects ---------------------------------------------------------------------- */
 
@@ -82,12 +90,17 @@
 
 static enum replica_sync on_sync(void *context)
 {
-    return log_store_sync(&((host_t *)context)->log) ? REPLICA_SYNC_DONE : REPLICA_SYNC_FAILED;
+    host_t *host = context;
+    if (host->full) {
+        return REPLICA_SYNC_BLOCKED;
+    }
+    return log_store_sync(&host->log) ? REPLICA_SYNC_DONE : REPLICA_SYNC_FAILED;
 }
 
 static bool on_snapshot_begin(void *context, uint32_t group, const struct raft_snapshot *snapshot)
 {
-    return log_store_snapshot_begin(&((host_t *)context)->log, group, snapshot);
+    host_t *host = context;
+    return !host->full && log_store_snapshot_begin(&host->log, group, snapshot);
 }
 
 static bool on_snapshot_write(void *context, uint32_t group, struct view bytes)
@@ -145,7 +158,7 @@
     struct replica_config config = {
         .node = host_id(host),
         .groups = 1,
-        .members = {.count = 2, .nodes = {1, 2}, .learners = {false, true}},
+        .members = {.count = three ? 3 : 2, .nodes = {1, 2, 3}, .learners = {false, !three, false}},
         .election_timeout_ms = 400,
         .heartbeat_ms = 80,
         .log_bytes = log_bytes,
@@ -190,7 +203,7 @@
 
 static host_t *host_named(const script_command_t *command)
 {
-    return script_is(command, 1, "a") ? &hosts[1] : &hosts[2];
+    return script_is(command, 1, "a") ? &hosts[1] : script_is(command, 1, "b") ? &hosts[2] : &hosts[3];
 }
 
 /* ---- Frames ----------------------------------------------------------------------- */
@@ -256,6 +269,17 @@
     }
 }
 
+/* The id of the replica that leads; 1 where none does. */
+static int leader_id(void)
+{
+    for (int i = 1; i < HOSTS; i++) {
+        if (hosts[i].up && raft_is_leader(&hosts[i].replica.groups[0].raft)) {
+            return i;
+        }
+    }
+    return 1;
+}
+
 static void propose(const Entry *entry)
 {
     struct buffer body = {0};
@@ -264,14 +288,14 @@
     frame.which_payload = Frame_request_tag;
     frame.payload.request.kind = REQUEST_PROPOSE;
     frame.payload.request.body = buffer_view(&body);
-    replica_receive(&hosts[1].replica, now_ms, CALLER, &frame);
+    replica_receive(&hosts[leader_id()].replica, now_ms, CALLER, &frame);
     flush_hosts();
     buffer_close(&body);
 }
 
 /* ---- Commands --------------------------------------------------------------------- */
 
-static void store_turns(uint64_t count, size_t bytes)
+static void send_turns(uint64_t count, size_t bytes)
 {
     char *text = memory_new(bytes + 1);
     accepted = 0;
@@ -297,9 +321,19 @@
             run(1, UINT32_MAX);
         }
     }
+    free(text);
+}
+
+static void store_turns(uint64_t count, size_t bytes)
+{
+    send_turns(count, bytes);
     run(SETTLE_STEPS, UINT32_MAX);
     script_print("%u stored\n", accepted);
-    free(text);
+}
+
+static void tell_leader(void)
+{
+    script_print("%c leads\n", 'a' - 1 + leader_id());
 }
 
 static void begin_turns(uint64_t count)
@@ -356,7 +390,9 @@
 static void tell_log(void)
 {
     size_t held = hosts[1].replica.groups[0].raft.log.bytes;
-    script_print("log %s its share\n", held <= log_bytes ? "below" : held <= 2 * log_bytes ? "above" : "beyond twice");
+    script_print("log %s its share\n", held <= log_bytes                    ? "below"
+                                       : held <= 2 * log_bytes + ENTRY_MOST ? "above"
+                                                                            : "beyond twice");
 }
 
 static void restart_all(const script_command_t *command)
@@ -370,9 +406,19 @@
     }
     log_bytes = script_number(command, 1, 0) << 10;
     state_bytes = script_number(command, 2, 0) << 10;
+    three = script_is(command, 3, "three");
     turns_sent = 0;
-    start_host(&hosts[1]);
-    run(SETTLE_STEPS, UINT32_MAX);
+    for (int i = 1; i < HOSTS; i++) {
+        hosts[i].full = false;
+        if (i == 1 || three) {
+            start_host(&hosts[i]);
+        }
+    }
+    run(three ? ELECTION_STEPS : SETTLE_STEPS, UINT32_MAX);
+    for (int i = 0; three && leader_id() != 1 && i < HOSTS; i++) {
+        raft_transfer(&hosts[leader_id()].replica.groups[0].raft, now_ms, 1);
+        run(ELECTION_STEPS, UINT32_MAX);
+    }
 }
 
 static void run_command(const script_command_t *command)
@@ -387,6 +433,14 @@
         lose_host(host_named(command));
     } else if (script_is(command, 0, "store")) {
         store_turns(script_number(command, 1, 0), (size_t)script_number(command, 2, 0));
+    } else if (script_is(command, 0, "pour")) {
+        send_turns(script_number(command, 1, 0), (size_t)script_number(command, 2, 0));
+    } else if (script_is(command, 0, "full")) {
+        host_named(command)->full = true;
+    } else if (script_is(command, 0, "room")) {
+        host_named(command)->full = false;
+    } else if (script_is(command, 0, "leader")) {
+        tell_leader();
     } else if (script_is(command, 0, "begin")) {
         begin_turns(script_number(command, 1, 0));
     } else if (script_is(command, 0, "run")) {
@@ -417,6 +471,7 @@
     now_ms = 1000;
     snprintf(hosts[1].folder, sizeof(hosts[1].folder), "%.60s/a", root);
     snprintf(hosts[2].folder, sizeof(hosts[2].folder), "%.60s/b", root);
+    snprintf(hosts[3].folder, sizeof(hosts[3].folder), "%.60s/c", root);
     int status = script_main(argv[1], run_command);
     for (int i = 1; i < HOSTS; i++) {
         end_host(&hosts[i]);
