--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -16,7 +16,7 @@
 
 #include "base/clock.h"
 
-enum { SITE_DAEMONS = SITE_STATES + SITE_GATEWAYS, SITE_STEP_US = 10000 };
+enum { SITE_DAEMONS = SITE_STATES + SITE_GATEWAYS, SITE_STEP_US = 10000, SITE_LOG_STEP = 1 << 16 };
 
 const char *site_build = "build";
 int site_caller_port;
@@ -61,7 +61,7 @@
     fprintf(file, "name: \"machine-%d\"\nzone: \"z%d\"\nip: \"%s\"\npeer_port: %d\nbootstrap: %s\n", daemon,
             daemon % SITE_STATES + 1, site_ip(daemon), site_peer_port, site_formed ? "false" : "true");
     fprintf(file, "machine_list: \"127.0.0.1:%d\"\nlist_period_ms: 100\ngrace_s: 6\n", site_list_port);
-    if (site_memory_mb > 0 && !gateway) {
+    if (site_memory_mb > 0) {
         fprintf(file, "memory_mb: %d\n", site_memory_mb);
     }
     fprintf(file, "metrics_address: \"%s:%d\"\n", site_ip(daemon), site_metrics_port);
@@ -85,11 +85,11 @@
 }
 
 /* In the daemon's own process, before its program begins. */
-static void site_apply_limit(int daemon)
+static void site_apply_limit(void)
 {
     rlim_t bytes = (rlim_t)site_memory_mb << 20;
     struct rlimit limit = {.rlim_cur = bytes, .rlim_max = bytes};
-    if (daemon < SITE_STATES && site_memory_mb > 0) {
+    if (site_memory_mb > 0) {
         setrlimit(RLIMIT_DATA, &limit);
     }
 }
@@ -112,7 +112,7 @@
         int file = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
-        site_apply_limit(daemon);
+        site_apply_limit();
         execl(program, program, "--config", settings, (char *)NULL);
         _exit(127);
     }
@@ -247,6 +247,25 @@
     return value;
 }
 
+bool site_log_has(int daemon, const char *text)
+{
+    char path[128];
+    struct buffer log = {0};
+    snprintf(path, sizeof(path), "%s/log-%d", site_folder, daemon);
+    FILE *file = fopen(path, "r");
+    size_t got = 0;
+    do {
+        got = file == NULL ? 0 : fread(buffer_reserve(&log, SITE_LOG_STEP), 1, SITE_LOG_STEP, file);
+        log.length += got;
+    } while (got > 0);
+    if (file != NULL) {
+        fclose(file);
+    }
+    bool has = strstr(buffer_text(&log), text) != NULL;
+    buffer_close(&log);
+    return has;
+}
+
 /* ---- The whole ------------------------------------------------------------------------------------- */
 
 static bool site_takes_configuration(void *context)
@@ -270,6 +289,7 @@
     signal(SIGPIPE, SIG_IGN);
     snprintf(site_folder, sizeof(site_folder), "/tmp/bankbank-site-XXXXXX");
     ck_assert_ptr_nonnull(mkdtemp(site_folder));
+    site_formed = false;
     site_caller_port = ports_take();
     site_control_port = ports_take();
     site_ready_port = ports_take();
