A fault soak: real daemons, faults from outside them, an oracle

Faults overlap and come in series: kills, freezes, stops, reloads, all replicas killed, a lost disk, a full disk (a limit of file sizes), servers that refuse, cut, stall or are slow, proxies before servers that delay, reset, or lose either way or both. The oracle checks what callers and servers see: run twice, not run, mixed, history, turn lost, budget, reverted, ended. Not in it: proxies between daemons (a replica listens where it advertises itself), jumping clocks, more than five processes.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 # Thin front of the CMake build. `make help` lists the targets.
 BUILD ?= build
 SIM_SEEDS ?= 10000
+SECONDS ?= 180
+SEED ?= 1
 SOURCES = $(shell git ls-files 'src/*.c' 'src/*.h' 'platform/*.c' 'platform/*.h' 'tests/*.c' 'tests/*.h' | grep -v '^src/generated/')
 
-.PHONY: help deps build demo fleet test test-asan test-tsan lint format fuzz bench clean
+.PHONY: help deps build demo fleet test test-asan test-tsan lint format fuzz soak bench clean
 
 help:
 	@echo "deps     install what the build and the tests need"
@@ -13,6 +15,7 @@
 	@echo "test     unit tests, integration tests, simulated schedules"
 	@echo "lint     formatter and static checks"
 	@echo "fuzz     fuzz the pure core for a while"
+	@echo "soak     real daemons under random faults: SECONDS=180 SEED=1"
 	@echo "bench    measure cost and latency; figures and a plot under $(BUILD)/bench/"
 
 deps:
@@ -50,6 +53,9 @@
 fuzz: deps
 	@scripts/fuzz
 
+soak: build
+	@$(BUILD)/tests/soak $(BUILD) $(SECONDS) $(SEED)
+
 bench: build
 	@scripts/bench $(BUILD)
 
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -12,6 +12,7 @@
 #include <sys/types.h>
 
 #include "base/buffer.h"
+#include "proxy.h"
 
 enum { SITE_STATES = 3, SITE_GATEWAYS = 2, SITE_SERVERS = 4, SITE_LIMIT_MS = 20000, SITE_LONG_EVENTS = 12000 };
 
@@ -51,6 +52,9 @@
 /** Ends all; fails if a daemon does not stop cleanly. */
 void site_stop(void);
 
+/** Keeps the folder with logs and data at the stop; returns its path. */
+const char *site_keep_folder(void);
+
 /** Starts and ends a daemon: states first, then gateways. */
 void site_start_daemon(int daemon);
 int site_end_daemon(int daemon, int signal_number);
@@ -67,6 +71,16 @@
 /** Sets how servers answer; -1: all of them. Forgets what they ran. */
 void site_set_mode(int server, enum site_mode mode);
 
+/** From now on servers answer with the request's id as their text, and tell each run. May be called from many threads.
+ */
+void site_echo(void (*run)(int server, const char *id, struct view body));
+
+/** Puts a proxy before each server, from the next reading of the list on. */
+void site_use_proxies(void);
+
+/** Changes what the proxy before a server does; -1: all of them. */
+void site_set_proxy(int server, enum proxy_mode mode);
+
 /** Makes a server take no connection any more, without a word, or take them again. */
 void site_set_dark(int server, bool dark);
 
@@ -117,6 +131,9 @@
 /** Repeats until `reached` is true; fails after SITE_LIMIT_MS. */
 void site_wait(bool (*reached)(void *context), void *context, const char *what);
 
+/** Lets the files that a state replica writes grow no more, as on a full disk, or grow again. */
+void site_set_disk_full(int state, bool full);
+
 /** Value of a metric of a daemon; -1: none. */
 double site_metric(int daemon, const char *name);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -16,7 +16,12 @@
 
 #include "base/clock.h"
 
-enum { SITE_DAEMONS = SITE_STATES + SITE_GATEWAYS, SITE_STEP_US = 10000, SITE_LOG_STEP = 1 << 16 };
+enum {
+    SITE_DAEMONS = SITE_STATES + SITE_GATEWAYS,
+    SITE_STEP_US = 10000,
+    SITE_LOG_STEP = 1 << 16,
+    SITE_FULL_BYTES = 4096
+};
 
 const char *site_build = "build";
 int site_caller_port;
@@ -29,6 +34,7 @@
 static pid_t site_processes[SITE_DAEMONS];
 static bool site_formed;
 static int site_memory_mb;
+static bool site_kept;
 
 /* ---- Daemons ------------------------------------------------------------------------------------- */
 
@@ -112,6 +118,7 @@
         int file = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
+        signal(SIGXFSZ, SIG_IGN); /* a limit of file sizes is an error of the write, as a full disk is */
         site_apply_limit();
         execl(program, program, "--config", settings, (char *)NULL);
         _exit(127);
@@ -231,6 +238,14 @@
     return buffer_text(&text);
 }
 
+void site_set_disk_full(int state, bool full)
+{
+    struct rlimit limit = {.rlim_cur = full ? SITE_FULL_BYTES : RLIM_INFINITY, .rlim_max = RLIM_INFINITY};
+    if (site_processes[state] != 0) {
+        prlimit(site_processes[state], RLIMIT_FSIZE, &limit, NULL);
+    }
+}
+
 double site_metric(int daemon, const char *name)
 {
     static const char request[] = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
@@ -324,5 +339,11 @@
         }
     }
     snprintf(command, sizeof(command), "rm -rf %s", site_folder);
-    ck_assert_int_eq(system(command), 0);
+    ck_assert_int_eq(site_kept ? 0 : system(command), 0);
+}
+
+const char *site_keep_folder(void)
+{
+    site_kept = true;
+    return site_folder;
 }
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -30,6 +30,8 @@
 struct site_server {
     int listener;
     int port;
+    int listed_port;     /* its own, or its proxy's */
+    struct proxy *proxy; /* or NULL */
     enum site_mode mode;
     bool draining;
     int runs;
@@ -42,6 +44,7 @@
 static int site_list_listener;
 static char *site_body;
 static int site_cancellations;
+static void (*site_on_run)(int server, const char *id, struct view body);
 
 struct site_connection {
     int file;
@@ -69,9 +72,10 @@
     int padding = mode == SITE_LONG ? SITE_PADDING : 0;
     for (int i = last + 1; i <= events; i++) {
         char event[SITE_PADDING + 64];
+        const char *text = site_on_run == NULL ? "piece" : id;
         int length = mode == SITE_UNNUMBERED
-                         ? snprintf(event, sizeof(event), "data: piece-%d\n\n", i)
-                         : snprintf(event, sizeof(event), "id: %d\ndata: piece-%d%*s\n\n", i, i, padding, "");
+                         ? snprintf(event, sizeof(event), "data: %s-%d\n\n", text, i)
+                         : snprintf(event, sizeof(event), "id: %d\ndata: %s-%d%*s\n\n", i, text, i, padding, "");
         if (mode == SITE_TORN && i == 2 && last == 0) {
             event[--length] = '\0';
             event[--length] = '\0';
@@ -103,11 +107,16 @@
 {
     struct buffer out = {0};
     bool unframed = mode == SITE_UNFRAMED || mode == SITE_RESET;
-    buffer_printf(&out, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n%sBankbank-Request-Id: %s\r\n",
-                  unframed ? "" : "Content-Length: 5\r\n", mode == SITE_CROSSED ? "another" : id);
+    const char *text = site_on_run == NULL ? "hello" : id;
+    buffer_printf(&out, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nBankbank-Request-Id: %s\r\n",
+                  mode == SITE_CROSSED ? "another" : id);
+    if (!unframed) {
+        buffer_printf(&out, "Content-Length: %zu\r\n", strlen(text));
+    }
     buffer_append_text(&out, mode == SITE_UNSIGNED ? "" : "Bankbank-Server-Signature: signed\r\n");
     buffer_append_text(&out, mode == SITE_ENCODED ? "Content-Encoding: gzip\r\n" : "");
-    buffer_append_text(&out, mode == SITE_CUT_MIDWAY || mode == SITE_RESET ? "\r\nhe" : "\r\nhello");
+    buffer_append_text(&out, "\r\n");
+    buffer_append(&out, text, mode == SITE_CUT_MIDWAY || mode == SITE_RESET ? 2 : strlen(text));
     buffer_append_text(&out, mode == SITE_EXTRA ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" : "");
     site_send(file, buffer_text(&out), out.length);
     buffer_close(&out);
@@ -141,6 +150,9 @@
         site_body = memory_copy(body.data, body.length);
     }
     pthread_mutex_unlock(&site_lock);
+    if (runs && site_on_run != NULL) {
+        site_on_run((int)(server - site_servers), id, buffer_view(&body));
+    }
     struct view last_view = http_reader_header(&reader, "Last-Event-Id");
     int last = last_view.length == 0 ? 0 : atoi((const char *)last_view.data);
     bool stream = memmem(reader.target.data, reader.target.length, "/chat/", 6) != NULL;
@@ -232,7 +244,7 @@
         buffer_printf(out,
                       "%s{\"id\":\"server-%d\",\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
                       "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\",\"cold-remaining-ms\":0,\"unknown\":[1]}",
-                      i == 0 ? "" : ",", i, i < 2 ? "engine" : "plain", site_servers[i].port,
+                      i == 0 ? "" : ",", i, i < 2 ? "engine" : "plain", site_servers[i].listed_port,
                       site_servers[i].draining ? "draining" : "ready");
     }
     pthread_mutex_unlock(&site_lock);
@@ -278,6 +290,29 @@
     pthread_mutex_unlock(&site_lock);
 }
 
+void site_echo(void (*run)(int server, const char *id, struct view body))
+{
+    site_on_run = run;
+}
+
+void site_use_proxies(void)
+{
+    pthread_mutex_lock(&site_lock);
+    for (int i = 0; i < SITE_SERVERS; i++) {
+        site_servers[i].proxy = proxy_start(site_servers[i].port, &site_servers[i].listed_port);
+    }
+    pthread_mutex_unlock(&site_lock);
+}
+
+void site_set_proxy(int server, enum proxy_mode mode)
+{
+    for (int i = 0; i < SITE_SERVERS; i++) {
+        if (server < 0 || server == i) {
+            proxy_set(site_servers[i].proxy, mode);
+        }
+    }
+}
+
 static int site_fill(const struct site_server *server)
 {
     struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)server->port)};
@@ -351,6 +386,7 @@
     pthread_create(&thread, NULL, site_run_list, NULL);
     for (int i = 0; i < SITE_SERVERS; i++) {
         site_servers[i].listener = site_listen("127.0.0.1", &site_servers[i].port);
+        site_servers[i].listed_port = site_servers[i].port;
         pthread_create(&thread, NULL, site_run_server, &site_servers[i]);
     }
 }
