Soak: a server that left is replaced, not shown as ready again; daemons end with their test

Gateways never give a leaving server new work again, as the platform's rules have it, so that after a while both plain servers were passed over for good (no server, 311 times at one gateway; the list in force had none leaving). A fault of the stand-in, not of the product: another instance now takes the address. Daemons of tests get PR_SET_PDEATHSIG: the failed runs had left five processes each.

--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -87,6 +87,9 @@
 /** Shows a server as leaving on the list, or as ready. */
 void site_set_draining(int server, bool draining);
 
+/** Puts another instance in the place of a server that left: it has the address, and an id of its own. */
+void site_replace_server(int server);
+
 /** Number of requests that a server ran; -1: all servers. */
 int site_runs(int server);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -118,7 +119,8 @@
         int file = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
-        signal(SIGXFSZ, SIG_IGN); /* a limit of file sizes is an error of the write, as a full disk is */
+        prctl(PR_SET_PDEATHSIG, SIGKILL); /* a test that fails leaves no daemon behind */
+        signal(SIGXFSZ, SIG_IGN);         /* a limit of file sizes is an error of the write, as a full disk is */
         site_apply_limit();
         execl(program, program, "--config", settings, (char *)NULL);
         _exit(127);
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -12,17 +12,17 @@
 #include "random.h"
 
 enum {
-    CALLERS = 10,           /* threads with requests */
-    OPERATORS = 2,          /* threads with configurations */
-    TOKENS_AN_EVENT = 5,    /* as the site's configuration says */
-    EVENTS = 3,             /* of a whole turn */
-    BUDGET_TURNS = 6,       /* that a program's budget holds */
-    TURNS = 9,              /* that it tries */
-    TRIES = 40,             /* of one turn, before it is left */
-    AGAIN_US = 100000,      /* pause after a refusal */
+    CALLERS = 10,        /* threads with requests */
+    OPERATORS = 2,       /* threads with configurations */
+    TOKENS_AN_EVENT = 5, /* as the site's configuration says */
+    EVENTS = 3,          /* of a whole turn */
+    BUDGET_TURNS = 6,    /* that a program's budget holds */
+    TURNS = 9,           /* that it tries */
+    TRIES = 40,          /* of one turn, before it is left */
+    AGAIN_US = 100000,   /* pause after a refusal */
     CONFIGURATION_US = 250000,
-    TEXT_BYTES = 2000,      /* of a turn's input */
-    KEPT = 64               /* conversations that are gone on from at the end */
+    TEXT_BYTES = 2000, /* of a turn's input */
+    KEPT = 64          /* conversations that are gone on from at the end */
 };
 
 /* A program: one line of turns. */
