--- a/src/core/raft_snapshot.c
+++ b/src/core/raft_snapshot.c
@@ -56,15 +56,22 @@
     raft->io.send(raft->io.context, raft->config.group, progress->node, &message, false);
 }
 
-void raft_begin_snapshot(struct raft *raft, uint64_t now_ms, struct raft_progress *progress)
+/* Goes back to the begin of the stored snapshot; false: it cannot be read now. */
+static bool raft_rewind_snapshot(const struct raft *raft, struct raft_progress *progress)
 {
     buffer_clear(&progress->snapshot_bytes);
     progress->snapshot = raft->snapshot;
     progress->snapshot_at = 0;
     progress->snapshot_read = false;
     progress->snapshot_offset = 0;
+    progress->snapshot_sent = 0;
     progress->snapshot_active = raft_fill_chunk(raft, progress);
-    if (progress->snapshot_active) {
+    return progress->snapshot_active;
+}
+
+void raft_begin_snapshot(struct raft *raft, uint64_t now_ms, struct raft_progress *progress)
+{
+    if (raft_rewind_snapshot(raft, progress)) {
         raft_send_chunk(raft, now_ms, progress);
     }
 }
@@ -110,7 +117,9 @@
     }
     bool lost_all = message->offset == 0 && progress->snapshot_offset > 0;
     if (lost_all) {
-        raft_begin_snapshot(raft, now_ms, progress);
+        /* It has started anew, or its disk takes no more: not again at once. */
+        raft_rewind_snapshot(raft, progress);
+        progress->snapshot_sent_ms = now_ms;
         return;
     }
     if (message->offset != progress->snapshot_offset + progress->snapshot_sent || progress->snapshot_sent == 0) {
--- a/src/core/replica_internal.h
+++ b/src/core/replica_internal.h
@@ -21,6 +21,8 @@
 
 /* replica_snapshot.c */
 struct history_io replica_group_history(struct replica_group *state);
+/** Log in memory above which no turn begins. */
+size_t replica_log_begin_most(const struct replica *replica);
 void replica_snapshot_if_due(struct replica *replica, uint32_t group);
 bool replica_read_snapshot(void *context, uint32_t group, uint64_t index, uint64_t *at, struct buffer *out);
 bool replica_take_snapshot(void *context, uint32_t group, const struct raft_snapshot *snapshot, struct view bytes,
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -211,9 +211,8 @@
     const struct replica_group *state = &replica->groups[group];
     const struct replica_config *config = &replica->config;
     bool begins = replica_entry_is(request->body, Entry_turn_begin_tag);
-    size_t begin_most = (config->log_bytes + config->log_bytes_most) / 2;
     bool log_full =
-        raft_log_is_full(&state->raft) || (begins && config->log_bytes_most > 0 && state->raft.log.bytes >= begin_most);
+        raft_log_is_full(&state->raft) || (begins && state->raft.log.bytes >= replica_log_begin_most(replica));
     bool state_full =
         begins && config->state_bytes > 0 && site_state_bytes(&state->machine.site) >= config->state_bytes;
     if (!raft_is_leader(&state->raft) || (!log_full && !state_full)) {
--- a/src/core/replica_snapshot.c
+++ b/src/core/replica_snapshot.c
@@ -144,11 +144,21 @@
     return state->rewrite || long_enough || raft->log.bytes >= replica_log_share(replica);
 }
 
-/* A new snapshot takes the place of one that is being sent or received: it waits while there is room. */
-static bool replica_snapshot_waits(struct replica *replica, uint32_t group)
+size_t replica_log_begin_most(const struct replica *replica)
 {
-    struct replica_group *state = &replica->groups[group];
-    if (raft_log_is_full(&state->raft)) {
+    size_t most = replica->config.log_bytes_most;
+    return most == 0 ? SIZE_MAX : (replica->config.log_bytes + most) / 2;
+}
+
+/* A new snapshot takes the place of one that is being sent or received: it waits a while, and not so long that
+ * turns would be refused for it. */
+static bool replica_snapshot_waits(const struct replica *replica, uint32_t group)
+{
+    const struct replica_group *state = &replica->groups[group];
+    size_t share = replica_log_share(replica);
+    size_t begin_most = replica_log_begin_most(replica);
+    size_t room = begin_most == SIZE_MAX || begin_most < share ? share : begin_most - share;
+    if (state->raft.log.bytes >= share + room / 2) {
         return false;
     }
     bool received_lately = state->receiving && replica->now_ms < state->received_ms + REPLICA_RECEIVE_GIVEN_UP_MS;
--- a/tests/scripted/run_snapshot.c
+++ b/tests/scripted/run_snapshot.c
@@ -2,6 +2,7 @@
  *   new LOG_KB STATE_KB [three]   empties all and starts a; shares of memory for log and state, 0: none;
  *                         `three`: a, b and c vote, and all are started
  *   full NAME, room NAME  its disk takes nothing from now on, or takes it again
+ *   refuse NAME           it takes entries, and no snapshot, until there is room
  *   leader                who leads
  *   pour COUNT BYTES      turns are stored at whoever leads, and nobody waits for them
  *   start NAME            starts a replica from its files
@@ -44,6 +45,7 @@
 typedef struct host_t {
     bool up;
     bool full;
+    bool refuses;
     char folder[PATH];
     struct replica replica;
     struct log_store log;
@@ -100,7 +102,7 @@
 static bool on_snapshot_begin(void *context, uint32_t group, const struct raft_snapshot *snapshot)
 {
     host_t *host = context;
-    return !host->full && log_store_snapshot_begin(&host->log, group, snapshot);
+    return !host->full && !host->refuses && log_store_snapshot_begin(&host->log, group, snapshot);
 }
 
 static bool on_snapshot_write(void *context, uint32_t group, struct view bytes)
@@ -437,8 +439,11 @@
         send_turns(script_number(command, 1, 0), (size_t)script_number(command, 2, 0));
     } else if (script_is(command, 0, "full")) {
         host_named(command)->full = true;
+    } else if (script_is(command, 0, "refuse")) {
+        host_named(command)->refuses = true;
     } else if (script_is(command, 0, "room")) {
         host_named(command)->full = false;
+        host_named(command)->refuses = false;
     } else if (script_is(command, 0, "leader")) {
         tell_leader();
     } else if (script_is(command, 0, "begin")) {
