--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -82,7 +82,7 @@
 {
     struct replica *replica = context;
     replica->dirty = true;
-    replica->io.save_state(replica->io.context, group, term, vote);
+    replica->io.save_state(replica->io.disk, group, term, vote);
 }
 
 static void replica_on_append(void *context, uint32_t group, const struct raft_entry *entry)
@@ -91,7 +91,7 @@
     replica->dirty = true;
     replica->counters.synced_entries++;
     replica->counters.synced_bytes += entry->length;
-    replica->io.append(replica->io.context, group, entry);
+    replica->io.append(replica->io.disk, group, entry);
 }
 
 static void replica_on_send(void *context, uint32_t group, uint32_t to, const RaftMessage *message, bool after_sync)
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -38,25 +38,26 @@
 
 /** Effects of a replica, carried out by its host. */
 struct replica_io {
-    void *context; /**< First argument of every function. */
+    void *context; /**< First argument of the functions that concern the host. */
+    void *disk;    /**< First argument of those that only write to or read from its disk. */
     /** Writes term and vote of a group. */
-    void (*save_state)(void *context, uint32_t group, uint64_t term, uint32_t vote);
+    void (*save_state)(void *disk, uint32_t group, uint64_t term, uint32_t vote);
     /** Writes a log entry; it replaces an existing one and all after it. */
-    void (*append)(void *context, uint32_t group, const struct raft_entry *entry);
+    void (*append)(void *disk, uint32_t group, const struct raft_entry *entry);
     /** Makes all writes durable. */
     enum replica_sync (*sync)(void *context);
     /** Begins a snapshot of a group beside the stored one; false: not now. One at a time. */
     bool (*snapshot_begin)(void *context, uint32_t group, const struct raft_snapshot *snapshot);
     /** Adds the next bytes of its state; false: the disk does not take them. */
-    bool (*snapshot_write)(void *context, uint32_t group, struct view bytes);
+    bool (*snapshot_write)(void *disk, uint32_t group, struct view bytes);
     /** Makes texts and snapshot durable, in place of the stored one, and drops log entries that it covers, or all
         with `reset_log`; false: not now, and it is given up. */
     bool (*snapshot_commit)(void *context, uint32_t group, bool reset_log);
     /** Gives up what was begun. */
-    void (*snapshot_abort)(void *context, uint32_t group);
+    void (*snapshot_abort)(void *disk, uint32_t group);
     /** Appends up to `most` bytes, from `at` on, of the state stored at `index`; nothing at its end. False: that
         snapshot is not there, or cannot be read. */
-    bool (*snapshot_read)(void *context, uint32_t group, uint64_t index, uint64_t at, size_t most, struct buffer *out);
+    bool (*snapshot_read)(void *disk, uint32_t group, uint64_t index, uint64_t at, size_t most, struct buffer *out);
     /** Sends an encoded Frame to a node, which may be this one. */
     void (*send)(void *context, uint32_t to, struct view frame);
 };
--- a/src/core/replica_snapshot.c
+++ b/src/core/replica_snapshot.c
@@ -96,7 +96,7 @@
 {
     const struct replica_writer *writer = context;
     const struct replica_io *io = &writer->replica->io;
-    return io->snapshot_write(io->context, writer->group, bytes);
+    return io->snapshot_write(io->disk, writer->group, bytes);
 }
 
 static bool replica_write_snapshot(struct replica *replica, uint32_t group)
@@ -113,7 +113,7 @@
         return false;
     }
     if (!state_machine_write(&state->machine, &sink)) {
-        replica->io.snapshot_abort(replica->io.context, group);
+        replica->io.snapshot_abort(replica->io.disk, group);
         return false;
     }
     return replica->io.snapshot_commit(replica->io.context, group, false);
@@ -169,7 +169,7 @@
 {
     struct replica_group *state = &replica->groups[group];
     if (state->receiving) {
-        replica->io.snapshot_abort(replica->io.context, group);
+        replica->io.snapshot_abort(replica->io.disk, group);
     }
     state->receiving = false;
     state_reader_close(&state->reader);
@@ -218,7 +218,7 @@
     bool loaded = true;
     do {
         buffer_clear(&block);
-        loaded = replica->io.snapshot_read(replica->io.context, group, index, at, REPLICA_SNAPSHOT_BLOCK, &block);
+        loaded = replica->io.snapshot_read(replica->io.disk, group, index, at, REPLICA_SNAPSHOT_BLOCK, &block);
         state_reader_feed(&reader, buffer_view(&block));
         loaded = loaded && replica_load_records(&state->machine, &reader);
         at += block.length;
@@ -277,7 +277,7 @@
     while (read && taken == 0) {
         state_reader_t reader = {.begun = *at > 0};
         buffer_clear(&block);
-        read = replica->io.snapshot_read(replica->io.context, group, index, *at, size, &block);
+        read = replica->io.snapshot_read(replica->io.disk, group, index, *at, size, &block);
         if (!read || block.length == 0) {
             break;
         }
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -16,6 +16,7 @@
 #include "store/file.h"
 #include "store/history_store.h"
 #include "store/log_store.h"
+#include "store/replica_disk.h"
 #include "store/replica_restore.h"
 
 enum { CONTROL_TICK_MS = 10, CONTROL_HANDOVER_MS = 3000 };
@@ -96,16 +97,6 @@
     control_send(context, to, frame);
 }
 
-static void control_on_save_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
-{
-    log_store_save_state(&((struct control *)context)->log_store, group, term, vote);
-}
-
-static void control_on_append(void *context, uint32_t group, const struct raft_entry *entry)
-{
-    log_store_append(&((struct control *)context)->log_store, group, entry);
-}
-
 static enum replica_sync control_on_sync(void *context)
 {
     struct control *control = context;
@@ -125,22 +116,6 @@
     return log_store_snapshot_begin(&((struct control *)context)->log_store, group, snapshot);
 }
 
-static bool control_on_snapshot_write(void *context, uint32_t group, struct view bytes)
-{
-    return log_store_snapshot_write(&((struct control *)context)->log_store, group, bytes);
-}
-
-static void control_on_snapshot_abort(void *context, uint32_t group)
-{
-    log_store_snapshot_abort(&((struct control *)context)->log_store, group);
-}
-
-static bool control_on_snapshot_read(void *context, uint32_t group, uint64_t index, uint64_t at, size_t most,
-                                     struct buffer *out)
-{
-    return log_store_snapshot_read(&((struct control *)context)->log_store, group, index, at, most, out);
-}
-
 static bool control_on_snapshot_commit(void *context, uint32_t group, bool reset_log)
 {
     struct control *control = context;
@@ -354,16 +329,12 @@
     struct history_io history = history_store_io(&control->history_store);
     struct replica_io io = {
         .context = control,
-        .save_state = control_on_save_state,
-        .append = control_on_append,
         .sync = control_on_sync,
         .snapshot_begin = control_on_snapshot_begin,
-        .snapshot_write = control_on_snapshot_write,
         .snapshot_commit = control_on_snapshot_commit,
-        .snapshot_abort = control_on_snapshot_abort,
-        .snapshot_read = control_on_snapshot_read,
         .send = control_replica_send,
     };
+    replica_disk_fill(&io, &control->log_store);
     struct replica_config config = {
         .node = (uint32_t)settings->node,
         .groups = (uint32_t)settings->groups,
--- a/src/proxy/state_host_disk.c
+++ b/src/proxy/state_host_disk.c
@@ -6,6 +6,7 @@
 #include "base/process_memory.h"
 #include "proxy/state_host_internal.h"
 #include "store/file.h"
+#include "store/replica_disk.h"
 #include "store/replica_restore.h"
 
 enum {
@@ -15,16 +16,6 @@
 
 /* ---- The replica's effects --------------------------------------------------------------- */
 
-static void host_on_save_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
-{
-    log_store_save_state(&((struct state_host *)context)->log, group, term, vote);
-}
-
-static void host_on_append(void *context, uint32_t group, const struct raft_entry *entry)
-{
-    log_store_append(&((struct state_host *)context)->log, group, entry);
-}
-
 /* A disk that fails ends the process: it starts again from what is synced. */
 static void host_disk_failed(struct state_host *host)
 {
@@ -65,22 +56,6 @@
     return log_store_snapshot_begin(&host->log, group, snapshot);
 }
 
-static bool host_on_snapshot_write(void *context, uint32_t group, struct view bytes)
-{
-    return log_store_snapshot_write(&((struct state_host *)context)->log, group, bytes);
-}
-
-static void host_on_snapshot_abort(void *context, uint32_t group)
-{
-    log_store_snapshot_abort(&((struct state_host *)context)->log, group);
-}
-
-static bool host_on_snapshot_read(void *context, uint32_t group, uint64_t index, uint64_t at, size_t most,
-                                  struct buffer *out)
-{
-    return log_store_snapshot_read(&((struct state_host *)context)->log, group, index, at, most, out);
-}
-
 /* Texts first: a stored snapshot names only texts that are on the disk. */
 static bool host_on_snapshot_commit(void *context, uint32_t group, bool reset_log)
 {
@@ -153,16 +128,12 @@
     };
     struct replica_io io = {
         .context = host,
-        .save_state = host_on_save_state,
-        .append = host_on_append,
         .sync = host_on_sync,
         .snapshot_begin = host_on_snapshot_begin,
-        .snapshot_write = host_on_snapshot_write,
         .snapshot_commit = host_on_snapshot_commit,
-        .snapshot_abort = host_on_snapshot_abort,
-        .snapshot_read = host_on_snapshot_read,
         .send = host_on_send,
     };
+    replica_disk_fill(&io, &host->log);
     struct history_io history = history_store_io(&host->texts);
     host_report_restore(host);
     if (!host_open_texts(host)) {
--- a/src/sim/sim_disk.c
+++ b/src/sim/sim_disk.c
@@ -152,6 +152,7 @@
 {
     struct replica_io io = {
         .context = node,
+        .disk = node,
         .save_state = sim_disk_save_state,
         .append = sim_disk_append,
         .sync = sim_disk_sync,
--- a/tests/scripted/run_snapshot.c
+++ b/tests/scripted/run_snapshot.c
@@ -26,6 +26,7 @@
 #include "script.h"
 #include "store/file.h"
 #include "store/history_store.h"
+#include "store/replica_disk.h"
 #include "store/replica_restore.h"
 
 enum {
@@ -80,16 +81,6 @@
     return (uint32_t)(host - hosts);
 }
 
-static void on_save_state(void *context, uint32_t group, uint64_t term, uint32_t vote)
-{
-    log_store_save_state(&((host_t *)context)->log, group, term, vote);
-}
-
-static void on_append(void *context, uint32_t group, const struct raft_entry *entry)
-{
-    log_store_append(&((host_t *)context)->log, group, entry);
-}
-
 static enum replica_sync on_sync(void *context)
 {
     host_t *host = context;
@@ -105,11 +96,6 @@
     return !host->full && !host->refuses && log_store_snapshot_begin(&host->log, group, snapshot);
 }
 
-static bool on_snapshot_write(void *context, uint32_t group, struct view bytes)
-{
-    return log_store_snapshot_write(&((host_t *)context)->log, group, bytes);
-}
-
 static bool on_snapshot_commit(void *context, uint32_t group, bool reset_log)
 {
     host_t *host = context;
@@ -117,17 +103,6 @@
     return history_store_sync(&host->texts) && log_store_snapshot_commit(&host->log, group);
 }
 
-static void on_snapshot_abort(void *context, uint32_t group)
-{
-    log_store_snapshot_abort(&((host_t *)context)->log, group);
-}
-
-static bool on_snapshot_read(void *context, uint32_t group, uint64_t index, uint64_t at, size_t most,
-                             struct buffer *out)
-{
-    return log_store_snapshot_read(&((host_t *)context)->log, group, index, at, most, out);
-}
-
 static void on_send(void *context, uint32_t to, struct view data)
 {
     frame_t *frame = memory_new(sizeof(*frame));
@@ -147,16 +122,12 @@
 {
     struct replica_io io = {
         .context = host,
-        .save_state = on_save_state,
-        .append = on_append,
         .sync = on_sync,
         .snapshot_begin = on_snapshot_begin,
-        .snapshot_write = on_snapshot_write,
         .snapshot_commit = on_snapshot_commit,
-        .snapshot_abort = on_snapshot_abort,
-        .snapshot_read = on_snapshot_read,
         .send = on_send,
     };
+    replica_disk_fill(&io, &host->log);
     struct replica_config config = {
         .node = host_id(host),
         .groups = 1,
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -228,6 +228,16 @@
     return at == NULL ? 0 : strtoull(at + strlen("\"version\":"), NULL, 10);
 }
 
+/* An operator whose answer was lost sends an older version again: it is acknowledged and changes nothing. */
+static void resend_configuration(uint64_t *seed)
+{
+    unsigned long long known = atomic_load(&acknowledged);
+    unsigned long long older = known > 1 ? known - 1 : known;
+    char *text = site_configuration((int)older, "");
+    site_order((int)random_below(seed, SITE_STATES), "POST", "/api/config/replace", text, NULL);
+    free(text);
+}
+
 static void put_configuration(uint64_t *seed)
 {
     unsigned long long own = atomic_fetch_add(&version, 1) + 1;
@@ -259,10 +269,11 @@
 {
     uint64_t *seed = &seeds[(intptr_t)argument];
     while (!atomic_load(&stopping)) {
-        if (random_below(seed, 3) == 0) {
-            put_configuration(seed);
-        } else {
-            read_configuration(seed);
+        switch (random_below(seed, 6)) {
+        case 0:
+        case 1: put_configuration(seed); break;
+        case 2: resend_configuration(seed); break;
+        default: read_configuration(seed); break;
         }
         clock_sleep_us(random_below(seed, CONFIGURATION_US));
     }
--- a/tests/unit/replica_join.c
+++ b/tests/unit/replica_join.c
@@ -98,8 +98,17 @@
 static void setup(void)
 {
     struct replica_io io = {
-        &sync_result,      on_save_state,      on_append,         on_sync,          on_snapshot_begin,
-        on_snapshot_write, on_snapshot_commit, on_snapshot_abort, on_snapshot_read, on_send};
+        .context = &sync_result,
+        .save_state = on_save_state,
+        .append = on_append,
+        .sync = on_sync,
+        .snapshot_begin = on_snapshot_begin,
+        .snapshot_write = on_snapshot_write,
+        .snapshot_commit = on_snapshot_commit,
+        .snapshot_abort = on_snapshot_abort,
+        .snapshot_read = on_snapshot_read,
+        .send = on_send,
+    };
     struct history_io history = {0};
     struct replica_config config = {
         .node = 1,
