--- a/src/core/replica_snapshot.c
+++ b/src/core/replica_snapshot.c
@@ -96,7 +96,7 @@
 {
     const struct replica_writer *writer = context;
     const struct replica_io *io = &writer->replica->io;
-    return io->snapshot_write(io->context, writer->group, bytes);
+    return io->snapshot_write(io->disk, writer->group, bytes);
 }
 
 static bool replica_write_snapshot(struct replica *replica, uint32_t group)
@@ -113,7 +113,7 @@
         return false;
     }
     if (!state_machine_write(&state->machine, &sink)) {
-        replica->io.snapshot_abort(replica->io.context, group);
+        replica->io.snapshot_abort(replica->io.disk, group);
         return false;
     }
     return replica->io.snapshot_commit(replica->io.context, group, false);
@@ -144,11 +144,21 @@
     return state->rewrite || long_enough || raft->log.bytes >= replica_log_share(replica);
 }
 
-/* A new snapshot takes the place of one that is being sent or received: it waits while there is room. */
-static bool replica_snapshot_waits(struct replica *replica, uint32_t group)
+size_t replica_log_begin_most(const struct replica *replica)
 {
-    struct replica_group *state = &replica->groups[group];
-    if (raft_log_is_full(&state->raft)) {
+    size_t most = replica->config.log_bytes_most;
+    return most == 0 ? SIZE_MAX : (replica->config.log_bytes + most) / 2;
+}
+
+/* A new snapshot takes the place of one that is being sent or received: it waits a while, and not so long that
+ * turns would be refused for it. */
+static bool replica_snapshot_waits(const struct replica *replica, uint32_t group)
+{
+    const struct replica_group *state = &replica->groups[group];
+    size_t share = replica_log_share(replica);
+    size_t begin_most = replica_log_begin_most(replica);
+    size_t room = begin_most == SIZE_MAX || begin_most < share ? share : begin_most - share;
+    if (state->raft.log.bytes >= share + room / 2) {
         return false;
     }
     bool received_lately = state->receiving && replica->now_ms < state->received_ms + REPLICA_RECEIVE_GIVEN_UP_MS;
@@ -159,7 +169,7 @@
 {
     struct replica_group *state = &replica->groups[group];
     if (state->receiving) {
-        replica->io.snapshot_abort(replica->io.context, group);
+        replica->io.snapshot_abort(replica->io.disk, group);
     }
     state->receiving = false;
     state_reader_close(&state->reader);
@@ -208,7 +218,7 @@
     bool loaded = true;
     do {
         buffer_clear(&block);
-        loaded = replica->io.snapshot_read(replica->io.context, group, index, at, REPLICA_SNAPSHOT_BLOCK, &block);
+        loaded = replica->io.snapshot_read(replica->io.disk, group, index, at, REPLICA_SNAPSHOT_BLOCK, &block);
         state_reader_feed(&reader, buffer_view(&block));
         loaded = loaded && replica_load_records(&state->machine, &reader);
         at += block.length;
@@ -267,7 +277,7 @@
     while (read && taken == 0) {
         state_reader_t reader = {.begun = *at > 0};
         buffer_clear(&block);
-        read = replica->io.snapshot_read(replica->io.context, group, index, *at, size, &block);
+        read = replica->io.snapshot_read(replica->io.disk, group, index, *at, size, &block);
         if (!read || block.length == 0) {
             break;
         }
