Links keep the buffers that they use; large blocks are mapped from 1 MB on

A link freed each buffer above 32 KB once it was empty, and blocks from 128 KB on were mapped anew each time, so that at 3,000 entries a second the leader paid the allocator and new pages for every batch to 15 followers; commits fell behind, turns were answered budget not learnt.

--- a/src/net/links.c
+++ b/src/net/links.c
@@ -15,7 +15,7 @@
 #include "base/log.h"
 #include "base/message.h"
 
-enum { LINKS_EVENTS = 64, LINKS_READ_STEP = 16 << 10, LINKS_HEADER = 4, LINKS_BACKLOG = 512 };
+enum { LINKS_EVENTS = 64, LINKS_READ_STEP = 64 << 10, LINKS_HEADER = 4, LINKS_BACKLOG = 512 };
 
 static const char LINKS_LOG[] = "links";
 
@@ -35,6 +35,8 @@
     struct buffer in;               /* bytes received and not yet handled */
     struct buffer out;              /* bytes queued */
     size_t out_sent;                /* bytes of `out` already written */
+    size_t in_peak;                 /* most bytes in `in` since its use was last looked at */
+    size_t out_peak;                /* the same of `out` */
     struct link *next;
 };
 
@@ -77,6 +79,7 @@
     buffer_append(&link->out, header, sizeof(header));
     buffer_append(&link->out, frame.data, frame.length);
     links->queued += sizeof(header) + frame.length;
+    link->out_peak = link->out.length > link->out_peak ? link->out.length : link->out_peak;
 }
 
 static void link_queue_hello(struct links *links, struct link *link)
@@ -262,7 +265,7 @@
         links->queued -= (size_t)written;
     }
     if (link->out_sent == link->out.length) {
-        buffer_reuse(&link->out, LINKS_KEPT_BYTES);
+        buffer_clear(&link->out);
         link->out_sent = 0;
     }
     bool wants_write = link->connecting || link->out.length > 0;
@@ -352,9 +355,6 @@
         position += LINKS_HEADER + length;
     }
     buffer_consume(&link->in, position);
-    if (link->in.length == 0) {
-        buffer_reuse(&link->in, LINKS_KEPT_BYTES);
-    }
 }
 
 static void link_read(struct links *links, struct link *link)
@@ -364,6 +364,7 @@
         got = recv(link->file, buffer_reserve(&link->in, LINKS_READ_STEP), LINKS_READ_STEP, 0);
         if (got > 0) {
             link->in.length += (size_t)got;
+            link->in_peak = link->in.length > link->in_peak ? link->in.length : link->in_peak;
             link_handle_buffer(links, link);
         }
     } while (!link->closing && (got == LINKS_READ_STEP || (got < 0 && errno == EINTR)));
@@ -411,6 +412,29 @@
     }
 }
 
+/* A buffer that a burst has made large is freed once it is empty and little used; until then it spares the
+ * allocator, and the kernel new pages, for each batch of entries. */
+static void link_shrink(struct buffer *buffer, size_t *peak)
+{
+    bool little_used = *peak < buffer->capacity / 4;
+    if (buffer->length == 0 && little_used) {
+        buffer_reuse(buffer, LINKS_KEPT_BYTES);
+    }
+    *peak = buffer->length;
+}
+
+static void links_shrink(struct links *links, uint64_t now_ms)
+{
+    if (now_ms < links->shrink_due_ms) {
+        return;
+    }
+    links->shrink_due_ms = now_ms + LINKS_SHRINK_MS;
+    for (struct link *link = links->all; link != NULL; link = link->next) {
+        link_shrink(&link->in, &link->in_peak);
+        link_shrink(&link->out, &link->out_peak);
+    }
+}
+
 static void links_remove_closing(struct links *links, uint64_t now_ms)
 {
     struct link **place = &links->all;
@@ -489,6 +513,7 @@
     links_dial_due(links, now_ms);
     links_give_up_silent(links, now_ms);
     links_remove_closing(links, now_ms);
+    links_shrink(links, now_ms);
 }
 
 void links_poll(struct links *links, uint64_t now_ms, int timeout_ms)
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -29,7 +29,8 @@
     LINKS_VERSION = 1,           /**< Protocol version told in Hello. */
     LINKS_MAX_FRAME = 64 << 20,  /**< Largest frame accepted, in bytes. */
     LINKS_MAX_QUEUED = 64 << 20, /**< Unsent bytes kept for all connections, by default. */
-    LINKS_KEPT_BYTES = 32 << 10, /**< Room of an empty buffer that is kept for the next frame. */
+    LINKS_KEPT_BYTES = 32 << 10, /**< Room of a buffer that is kept whether it is used or not. */
+    LINKS_SHRINK_MS = 1000,      /**< Time in which a larger one must be used for a quarter, or it is freed. */
     LINKS_SILENCE_MS = 2000      /**< Unacknowledged bytes for that long end a connection. */
 };
 
@@ -92,6 +93,7 @@
     uint64_t frames_in, frames_out;            /**< Frames so far. */
     uint64_t bytes_in, bytes_out;              /**< Their bytes. */
     size_t queued;                             /**< Unsent bytes of all connections. */
+    uint64_t shrink_due_ms;                    /**< Next look at the buffers' use. */
     uint64_t frames_refused;                   /**< Frames for which there was no room in the queues. */
     char error[256];                           /**< What failed on start. */
 };
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -23,7 +23,7 @@
     NODE_STALL_MS = 400,  /* a gap between ticks that is told */
     NODE_LEAVE_MS = 2200, /* time after which the platform sends no new connections */
     NODE_STOP_MARGIN_MS = 400,
-    NODE_LARGE_BLOCK = 128 << 10, /* bytes of a block that is mapped by itself, and of free memory that is kept */
+    NODE_LARGE_BLOCK = 1 << 20, /* bytes of a block that is mapped by itself, and of free memory that is kept */
     NODE_MAX_HEAD = 16 << 10,
     NODE_MAX_BODY = 1 << 16,
     NODE_IDLE_MS = 30000,
