--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -1,7 +1,6 @@
 /* The daemon: event loop, settings, readiness, start and stop. */
 #include "proxy/node.h"
 
-#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -23,7 +22,6 @@
     NODE_STALL_MS = 400,  /* a gap between ticks that is told */
     NODE_LEAVE_MS = 2200, /* time after which the platform sends no new connections */
     NODE_STOP_MARGIN_MS = 400,
-    NODE_LARGE_BLOCK = 1 << 20, /* bytes of a block that is mapped by itself, and of free memory that is kept */
     NODE_MAX_HEAD = 16 << 10,
     NODE_MAX_BODY = 1 << 16,
     NODE_IDLE_MS = 30000,
@@ -350,21 +348,11 @@
     free(node->host);
 }
 
-/* Large blocks go back to the system when they are freed: glibc would raise the bound after the first of them. */
-static void node_bound_allocator(const memory_budget_t *memory)
-{
-    if (memory->total > 0) {
-        mallopt(M_MMAP_THRESHOLD, NODE_LARGE_BLOCK);
-        mallopt(M_TRIM_THRESHOLD, NODE_LARGE_BLOCK);
-    }
-}
-
 static int node_serve(struct node *node)
 {
     enum log_level level = LOG_LEVEL_WARN;
     log_level_parse(node->settings.log_level, &level);
     node->memory = memory_budget_of((size_t)node->settings.memory_mb << 20);
-    node_bound_allocator(&node->memory);
     event_log_open(node->settings.name, (uint32_t)node->settings.log_lines_per_s);
     event_log_time(clock_monotonic_ms(), clock_wall_ms());
     log_redirect(level, node_log_line);
