--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -24,6 +24,11 @@
     return clock_read_us(CLOCK_REALTIME) / 1000U;
 }
 
+uint64_t clock_processor_ms(void)
+{
+    return clock_read_us(CLOCK_PROCESS_CPUTIME_ID) / 1000U;
+}
+
 void clock_sleep_us(uint64_t us)
 {
     struct timespec duration = {.tv_sec = (time_t)(us / 1000000U), .tv_nsec = (long)(us % 1000000U) * 1000L};
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -17,6 +17,9 @@
 /** Wall-clock time in milliseconds since the Unix epoch. */
 uint64_t clock_wall_ms(void);
 
+/** Processor time that the process has used, in milliseconds. */
+uint64_t clock_processor_ms(void);
+
 /** Sleeps for `us` microseconds. */
 void clock_sleep_us(uint64_t us);
 
--- a/src/core/control_client.c
+++ b/src/core/control_client.c
@@ -88,9 +88,11 @@
     frame.payload.request.id = request->id;
     frame.payload.request.kind = request->kind;
     frame.payload.request.body = view_of(request->body, request->length);
+    frame.payload.request.again = request->sent;
     request->target = target;
     if (control_send(client, target, &frame)) {
         request->sent = true;
+        request->sent_ms = now_ms;
         request->next_ms = request->pinned ? request->deadline_ms : now_ms + CONTROL_RESEND_MS;
         return;
     }
@@ -339,8 +341,18 @@
     }
 }
 
+void control_client_note_heard(struct control_client *client, uint64_t now_ms, uint32_t from)
+{
+    for (uint32_t group = 0; group < client->config.groups; group++) {
+        if (client->leaders[group] == from) {
+            client->heard_ms[group] = now_ms;
+        }
+    }
+}
+
 void control_client_receive(struct control_client *client, uint64_t now_ms, uint32_t from, const Frame *frame)
 {
+    control_client_note_heard(client, now_ms, from);
     switch (frame->which_payload) {
     case Frame_reply_tag: control_handle_reply(client, now_ms, from, &frame->payload.reply); break;
     case Frame_heartbeat_reply_tag:
@@ -350,6 +362,14 @@
     }
 }
 
+/* Whether the leader that has it lives and is merely slow to answer. */
+static bool control_is_slow(const struct control_client *client, uint64_t now_ms, const struct control_request *request)
+{
+    bool heard =
+        request->target == client->leaders[request->group] && client->heard_ms[request->group] > request->sent_ms;
+    return heard && request->sent && now_ms < request->sent_ms + CONTROL_SLOW_MS;
+}
+
 void control_client_tick(struct control_client *client, uint64_t now_ms)
 {
     if (!client->config.requests_only && now_ms >= client->heartbeat_due_ms) {
@@ -364,7 +384,7 @@
             control_complete(client, request, open ? RESULT_TIMEOUT : RESULT_UNAVAILABLE, view_of(NULL, 0));
             continue;
         }
-        if (now_ms >= request->next_ms) {
+        if (now_ms >= request->next_ms && !control_is_slow(client, now_ms, request)) {
             if (request->target == client->leaders[request->group]) {
                 client->leaders[request->group] = RAFT_NO_NODE;
             }
--- a/src/core/control_client.h
+++ b/src/core/control_client.h
@@ -21,6 +21,8 @@
 enum {
     CONTROL_HEARTBEAT_MS = 500, /**< Period of the daemon's heartbeat. */
     CONTROL_RESEND_MS = 400,    /**< Time without an answer before a request goes elsewhere. */
+    CONTROL_SLOW_MS = 1200,     /**< The same where the leader was heard meanwhile: it is slow, and what asks it again
+                                     makes it slower. */
     CONTROL_RETRY_MS = 20,      /**< Pause after "not leader" without a better address. */
     CONTROL_PATIENT_MS = 250,   /**< That pause of a request that nobody waits for. */
     CONTROL_SEARCH_MS = 100,    /**< Heartbeat period while no leader of group 0 is known. */
@@ -58,6 +60,7 @@
     size_t length;        /**< Bytes of `body`. */
     uint64_t deadline_ms; /**< Monotonic time of giving up. */
     uint64_t next_ms;     /**< Time of the next send. */
+    uint64_t sent_ms;     /**< Time of the last one. */
     uint32_t target;      /**< Replica it was last sent to. */
     bool pinned;          /**< Only `target` is asked, once. */
     bool patient;         /**< Nobody waits for it: it pauses longer while no leader is known. */
@@ -68,23 +71,24 @@
 
 /** A daemon's control client. */
 struct control_client {
-    struct control_client_config config;  /**< Fixed settings. */
-    struct control_client_io io;          /**< Effects. */
-    struct control_request *requests;     /**< Waiting requests. */
-    uint64_t next_id;                     /**< Last request id given. */
-    uint32_t leaders[REPLICA_MAX_GROUPS]; /**< Believed leaders, 0: unknown. */
-    uint32_t rotation;                    /**< Next replica to guess. */
-    uint64_t heartbeat_due_ms;            /**< Next heartbeat. */
-    uint64_t heartbeat_answered_ms;       /**< Time of the last reply of a leader. */
-    uint64_t epoch;                       /**< Lease epoch, 0: none. */
-    uint64_t lease_until_ms;              /**< End of the lease. */
-    bool lease_requested;                 /**< A new epoch was asked for. */
-    bool config_requested;                /**< A configuration read is under way. */
-    bool config_known;                    /**< A linearizable read succeeded in this start. */
-    struct config_store store;            /**< The daemon's copy. */
-    uint64_t messages_sent;               /**< Frames sent. */
-    uint64_t bytes_sent;                  /**< Their bytes. */
-    bool draining;                        /**< Told to the leader with each heartbeat. */
+    struct control_client_config config;   /**< Fixed settings. */
+    struct control_client_io io;           /**< Effects. */
+    struct control_request *requests;      /**< Waiting requests. */
+    uint64_t next_id;                      /**< Last request id given. */
+    uint32_t leaders[REPLICA_MAX_GROUPS];  /**< Believed leaders, 0: unknown. */
+    uint64_t heard_ms[REPLICA_MAX_GROUPS]; /**< Time they were heard last. */
+    uint32_t rotation;                     /**< Next replica to guess. */
+    uint64_t heartbeat_due_ms;             /**< Next heartbeat. */
+    uint64_t heartbeat_answered_ms;        /**< Time of the last reply of a leader. */
+    uint64_t epoch;                        /**< Lease epoch, 0: none. */
+    uint64_t lease_until_ms;               /**< End of the lease. */
+    bool lease_requested;                  /**< A new epoch was asked for. */
+    bool config_requested;                 /**< A configuration read is under way. */
+    bool config_known;                     /**< A linearizable read succeeded in this start. */
+    struct config_store store;             /**< The daemon's copy. */
+    uint64_t messages_sent;                /**< Frames sent. */
+    uint64_t bytes_sent;                   /**< Their bytes. */
+    bool draining;                         /**< Told to the leader with each heartbeat. */
 };
 
 /** Starts the client. */
@@ -112,6 +116,9 @@
 /** Forgets a request; it does not complete. */
 void control_client_forget(struct control_client *client, const void *token);
 
+/** Notes that something came from a node, whatever it is. */
+void control_client_note_heard(struct control_client *client, uint64_t now_ms, uint32_t from);
+
 /** Handles a frame from a state replica. */
 void control_client_receive(struct control_client *client, uint64_t now_ms, uint32_t from, const Frame *frame);
 
--- a/src/core/load_table.c
+++ b/src/core/load_table.c
@@ -70,13 +70,22 @@
     }
 }
 
+/* Each gateway's share of `a_second`, as a period. */
+static uint32_t load_period_ms(const struct load_table *table, uint32_t a_second)
+{
+    uint32_t period_ms = HASH_COUNT(table->gateways) * 1000 / a_second;
+    return period_ms > LOAD_REPORT_MS ? period_ms : LOAD_REPORT_MS;
+}
+
 void load_table_fade(struct load_table *table, uint64_t now_ms)
 {
     struct load_gateway *gateway;
     struct load_gateway *next;
+    uint32_t periods_ms = LOAD_VALID_PERIODS * load_period_ms(table, LOAD_REPORTS_A_S);
+    uint32_t valid_ms = periods_ms > LOAD_VALID_MS ? periods_ms : LOAD_VALID_MS;
     HASH_ITER(hh, table->gateways, gateway, next)
     {
-        if (now_ms >= gateway->told_ms + LOAD_VALID_MS) {
+        if (now_ms >= gateway->told_ms + valid_ms) {
             load_forget(table, gateway);
         }
     }
@@ -111,3 +120,28 @@
         }
     }
 }
+
+/* Whether the leader may tell the loads once more now: what comes in one wave is spread over the period. */
+static bool load_may_tell(struct load_table *table, uint64_t now_ms)
+{
+    uint64_t earliest_ms = now_ms > LOAD_REPORT_MS ? now_ms - LOAD_REPORT_MS : 0;
+    if (table->pace_ms > now_ms) {
+        return false;
+    }
+    table->pace_ms = (table->pace_ms > earliest_ms ? table->pace_ms : earliest_ms) + 1000 / LOAD_TOTALS_A_S;
+    return true;
+}
+
+void load_table_answer(struct load_table *table, uint64_t now_ms, uint32_t node, LoadTotals *totals)
+{
+    struct load_gateway *gateway = NULL;
+    HASH_FIND(hh, table->gateways, &node, sizeof(node), gateway);
+    memset(totals, 0, sizeof(*totals));
+    if (gateway != NULL && now_ms >= gateway->owed_ms && load_may_tell(table, now_ms)) {
+        load_table_others(table, node, totals);
+        totals->loads_ms = load_period_ms(table, LOAD_TOTALS_A_S);
+        /* A report that comes a moment early is answered whole all the same. */
+        gateway->owed_ms = now_ms + totals->loads_ms - LOAD_REPORT_MS / 2;
+    }
+    totals->report_ms = load_period_ms(table, LOAD_REPORTS_A_S);
+}
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -30,17 +30,44 @@
     return step;
 }
 
+/* Sound members in a zone; `voters_only`: those with a vote. */
+static uint32_t membership_zone_count(const struct raft_members *members, const struct membership_view *views,
+                                      const char *zone, bool voters_only)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < members->count; i++) {
+        bool counts = membership_is_sound(&views[i]) && !(voters_only && members->learners[i]);
+        count += counts && strcmp(members->places[i].zone, zone) == 0 ? 1 : 0;
+    }
+    return count;
+}
+
+static bool membership_has_room(const struct raft_members *members, const struct membership_view *views)
+{
+    uint32_t wanted = MEMBERSHIP_VOTERS_LARGE + MEMBERSHIP_SPARES;
+    return members->count < RAFT_MAX_MEMBERS && membership_sound_count(members, views, false) < wanted;
+}
+
 static struct membership_step membership_plan_join(const struct raft_members *members,
+                                                   const struct membership_view *views,
                                                    const struct membership_join *joins, size_t join_count,
                                                    uint64_t now_ms)
 {
     struct membership_step step = {0};
-    for (size_t i = 0; i < join_count && members->count < RAFT_MAX_MEMBERS; i++) {
+    uint32_t fewest = 0;
+    if (!membership_has_room(members, views)) {
+        return step;
+    }
+    for (size_t i = 0; i < join_count; i++) {
         bool asks = joins[i].node != RAFT_NO_NODE && now_ms < joins[i].asked_ms + MEMBERSHIP_JOIN_VALID_MS;
-        if (asks && raft_member_position(members, joins[i].node) < 0) {
+        if (!asks || raft_member_position(members, joins[i].node) >= 0) {
+            continue;
+        }
+        uint32_t near = membership_zone_count(members, views, joins[i].place.zone, false);
+        if (!step.wanted || near < fewest) {
             step = membership_step_of(MEMBER_ADD_LEARNER, joins[i].node);
             step.place = joins[i].place;
-            break;
+            fewest = near;
         }
     }
     return step;
@@ -50,12 +77,18 @@
                                                       const struct membership_view *views)
 {
     struct membership_step step = {0};
+    uint32_t fewest = 0;
     if (membership_sound_count(members, views, true) >= membership_wanted_voters(members, views)) {
         return step;
     }
     for (uint32_t i = 0; i < members->count; i++) {
-        if (members->learners[i] && membership_is_sound(&views[i]) && views[i].caught_up) {
-            return membership_step_of(MEMBER_PROMOTE, members->nodes[i]);
+        if (!members->learners[i] || !membership_is_sound(&views[i]) || !views[i].caught_up) {
+            continue;
+        }
+        uint32_t near = membership_zone_count(members, views, members->places[i].zone, true);
+        if (!step.wanted || near < fewest) {
+            step = membership_step_of(MEMBER_PROMOTE, members->nodes[i]);
+            fewest = near;
         }
     }
     return step;
@@ -106,7 +139,7 @@
 struct membership_step membership_plan(const struct raft_members *members, const struct membership_view *views,
                                        const struct membership_join *joins, size_t join_count, uint64_t now_ms)
 {
-    struct membership_step step = membership_plan_join(members, joins, join_count, now_ms);
+    struct membership_step step = membership_plan_join(members, views, joins, join_count, now_ms);
     if (!step.wanted) {
         step = membership_plan_promote(members, views);
     }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -14,6 +14,7 @@
 enum {
     MEMBERSHIP_VOTERS = 3,              /**< Voters of a small site. */
     MEMBERSHIP_VOTERS_LARGE = 5,        /**< Voters where at least that many members are in touch. */
+    MEMBERSHIP_SPARES = 2,              /**< Learners kept for voters that are lost: as many as five voters bear. */
     MEMBERSHIP_SILENT_MS = 1500,        /**< Silence after which a member counts as gone. */
     MEMBERSHIP_FORGET_MS = 60 * 1000,   /**< Silence after which a learner is dropped. */
     MEMBERSHIP_JOIN_VALID_MS = 2 * 1000 /**< Time a request to join stays valid. */
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -255,17 +255,31 @@
     raft->io.append(raft->io.context, raft->config.group, &entry);
 }
 
-uint64_t raft_propose(struct raft *raft, uint64_t now_ms, struct view data)
+uint64_t raft_propose(struct raft *raft, struct view data)
 {
     bool accepting = raft->role == RAFT_LEADER && raft->transfer_target == RAFT_NO_NODE;
     if (!accepting || raft_log_is_full(raft)) {
         return 0;
     }
     raft_append_local(raft, RAFT_ENTRY_COMMAND, data);
-    raft_replicate_all(raft, now_ms);
+    raft->send_due = true;
     return raft_last_index(raft);
 }
 
+void raft_flush(struct raft *raft, uint64_t now_ms)
+{
+    if (raft->role != RAFT_LEADER) {
+        return;
+    }
+    if (raft->round_due) {
+        raft_broadcast_heartbeat(raft, now_ms);
+        raft_release_reads(raft);
+    } else if (raft->send_due) {
+        raft_replicate_all(raft, now_ms);
+    }
+    raft->send_due = false;
+}
+
 static uint32_t raft_member_difference(const struct raft_members *a, const struct raft_members *b)
 {
     uint32_t difference = 0;
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -192,6 +192,8 @@
     uint64_t elections;                                     /**< Campaigns started, part of the jitter. */
     bool votes[RAFT_MAX_MEMBERS];                           /**< Candidate: grants by member position. */
     struct raft_progress progress[RAFT_MAX_MEMBERS];        /**< Leader: by member position. */
+    bool send_due;                                          /**< Leader: members may lack entries; raft_flush(). */
+    bool round_due;                                         /**< Leader: reads wait for a round; raft_flush(). */
     uint64_t round;                                         /**< Leader: heartbeat round number. */
     struct raft_pending_read reads[RAFT_MAX_PENDING_READS]; /**< Reads that wait. */
     size_t read_count;                                      /**< Number of waiting reads. */
@@ -234,14 +236,22 @@
 /** Handles a message from member `from`. */
 void raft_receive(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
 
-/** Proposes a command; returns its index, or 0 if this replica cannot accept it. */
-uint64_t raft_propose(struct raft *raft, uint64_t now_ms, struct view data);
+/** Proposes a command; returns its index, or 0 if this replica cannot accept it. raft_flush() sends it. */
+uint64_t raft_propose(struct raft *raft, struct view data);
+
+/**
+ * Sends members what they lack, in one message each: call it once all events
+ * at hand were taken. The more of them came at once, the larger the message,
+ * so that a leader's work for an entry falls as its load grows.
+ */
+void raft_flush(struct raft *raft, uint64_t now_ms);
 
 /** Proposes new members that differ by one; returns the entry's index or 0. */
 uint64_t raft_propose_members(struct raft *raft, uint64_t now_ms, const struct raft_members *members);
 
-/** Starts a linearizable read; returns false if this replica is not a settled leader. */
-bool raft_read(struct raft *raft, uint64_t now_ms, uint64_t read_id);
+/** Starts a linearizable read; returns false if this replica is not a settled leader. raft_flush() begins its round,
+ * one for all reads that came meanwhile. */
+bool raft_read(struct raft *raft, uint64_t read_id);
 
 /** Starts a leader transfer; returns false if not leader or `target` is no voter. */
 bool raft_transfer(struct raft *raft, uint64_t now_ms, uint32_t target);
--- a/src/core/raft_internal.h
+++ b/src/core/raft_internal.h
@@ -43,6 +43,7 @@
 void raft_handle_append(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
 void raft_handle_append_reply(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message);
 void raft_fail_reads(struct raft *raft);
+void raft_release_reads(struct raft *raft);
 void raft_advance_commit(struct raft *raft, uint64_t now_ms);
 void raft_apply_committed(struct raft *raft);
 void raft_follow(struct raft *raft, uint64_t now_ms, uint32_t leader);
--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -80,6 +80,7 @@
 void raft_broadcast_heartbeat(struct raft *raft, uint64_t now_ms)
 {
     raft->round++;
+    raft->round_due = false;
     raft->heartbeat_due_ms = now_ms + raft->config.heartbeat_ms;
     for (uint32_t i = 0; i < raft->members.count; i++) {
         if (raft->progress[i].node != raft->config.node) {
@@ -152,7 +153,7 @@
     return self ? raft->round : raft->progress[position].acked_round;
 }
 
-static void raft_release_reads(struct raft *raft)
+void raft_release_reads(struct raft *raft)
 {
     uint64_t proven = raft_quorum_value(raft, raft_round_of);
     size_t kept = 0;
@@ -175,16 +176,15 @@
     raft->read_count = 0;
 }
 
-bool raft_read(struct raft *raft, uint64_t now_ms, uint64_t read_id)
+bool raft_read(struct raft *raft, uint64_t read_id)
 {
     bool settled = raft->role == RAFT_LEADER && raft_term_at(raft, raft->commit) == raft->term;
     if (!settled || raft->read_count == RAFT_MAX_PENDING_READS) {
         return false;
     }
-    raft_broadcast_heartbeat(raft, now_ms);
-    struct raft_pending_read read = {.id = read_id, .round = raft->round, .index = raft->commit};
+    raft->round_due = true;
+    struct raft_pending_read read = {.id = read_id, .round = raft->round + 1, .index = raft->commit};
     raft->reads[raft->read_count++] = read;
-    raft_release_reads(raft);
     return true;
 }
 
@@ -292,7 +292,7 @@
     if (raft->role != RAFT_LEADER) {
         return;
     }
-    raft_send_append(raft, now_ms, progress, false);
+    raft->send_due = true;
     raft_continue_transfer(raft, progress);
 }
 
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -9,15 +9,30 @@
 
 /* ---- Waiters --------------------------------------------------------------- */
 
-void replica_waiters_add(struct replica_waiters *waiters, const struct replica_waiter *waiter)
+/* Makes room behind the last waiter: what was dropped in front is used again, or the block grows. */
+static void replica_waiters_reserve(struct replica_waiters *waiters)
 {
-    if (waiters->count == waiters->capacity) {
-        waiters->capacity = waiters->capacity == 0 ? 16 : waiters->capacity * 2;
-        waiters->items = memory_resize(waiters->items, waiters->capacity * sizeof(*waiters->items));
+    size_t dropped = waiters->block == NULL ? 0 : (size_t)(waiters->items - waiters->block);
+    if (dropped + waiters->count < waiters->capacity) {
+        return;
+    }
+    if (dropped > 0 && dropped >= waiters->count) {
+        memmove(waiters->block, waiters->items, waiters->count * sizeof(*waiters->items));
+        waiters->items = waiters->block;
+        return;
     }
+    waiters->capacity = waiters->capacity == 0 ? 16 : waiters->capacity * 2;
+    waiters->block = memory_resize(waiters->block, waiters->capacity * sizeof(*waiters->block));
+    waiters->items = waiters->block + dropped;
+}
+
+void replica_waiters_add(struct replica_waiters *waiters, const struct replica_waiter *waiter)
+{
+    replica_waiters_reserve(waiters);
     waiters->items[waiters->count++] = *waiter;
 }
 
+/* One is dropped with each entry: what stays isn't moved for it. */
 static void replica_waiters_drop(struct replica_waiters *waiters, size_t count)
 {
     if (count == 0) {
@@ -26,8 +41,11 @@
     for (size_t i = 0; i < count; i++) {
         free(waiters->items[i].body);
     }
-    memmove(waiters->items, waiters->items + count, (waiters->count - count) * sizeof(*waiters->items));
+    waiters->items += count;
     waiters->count -= count;
+    if (waiters->count == 0) {
+        waiters->items = waiters->block;
+    }
 }
 
 /* ---- Sending ----------------------------------------------------------------- */
@@ -239,8 +257,8 @@
         buffer_close(&state->dropped);
         replica_waiters_drop(&state->proposals, state->proposals.count);
         replica_waiters_drop(&state->reads, state->reads.count);
-        free(state->proposals.items);
-        free(state->reads.items);
+        free(state->proposals.block);
+        free(state->reads.block);
     }
     free(replica->groups);
     buffer_close(&replica->held);
@@ -274,9 +292,21 @@
     }
 }
 
+/* Entries are on their way to the others while the own disk takes them. */
+static void replica_send_entries(struct replica *replica)
+{
+    for (uint32_t group = 0; group < replica->config.groups; group++) {
+        raft_flush(&replica->groups[group].raft, replica->now_ms);
+    }
+    if (replica->dirty && replica->io.push != NULL) {
+        replica->io.push(replica->io.context);
+    }
+}
+
 void replica_flush(struct replica *replica, uint64_t now_ms)
 {
     replica->now_ms = now_ms;
+    replica_send_entries(replica);
     while (replica->dirty && !replica->failed) {
         if (!replica_sync(replica)) {
             break;
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -26,7 +26,7 @@
     REPLICA_BLOCKED_MS = 50,           /**< Pause before a blocked disk is tried again. */
     REPLICA_EXPIRE_BATCH = 256,        /**< Programs expired by one entry. */
     REPLICA_HELD_KEPT = 256 << 10,     /**< Room for frames that wait for a sync, kept after a burst, in bytes. */
-    REPLICA_MAX_JOINS = 16             /**< Machines that may ask to join at once. */
+    REPLICA_MAX_JOINS = 128            /**< Machines that ask to join, or that wait until a member is gone. */
 };
 
 /** Outcome of a sync. */
@@ -60,6 +60,8 @@
     bool (*snapshot_read)(void *disk, uint32_t group, uint64_t index, uint64_t at, size_t most, struct buffer *out);
     /** Sends an encoded Frame to a node, which may be this one. */
     void (*send)(void *context, uint32_t to, struct view frame);
+    /** Before a sync that holds the thread up: puts on the wire what was sent. NULL: `send` does so by itself. */
+    void (*push)(void *context);
 };
 
 /** Fixed settings of a replica. */
@@ -93,7 +95,8 @@
 
 /** A growing queue of waiters in order. */
 struct replica_waiters {
-    struct replica_waiter *items; /**< Owned array. */
+    struct replica_waiter *block; /**< Owned array. */
+    struct replica_waiter *items; /**< The first waiter, in it. */
     size_t count;                 /**< Waiters. */
     size_t capacity;              /**< Allocated waiters. */
 };
--- a/src/core/replica_requests.c
+++ b/src/core/replica_requests.c
@@ -17,7 +17,7 @@
     uint8_t flags = state_machine_flags(&state->machine, leases, entry);
     struct buffer data = {0};
     state_machine_stamp(replica_stamp_ms(replica, group), flags, entry, &data);
-    uint64_t index = raft_propose(&state->raft, replica->now_ms, buffer_view(&data));
+    uint64_t index = raft_propose(&state->raft, buffer_view(&data));
     buffer_close(&data);
     if (index == 0) {
         return false;
@@ -183,7 +183,7 @@
     waiter->body = memory_copy(request->body.data, request->body.length);
     waiter->length = request->body.length;
     replica_waiters_add(&state->reads, waiter);
-    if (!raft_read(&state->raft, replica->now_ms, waiter->key)) {
+    if (!raft_read(&state->raft, waiter->key)) {
         state->reads.count--;
         replica_reply(replica, group, waiter, RESULT_NOT_LEADER, view_of(NULL, 0));
         free(waiter->body);
@@ -283,9 +283,30 @@
     return possible && raft_propose_members(raft, replica->now_ms, &members) != 0;
 }
 
+/* A request that was sent again while its first one waits here is answered once. */
+static bool replica_has_waiter(const struct replica_waiters *waiters, uint32_t from, uint64_t request_id)
+{
+    for (size_t i = waiters->count; i > 0; i--) {
+        const struct replica_waiter *waiter = &waiters->items[i - 1];
+        if (waiter->from == from && waiter->request_id == request_id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool replica_is_waiting(const struct replica_group *group, uint32_t from, const Request *request)
+{
+    return request->again && (replica_has_waiter(&group->proposals, from, request->id) ||
+                              replica_has_waiter(&group->reads, from, request->id));
+}
+
 void replica_handle_request(struct replica *replica, uint32_t from, uint32_t group, const Request *request)
 {
     struct replica_waiter waiter = {.from = from, .request_id = request->id, .kind = request->kind};
+    if (replica_is_waiting(&replica->groups[group], from, request)) {
+        return;
+    }
     if (request->kind == REQUEST_MEMBERS) {
         replica_change_members(replica, group, request, &waiter);
         return;
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -71,8 +71,7 @@
     buffer_close(&chain);
 }
 
-/* The positions of members by the name of their machine. */
-static bool replica_has_machine(const struct raft_members *members, const char *machine)
+static bool replica_has_member(const struct raft_members *members, const char *machine)
 {
     for (uint32_t i = 0; i < members->count; i++) {
         if (text_equal(members->places[i].name, machine)) {
@@ -82,6 +81,16 @@
     return false;
 }
 
+/* A machine that holds nothing is known by its asking. */
+static bool replica_has_machine(const struct replica *replica, const struct raft_members *members, const char *machine)
+{
+    bool known = replica_has_member(members, machine);
+    for (size_t i = 0; i < REPLICA_MAX_JOINS && !known; i++) {
+        known = replica->joins[i].node != RAFT_NO_NODE && text_equal(replica->joins[i].place.name, machine);
+    }
+    return known;
+}
+
 static void replica_answer_retire(struct replica *replica, uint32_t group, const struct replica_waiter *waiter,
                                   struct view body)
 {
@@ -91,11 +100,11 @@
         return;
     }
     const struct replica_group *state = &replica->groups[group];
-    bool member = replica_has_machine(&state->raft.members, query.machine);
+    bool member = replica_has_member(&state->raft.members, query.machine);
     bool settled = state->raft.members_index <= state->raft.commit;
     RetireState answer = {0};
     answer.started = site_state_is_retired(&state->machine.site, query.machine);
-    answer.known = member || answer.started;
+    answer.known = answer.started || replica_has_machine(replica, &state->raft.members, query.machine);
     answer.completed = answer.started && !member && settled;
     message_free(RetireQuery_fields, &query);
     replica_reply_message(replica, group, waiter, RetireState_fields, &answer);
@@ -239,7 +248,7 @@
         const char *machine = entry.command.retire_start.machine;
         struct membership_view views[RAFT_MAX_MEMBERS];
         replica_describe_members(replica, raft, views);
-        if (!site_state_is_retired(site, machine) && !replica_has_machine(&raft->members, machine)) {
+        if (!site_state_is_retired(site, machine) && !replica_has_machine(replica, &raft->members, machine)) {
             code = RESULT_NOT_FOUND;
         } else if (!site_state_is_retired(site, machine) && !membership_may_retire(&raft->members, views, machine)) {
             code = RESULT_LIMIT;
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "base/buffer.h"
+#include "core/load_table.h"
 
 enum { SERVER_LOAD_SHIFT = 16 };
 
@@ -118,7 +119,7 @@
 /* Requests there of all gateways, as far as they are known now. */
 static uint32_t server_calls(const struct server_table *table, const struct server *server, uint64_t now_ms)
 {
-    bool told = now_ms < table->loads_ms + SERVER_LOADS_VALID_MS;
+    bool told = now_ms < table->loads_until_ms;
     return server->calls + (told ? server->others : 0);
 }
 
@@ -126,7 +127,7 @@
 uint32_t server_failures(const struct server_table *table, const struct server *server, uint64_t now_ms)
 {
     uint32_t own = health_share(&server->health, now_ms);
-    bool told = now_ms < table->loads_ms + SERVER_LOADS_VALID_MS;
+    bool told = now_ms < table->loads_until_ms;
     uint32_t others = told ? server->others_failed / SERVER_WITNESSES : 0;
     others = others > HEALTH_ONE ? HEALTH_ONE : others;
     return own > others ? own : others;
@@ -251,18 +252,24 @@
     return stays ? home : idlest;
 }
 
+static int server_compare_loads(const void *a, const void *b)
+{
+    uint64_t left = ((const ServerLoad *)a)->server;
+    uint64_t right = ((const ServerLoad *)b)->server;
+    return left < right ? -1 : left > right ? 1 : 0;
+}
+
 void server_table_take_loads(struct server_table *table, uint64_t now_ms, const LoadTotals *totals)
 {
-    table->loads_ms = now_ms;
+    uint64_t valid_ms = (uint64_t)totals->loads_ms * LOAD_VALID_PERIODS;
+    table->loads_until_ms = now_ms + (valid_ms > SERVER_LOADS_VALID_MS ? valid_ms : SERVER_LOADS_VALID_MS);
+    qsort(totals->loads, totals->loads_count, sizeof(*totals->loads), server_compare_loads);
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        server->others = 0;
-        server->others_failed = 0;
-        for (pb_size_t i = 0; i < totals->loads_count; i++) {
-            if (totals->loads[i].server == server->hash) {
-                server->others = totals->loads[i].calls;
-                server->others_failed = totals->loads[i].failures;
-            }
-        }
+        ServerLoad wanted = {.server = server->hash};
+        const ServerLoad *told =
+            bsearch(&wanted, totals->loads, totals->loads_count, sizeof(*totals->loads), server_compare_loads);
+        server->others = told == NULL ? 0 : told->calls;
+        server->others_failed = told == NULL ? 0 : told->failures;
     }
 }
 
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -29,7 +29,7 @@
     SERVER_FAILING_QUEUE = 2,   /**< Slots' worth of calls that failures count as, at most. */
     SERVER_WITNESSES = 2,       /**< Other gateways whose shares of failures together count as one's own. */
     SERVER_LEAVE_CALLS = 6,     /**< Requests that the home must have more than another one to be left. */
-    SERVER_LOADS_VALID_MS = 700 /**< Time the loads of other gateways count. */
+    SERVER_LOADS_VALID_MS = 700 /**< Time the loads of other gateways count at least. */
 };
 
 /** One incarnation of a server. */
@@ -57,9 +57,9 @@
 
 /** All servers. */
 struct server_table {
-    struct server *servers; /**< By id. */
-    uint32_t rotation;      /**< Breaks ties. */
-    uint64_t loads_ms;      /**< Time the loads of other gateways were told. */
+    struct server *servers;  /**< By id. */
+    uint32_t rotation;       /**< Breaks ties. */
+    uint64_t loads_until_ms; /**< Time until which the loads of other gateways count. */
 };
 
 /** A request to place. */
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <uthash.h>
 #include <xxhash.h>
 
 #include "base/log.h"
@@ -32,6 +33,9 @@
     uint64_t connect_until_ms;      /* an attempt to connect is given up then */
     bool silent;                    /* it was given up */
     struct raft_member_place place; /* where the peer's replica runs */
+    bool pending;                   /* it stands in the list of links to be written */
+    struct link *next_pending;      /* next of that list */
+    UT_hash_handle hh;              /* by node: the link that frames to it take */
     struct buffer in;               /* bytes received and not yet handled */
     struct buffer out;              /* bytes queued */
     size_t out_sent;                /* bytes of `out` already written */
@@ -70,9 +74,32 @@
     epoll_ctl(links->epoll, operation, link->file, &event);
 }
 
+/* A flush looks at the links that have something to write, not at all. */
+static void link_note_pending(struct links *links, struct link *link)
+{
+    if (!link->pending) {
+        link->pending = true;
+        link->next_pending = links->pending;
+        links->pending = link;
+    }
+}
+
+static void link_drop_pending(struct links *links, struct link *link)
+{
+    struct link **place = &links->pending;
+    while (link->pending && *place != link) {
+        place = &(*place)->next_pending;
+    }
+    if (link->pending) {
+        *place = link->next_pending;
+        link->pending = false;
+    }
+}
+
 static void link_queue(struct links *links, struct link *link, struct view frame)
 {
     uint8_t header[LINKS_HEADER];
+    link_note_pending(links, link);
     for (int i = 0; i < LINKS_HEADER; i++) {
         header[i] = (uint8_t)(frame.length >> (8 * i));
     }
@@ -220,7 +247,8 @@
 
 /* ---- Sending ------------------------------------------------------------------------ */
 
-static struct link *links_find(const struct links *links, uint32_t node)
+/* The link that frames to a node take: one that this side dialled, else the newest. */
+static struct link *links_choose(const struct links *links, uint32_t node)
 {
     struct link *found = NULL;
     for (struct link *link = links->all; link != NULL; link = link->next) {
@@ -231,6 +259,34 @@
     return found;
 }
 
+/* Chooses anew once a link of the node has come or goes: a frame then finds its link without a walk through all. */
+static void links_index(struct links *links, uint32_t node)
+{
+    struct link *old = NULL;
+    struct link *chosen = links_choose(links, node);
+    HASH_FIND(hh, links->by_node, &node, sizeof(node), old);
+    if (old == chosen) {
+        return;
+    }
+    if (old != NULL) {
+        HASH_DEL(links->by_node, old);
+    }
+    if (chosen != NULL) {
+        HASH_ADD(hh, links->by_node, node, sizeof(chosen->node), chosen);
+    }
+}
+
+static struct link *links_find(struct links *links, uint32_t node)
+{
+    struct link *found = NULL;
+    HASH_FIND(hh, links->by_node, &node, sizeof(node), found);
+    if (found != NULL && found->closing) {
+        links_index(links, node);
+        HASH_FIND(hh, links->by_node, &node, sizeof(node), found);
+    }
+    return found;
+}
+
 bool links_send(struct links *links, uint32_t node, struct view frame)
 {
     struct link *link = links_find(links, node);
@@ -245,6 +301,7 @@
     }
     link_queue(links, link, frame);
     links->frames_out++;
+    link_counts_note(&links->counts_out, frame);
     links->bytes_out += frame.length + LINKS_HEADER;
     return true;
 }
@@ -275,10 +332,13 @@
     }
 }
 
+/* What a link does not take now, or before it has connected, is written once it tells that it can be. */
 void links_flush(struct links *links)
 {
-    for (struct link *link = links->all; link != NULL; link = link->next) {
-        if (!link->closing && !link->connecting && link->out.length > 0) {
+    while (links->pending != NULL) {
+        struct link *link = links->pending;
+        link_drop_pending(links, link);
+        if (!link->closing && !link->connecting) {
             link_write(links, link);
         }
     }
@@ -306,7 +366,13 @@
             links_note_dial(links, peer, 0, DIAL_END_CONNECTED);
         }
     }
+    if (link->node != RAFT_NO_NODE && link->node != hello->node) {
+        log_warn(LINKS_LOG, "peer %u said hello again as %u", link->node, hello->node);
+        link->closing = true;
+        return;
+    }
     link->node = hello->node;
+    links_index(links, link->node);
     link->replica = hello->has_member;
     raft_member_place_from_wire(&hello->member, &link->place);
     log_debug(LINKS_LOG, "peer %u connected", hello->node);
@@ -324,6 +390,7 @@
         return;
     }
     links->frames_in++;
+    link_counts_note(&links->counts_in, data);
     links->bytes_in += data.length + LINKS_HEADER;
     if (frame.which_payload == Frame_hello_tag) {
         link_handle_hello(links, link, &frame.payload.hello);
@@ -398,6 +465,10 @@
         }
     }
     uint32_t node = link->node;
+    if (node != RAFT_NO_NODE) {
+        links_index(links, node);
+    }
+    link_drop_pending(links, link);
     if (link->watch != NULL) {
         links->config.watcher->unwatch(link->watch);
     }
@@ -438,6 +509,7 @@
 static void links_remove_closing(struct links *links, uint64_t now_ms)
 {
     struct link **place = &links->all;
+    links->ended = false;
     while (*place != NULL) {
         struct link *link = *place;
         if (!link->closing) {
@@ -496,8 +568,10 @@
         links_accept(links);
         return;
     }
+    struct link *link = subject;
     uint32_t events = (readable ? EPOLLIN : 0) | (writable ? EPOLLOUT : 0);
-    link_handle_event(links, subject, events);
+    link_handle_event(links, link, events);
+    links->ended = links->ended || link->closing;
 }
 
 static void links_give_up_silent(struct links *links, uint64_t now_ms)
@@ -543,6 +617,7 @@
 
 void links_close(struct links *links)
 {
+    HASH_CLEAR(hh, links->by_node);
     while (links->all != NULL) {
         struct link *link = links->all;
         links->all = link->next;
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -24,6 +24,7 @@
 #include "core/raft.h"
 #include "net/address.h"
 #include "net/dial_pace.h"
+#include "net/link_counts.h"
 
 enum {
     LINKS_VERSION = 1,           /**< Protocol version told in Hello. */
@@ -31,6 +32,7 @@
     LINKS_MAX_QUEUED = 64 << 20, /**< Unsent bytes kept for all connections, by default. */
     LINKS_KEPT_BYTES = 32 << 10, /**< Room of a buffer that is kept whether it is used or not. */
     LINKS_SHRINK_MS = 1000,      /**< Time in which a larger one must be used for a quarter, or it is freed. */
+    LINKS_REPLICAS_MOST = 256,   /**< Machines with a replica that are told apart, members or not. */
     LINKS_SILENCE_MS = 2000      /**< Unacknowledged bytes for that long end a connection. */
 };
 
@@ -90,7 +92,11 @@
     struct links_peer peers[RAFT_MAX_MEMBERS]; /**< State replicas other than this node. */
     uint32_t peer_count;                       /**< Number of peers. */
     struct link *all;                          /**< Every connection. */
+    struct link *by_node;                      /**< The one that frames to a node take, by its id. */
+    struct link *pending;                      /**< Those that have something to write. */
+    bool ended;                                /**< One of them has ended: links_round() is due at once. */
     uint64_t frames_in, frames_out;            /**< Frames so far. */
+    link_counts_t counts_in, counts_out;       /**< The same by kind. */
     uint64_t bytes_in, bytes_out;              /**< Their bytes. */
     size_t queued;                             /**< Unsent bytes of all connections. */
     uint64_t shrink_due_ms;                    /**< Next look at the buffers' use. */
@@ -110,10 +116,10 @@
 /** Fills `nodes` with the replicas that are connected and told their place; returns their number. */
 uint32_t links_replicas(const struct links *links, uint32_t *nodes, struct raft_member_place *places, uint32_t most);
 
-/** With a watcher: handles readiness of `subject`. */
+/** With a watcher: handles readiness of `subject`; call links_round() where `ended` is set by it. */
 void links_ready(struct links *links, void *subject, bool readable, bool writable);
 
-/** With a watcher: dials what is due and drops what has ended. */
+/** With a watcher: dials what is due and drops what has ended. It looks at all connections: for a clock's tick. */
 void links_round(struct links *links, uint64_t now_ms);
 
 /** Also wakes links_poll() when `file` is readable. */
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -175,14 +175,20 @@
     return XXH64(text_or_empty(name), strlen(text_or_empty(name)), 0);
 }
 
+/* As the leader told; a gateway that is silent for long would count as gone. */
+static uint32_t front_report_pause(const struct front *front)
+{
+    bool idle = front->active == 0 && !front->loads_told;
+    uint32_t pause_ms = front->loads_pause_ms > LOAD_REPORT_MS ? front->loads_pause_ms : LOAD_REPORT_MS;
+    return idle || pause_ms > PRESENCE_REPORT_MS ? PRESENCE_REPORT_MS : pause_ms;
+}
+
 /* Tells the leader what is under way here, and that this gateway runs. */
 static void front_report_loads(struct front *front)
 {
     struct node *node = front->node;
     uint32_t leader = node->host != NULL ? state_host_leader(node->host) : node->watch.leader;
-    bool idle = front->active == 0 && !front->loads_told;
-    uint64_t due_ms = front->loads_reported_ms + (idle ? PRESENCE_REPORT_MS : FRONT_LOADS_MS);
-    if (node_now(node) < due_ms || leader == RAFT_NO_NODE) {
+    if (node_now(node) < front->loads_reported_ms + front_report_pause(front) || leader == RAFT_NO_NODE) {
         return;
     }
     Frame frame = {0};
@@ -214,7 +220,10 @@
 void front_take_totals(struct front *front, const LoadTotals *totals)
 {
     uint64_t now_ms = node_now(front->node);
-    server_table_take_loads(&front->servers, now_ms, totals);
+    front->loads_pause_ms = totals->report_ms;
+    if (totals->loads_ms > 0) {
+        server_table_take_loads(&front->servers, now_ms, totals);
+    }
     front->withdrawn_until_ms = presence_should_withdraw(totals) ? now_ms + FRONT_WITHDRAWN_MS : 0;
     front_tell_withdrawn(front, totals);
 }
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -19,7 +19,6 @@
     FRONT_CONNECTIONS = 24,      /**< Connections of this gateway to one server. */
     FRONT_REVIEW_MS = 50,        /**< Period of looking for servers that fail. */
     FRONT_WOKE_MS = 200,         /**< Time after a stall of its own for which dials without an answer say nothing. */
-    FRONT_LOADS_MS = 100,        /**< Period of telling the leader what is under way. */
     FRONT_WITHDRAWN_MS = 1000    /**< Time that the leader's word to withdraw holds. */
 };
 
@@ -64,6 +63,7 @@
     bool memory_full;               /**< It was above its share. */
     bool place_freed;               /**< A request at a server has ended since they were last looked at. */
     uint64_t loads_reported_ms;     /**< Last report to the leader. */
+    uint32_t loads_pause_ms;        /**< Pause before the next one, as the leader told. */
     uint64_t review_due_ms;         /**< Next look at the servers. */
     bool loads_told;                /**< The last report was not empty. */
     uint64_t withdrawn_until_ms;    /**< Callers are left to other zones until then (presence.h). */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -137,6 +137,7 @@
     node_watch(node);
     node_read_machines(node);
     node_report_freshness(node);
+    node_work_tell(node);
     node_check_settings(node);
     if (node->front != NULL) {
         front_tick(node->front);
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -19,6 +19,7 @@
 #include "proxy/dialect.h"
 #include "proxy/machine_reader.h"
 #include "proxy/node_settings.h"
+#include "proxy/node_work.h"
 
 enum {
     NODE_TICK_MS = 20,             /**< Period of the clock tick. */
@@ -75,6 +76,7 @@
     uint64_t ticked_ms;             /**< Last tick. */
     uint64_t woke_ms;               /**< End of the last stall: what began before says nothing of others. */
     uint64_t heard_ms;              /**< Last frame of another daemon. */
+    node_work_t work;               /**< What it worked on, as told last. */
     bool fresh_told;                /**< Whether the log last told that the state replicas are in touch. */
     bool draining;                  /**< The stop has begun. */
     uint64_t drain_since_ms;        /**< When. */
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -70,6 +70,7 @@
 {
     struct node *node = context;
     node->heard_ms = node_now(node);
+    control_client_note_heard(&node->client, node_now(node), from);
     node_dispatch(node, from, frame);
 }
 
@@ -199,12 +200,15 @@
     return count + 1;
 }
 
+/* A replica dials the members in its log, committed or not: after a start it has to reach them before anything can be
+ * known as committed. Others dial those that they were told. */
 void node_dial(struct node *node)
 {
     struct address addresses[RAFT_MAX_MEMBERS];
     struct address address;
     uint32_t count = 0;
-    const struct raft_members *members = &node->state.members;
+    const struct raft_members *logged = node->host == NULL ? NULL : state_host_logged_members(node->host);
+    const struct raft_members *members = logged != NULL ? logged : &node->state.members;
     for (uint32_t i = 0; i < members->count; i++) {
         if (members->places[i].ip != 0) {
             node_address(members->places[i].ip, members->places[i].port, &address);
@@ -221,20 +225,39 @@
     links_dial_only(&node->links, addresses, count);
 }
 
+/* The replicas that are connected, the members of the group first: of many machines only the first ones are kept. */
+static uint32_t node_list_replicas(const struct node *node, uint32_t *nodes, struct raft_member_place *places)
+{
+    uint32_t count = links_replicas(&node->links, nodes, places, LINKS_REPLICAS_MOST);
+    uint32_t members = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        if (raft_member_position(&node->state.members, nodes[i]) < 0) {
+            continue;
+        }
+        uint32_t other = nodes[members];
+        struct raft_member_place place = places[members];
+        nodes[members] = nodes[i];
+        places[members++] = places[i];
+        nodes[i] = other;
+        places[i] = place;
+    }
+    return count < RAFT_MAX_MEMBERS ? count : RAFT_MAX_MEMBERS - 1;
+}
+
 void node_peers_changed(struct node *node)
 {
-    uint32_t nodes[RAFT_MAX_MEMBERS + 1];
-    struct raft_member_place places[RAFT_MAX_MEMBERS + 1];
+    uint32_t nodes[LINKS_REPLICAS_MOST];
+    struct raft_member_place places[LINKS_REPLICAS_MOST];
     struct watch_candidate candidates[RAFT_MAX_MEMBERS];
-    uint32_t count = links_replicas(&node->links, nodes, places, RAFT_MAX_MEMBERS - 1);
+    uint32_t count = node_list_replicas(node, nodes, places);
     for (uint32_t i = 0; i < count; i++) {
         candidates[i].node = nodes[i];
         candidates[i].same_zone = text_equal(places[i].zone, node->settings.zone);
     }
-    if (node->host == NULL) {
-        watch_client_set_candidates(&node->watch, candidates, count);
-    } else if (node->host->running) {
+    if (node->host != NULL && node->host->running) {
         nodes[count++] = node->id;
+    } else {
+        watch_client_set_candidates(&node->watch, candidates, count);
     }
     control_client_set_replicas(&node->client, nodes, count);
 }
@@ -263,6 +286,7 @@
 {
     if (changes.members) {
         node_dial(node);
+        node_peers_changed(node);
     }
     if (node->front != NULL && changes.document) {
         front_take_configuration(node->front);
@@ -290,10 +314,11 @@
     return node->host == NULL && node_now(node) >= node->heard_ms + NODE_ISOLATED_MS;
 }
 
-/* A replica watches its leader, for the list of servers; a gateway the nearest replica. */
+/* A replica watches its leader, for the list of servers; a gateway, or a machine that holds nothing yet and has to
+ * learn who the members are, the nearest replica. */
 void node_watch(struct node *node)
 {
-    if (node->host != NULL) {
+    if (node->host != NULL && node->host->running) {
         struct watch_candidate leader = {.node = state_host_leader(node->host)};
         bool other = leader.node != RAFT_NO_NODE && leader.node != node->id;
         watch_client_set_candidates(&node->watch, &leader, other ? 1 : 0);
--- a/src/proxy/node_metrics.c
+++ b/src/proxy/node_metrics.c
@@ -1,5 +1,6 @@
 #include "proxy/node_metrics.h"
 
+#include "base/clock.h"
 #include "base/event_log.h"
 #include "base/process_memory.h"
 #include "proxy/front.h"
@@ -21,6 +22,29 @@
     metrics_write(out, "gauge", name, help, value);
 }
 
+static void metrics_write_kinds(struct buffer *out, const char *direction, const link_counts_t *counts)
+{
+    for (int kind = 0; kind < LINK_KINDS; kind++) {
+        const link_count_t *count = &counts->kinds[kind];
+        if (count->frames > 0) {
+            buffer_printf(out, "bankbank_link_kind_frames_total{direction=\"%s\",kind=\"%s\"} %llu\n", direction,
+                          link_kind_name(kind), (unsigned long long)count->frames);
+            buffer_printf(out, "bankbank_link_kind_bytes_total{direction=\"%s\",kind=\"%s\"} %llu\n", direction,
+                          link_kind_name(kind), (unsigned long long)count->bytes);
+        }
+    }
+}
+
+static void metrics_write_links(const struct links *links, struct buffer *out)
+{
+    buffer_printf(out, "# HELP bankbank_link_kind_frames_total Frames between daemons by kind.\n"
+                       "# TYPE bankbank_link_kind_frames_total counter\n"
+                       "# HELP bankbank_link_kind_bytes_total Their bytes.\n"
+                       "# TYPE bankbank_link_kind_bytes_total counter\n");
+    metrics_write_kinds(out, "in", &links->counts_in);
+    metrics_write_kinds(out, "out", &links->counts_out);
+}
+
 void node_write_metrics(const struct node *node, struct buffer *out)
 {
     const struct upstream_counters *upstreams = &node->upstreams.counters;
@@ -32,6 +56,8 @@
     metrics_write_counter(out, "link_frames_out_total", "Frames sent to daemons.", node->links.frames_out);
     metrics_write_counter(out, "link_bytes_in_total", "Bytes received from daemons.", node->links.bytes_in);
     metrics_write_counter(out, "link_bytes_out_total", "Bytes sent to daemons.", node->links.bytes_out);
+    metrics_write_links(&node->links, out);
+    metrics_write_counter(out, "processor_ms_total", "Processor time of the process.", clock_processor_ms());
     metrics_write_counter(out, "machine_list_calls_total", "Calls to the platform's machine list.",
                           node->machines.calls);
     metrics_write_counter(out, "machine_list_failures_total", "Readings of the machine list that failed.",
--- a/src/proxy/peer_loop.c
+++ b/src/proxy/peer_loop.c
@@ -19,7 +19,9 @@
     uv_loop_t *loop = watch->loop;
     bool failed = status < 0;
     links_ready(links, watch->subject, failed || (events & UV_READABLE) != 0, failed || (events & UV_WRITABLE) != 0);
-    links_round(links, uv_now(loop));
+    if (links->ended) {
+        links_round(links, uv_now(loop));
+    }
 }
 
 static void *peer_watch(void *context, struct links *links, void *subject, int file)
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -95,6 +95,21 @@
     return host->running ? host->replica.groups[STATE_CONFIG_GROUP].raft.leader : RAFT_NO_NODE;
 }
 
+const struct raft_members *state_host_logged_members(const struct state_host *host)
+{
+    return host->running ? &host->replica.groups[STATE_CONFIG_GROUP].raft.members : NULL;
+}
+
+/* Entries are counted from 1 here: those that the log begins with have index 0. */
+static void host_dial_members(struct state_host *host)
+{
+    uint64_t index = host->replica.groups[STATE_CONFIG_GROUP].raft.members_index + 1;
+    if (index != host->dialled_index) {
+        host->dialled_index = index;
+        node_dial(host->node);
+    }
+}
+
 bool state_host_hand_over(struct state_host *host)
 {
     return host->running && replica_transfer_all(&host->replica, node_now(host->node));
@@ -208,7 +223,7 @@
     frame.which_payload = Frame_watch_update_tag;
     WatchUpdate *update = &frame.payload.watch_update;
     update->sequence = sequence;
-    update->fresh = replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, node_now(node));
+    update->fresh = host->running && replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, node_now(node));
     update->leader = state_host_leader(host);
     update->watchers = watch_server_count(&host->watchers, node_now(node));
     if (watch_entry_fill(entry, &node->state, items, update)) {
@@ -217,17 +232,25 @@
     watch_update_close(update);
 }
 
+/* A replica that belongs to no group passes on what it has learnt, so that who knows only the seeds finds the members
+ * also where those are other machines. */
 static void host_handle_watch(struct state_host *host, uint32_t from, const Watch *watch)
 {
     struct watch_entry *entry = watch_server_note(&host->watchers, node_now(host->node), from, watch);
-    if (entry != NULL && host->running) {
+    if (entry != NULL) {
         host_tell_watcher(host, entry, watch->sequence);
-        return;
     }
-    /* A replica that belongs to no group yet says so at once. */
+}
+
+/* Who belongs to no group can say at once that another one must be asked. */
+static void host_answer_outside(struct state_host *host, uint32_t from, const Request *request)
+{
     Frame frame = {0};
-    frame.which_payload = Frame_watch_update_tag;
-    frame.payload.watch_update.sequence = watch->sequence;
+    Reply *reply = &frame.payload.reply;
+    frame.which_payload = Frame_reply_tag;
+    reply->id = request->id;
+    reply->code = request->kind == REQUEST_TURNS_HELD ? RESULT_NOT_FOUND : RESULT_NOT_LEADER;
+    reply->leader = host->node->watch.leader;
     node_send_frame(host->node, from, &frame);
 }
 
@@ -242,7 +265,7 @@
     frame.which_payload = Frame_load_totals_tag;
     load_table_report(&host->loads, now_ms, from, report);
     load_table_fade(&host->loads, now_ms);
-    load_table_others(&host->loads, from, &frame.payload.load_totals);
+    load_table_answer(&host->loads, now_ms, from, &frame.payload.load_totals);
     presence_hear(&host->presence, now_ms, report);
     presence_fade(&host->presence, now_ms);
     presence_count(&host->presence, now_ms, report->zone, &frame.payload.load_totals);
@@ -258,6 +281,10 @@
         host_handle_watch(host, from, &frame->payload.watch);
     } else if (host->running) {
         replica_receive(&host->replica, node_now(host->node), from, frame);
+    } else if (frame->which_payload == Frame_request_tag) {
+        host_answer_outside(host, from, &frame->payload.request);
+    } else if (frame->which_payload == Frame_raft_tag) {
+        host->join_due_ms = 0; /* a leader counts it among the members already */
     }
 }
 
@@ -320,6 +347,7 @@
         node_stop(node);
         return;
     }
+    host_dial_members(host);
     struct watch_changes changes = host_mirror(host);
     if (changes.document || changes.members) {
         node_state_changed(node, changes);
@@ -344,6 +372,7 @@
     metrics_write_gauge(out, "raft_term", "Term.", group->raft.term);
     metrics_write_gauge(out, "raft_commit_index", "Highest committed entry.", group->raft.commit);
     metrics_write_gauge(out, "raft_members", "Voters and learners.", group->raft.members.count);
+    metrics_write_gauge(out, "raft_voters", "Voters.", raft_voter_count(&group->raft.members));
     metrics_write_counter(out, "raft_proposals_total", "Entries proposed here.", counters->proposals);
     metrics_write_counter(out, "raft_syncs_total", "Syncs of the log.", counters->syncs);
     metrics_write_counter(out, "raft_synced_bytes_total", "Bytes written to the log.", counters->synced_bytes);
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -20,6 +20,7 @@
     STATE_HOST_HEARTBEAT_MS = 80,         /**< Leader's heartbeat period. */
     STATE_HOST_TEXT_FILE_BYTES = 4 << 20, /**< Size of a file of texts, dropped as a whole. */
     STATE_HOST_JOIN_MS = 250,             /**< Pause between requests to join. */
+    STATE_HOST_OUTSIDE_MS = 1000,         /**< That pause of a machine that was told that the members are enough. */
     STATE_HOST_LOST_MS = 1000             /**< Time without a leader after which a member asks to join again. */
 };
 
@@ -48,6 +49,7 @@
     bool disk_blocked;                  /**< The disk takes nothing now. */
     bool joining;                       /**< One is under way. */
     uint64_t led_ms;                    /**< Last time a leader was known. */
+    uint64_t dialled_index;             /**< Log entry of the members that are dialled, and 1. */
     uint32_t told_leader;               /**< Leader that the log told last. */
     bool told_leading;                  /**< Whether that was this node. */
     bool told_full[STATE_HOST_HOLDERS]; /**< Holders of memory that the log last told to be full. */
@@ -72,6 +74,9 @@
 /** Advances time. */
 void state_host_tick(struct state_host *host);
 
+/** The latest members in the log, committed or not; NULL: it belongs to no group yet. */
+const struct raft_members *state_host_logged_members(const struct state_host *host);
+
 /** Syncs what was written, releases what waited for it, tells watchers what is new. */
 void state_host_settle(struct state_host *host);
 
--- a/src/proxy/state_host_disk.c
+++ b/src/proxy/state_host_disk.c
@@ -82,6 +82,11 @@
     node_send(((struct state_host *)context)->node, to, frame);
 }
 
+static void host_on_push(void *context)
+{
+    links_flush(&((struct state_host *)context)->node->links);
+}
+
 /* ---- Opening ----------------------------------------------------------------------------- */
 
 /* Written before anything is read: a process that ends while it reads its state back leaves this line. */
@@ -132,6 +137,7 @@
         .snapshot_begin = host_on_snapshot_begin,
         .snapshot_commit = host_on_snapshot_commit,
         .send = host_on_send,
+        .push = host_on_push,
     };
     replica_disk_fill(&io, &host->log);
     struct history_io history = history_store_io(&host->texts);
--- a/src/proxy/state_host_join.c
+++ b/src/proxy/state_host_join.c
@@ -51,9 +51,9 @@
     if (!node->settings.bootstrap || !host_is_seed_address(node, own->ip)) {
         return;
     }
-    uint32_t nodes[RAFT_MAX_MEMBERS];
-    struct raft_member_place places[RAFT_MAX_MEMBERS];
-    uint32_t count = links_replicas(&node->links, nodes, places, RAFT_MAX_MEMBERS - 1);
+    uint32_t nodes[LINKS_REPLICAS_MOST];
+    struct raft_member_place places[LINKS_REPLICAS_MOST];
+    uint32_t count = links_replicas(&node->links, nodes, places, LINKS_REPLICAS_MOST);
     struct raft_members members = {0};
     host_add_member(&members, host->identity.node, own);
     for (uint32_t i = 0; i < count; i++) {
@@ -79,7 +79,9 @@
     bool listed =
         raft_members_from_wire(&reply.members, &members) && raft_member_position(&members, host->identity.node) >= 0;
     message_free(JoinReply_fields, &reply);
-    if (listed) {
+    if (!listed) {
+        host->join_due_ms = node_now(host->node) + STATE_HOST_OUTSIDE_MS;
+    } else {
         event_log("joined", "{s:I}", "members", (json_int_t)members.count);
         host_enter_group(host, &members);
     }
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -14,7 +14,14 @@
 #include "base/buffer.h"
 #include "proxy.h"
 
-enum { SITE_STATES = 3, SITE_GATEWAYS = 2, SITE_SERVERS = 4, SITE_LIMIT_MS = 20000, SITE_LONG_EVENTS = 12000 };
+enum {
+    SITE_STATES = 3,
+    SITE_GATEWAYS = 2,
+    SITE_FURTHER = 30, /**< State replicas at most besides the first three, which are the seeds. */
+    SITE_SERVERS = 4,
+    SITE_LIMIT_MS = 20000,
+    SITE_LONG_EVENTS = 12000
+};
 
 /** How a server answers. */
 enum site_mode {
@@ -49,6 +56,12 @@
 /** Starts stand-ins and daemons, and puts the first configuration. */
 void site_start(void);
 
+/**
+ * The same with `count` further state replicas, which are no seeds: daemons
+ * SITE_STATES + SITE_GATEWAYS and on. All but two seeds run for a moment before those two.
+ */
+void site_start_many(int count);
+
 /** Ends all; fails if a daemon does not stop cleanly. */
 void site_stop(void);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -18,7 +18,9 @@
 #include "base/clock.h"
 
 enum {
-    SITE_DAEMONS = SITE_STATES + SITE_GATEWAYS,
+    SITE_FIRST_DAEMONS = SITE_STATES + SITE_GATEWAYS,
+    SITE_DAEMONS = SITE_FIRST_DAEMONS + SITE_FURTHER,
+    SITE_HEAD_START_US = 700 * 1000,
     SITE_STEP_US = 10000,
     SITE_LOG_STEP = 1 << 16,
     SITE_FULL_BYTES = 4096
@@ -41,8 +43,15 @@
 
 static const char *site_ip(int daemon)
 {
-    static const char *const ips[SITE_DAEMONS] = {"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.2.1", "127.0.2.2"};
-    return ips[daemon];
+    static const char *const ips[SITE_FIRST_DAEMONS] = {"127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.2.1",
+                                                        "127.0.2.2"};
+    static char further[SITE_FURTHER][24];
+    if (daemon < SITE_FIRST_DAEMONS) {
+        return ips[daemon];
+    }
+    char *ip = further[daemon - SITE_FIRST_DAEMONS];
+    snprintf(ip, sizeof(further[0]), "127.0.3.%d", daemon - SITE_FIRST_DAEMONS + 1);
+    return ip;
 }
 
 const char *site_caller_ip(int gateway)
@@ -62,7 +71,7 @@
 
 static void site_write_settings(int daemon, const char *path)
 {
-    bool gateway = daemon >= SITE_STATES;
+    bool gateway = daemon >= SITE_STATES && daemon < SITE_FIRST_DAEMONS;
     FILE *file = fopen(path, "w");
     ck_assert_ptr_nonnull(file);
     fprintf(file, "name: \"machine-%d\"\nzone: \"z%d\"\nip: \"%s\"\npeer_port: %d\nbootstrap: %s\n", daemon,
@@ -304,7 +313,7 @@
     return ready;
 }
 
-void site_start(void)
+static void site_prepare(void)
 {
     signal(SIGPIPE, SIG_IGN);
     snprintf(site_folder, sizeof(site_folder), "/tmp/bankbank-site-XXXXXX");
@@ -316,9 +325,10 @@
     site_metrics_port = ports_take();
     site_peer_port = ports_take();
     site_servers_start(&site_list_port);
-    for (int i = 0; i < SITE_DAEMONS; i++) {
-        site_start_daemon(i);
-    }
+}
+
+static void site_form(void)
+{
     char *configuration = site_configuration(1, "");
     site_wait(site_takes_configuration, configuration, "the first configuration is taken");
     free(configuration);
@@ -328,6 +338,29 @@
     }
 }
 
+void site_start(void)
+{
+    site_prepare();
+    for (int i = 0; i < SITE_FIRST_DAEMONS; i++) {
+        site_start_daemon(i);
+    }
+    site_form();
+}
+
+void site_start_many(int count)
+{
+    site_prepare();
+    site_start_daemon(0);
+    for (int i = SITE_STATES; i < SITE_FIRST_DAEMONS + count; i++) {
+        site_start_daemon(i);
+    }
+    clock_sleep_us(SITE_HEAD_START_US);
+    for (int i = 1; i < SITE_STATES; i++) {
+        site_start_daemon(i);
+    }
+    site_form();
+}
+
 void site_stop(void)
 {
     char command[128];
--- a/tests/scripted/run_election.c
+++ b/tests/scripted/run_election.c
@@ -5,7 +5,11 @@
  *   kill NODE          ends a replica; connections to it end
  *   dark NODE          the same, but nobody is told
  *   reset NODE NODE    the connection of two replicas ends and is made anew
- *   leader             tells who leads in which term, and who follows whom */
+ *   leader             tells who leads in which term, and who follows whom
+ *   propose COUNT      entries that come to the leader at once
+ *   read COUNT         linearizable reads that come to it at once
+ *   flush              the leader has taken what was at hand: tells what it then sends
+ *   reads              tells how many reads were answered since the last time, and how many entries are committed */
 #include <stdlib.h>
 #include <string.h>
 
@@ -30,6 +34,10 @@
 static uint32_t node_count;
 static uint64_t now_ms;
 static letter_t *letters;
+static uint32_t sent;
+static uint64_t sent_entries;
+static uint32_t answered;
+static uint64_t applied_commands;
 
 static void on_save_state(void *context, uint32_t number, uint64_t term, uint32_t vote)
 {
@@ -50,6 +58,8 @@
 {
     (void)number;
     (void)after_sync;
+    sent++;
+    sent_entries += message->entries_count;
     letter_t *letter = memory_new(sizeof(*letter));
     letter->from = *(const uint32_t *)context;
     letter->to = to;
@@ -64,9 +74,9 @@
 
 static void on_apply(void *context, uint32_t number, const struct raft_entry *entry)
 {
-    (void)context;
     (void)number;
-    (void)entry;
+    bool own = *(const uint32_t *)context == 1;
+    applied_commands += own && entry->type == RAFT_ENTRY_COMMAND ? 1 : 0;
 }
 
 static void on_read_ready(void *context, uint32_t number, uint64_t read_id, bool ok)
@@ -74,7 +84,7 @@
     (void)context;
     (void)number;
     (void)read_id;
-    (void)ok;
+    answered += ok ? 1 : 0;
 }
 
 static void on_role(void *context, uint32_t number)
@@ -111,6 +121,7 @@
     for (uint32_t node = 1; node <= node_count; node++) {
         if (alive[node]) {
             raft_tick(&group[node], now_ms);
+            raft_flush(&group[node], now_ms);
             raft_synced(&group[node], now_ms);
         }
     }
@@ -132,6 +143,8 @@
 {
     struct raft_members members = {.count = count};
     end_group();
+    answered = 0;
+    applied_commands = 0;
     node_count = count;
     now_ms = 1000000;
     for (uint32_t node = 1; node <= count; node++) {
@@ -202,6 +215,39 @@
                  (unsigned long long)(leader() == RAFT_NO_NODE ? 0 : group[leader()].term), following, node_count);
 }
 
+static void propose(uint64_t count)
+{
+    static const uint8_t payload[32];
+    uint64_t taken = 0;
+    for (uint64_t i = 0; i < count; i++) {
+        taken += raft_propose(&group[leader()], view_of(payload, sizeof(payload))) != 0 ? 1 : 0;
+    }
+    script_print("%llu taken\n", (unsigned long long)taken);
+}
+
+static void read_at_leader(uint64_t count)
+{
+    uint64_t taken = 0;
+    for (uint64_t i = 0; i < count; i++) {
+        taken += raft_read(&group[leader()], i + 1) ? 1 : 0;
+    }
+    script_print("%llu taken\n", (unsigned long long)taken);
+}
+
+static void flush(void)
+{
+    sent = 0;
+    sent_entries = 0;
+    raft_flush(&group[leader()], now_ms);
+    script_print("%u messages, %llu entries\n", sent, (unsigned long long)sent_entries);
+}
+
+static void tell_reads(void)
+{
+    script_print("%u reads answered, %llu entries applied\n", answered, (unsigned long long)applied_commands);
+    answered = 0;
+}
+
 /* A node by number, or the words "leader" and "follower". */
 static uint32_t node_of(const script_command_t *command, int position)
 {
@@ -238,6 +284,14 @@
         lose(other, node);
     } else if (script_is(command, 0, "leader")) {
         tell_leader();
+    } else if (script_is(command, 0, "propose")) {
+        propose(script_number(command, 1, 1));
+    } else if (script_is(command, 0, "read")) {
+        read_at_leader(script_number(command, 1, 1));
+    } else if (script_is(command, 0, "flush")) {
+        flush();
+    } else if (script_is(command, 0, "reads")) {
+        tell_reads();
     } else {
         script_print("unknown command\n");
     }
--- a/tests/unit/control_client.c
+++ b/tests/unit/control_client.c
@@ -136,6 +136,30 @@
 }
 END_TEST
 
+/* What asks a slow leader again makes it slower; one that has fallen silent is left. */
+START_TEST(a_leader_that_is_heard_is_not_asked_again_soon)
+{
+    struct control_client client;
+    start(&client, 1);
+    client.config.requests_only = true;
+    client.leaders[0] = REPLICA;
+    sends = 0;
+    control_client_submit(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 5000, &client);
+    for (uint64_t now_ms = NOW_MS + 1; now_ms < NOW_MS + CONTROL_SLOW_MS; now_ms++) {
+        control_client_note_heard(&client, now_ms, REPLICA);
+        control_client_tick(&client, now_ms);
+    }
+    ck_assert_uint_eq(sends, 1);
+    control_client_tick(&client, NOW_MS + CONTROL_SLOW_MS);
+    ck_assert_uint_eq(sends, 2);
+    for (uint64_t after_ms = 1; after_ms <= CONTROL_RESEND_MS; after_ms++) {
+        control_client_tick(&client, NOW_MS + CONTROL_SLOW_MS + after_ms);
+    }
+    ck_assert_uint_eq(sends, 3);
+    control_client_close(&client);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("control client");
@@ -143,6 +167,7 @@
     tcase_add_test(tests, an_answer_to_an_earlier_start_is_ignored);
     tcase_add_test(tests, a_request_that_nobody_waits_for_pauses_longer);
     tcase_add_test(tests, a_paused_request_goes_on_once_a_leader_is_known);
+    tcase_add_test(tests, a_leader_that_is_heard_is_not_asked_again_soon);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
 }
--- a/tests/unit/membership.c
+++ b/tests/unit/membership.c
@@ -7,7 +7,7 @@
 
 static struct raft_members members;
 static struct membership_view views[RAFT_MAX_MEMBERS];
-static struct membership_join joins[2];
+static struct membership_join joins[3];
 
 static void add(uint32_t node, bool learner)
 {
@@ -30,7 +30,7 @@
 
 static void expect(MemberAction action, uint32_t node)
 {
-    struct membership_step step = membership_plan(&members, views, joins, 2, 10000);
+    struct membership_step step = membership_plan(&members, views, joins, 3, 10000);
     ck_assert(step.wanted);
     ck_assert_int_eq(step.action, action);
     ck_assert_uint_eq(step.node, node);
@@ -38,7 +38,7 @@
 
 static void expect_nothing(void)
 {
-    ck_assert(!membership_plan(&members, views, joins, 2, 10000).wanted);
+    ck_assert(!membership_plan(&members, views, joins, 3, 10000).wanted);
 }
 
 START_TEST(a_sound_group_stays)
@@ -134,6 +134,64 @@
 }
 END_TEST
 
+static void ask(uint32_t position, uint32_t node, const char *zone)
+{
+    joins[position].node = node;
+    joins[position].asked_ms = 9500;
+    snprintf(joins[position].place.zone, RAFT_ZONE_MAX, "%s", zone);
+}
+
+/* However many machines ask, a leader sends its entries to as many members as the losses ask for. */
+START_TEST(members_are_no_more_than_voters_and_spares)
+{
+    add(4, false);
+    add(5, false);
+    add(6, true);
+    ask(0, 9, "");
+    expect(MEMBER_ADD_LEARNER, 9);
+    add(7, true);
+    expect_nothing();
+    views[6].silent_ms = MEMBERSHIP_SILENT_MS;
+    expect(MEMBER_ADD_LEARNER, 9);
+}
+END_TEST
+
+/* A lost voter's seat goes to a spare at once, and its place to a machine that waits. */
+START_TEST(a_lost_member_makes_room)
+{
+    add(4, false);
+    add(5, false);
+    add(6, true);
+    add(7, true);
+    ask(0, 9, "");
+    views[1].replaced = true;
+    expect(MEMBER_ADD_LEARNER, 9);
+    add(9, true);
+    views[7].caught_up = false;
+    expect(MEMBER_PROMOTE, 6);
+    members.learners[5] = false;
+    expect(MEMBER_REMOVE, 2);
+}
+END_TEST
+
+START_TEST(zones_with_the_fewest_members_go_first)
+{
+    snprintf(members.places[0].zone, RAFT_ZONE_MAX, "east");
+    snprintf(members.places[1].zone, RAFT_ZONE_MAX, "east");
+    snprintf(members.places[2].zone, RAFT_ZONE_MAX, "west");
+    ask(0, 8, "east");
+    ask(1, 9, "north");
+    ask(2, 10, "west");
+    expect(MEMBER_ADD_LEARNER, 9);
+    add(4, true);
+    add(5, true);
+    memset(joins, 0, sizeof(joins));
+    snprintf(members.places[3].zone, RAFT_ZONE_MAX, "west");
+    snprintf(members.places[4].zone, RAFT_ZONE_MAX, "north");
+    expect(MEMBER_PROMOTE, 5);
+}
+END_TEST
+
 START_TEST(retiring_needs_enough_others)
 {
     ck_assert(!membership_may_retire(&members, views, "store-1"));
@@ -158,6 +216,9 @@
     tcase_add_test(tests, a_retiring_learner_leaves);
     tcase_add_test(tests, five_members_vote_where_five_are_in_touch);
     tcase_add_test(tests, a_voter_too_many_becomes_a_learner);
+    tcase_add_test(tests, members_are_no_more_than_voters_and_spares);
+    tcase_add_test(tests, a_lost_member_makes_room);
+    tcase_add_test(tests, zones_with_the_fewest_members_go_first);
     tcase_add_test(tests, retiring_needs_enough_others);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
--- a/tests/unit/replica_join.c
+++ b/tests/unit/replica_join.c
@@ -1,4 +1,5 @@
 /* A replica that organizes its members by itself, hosted without disk and network. */
+#include <stdio.h>
 #include <string.h>
 
 #include "base/message.h"
@@ -85,6 +86,7 @@
 }
 
 static enum replica_sync sync_result;
+static bool request_again;
 
 static void advance(int steps)
 {
@@ -121,6 +123,7 @@
     config.members.count = 1;
     config.members.nodes[0] = 1;
     sync_result = REPLICA_SYNC_DONE;
+    request_again = false;
     last_code = RESULT_TIMEOUT;
     now_ms = 1000000;
     replica_init(&replica, &config, &io, &history);
@@ -141,22 +144,28 @@
     frame.which_payload = Frame_request_tag;
     frame.payload.request.id = 1;
     frame.payload.request.kind = kind;
+    frame.payload.request.again = request_again;
     frame.payload.request.body = buffer_view(&body);
     replica_receive(&replica, now_ms, NEWCOMER, &frame);
     replica_flush(&replica, now_ms);
     buffer_close(&body);
 }
 
-static void ask_to_join(uint32_t node, uint32_t ip)
+static void ask_to_join_as(uint32_t node, uint32_t ip, const char *name)
 {
     JoinRequest join = {.has_member = true};
     join.member.node = node;
     join.member.ip = ip;
     join.member.port = 7000;
-    join.member.name = (char *)"store-9";
+    join.member.name = (char *)(uintptr_t)name;
     request(REQUEST_JOIN, JoinRequest_fields, &join);
 }
 
+static void ask_to_join(uint32_t node, uint32_t ip)
+{
+    ask_to_join_as(node, ip, "store-9");
+}
+
 static const struct raft_members *members(void)
 {
     return &replica.groups[0].raft.members;
@@ -220,6 +229,49 @@
 }
 END_TEST
 
+/* A large site has more machines than members; those that wait hold nothing and may be emptied at once. */
+START_TEST(a_machine_that_waits_is_known)
+{
+    enum { ASKING = 9, MEMBERS = MEMBERSHIP_VOTERS_LARGE + MEMBERSHIP_SPARES };
+    for (uint32_t round = 0; round < 5; round++) {
+        for (uint32_t i = 0; i < ASKING; i++) {
+            char name[RAFT_NAME_MAX];
+            snprintf(name, sizeof(name), "store-%u", 10 + i);
+            ask_to_join_as(NEWCOMER + 1 + i, 100 + i, name);
+        }
+        advance(2);
+    }
+    ck_assert_uint_eq(members()->count, MEMBERS);
+    Entry entry = {0};
+    entry.which_command = Entry_retire_start_tag;
+    entry.command.retire_start.machine = (char *)"store-18";
+    request(REQUEST_PROPOSE, Entry_fields, &entry);
+    ck_assert_int_eq(last_code, RESULT_OK);
+    entry.command.retire_start.machine = (char *)"store-99";
+    request(REQUEST_PROPOSE, Entry_fields, &entry);
+    ck_assert_int_eq(last_code, RESULT_NOT_FOUND);
+}
+END_TEST
+
+/* A gateway asks again where its answer is slow: the entry stands in the log once. */
+START_TEST(a_request_that_waits_is_not_taken_twice)
+{
+    Entry entry = {0};
+    entry.which_command = Entry_document_put_tag;
+    entry.command.document_put.version = 4;
+    entry.command.document_put.content = view_of_string("four");
+    sync_result = REPLICA_SYNC_BLOCKED;
+    request(REQUEST_PROPOSE, Entry_fields, &entry);
+    uint64_t last = raft_last_index(&replica.groups[0].raft);
+    request_again = true;
+    request(REQUEST_PROPOSE, Entry_fields, &entry);
+    ck_assert_uint_eq(raft_last_index(&replica.groups[0].raft), last);
+    sync_result = REPLICA_SYNC_DONE;
+    advance(2);
+    ck_assert_int_eq(last_code, RESULT_OK);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("replica_join");
@@ -229,6 +281,8 @@
     tcase_add_test(tests, a_machine_that_comes_back_under_another_id_replaces_itself);
     tcase_add_test(tests, a_blocked_disk_holds_answers_back);
     tcase_add_test(tests, the_last_machines_may_not_be_emptied);
+    tcase_add_test(tests, a_machine_that_waits_is_known);
+    tcase_add_test(tests, a_request_that_waits_is_not_taken_twice);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
 }
