Pre-votes are tried again soon; a gateway takes the leader from its watch

A pre-vote disturbs nobody: after one that failed the wait is that of a start. A leader that the watch tells is taken where none is known or the believed one is silent.

--- a/src/core/control_client.c
+++ b/src/core/control_client.c
@@ -236,6 +236,14 @@
     }
 }
 
+void control_client_hint_leader(struct control_client *client, uint64_t now_ms, uint32_t group, uint32_t leader)
+{
+    bool silent = now_ms >= client->heard_ms[group] + CONTROL_RESEND_MS;
+    if (leader != RAFT_NO_NODE && (client->leaders[group] == RAFT_NO_NODE || silent)) {
+        control_learn_leader(client, now_ms, group, leader);
+    }
+}
+
 static void control_handle_reply(struct control_client *client, uint64_t now_ms, uint32_t from, const Reply *reply)
 {
     struct control_request *request = NULL;
--- a/src/core/control_client.h
+++ b/src/core/control_client.h
@@ -119,6 +119,12 @@
 /** Notes that something came from a node, whatever it is. */
 void control_client_note_heard(struct control_client *client, uint64_t now_ms, uint32_t from);
 
+/**
+ * Another source tells who leads a group: taken where no leader is known, or
+ * where the believed one has been silent for CONTROL_RESEND_MS.
+ */
+void control_client_hint_leader(struct control_client *client, uint64_t now_ms, uint32_t group, uint32_t leader);
+
 /** Handles a frame from a state replica. */
 void control_client_receive(struct control_client *client, uint64_t now_ms, uint32_t from, const Frame *frame);
 
--- a/src/core/raft_election.c
+++ b/src/core/raft_election.c
@@ -93,6 +93,8 @@
     return granted > raft_voter_count(&raft->members) / 2;
 }
 
+/* A pre-vote disturbs nobody, so that one that failed is tried again soon: voters that start apart from each other
+ * have a leader moments after the last one that is needed, not an election timeout later. */
 void raft_campaign(struct raft *raft, uint64_t now_ms, bool pre_vote, bool forced)
 {
     raft->elections++;
@@ -103,7 +105,11 @@
         raft->vote = raft->config.node;
         raft->io.save_state(raft->io.context, raft->config.group, raft->term, raft->vote);
     }
-    raft_reset_election_timer(raft, now_ms);
+    if (pre_vote) {
+        raft_hurry_election(raft, now_ms);
+    } else {
+        raft_reset_election_timer(raft, now_ms);
+    }
     raft_notify_role(raft);
     memset(raft->votes, 0, sizeof(raft->votes));
     int self = raft_member_position(&raft->members, raft->config.node);
--- a/tests/scripted/run_election.c
+++ b/tests/scripted/run_election.c
@@ -4,6 +4,8 @@
  *   run MS             runs
  *   kill NODE          ends a replica; connections to it end
  *   dark NODE          the same, but nobody is told
+ *   light NODE         starts it again
+ *   alone              all but the leader go dark; from now on it is "kept", and "other" one of the others
  *   reset NODE NODE    the connection of two replicas ends and is made anew
  *   leader             tells who leads in which term, and who follows whom
  *   propose COUNT      entries that come to the leader at once
@@ -32,6 +34,7 @@
 static bool alive[MAX_NODES + 1];
 static uint32_t ids[MAX_NODES + 1];
 static uint32_t node_count;
+static uint32_t kept;
 static uint64_t now_ms;
 static letter_t *letters;
 static uint32_t sent;
@@ -248,7 +251,7 @@
     answered = 0;
 }
 
-/* A node by number, or the words "leader" and "follower". */
+/* A node by number, or the words "leader", "follower", "kept" and "other". */
 static uint32_t node_of(const script_command_t *command, int position)
 {
     if (script_is(command, position, "leader")) {
@@ -257,9 +260,23 @@
     if (script_is(command, position, "follower")) {
         return leader() == 1 ? 2 : 1;
     }
+    if (script_is(command, position, "kept")) {
+        return kept;
+    }
+    if (script_is(command, position, "other")) {
+        return kept == 1 ? 2 : 1;
+    }
     return (uint32_t)script_number(command, position, 1);
 }
 
+static void leave_leader_alone(void)
+{
+    kept = leader();
+    for (uint32_t node = 1; node <= node_count; node++) {
+        alive[node] = node == kept;
+    }
+}
+
 static void run(const script_command_t *command)
 {
     uint32_t node = node_of(command, 1);
@@ -273,6 +290,11 @@
         }
     } else if (script_is(command, 0, "dark")) {
         alive[node] = false;
+    } else if (script_is(command, 0, "alone")) {
+        leave_leader_alone();
+    } else if (script_is(command, 0, "light")) {
+        alive[node] = true;
+        raft_start(&group[node], now_ms);
     } else if (script_is(command, 0, "kill")) {
         alive[node] = false;
         for (uint32_t peer = 1; peer <= node_count; peer++) {
--- a/tests/unit/control_client.c
+++ b/tests/unit/control_client.c
@@ -9,13 +9,14 @@
 
 static uint64_t sent_request;
 static uint32_t sends;
+static uint32_t last_target;
 static uint32_t completed;
 
 static bool note_sent(void *context, uint32_t to, struct view bytes)
 {
     Frame frame = {0};
     (void)context;
-    (void)to;
+    last_target = to;
     if (message_decode(bytes, Frame_fields, &frame) && frame.which_payload == Frame_request_tag) {
         sent_request = frame.payload.request.id;
         sends++;
@@ -160,6 +161,26 @@
 }
 END_TEST
 
+/* A gateway need not guess where its watch has told it the leader, nor wait for one that is silent. */
+START_TEST(a_leader_told_by_others_is_asked)
+{
+    struct control_client client;
+    start(&client, 1);
+    client.config.requests_only = true;
+    control_client_hint_leader(&client, NOW_MS, 0, OTHER);
+    control_client_submit(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 5000, &client);
+    ck_assert_uint_eq(last_target, OTHER);
+    control_client_note_heard(&client, NOW_MS + 1, OTHER);
+    control_client_hint_leader(&client, NOW_MS + 2, 0, REPLICA);
+    control_client_tick(&client, NOW_MS + 3);
+    ck_assert_uint_eq(last_target, OTHER);
+    control_client_hint_leader(&client, NOW_MS + 1 + CONTROL_RESEND_MS, 0, REPLICA);
+    control_client_tick(&client, NOW_MS + 2 + CONTROL_RESEND_MS);
+    ck_assert_uint_eq(last_target, REPLICA);
+    control_client_close(&client);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("control client");
@@ -168,6 +189,7 @@
     tcase_add_test(tests, a_request_that_nobody_waits_for_pauses_longer);
     tcase_add_test(tests, a_paused_request_goes_on_once_a_leader_is_known);
     tcase_add_test(tests, a_leader_that_is_heard_is_not_asked_again_soon);
+    tcase_add_test(tests, a_leader_told_by_others_is_asked);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
 }
