A gateway that knows no configuration spares the platform its calls; the parent turn in the log

Without a configuration it can serve nobody by it. Now it reads the list itself only if it knows a configuration.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -81,14 +81,14 @@
     bool completed = strcmp(forward->reason, FORWARD_COMPLETED) == 0;
     event_log_within(
         completed ? "request" : "request_not_served", "request",
-        "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s,s:I,s:I}", "id", text_or_empty(forward->id),
+        "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:I}", "id", text_or_empty(forward->id),
         "route", forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome", forward->reason,
         "status", forward->told_status, "server", text_or_empty(forward->last_server), "total_ms",
         (json_int_t)(node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends", (int)forward->sends, "runs",
         (int)forward->runs, "hedged", forward->hedged, "events", (json_int_t)stream->event_count, "configuration",
         (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
         (json_int_t)node->state.servers_number, "state_age_ms", (json_int_t)node_state_age(node), "program",
-        text_or_empty(forward->turn.program), "program_left_ms",
+        text_or_empty(forward->turn.program), "parent", text_or_empty(forward->turn.parent), "program_left_ms",
         (json_int_t)(forward->program_due_ms - forward->call->received_ms), "queued_ms",
         (json_int_t)(forward->queued_ms == 0 ? 0 : node_now(node) - forward->queued_ms));
 }
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -344,11 +344,13 @@
     }
 }
 
-/* The leader reads the list for all; a gateway that reaches no sound replica reads it itself. */
+/* The leader reads the list for all; a gateway that reaches no sound replica reads it itself. One that has just
+ * started, and knows no configuration, could serve nobody by it: where all start at once, the platform is spared a
+ * call of each, and its limit of calls stays the leader's. */
 void node_read_machines(struct node *node)
 {
     bool leads = node->host != NULL && state_host_leads(node->host);
-    bool alone = node->host == NULL && !node_is_fresh(node);
+    bool alone = node->host == NULL && node->state.document_version > 0 && !node_is_fresh(node);
     node->machines.period_ms = leads ? node->settings.list_period_ms : NODE_OWN_LIST_PERIOD_MS;
     machine_reader_tick(&node->machines, node_now(node), leads || alone);
 }
