--- a/tests/unit/replica_join.c
+++ b/tests/unit/replica_join.c
@@ -196,15 +196,20 @@
 }
 END_TEST
 
-/* While the disk takes nothing, nothing is acknowledged and nothing is lost. */
-START_TEST(a_blocked_disk_holds_answers_back)
+static void put_version_four(void)
 {
     Entry entry = {0};
     entry.which_command = Entry_document_put_tag;
     entry.command.document_put.version = 4;
     entry.command.document_put.content = view_of_string("four");
-    sync_result = REPLICA_SYNC_BLOCKED;
     request(REQUEST_PROPOSE, Entry_fields, &entry);
+}
+
+/* While the disk takes nothing, nothing is acknowledged and nothing is lost. */
+START_TEST(a_blocked_disk_holds_answers_back)
+{
+    sync_result = REPLICA_SYNC_BLOCKED;
+    put_version_four();
     advance(10);
     ck_assert_int_eq(last_code, RESULT_TIMEOUT);
     ck_assert_uint_eq(replica.groups[0].machine.site.document.version, 0);
@@ -256,15 +261,11 @@
 /* A gateway asks again where its answer is slow: the entry stands in the log once. */
 START_TEST(a_request_that_waits_is_not_taken_twice)
 {
-    Entry entry = {0};
-    entry.which_command = Entry_document_put_tag;
-    entry.command.document_put.version = 4;
-    entry.command.document_put.content = view_of_string("four");
     sync_result = REPLICA_SYNC_BLOCKED;
-    request(REQUEST_PROPOSE, Entry_fields, &entry);
+    put_version_four();
     uint64_t last = raft_last_index(&replica.groups[0].raft);
     request_again = true;
-    request(REQUEST_PROPOSE, Entry_fields, &entry);
+    put_version_four();
     ck_assert_uint_eq(raft_last_index(&replica.groups[0].raft), last);
     sync_result = REPLICA_SYNC_DONE;
     advance(2);
