An empty list of loads is not sorted

Test: unit routing takes an empty list; under the sanitizers it ended with that error before, and passes now (20 of 20), as do the three of test_many.

--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -263,11 +263,15 @@
 {
     uint64_t valid_ms = (uint64_t)totals->loads_ms * LOAD_VALID_PERIODS;
     table->loads_until_ms = now_ms + (valid_ms > SERVER_LOADS_VALID_MS ? valid_ms : SERVER_LOADS_VALID_MS);
-    qsort(totals->loads, totals->loads_count, sizeof(*totals->loads), server_compare_loads);
+    bool any = totals->loads_count > 0; /* no list at all where there is nothing under way */
+    if (any) {
+        qsort(totals->loads, totals->loads_count, sizeof(*totals->loads), server_compare_loads);
+    }
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
         ServerLoad wanted = {.server = server->hash};
         const ServerLoad *told =
-            bsearch(&wanted, totals->loads, totals->loads_count, sizeof(*totals->loads), server_compare_loads);
+            any ? bsearch(&wanted, totals->loads, totals->loads_count, sizeof(*totals->loads), server_compare_loads)
+                : NULL;
         server->others = told == NULL ? 0 : told->calls;
         server->others_failed = told == NULL ? 0 : told->failures;
     }
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -240,6 +240,9 @@
         ck_assert_ptr_ne(other, first);
         server_begin(other, 1000);
     }
+    server_table_take_loads(&servers, 1000, &(const LoadTotals){0});
+    ck_assert_uint_eq(first->others, 0);
+    server_table_take_loads(&servers, 1000, &totals);
     server_begin(first, 1000);
     server_heard(first, 1000 + SERVER_LOADS_VALID_MS);
     ck_assert_ptr_eq(server_table_choose(&servers, 1000 + SERVER_LOADS_VALID_MS, &wish), first);
