--- a/src/net/links.c
+++ b/src/net/links.c
@@ -1,8 +1,7 @@
-#include "net/links.h"
+/* Connections between daemons: their index, what is sent, their end. */
+#include "net/links_internal.h"
 
 #include <errno.h>
-#include <fcntl.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,55 +9,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <uthash.h>
-#include <xxhash.h>
-
 #include "base/log.h"
 #include "base/message.h"
 
-enum { LINKS_EVENTS = 64, LINKS_READ_STEP = 64 << 10, LINKS_HEADER = 4, LINKS_BACKLOG = 512 };
+enum { LINKS_EVENTS = 64, LINKS_BACKLOG = 512 };
 
 static const char LINKS_LOG[] = "links";
 
-/* One connection. */
-struct link {
-    int file;                       /* socket */
-    uint32_t node;                  /* peer's id; 0 until its Hello came */
-    bool outbound;                  /* this side dialled */
-    bool connecting;                /* connect() is under way */
-    bool closing;                   /* to be removed after the current event */
-    bool wants_write;               /* registered for writability */
-    bool replica;                   /* peer holds a replica that joins by itself */
-    void *watch;                    /* handle of the host's watch */
-    uint64_t connect_until_ms;      /* an attempt to connect is given up then */
-    bool silent;                    /* it was given up */
-    struct raft_member_place place; /* where the peer's replica runs */
-    bool pending;                   /* it stands in the list of links to be written */
-    struct link *next_pending;      /* next of that list */
-    UT_hash_handle hh;              /* by node: the link that frames to it take */
-    struct buffer in;               /* bytes received and not yet handled */
-    struct buffer out;              /* bytes queued */
-    size_t out_sent;                /* bytes of `out` already written */
-    size_t in_peak;                 /* most bytes in `in` since its use was last looked at */
-    size_t out_peak;                /* the same of `out` */
-    struct link *next;
-};
-
-static bool links_set_options(int file)
-{
-    int on = 1;
-    int flags = fcntl(file, F_GETFL);
-    unsigned silence_ms = LINKS_SILENCE_MS;
-    int probe_s = 1;
-    setsockopt(file, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof(silence_ms));
-    setsockopt(file, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(file, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof(probe_s));
-    setsockopt(file, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof(probe_s));
-    return flags >= 0 && fcntl(file, F_SETFL, flags | O_NONBLOCK) == 0 && fcntl(file, F_SETFD, FD_CLOEXEC) == 0 &&
-           setsockopt(file, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)) == 0;
-}
-
-static void links_register(struct links *links, struct link *link, int operation)
+void links_register(struct links *links, struct link *link, int operation)
 {
     const struct links_watcher *watcher = links->config.watcher;
     if (watcher != NULL && operation == EPOLL_CTL_ADD) {
@@ -96,7 +54,7 @@
     }
 }
 
-static void link_queue(struct links *links, struct link *link, struct view frame)
+void link_queue(struct links *links, struct link *link, struct view frame)
 {
     uint8_t header[LINKS_HEADER];
     link_note_pending(links, link);
@@ -109,94 +67,6 @@
     link->out_peak = link->out.length > link->out_peak ? link->out.length : link->out_peak;
 }
 
-static void link_queue_hello(struct links *links, struct link *link)
-{
-    Frame frame = {0};
-    frame.which_payload = Frame_hello_tag;
-    Hello *hello = &frame.payload.hello;
-    hello->cluster = (char *)(uintptr_t)links->config.cluster;
-    hello->zone = (char *)(uintptr_t)links->config.zone;
-    hello->version = LINKS_VERSION;
-    hello->node = links->config.node;
-    hello->boot_id = links->config.boot_id;
-    hello->has_member = links->config.replica;
-    hello->member.node = links->config.node;
-    hello->member.name = (char *)(uintptr_t)links->config.place.name;
-    hello->member.zone = (char *)(uintptr_t)links->config.place.zone;
-    hello->member.ip = links->config.place.ip;
-    hello->member.port = links->config.place.port;
-    struct buffer encoded = {0};
-    if (message_encode(&encoded, Frame_fields, &frame)) {
-        link_queue(links, link, buffer_view(&encoded));
-    }
-    buffer_close(&encoded);
-}
-
-static struct link *links_add(struct links *links, int file, bool outbound)
-{
-    struct link *link = memory_new(sizeof(*link));
-    link->file = file;
-    link->outbound = outbound;
-    link->connecting = outbound;
-    link->wants_write = true;
-    link->next = links->all;
-    links->all = link;
-    link_queue_hello(links, link);
-    links_register(links, link, EPOLL_CTL_ADD);
-    return link;
-}
-
-/* ---- Dialling and accepting ------------------------------------------------------ */
-
-static void links_note_dial(const struct links *links, struct links_peer *peer, uint64_t now_ms, dial_end_t end)
-{
-    uint64_t material[2] = {links->config.boot_id, now_ms};
-    dial_pace_note(&peer->pace, now_ms, end, (uint32_t)XXH64(material, sizeof(material), links->config.node));
-}
-
-static void links_dial(struct links *links, struct links_peer *peer, uint64_t now_ms)
-{
-    int file = socket(AF_INET, SOCK_STREAM, 0);
-    if (file < 0 || !links_set_options(file)) {
-        goto fail;
-    }
-    int result = connect(file, (const struct sockaddr *)&peer->address.socket, sizeof(peer->address.socket));
-    if (result != 0 && errno != EINPROGRESS) {
-        goto fail;
-    }
-    peer->link = links_add(links, file, true);
-    peer->link->connect_until_ms = now_ms + dial_pace_limit_ms(&peer->pace);
-    return;
-fail:
-    if (file >= 0) {
-        close(file);
-    }
-    links_note_dial(links, peer, now_ms, DIAL_END_REFUSED);
-}
-
-static void links_dial_due(struct links *links, uint64_t now_ms)
-{
-    for (uint32_t i = 0; i < links->peer_count; i++) {
-        struct links_peer *peer = &links->peers[i];
-        if (peer->link == NULL && now_ms >= peer->pace.due_ms) {
-            links_dial(links, peer, now_ms);
-        }
-    }
-}
-
-static void links_accept(struct links *links)
-{
-    int file = accept(links->listener, NULL, NULL);
-    while (file >= 0) {
-        if (links_set_options(file)) {
-            links_add(links, file, false);
-        } else {
-            close(file);
-        }
-        file = accept(links->listener, NULL, NULL);
-    }
-}
-
 bool links_init(struct links *links, const struct links_config *config, const struct links_handler *handler)
 {
     memset(links, 0, sizeof(*links));
@@ -228,17 +98,6 @@
     return true;
 }
 
-void links_add_peer(struct links *links, uint32_t node, const struct address *address)
-{
-    if (links->peer_count == RAFT_MAX_MEMBERS) {
-        return;
-    }
-    struct links_peer *peer = &links->peers[links->peer_count++];
-    memset(peer, 0, sizeof(*peer));
-    peer->node = node;
-    peer->address = *address;
-}
-
 void links_watch(struct links *links, int file)
 {
     struct epoll_event event = {.events = EPOLLIN, .data.ptr = NULL};
@@ -260,7 +119,7 @@
 }
 
 /* Chooses anew once a link of the node has come or goes: a frame then finds its link without a walk through all. */
-static void links_index(struct links *links, uint32_t node)
+void links_index(struct links *links, uint32_t node)
 {
     struct link *old = NULL;
     struct link *chosen = links_choose(links, node);
@@ -344,101 +203,6 @@
     }
 }
 
-/* ---- Receiving ------------------------------------------------------------------------ */
-
-static void link_handle_hello(struct links *links, struct link *link, const Hello *hello)
-{
-    if (!text_equal(hello->cluster, links->config.cluster) || hello->version != LINKS_VERSION) {
-        log_warn(LINKS_LOG, "peer %u refused: cluster '%s' version %u, expected '%s' version %d", hello->node,
-                 text_or_empty(hello->cluster), hello->version, links->config.cluster, LINKS_VERSION);
-        link->closing = true;
-        return;
-    }
-    for (uint32_t i = 0; link->outbound && i < links->peer_count; i++) {
-        struct links_peer *peer = &links->peers[i];
-        if (peer->link == link && peer->node != RAFT_NO_NODE && peer->node != hello->node) {
-            log_warn(LINKS_LOG, "%s:%u is node %u, expected node %u", peer->address.ip, peer->address.port, hello->node,
-                     peer->node);
-            link->closing = true;
-            return;
-        }
-        if (peer->link == link) {
-            links_note_dial(links, peer, 0, DIAL_END_CONNECTED);
-        }
-    }
-    if (link->node != RAFT_NO_NODE && link->node != hello->node) {
-        log_warn(LINKS_LOG, "peer %u said hello again as %u", link->node, hello->node);
-        link->closing = true;
-        return;
-    }
-    link->node = hello->node;
-    links_index(links, link->node);
-    link->replica = hello->has_member;
-    raft_member_place_from_wire(&hello->member, &link->place);
-    log_debug(LINKS_LOG, "peer %u connected", hello->node);
-    if (links->handler.connected != NULL) {
-        links->handler.connected(links->handler.context, hello->node);
-    }
-}
-
-static void link_handle_frame(struct links *links, struct link *link, struct view data)
-{
-    Frame frame = {0};
-    if (!message_decode(data, Frame_fields, &frame)) {
-        log_warn(LINKS_LOG, "peer %u sent a frame that does not decode", link->node);
-        link->closing = true;
-        return;
-    }
-    links->frames_in++;
-    link_counts_note(&links->counts_in, data);
-    links->bytes_in += data.length + LINKS_HEADER;
-    if (frame.which_payload == Frame_hello_tag) {
-        link_handle_hello(links, link, &frame.payload.hello);
-    } else if (link->node == RAFT_NO_NODE) {
-        log_warn(LINKS_LOG, "a connection began without hello");
-        link->closing = true;
-    } else {
-        links->handler.frame(links->handler.context, link->node, &frame);
-    }
-    message_free(Frame_fields, &frame);
-}
-
-static void link_handle_buffer(struct links *links, struct link *link)
-{
-    size_t position = 0;
-    while (!link->closing && link->in.length - position >= LINKS_HEADER) {
-        const uint8_t *header = link->in.data + position;
-        uint32_t length =
-            (uint32_t)header[0] | (uint32_t)header[1] << 8 | (uint32_t)header[2] << 16 | (uint32_t)header[3] << 24;
-        if (length > LINKS_MAX_FRAME) {
-            log_warn(LINKS_LOG, "peer %u sent a frame of %u bytes, limit %d", link->node, length, LINKS_MAX_FRAME);
-            link->closing = true;
-            return;
-        }
-        if (link->in.length - position - LINKS_HEADER < length) {
-            break;
-        }
-        link_handle_frame(links, link, view_of(header + LINKS_HEADER, length));
-        position += LINKS_HEADER + length;
-    }
-    buffer_consume(&link->in, position);
-}
-
-static void link_read(struct links *links, struct link *link)
-{
-    ssize_t got = 0;
-    do {
-        got = recv(link->file, buffer_reserve(&link->in, LINKS_READ_STEP), LINKS_READ_STEP, 0);
-        if (got > 0) {
-            link->in.length += (size_t)got;
-            link->in_peak = link->in.length > link->in_peak ? link->in.length : link->in_peak;
-            link_handle_buffer(links, link);
-        }
-    } while (!link->closing && (got == LINKS_READ_STEP || (got < 0 && errno == EINTR)));
-    bool ended = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    link->closing = link->closing || ended;
-}
-
 static void link_handle_event(struct links *links, struct link *link, uint32_t events)
 {
     if (link->connecting && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0) {
@@ -521,31 +285,6 @@
     }
 }
 
-void links_dial_only(struct links *links, const struct address *addresses, uint32_t count)
-{
-    struct links_peer kept[RAFT_MAX_MEMBERS];
-    memset(kept, 0, sizeof(kept));
-    count = count < RAFT_MAX_MEMBERS ? count : RAFT_MAX_MEMBERS;
-    for (uint32_t i = 0; i < count; i++) {
-        kept[i].address = addresses[i];
-    }
-    for (uint32_t i = 0; i < links->peer_count; i++) {
-        struct links_peer *peer = &links->peers[i];
-        bool found = false;
-        for (uint32_t k = 0; k < count && !found; k++) {
-            found = strcmp(kept[k].address.ip, peer->address.ip) == 0 && kept[k].address.port == peer->address.port;
-            if (found) {
-                kept[k] = *peer;
-            }
-        }
-        if (!found && peer->link != NULL) {
-            peer->link->closing = true;
-        }
-    }
-    memcpy(links->peers, kept, sizeof(kept));
-    links->peer_count = count;
-}
-
 uint32_t links_replicas(const struct links *links, uint32_t *nodes, struct raft_member_place *places, uint32_t most)
 {
     uint32_t count = 0;
@@ -574,14 +313,6 @@
     links->ended = links->ended || link->closing;
 }
 
-static void links_give_up_silent(struct links *links, uint64_t now_ms)
-{
-    for (struct link *link = links->all; link != NULL; link = link->next) {
-        link->silent = link->silent || (link->connecting && now_ms >= link->connect_until_ms);
-        link->closing = link->closing || link->silent;
-    }
-}
-
 void links_round(struct links *links, uint64_t now_ms)
 {
     links_dial_due(links, now_ms);
--- a/tests/unit/control_client.c
+++ b/tests/unit/control_client.c
@@ -48,6 +48,13 @@
     control_client_init(client, &config, &io);
 }
 
+/* A gateway of a site: it sends requests and no heartbeats. */
+static void start_site(struct control_client *client, uint64_t boot_id)
+{
+    start(client, boot_id);
+    client->config.requests_only = true;
+}
+
 /* Found by the simulator: a restarted gateway took the late answer to a request
  * of its earlier start for the answer to its own first request, and ran a call
  * whose begin was not committed. */
@@ -100,14 +107,12 @@
 START_TEST(a_request_that_nobody_waits_for_pauses_longer)
 {
     struct control_client client;
-    start(&client, 1);
-    client.config.requests_only = true;
+    start_site(&client, 1);
     control_client_post(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 60000, &client);
     answer_not_leader(&client, NOW_MS, sent_request);
     ck_assert_uint_le(sends_in_a_second(&client), 4);
     control_client_close(&client);
-    start(&client, 2);
-    client.config.requests_only = true;
+    start_site(&client, 2);
     control_client_submit(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 60000, &client);
     answer_not_leader(&client, NOW_MS, sent_request);
     ck_assert_uint_ge(sends_in_a_second(&client), 40);
@@ -119,8 +124,7 @@
 START_TEST(a_paused_request_goes_on_once_a_leader_is_known)
 {
     struct control_client client;
-    start(&client, 1);
-    client.config.requests_only = true;
+    start_site(&client, 1);
     control_client_post(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 60000, &client);
     uint64_t paused = sent_request;
     answer_not_leader(&client, NOW_MS, paused);
@@ -141,8 +145,7 @@
 START_TEST(a_leader_that_is_heard_is_not_asked_again_soon)
 {
     struct control_client client;
-    start(&client, 1);
-    client.config.requests_only = true;
+    start_site(&client, 1);
     client.leaders[0] = REPLICA;
     sends = 0;
     control_client_submit(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 5000, &client);
@@ -165,8 +168,7 @@
 START_TEST(a_leader_told_by_others_is_asked)
 {
     struct control_client client;
-    start(&client, 1);
-    client.config.requests_only = true;
+    start_site(&client, 1);
     control_client_hint_leader(&client, NOW_MS, 0, OTHER);
     control_client_submit(&client, NOW_MS, 0, REQUEST_PROPOSE, view_of_string("q"), NOW_MS + 5000, &client);
     ck_assert_uint_eq(last_target, OTHER);
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -3,7 +3,6 @@
 
 #include "base/buffer.h"
 #include "base/message.h"
-#include "core/load_table.h"
 #include "core/route_table.h"
 #include "core/server_table.h"
 #include "core/watch.h"
@@ -249,97 +248,6 @@
 }
 END_TEST
 
-static uint32_t load_of(const struct load_table *loads, uint32_t node, uint64_t server)
-{
-    LoadTotals totals;
-    uint32_t calls = 0;
-    load_table_others(loads, node, &totals);
-    for (pb_size_t i = 0; i < totals.loads_count; i++) {
-        calls += totals.loads[i].server == server ? totals.loads[i].calls : 0;
-    }
-    free(totals.loads);
-    return calls;
-}
-
-START_TEST(reports_replace_each_other_and_fade)
-{
-    struct load_table loads = {0};
-    ServerLoad one[] = {{.server = 5, .calls = 2}, {.server = 6, .calls = 1}};
-    ServerLoad two[] = {{.server = 5, .calls = 4}};
-    LoadReport first = {.loads_count = 2, .loads = one};
-    LoadReport second = {.loads_count = 1, .loads = two};
-    load_table_report(&loads, 1000, 1, &first);
-    load_table_report(&loads, 1000, 2, &second);
-    ck_assert_uint_eq(load_of(&loads, 1, 5), 4);
-    ck_assert_uint_eq(load_of(&loads, 2, 5), 2);
-    ck_assert_uint_eq(load_of(&loads, 3, 5), 6);
-    load_table_report(&loads, 1300, 1, &second);
-    ck_assert_uint_eq(load_of(&loads, 3, 5), 8);
-    ck_assert_uint_eq(load_of(&loads, 3, 6), 0);
-    load_table_fade(&loads, 1000 + LOAD_VALID_MS);
-    ck_assert_uint_eq(load_of(&loads, 3, 5), 4);
-    load_table_close(&loads);
-}
-END_TEST
-
-enum { LOADS_BEGIN_MS = 10000, LOADS_STEADY_MS = 30000, LOADS_END_MS = 40000 };
-
-/* What a leader takes and tells: in the busiest second, and in all ten of them. */
-typedef struct load_work_t {
-    uint32_t reports[(LOADS_END_MS - LOADS_STEADY_MS) / 1000];
-    uint32_t told[(LOADS_END_MS - LOADS_STEADY_MS) / 1000];
-} load_work_t;
-
-/* Gateways that all start at once and report as often as they are told to. */
-static load_work_t play_loads(uint32_t count)
-{
-    load_work_t work = {0};
-    struct load_table loads = {0};
-    ServerLoad load = {.server = 5, .calls = 1};
-    LoadReport report = {.loads_count = 1, .loads = &load};
-    uint64_t due_ms[1000] = {0};
-    for (uint64_t now_ms = LOADS_BEGIN_MS; now_ms < LOADS_END_MS; now_ms++) {
-        for (uint32_t node = 1; node <= count; node++) {
-            if (now_ms < due_ms[node - 1]) {
-                continue;
-            }
-            LoadTotals totals;
-            load_table_report(&loads, now_ms, node, &report);
-            load_table_answer(&loads, now_ms, node, &totals);
-            due_ms[node - 1] = now_ms + totals.report_ms;
-            uint64_t second = now_ms < LOADS_STEADY_MS ? 0 : (now_ms - LOADS_STEADY_MS) / 1000;
-            work.reports[second] += now_ms >= LOADS_STEADY_MS ? 1 : 0;
-            work.told[second] += now_ms >= LOADS_STEADY_MS && totals.loads_ms > 0 ? 1 : 0;
-            free(totals.loads);
-        }
-        load_table_fade(&loads, now_ms);
-    }
-    ck_assert_uint_eq(load_of(&loads, 0, 5), count);
-    load_table_close(&loads);
-    return work;
-}
-
-/* A leader's work for loads has a bound, however many gateways there are; few of them are told often. */
-START_TEST(loads_are_told_as_often_as_the_leader_bears)
-{
-    static const uint32_t counts[] = {9, 70, 258, 1000};
-    static const uint32_t least_told[] = {90, 200, 200, 200};
-    for (size_t i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
-        load_work_t work = play_loads(counts[i]);
-        uint32_t reports = 0;
-        uint32_t told = 0;
-        for (size_t second = 0; second < sizeof(work.told) / sizeof(work.told[0]); second++) {
-            ck_assert_uint_le(work.told[second], LOAD_TOTALS_A_S + LOAD_TOTALS_A_S / 5);
-            reports += work.reports[second];
-            told += work.told[second];
-        }
-        ck_assert_uint_le(reports, 10 * LOAD_REPORTS_A_S);
-        ck_assert_uint_le(told, 10 * LOAD_TOTALS_A_S);
-        ck_assert_uint_ge(told, 10 * least_told[i]);
-    }
-}
-END_TEST
-
 /* Two dials to a silent server without an answer: it is lost, until something comes from it. */
 static void lose(struct server *server, uint64_t now_ms)
 {
@@ -514,8 +422,6 @@
     tcase_add_test(placement, a_resting_connection_is_worth_some_calls);
     tcase_add_test(placement, the_own_zone_is_worth_some_calls);
     tcase_add_test(placement, loads_of_other_gateways_count);
-    tcase_add_test(placement, reports_replace_each_other_and_fade);
-    tcase_add_test(placement, loads_are_told_as_often_as_the_leader_bears);
     tcase_add_test(placement, a_lost_server_is_passed_over);
     tcase_add_test(placement, where_none_is_sound_any_open_one_serves);
     tcase_add_test(placement, a_server_under_way_outlives_the_list);
