Headers that belong to the system are not the callers' to set

Ruled out: a list of what passes. A server's contract with its callers is not known here; each header it adds would be lost. So headers pass unless named; the names stand in the dialect.

--- a/src/proxy/dialect.h
+++ b/src/proxy/dialect.h
@@ -50,7 +50,9 @@
 /** A platform's manner of speaking. */
 struct dialect {
     const char *headers[DIALECT_HEADER_COUNT]; /**< Names. */
-    const char *ready_path;                    /**< Path of the readiness question. */
+    const char *const
+        *system_headers;    /**< Names that a caller may not set at a server (caller_headers.h), then NULL. */
+    const char *ready_path; /**< Path of the readiness question. */
     /** Reads a configuration; NULL: `findings` tells all faults. The caller releases it. */
     struct route_table *(*read_configuration)(struct view text, struct findings *findings);
     /** Appends the servers of one page to `list`; `next_page` gets the next page's token, or stays empty. */
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -6,6 +6,7 @@
 
 #include "base/event_log.h"
 #include "core/place_wait.h"
+#include "proxy/caller_headers.h"
 
 enum { FORWARD_UNAVAILABLE = 503, FORWARD_BAD_GATEWAY = 502 };
 
@@ -71,31 +72,6 @@
     return upstream_idle_count(&front->node->upstreams, address) > 0;
 }
 
-/* Where a stream goes on. */
-static const char FORWARD_LAST_EVENT[] = "Last-Event-Id";
-
-static void forward_write_headers(const struct forward *forward, struct buffer *out)
-{
-    bool goes_on = forward->stream.event_count > 0;
-    const struct http_reader *request = forward->call->request;
-    const struct dialect *dialect = forward->front->node->dialect;
-    static const enum dialect_header own[] = {DIALECT_DEADLINE_MS, DIALECT_EXPECT_SERVER, DIALECT_PRIORITY};
-    for (int i = 0; i < request->header_count; i++) {
-        const struct http_header *header = &request->headers[i];
-        bool dropped = http_reader_is_hop_header(request, header->name);
-        for (size_t k = 0; k < sizeof(own) / sizeof(own[0]); k++) {
-            dropped = dropped || http_name_equal(header->name, dialect->headers[own[k]]);
-        }
-        dropped = dropped || (goes_on && http_name_equal(header->name, FORWARD_LAST_EVENT));
-        if (!dropped) {
-            buffer_append(out, header->name.data, header->name.length);
-            buffer_append(out, ": ", 2);
-            buffer_append(out, header->value.data, header->value.length);
-            buffer_append(out, "\r\n", 2);
-        }
-    }
-}
-
 static void forward_write_request(const struct forward *forward, const struct server *server, struct buffer *out)
 {
     const struct http_reader *request = forward->call->request;
@@ -107,11 +83,12 @@
     buffer_append(out, " ", 1);
     buffer_append(out, request->target.data, request->target.length);
     buffer_append_text(out, " HTTP/1.1\r\n");
-    forward_write_headers(forward, out);
+    bool goes_on = forward->stream.event_count > 0;
+    caller_headers_write(dialect, request, goes_on ? CALLER_HEADERS_RESUMED : CALLER_HEADERS_WHOLE, out);
     buffer_printf(out, "%s: %llu\r\n", dialect->headers[DIALECT_DEADLINE_MS], (unsigned long long)left_ms);
     buffer_printf(out, "%s: %s\r\n", dialect->headers[DIALECT_EXPECT_SERVER], server->id);
-    if (forward->stream.event_count > 0) {
-        buffer_printf(out, "%s: %llu\r\n", FORWARD_LAST_EVENT, (unsigned long long)forward->stream.last_event);
+    if (goes_on) {
+        buffer_printf(out, "%s: %llu\r\n", CALLER_HEADERS_LAST_EVENT, (unsigned long long)forward->stream.last_event);
     }
     bool has_body = http_reader_has(request, "Content-Length") || http_reader_has(request, "Transfer-Encoding");
     if (has_body || history->length > 0) {
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -109,6 +109,9 @@
 /** Body of the last request that any server ran; owned by the caller. */
 char *site_last_body(void);
 
+/** Head of the last request that any server ran; owned by the caller. */
+char *site_last_head(void);
+
 /** Connections that clients closed while a server was at work. */
 int site_cancelled(void);
 
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -44,6 +44,7 @@
 static struct site_server site_servers[SITE_SERVERS];
 static int site_list_listener;
 static char *site_body;
+static char *site_head;
 static int site_cancellations;
 static void (*site_on_run)(int server, const char *id, struct view body);
 
@@ -149,6 +150,8 @@
     if (runs) {
         free(site_body);
         site_body = memory_copy(body.data, body.length);
+        free(site_head);
+        site_head = memory_copy(reader.head.data, reader.head.length);
     }
     pthread_mutex_unlock(&site_lock);
     if (runs && site_on_run != NULL) {
@@ -383,6 +386,14 @@
     return copy;
 }
 
+char *site_last_head(void)
+{
+    pthread_mutex_lock(&site_lock);
+    char *copy = text_copy(site_head);
+    pthread_mutex_unlock(&site_lock);
+    return copy;
+}
+
 int site_cancelled(void)
 {
     pthread_mutex_lock(&site_lock);
--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -53,6 +53,41 @@
 }
 END_TEST
 
+/* Lines that only the system may say to a server, and one that is the caller's. */
+static const char SYSTEM_LINES[] = "Bankbank-Pin-Ms: 4000\r\nbankbank-hold: h1\r\nBankbank-Kv-Backup: 10.0.0.1:80\r\n"
+                                   "Kv-From: 10.0.0.1:80/r\r\nBankbank-Tenant: forged\r\nX-Mine: 7\r\n";
+
+static void check_last_head(void)
+{
+    char *head = site_last_head();
+    ck_assert_ptr_ne(strcasestr(head, "x-mine: 7"), NULL);
+    ck_assert_ptr_eq(strcasestr(head, "pin-ms"), NULL);
+    ck_assert_ptr_eq(strcasestr(head, "hold"), NULL);
+    ck_assert_ptr_eq(strcasestr(head, "kv-"), NULL);
+    ck_assert_ptr_eq(strcasestr(head, "forged"), NULL);
+    free(head);
+}
+
+/* A call, a call that is tried again elsewhere, and a turn. */
+START_TEST(headers_of_the_system_are_not_the_callers)
+{
+    struct site_answer answer;
+    for (int i = 0; i < 3; i++) {
+        site_set_mode(2, i == 1 ? SITE_REFUSE : i == 2 ? SITE_CUT : SITE_NORMAL);
+        for (int k = 0; k < 3; k++) {
+            site_call(0, "GET", "/safe/x", SYSTEM_LINES, NULL, &answer);
+            ck_assert_int_eq(answer.status, 200);
+            site_answer_close(&answer);
+            check_last_head();
+        }
+    }
+    site_call(0, "POST", "/chat/x", SYSTEM_LINES, "in", &answer);
+    ck_assert_int_eq(answer.status, 200);
+    site_answer_close(&answer);
+    check_last_head();
+}
+END_TEST
+
 START_TEST(a_refusal_goes_to_another_server)
 {
     site_set_mode(2, SITE_REFUSE);
@@ -563,6 +598,7 @@
     tcase_add_checked_fixture(tests, setup, NULL);
     tcase_add_unchecked_fixture(tests, site_start, site_stop);
     tcase_add_test(tests, answers_come_unchanged);
+    tcase_add_test(tests, headers_of_the_system_are_not_the_callers);
     tcase_add_test(tests, a_refusal_goes_to_another_server);
     tcase_add_loop_test(tests, what_may_have_run_is_not_repeated, 0, broken);
     tcase_add_loop_test(tests, what_may_run_again_does, 0, broken);
