The list of servers goes to watchers by what changed, whole copies at a bounded rate

Ruled out: versions alone (term, number) as the base of deltas: a new leader may hold an older list than some watchers, so a number would name two lists. Change: core/server_list: a list is known by its digest, whoever counted its versions; a watch tells it, and is told changes where it is among the last 64; whole copies are encoded once, go out at 8 MB a second and not twice to one watcher within a second. Gateways change their servers by the same changes. Frames of the version before are understood both ways (the field of servers is the same on the wire).

--- /dev/null
+++ b/src/core/server_list.c
@@ -0,0 +1,310 @@
+#include "core/server_list.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <pb_decode.h>
+#include <xxhash.h>
+
+#include "control.pb.h"
+
+enum {
+    SERVER_LIST_KEY = (ServerList_servers_tag << 3) | PB_WT_STRING,
+    SERVER_LIST_VARINT_BITS = 7,
+    SERVER_LIST_VARINT_MORE = 1 << SERVER_LIST_VARINT_BITS
+};
+
+/* What an empty list begins with, so that it differs from none. */
+static const uint64_t SERVER_LIST_EMPTY = 1;
+
+/* ---- Encoded lists -------------------------------------------------------------- */
+
+/* The next length-delimited field `tag` of a message; false: there is none, or the message is damaged (`valid`). */
+static bool server_list_field(pb_istream_t *stream, uint32_t tag, struct view *value, bool *valid)
+{
+    while (stream->bytes_left > 0) {
+        pb_wire_type_t type;
+        uint32_t found = 0;
+        uint32_t length = 0;
+        bool end = false;
+        *valid = pb_decode_tag(stream, &type, &found, &end);
+        if (*valid && (found != tag || type != PB_WT_STRING)) {
+            *valid = pb_skip_field(stream, type);
+            if (*valid) {
+                continue;
+            }
+        }
+        *valid = *valid && pb_decode_varint32(stream, &length) && length <= stream->bytes_left;
+        if (!*valid) {
+            return false;
+        }
+        *value = view_of(stream->state, length);
+        return pb_read(stream, NULL, length);
+    }
+    return false;
+}
+
+static bool server_list_record_id(struct view record, struct view *id)
+{
+    pb_istream_t stream = pb_istream_from_buffer(record.data, record.length);
+    bool valid = true;
+    return server_list_field(&stream, ServerRecord_id_tag, id, &valid) && id->length > 0;
+}
+
+/* Whether every record of an encoded list can be read. */
+static bool server_list_is_valid(struct view encoded)
+{
+    pb_istream_t stream = pb_istream_from_buffer(encoded.data, encoded.length);
+    struct view record;
+    struct view id;
+    bool valid = true;
+    while (server_list_field(&stream, ServerList_servers_tag, &record, &valid)) {
+        if (!server_list_record_id(record, &id)) {
+            return false;
+        }
+    }
+    return valid;
+}
+
+static void server_list_append(const server_list_entry_t *entry, struct buffer *out)
+{
+    uint8_t head[1 + sizeof(uint64_t) * 2];
+    size_t used = 0;
+    size_t left = entry->length;
+    head[used++] = SERVER_LIST_KEY;
+    while (left >= SERVER_LIST_VARINT_MORE) {
+        head[used++] = (uint8_t)(left | SERVER_LIST_VARINT_MORE);
+        left >>= SERVER_LIST_VARINT_BITS;
+    }
+    head[used++] = (uint8_t)left;
+    buffer_append(out, head, used);
+    buffer_append(out, entry->record, entry->length);
+}
+
+/* ---- Changes ---------------------------------------------------------------------- */
+
+static void server_list_drop_gone(server_list_t *list, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        list->oldest_change = list->gone[i].change;
+        free(list->gone[i].id);
+    }
+    list->gone_count -= count;
+    memmove(list->gone, list->gone + count, list->gone_count * sizeof(list->gone[0]));
+}
+
+static void server_list_remove(server_list_t *list, server_list_entry_t *entry)
+{
+    if (list->gone_count == SERVER_LIST_GONE_MOST) {
+        server_list_drop_gone(list, SERVER_LIST_GONE_DROP);
+    }
+    list->gone[list->gone_count++] = (server_list_gone_t){list->change, text_copy(entry->id)};
+    list->digest -= entry->hash;
+    HASH_DEL(list->entries, entry);
+    free(entry->record);
+    free(entry);
+}
+
+static server_list_entry_t *server_list_entry(server_list_t *list, struct view id)
+{
+    server_list_entry_t *entry = NULL;
+    HASH_FIND(hh, list->entries, id.data, id.length, entry);
+    if (entry == NULL) {
+        entry = memory_new(sizeof(*entry) + id.length + 1);
+        memcpy(entry->id, id.data, id.length);
+        HASH_ADD_KEYPTR(hh, list->entries, entry->id, id.length, entry);
+    }
+    return entry;
+}
+
+/* Returns whether the record differs from what was there. */
+static bool server_list_set(server_list_t *list, struct view record)
+{
+    struct view id;
+    server_list_record_id(record, &id);
+    server_list_entry_t *entry = server_list_entry(list, id);
+    entry->seen = list->wholes;
+    bool same = entry->length == record.length && memcmp(entry->record, record.data, record.length) == 0;
+    if (same) {
+        return false;
+    }
+    list->digest -= entry->hash;
+    free(entry->record);
+    entry->record = (uint8_t *)memory_copy(record.data, record.length);
+    entry->length = record.length;
+    entry->hash = XXH64(record.data, record.length, 0);
+    entry->change = list->change;
+    list->digest += entry->hash;
+    return true;
+}
+
+static bool server_list_set_all(server_list_t *list, struct view encoded)
+{
+    pb_istream_t stream = pb_istream_from_buffer(encoded.data, encoded.length);
+    struct view record;
+    bool valid = true;
+    bool changed = false;
+    while (server_list_field(&stream, ServerList_servers_tag, &record, &valid)) {
+        changed = server_list_set(list, record) || changed;
+    }
+    return changed;
+}
+
+static bool server_list_remove_unseen(server_list_t *list)
+{
+    server_list_entry_t *entry;
+    server_list_entry_t *next;
+    bool removed = false;
+    HASH_ITER(hh, list->entries, entry, next)
+    {
+        if (entry->seen != list->wholes) {
+            server_list_remove(list, entry);
+            removed = true;
+        }
+    }
+    return removed;
+}
+
+static void server_list_begin_change(server_list_t *list)
+{
+    list->change++;
+    list->digest = list->digest == SERVER_LIST_NONE ? SERVER_LIST_EMPTY : list->digest;
+}
+
+static void server_list_note_version(server_list_t *list)
+{
+    list->versions[list->change % SERVER_LIST_VERSIONS] = (server_list_version_t){list->digest, list->change};
+}
+
+bool server_list_put(server_list_t *list, struct view encoded)
+{
+    bool first = list->digest == SERVER_LIST_NONE;
+    if (!server_list_is_valid(encoded)) {
+        return false;
+    }
+    server_list_begin_change(list);
+    list->wholes++;
+    bool set = server_list_set_all(list, encoded);
+    bool removed = server_list_remove_unseen(list);
+    if (!first && !set && !removed) {
+        list->change--;
+        return false;
+    }
+    server_list_note_version(list);
+    return true;
+}
+
+/* Who followed this list by its changes has to look at it whole. */
+static void server_list_forget(server_list_t *list)
+{
+    uint64_t change = list->change;
+    server_list_close(list);
+    list->change = change;
+    list->oldest_change = change + 1;
+}
+
+bool server_list_apply(server_list_t *list, uint64_t base, uint64_t digest, struct view records, char *const *gone,
+                       size_t gone_count)
+{
+    if (base == SERVER_LIST_NONE || base != list->digest || !server_list_is_valid(records)) {
+        return false;
+    }
+    if (digest == base && records.length == 0 && gone_count == 0) {
+        return true;
+    }
+    server_list_begin_change(list);
+    for (size_t i = 0; i < gone_count; i++) {
+        server_list_entry_t *entry = NULL;
+        HASH_FIND_STR(list->entries, text_or_empty(gone[i]), entry);
+        if (entry != NULL) {
+            server_list_remove(list, entry);
+        }
+    }
+    server_list_set_all(list, records);
+    if (list->digest != digest) {
+        server_list_forget(list);
+        return false;
+    }
+    server_list_note_version(list);
+    return true;
+}
+
+/* ---- What is told ------------------------------------------------------------------- */
+
+bool server_list_changes_since(const server_list_t *list, uint64_t change, server_list_changes_t *changes)
+{
+    memset(changes, 0, sizeof(*changes));
+    if (change < list->oldest_change || change == 0) {
+        return false;
+    }
+    for (const server_list_entry_t *entry = list->entries; entry != NULL; entry = entry->hh.next) {
+        if (entry->change > change) {
+            server_list_append(entry, &changes->records);
+        }
+    }
+    changes->gone = memory_new((list->gone_count + 1) * sizeof(*changes->gone));
+    for (size_t i = 0; i < list->gone_count; i++) {
+        if (list->gone[i].change > change) {
+            changes->gone[changes->gone_count++] = list->gone[i].id;
+        }
+    }
+    return true;
+}
+
+/* The change that led to a version; 0: it is not known any more. */
+static uint64_t server_list_change_of(const server_list_t *list, uint64_t digest)
+{
+    for (size_t i = 0; i < SERVER_LIST_VERSIONS && digest != SERVER_LIST_NONE; i++) {
+        const server_list_version_t *version = &list->versions[i];
+        if (version->digest == digest && version->change >= list->oldest_change) {
+            return version->change;
+        }
+    }
+    return 0;
+}
+
+bool server_list_knows(const server_list_t *list, uint64_t digest)
+{
+    return server_list_change_of(list, digest) != 0;
+}
+
+bool server_list_changes_to(const server_list_t *list, uint64_t digest, server_list_changes_t *changes)
+{
+    return server_list_changes_since(list, server_list_change_of(list, digest), changes);
+}
+
+void server_list_changes_close(server_list_changes_t *changes)
+{
+    buffer_close(&changes->records);
+    free(changes->gone);
+    memset(changes, 0, sizeof(*changes));
+}
+
+struct view server_list_whole(server_list_t *list)
+{
+    if (list->whole_change != list->change) {
+        buffer_clear(&list->whole);
+        for (const server_list_entry_t *entry = list->entries; entry != NULL; entry = entry->hh.next) {
+            server_list_append(entry, &list->whole);
+        }
+        list->whole_change = list->change;
+    }
+    return buffer_view(&list->whole);
+}
+
+void server_list_close(server_list_t *list)
+{
+    server_list_entry_t *entry;
+    server_list_entry_t *next;
+    HASH_ITER(hh, list->entries, entry, next)
+    {
+        HASH_DEL(list->entries, entry);
+        free(entry->record);
+        free(entry);
+    }
+    for (size_t i = 0; i < list->gone_count; i++) {
+        free(list->gone[i].id);
+    }
+    buffer_close(&list->whole);
+    memset(list, 0, sizeof(*list));
+}
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -51,23 +51,45 @@
     }
 }
 
+static void server_take_record(struct server_table *table, const ServerRecord *record)
+{
+    struct server *server = NULL;
+    HASH_FIND_STR(table->servers, text_or_empty(record->id), server);
+    if (server == NULL) {
+        server = server_add(table, record);
+    }
+    server->listed = true;
+    server->slots = record->slots;
+    server->draining = server->draining || record->draining;
+}
+
 void server_table_update(struct server_table *table, const ServerList *list)
 {
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
         server->listed = false;
     }
     for (pb_size_t i = 0; i < list->servers_count; i++) {
-        const ServerRecord *record = &list->servers[i];
+        server_take_record(table, &list->servers[i]);
+    }
+    server_forget_unlisted(table);
+}
+
+void server_table_change(struct server_table *table, char *const *gone, size_t gone_count, const ServerList *changed)
+{
+    for (size_t i = 0; i < gone_count; i++) {
         struct server *server = NULL;
-        HASH_FIND_STR(table->servers, text_or_empty(record->id), server);
+        HASH_FIND_STR(table->servers, gone[i], server);
         if (server == NULL) {
-            server = server_add(table, record);
+            continue;
+        }
+        server->listed = false;
+        if (server->calls == 0) {
+            server_free(table, server);
         }
-        server->listed = true;
-        server->slots = record->slots;
-        server->draining = server->draining || record->draining;
     }
-    server_forget_unlisted(table);
+    for (pb_size_t i = 0; i < changed->servers_count; i++) {
+        server_take_record(table, &changed->servers[i]);
+    }
 }
 
 /* May get requests at all. */
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -81,6 +81,9 @@
 /** Takes a new list. */
 void server_table_update(struct server_table *table, const ServerList *list);
 
+/** Takes what changed since the list before: servers that left it, then those that came or changed. */
+void server_table_change(struct server_table *table, char *const *gone, size_t gone_count, const ServerList *changed);
+
 /** Takes what other gateways have under way. */
 void server_table_take_loads(struct server_table *table, uint64_t now_ms, const LoadTotals *totals);
 
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -2,12 +2,10 @@
 
 #include <string.h>
 
-#include "base/message.h"
-
 void watch_state_close(struct watch_state *state)
 {
     buffer_close(&state->document);
-    buffer_close(&state->servers);
+    server_list_close(&state->servers);
 }
 
 static bool watch_servers_are_newer(const struct watch_state *state, uint64_t term, uint64_t number)
@@ -20,13 +18,29 @@
     if (!watch_servers_are_newer(state, term, number)) {
         return false;
     }
+    server_list_put(&state->servers, encoded);
     state->servers_term = term;
     state->servers_number = number;
-    buffer_clear(&state->servers);
-    buffer_append(&state->servers, encoded.data, encoded.length);
     return true;
 }
 
+/* Changes that are not to the list at hand are passed over: the next watch tells which list that is. */
+static bool watch_state_take_servers(struct watch_state *state, const WatchUpdate *update)
+{
+    uint64_t before = state->servers.change;
+    if (!watch_servers_are_newer(state, update->servers_term, update->servers_number)) {
+        return false;
+    }
+    if (update->servers_base == SERVER_LIST_NONE) {
+        watch_state_put_servers(state, update->servers_term, update->servers_number, update->servers);
+    } else if (server_list_apply(&state->servers, update->servers_base, update->servers_digest, update->servers,
+                                 update->servers_gone, update->servers_gone_count)) {
+        state->servers_term = update->servers_term;
+        state->servers_number = update->servers_number;
+    }
+    return state->servers.digest != SERVER_LIST_NONE && state->servers.change != before;
+}
+
 /* ---- Watching side ------------------------------------------------------------- */
 
 void watch_client_set_candidates(struct watch_client *client, const struct watch_candidate *candidates, uint32_t count)
@@ -110,6 +124,7 @@
     watch->document_version = state->document_version;
     watch->servers_term = state->servers_term;
     watch->servers_number = state->servers_number;
+    watch->servers_digest = state->servers.digest;
     watch->members_index = state->members_index;
     return true;
 }
@@ -140,13 +155,8 @@
         buffer_append(&state->document, update->document.data, update->document.length);
         changes.document = true;
     }
-    if (update->has_servers && watch_servers_are_newer(state, update->servers_term, update->servers_number)) {
-        struct buffer encoded = {0};
-        message_encode(&encoded, ServerList_fields, &update->servers);
-        changes.servers =
-            watch_state_put_servers(state, update->servers_term, update->servers_number, buffer_view(&encoded));
-        buffer_close(&encoded);
-    }
+    bool servers_told = update->servers_told || update->servers.length > 0; /* earlier versions tell the list alone */
+    changes.servers = servers_told && watch_state_take_servers(state, update);
     if (update->has_members && update->members_index > state->members_index) {
         changes.members = raft_members_from_wire(&update->members, &state->members);
         state->members_index = update->members_index;
@@ -183,11 +193,13 @@
     if (entry == NULL) {
         return NULL;
     }
+    entry->whole_ms = entry->node == node ? entry->whole_ms : 0;
     entry->node = node;
     entry->heard_ms = now_ms;
     entry->document_version = watch->document_version;
     entry->servers_term = watch->servers_term;
     entry->servers_number = watch->servers_number;
+    entry->servers_digest = watch->servers_digest;
     entry->members_index = watch->members_index;
     return entry;
 }
@@ -207,15 +219,56 @@
            (state->servers_term == entry->servers_term && state->servers_number > entry->servers_number);
 }
 
-bool watch_entry_lacks(const struct watch_entry *entry, uint64_t now_ms, const struct watch_state *state)
+/* Whole lists wait for their rate; changes do not. */
+static bool watch_may_tell_servers(const struct watch_server *server, const struct watch_entry *entry, uint64_t now_ms,
+                                   const struct watch_state *state)
+{
+    bool known = server_list_knows(&state->servers, entry->servers_digest);
+    bool underway = entry->whole_ms != 0 && now_ms < entry->whole_ms + WATCH_WHOLE_AGAIN_MS;
+    return known || (!underway && now_ms + WATCH_WHOLE_BURST_MS >= server->whole_due_ms);
+}
+
+bool watch_server_owes(const struct watch_server *server, const struct watch_entry *entry, uint64_t now_ms,
+                       const struct watch_state *state)
 {
     bool recent = now_ms < entry->heard_ms + WATCH_VALID_MS;
-    return recent && (state->document_version > entry->document_version || watch_entry_lacks_servers(entry, state) ||
+    bool servers = watch_entry_lacks_servers(entry, state) && watch_may_tell_servers(server, entry, now_ms, state);
+    return recent && (state->document_version > entry->document_version || servers ||
                       state->members_index > entry->members_index);
 }
 
-bool watch_entry_fill(struct watch_entry *entry, const struct watch_state *state, Member *items, WatchUpdate *update)
+static void watch_charge_whole(struct watch_server *server, uint64_t now_ms, size_t bytes)
 {
+    uint64_t begin_ms = server->whole_due_ms > now_ms ? server->whole_due_ms : now_ms;
+    server->whole_due_ms = begin_ms + (uint64_t)bytes * 1000 / WATCH_WHOLE_BYTES_A_S;
+    server->wholes++;
+}
+
+static void watch_tell_servers(struct watch_server *server, struct watch_entry *entry, uint64_t now_ms,
+                               struct watch_state *state, watch_told_t *told)
+{
+    WatchUpdate *update = &told->update;
+    update->servers_told = true;
+    update->servers_digest = state->servers.digest;
+    if (server_list_changes_to(&state->servers, entry->servers_digest, &told->changes)) {
+        update->servers_base = entry->servers_digest;
+        update->servers = buffer_view(&told->changes.records);
+        update->servers_gone = told->changes.gone;
+        update->servers_gone_count = (pb_size_t)told->changes.gone_count;
+    } else {
+        update->servers = server_list_whole(&state->servers);
+        watch_charge_whole(server, now_ms, update->servers.length);
+        entry->whole_ms = now_ms;
+    }
+    entry->servers_term = state->servers_term;
+    entry->servers_number = state->servers_number;
+    entry->servers_digest = state->servers.digest;
+}
+
+void watch_server_tell(struct watch_server *server, struct watch_entry *entry, uint64_t now_ms,
+                       struct watch_state *state, watch_told_t *told)
+{
+    WatchUpdate *update = &told->update;
     update->document_version = state->document_version;
     if (state->document_version > entry->document_version) {
         update->document = buffer_view(&state->document);
@@ -223,26 +276,18 @@
     }
     update->servers_term = state->servers_term;
     update->servers_number = state->servers_number;
-    if (watch_entry_lacks_servers(entry, state)) {
-        update->has_servers = message_decode(buffer_view(&state->servers), ServerList_fields, &update->servers);
-        entry->servers_term = state->servers_term;
-        entry->servers_number = state->servers_number;
-        if (!update->has_servers) {
-            return false;
-        }
+    if (watch_entry_lacks_servers(entry, state) && watch_may_tell_servers(server, entry, now_ms, state)) {
+        watch_tell_servers(server, entry, now_ms, state, told);
     }
     update->members_index = state->members_index;
     if (state->members_index > entry->members_index) {
         update->has_members = true;
-        raft_members_to_wire(&state->members, items, &update->members);
+        raft_members_to_wire(&state->members, told->items, &update->members);
         entry->members_index = state->members_index;
     }
-    return true;
 }
 
-void watch_update_close(WatchUpdate *update)
+void watch_told_close(watch_told_t *told)
 {
-    if (update->has_servers) {
-        message_free(ServerList_fields, &update->servers);
-    }
+    server_list_changes_close(&told->changes);
 }
--- a/src/core/watch.h
+++ b/src/core/watch.h
@@ -7,6 +7,11 @@
  * The watcher takes a value only if it is newer than its own, so that it
  * never goes back; a replica that is out of touch says so (`fresh`), and the
  * watcher turns to another one.
+ *
+ * Of the list of servers a watcher is told what changed (server_list.h). Whole
+ * lists go out at WATCH_WHOLE_BYTES_A_S, so that a start, or many watchers that
+ * come at once, never hold up what elects a leader or commits: a replica that
+ * gives a third of 0.3 cores to copies bears some 20 MB a second.
  */
 #ifndef BANKBANK_CORE_WATCH_H
 #define BANKBANK_CORE_WATCH_H
@@ -14,14 +19,18 @@
 #include "base/buffer.h"
 #include "control.pb.h"
 #include "core/raft.h"
+#include "core/server_list.h"
 
 enum {
-    WATCH_PERIOD_MS = 500,       /**< Period of watches. */
-    WATCH_NEAR_PERIOD_MS = 4000, /**< Pause before a replica of the own zone is tried again. */
-    WATCH_ANSWER_MS = 200,       /**< Time without an answer before another replica is tried. */
-    WATCH_RETRY_MS = 50,         /**< Pause before another replica is tried. */
-    WATCH_VALID_MS = 1500,       /**< Time changes are told after a watch. */
-    WATCH_MAX_WATCHERS = 512     /**< Daemons that watch one replica. */
+    WATCH_PERIOD_MS = 500,           /**< Period of watches. */
+    WATCH_NEAR_PERIOD_MS = 4000,     /**< Pause before a replica of the own zone is tried again. */
+    WATCH_ANSWER_MS = 200,           /**< Time without an answer before another replica is tried. */
+    WATCH_RETRY_MS = 50,             /**< Pause before another replica is tried. */
+    WATCH_VALID_MS = 1500,           /**< Time changes are told after a watch. */
+    WATCH_MAX_WATCHERS = 512,        /**< Daemons that watch one replica. */
+    WATCH_WHOLE_BYTES_A_S = 8 << 20, /**< Bytes a second of whole lists of servers, to all watchers. */
+    WATCH_WHOLE_BURST_MS = 20,       /**< Time's worth of them that goes out at once. */
+    WATCH_WHOLE_AGAIN_MS = 1000      /**< Least time between two of them to one watcher: the first may be on its way. */
 };
 
 /** Everything that is watched, with the versions that order it. */
@@ -30,7 +39,7 @@
     struct buffer document;      /**< Its text. */
     uint64_t servers_term;       /**< Leader's term that read the list of servers. */
     uint64_t servers_number;     /**< Change within that term. */
-    struct buffer servers;       /**< Encoded ServerList. */
+    server_list_t servers;       /**< The list. */
     uint64_t members_index;      /**< Log entry that set the members. */
     struct raft_members members; /**< State replicas. */
 };
@@ -45,7 +54,7 @@
 /** Frees it. */
 void watch_state_close(struct watch_state *state);
 
-/** Takes a list of servers if it is newer; returns whether it was. */
+/** Takes a whole list of servers (an encoded ServerList) if it is newer; returns whether it was. */
 bool watch_state_put_servers(struct watch_state *state, uint64_t term, uint64_t number, struct view encoded);
 
 /** A replica that may be watched. */
@@ -91,13 +100,17 @@
     uint64_t document_version; /**< What it has. */
     uint64_t servers_term;     /**< What it has. */
     uint64_t servers_number;   /**< What it has. */
+    uint64_t servers_digest;   /**< What it has. */
     uint64_t members_index;    /**< What it has. */
+    uint64_t whole_ms;         /**< Time it was told a whole list of servers, 0: never. */
 };
 
 /** Watched side. */
 struct watch_server {
     struct watch_entry entries[WATCH_MAX_WATCHERS]; /**< Watchers. */
     uint32_t count;                                 /**< Number of those. */
+    uint64_t whole_due_ms;                          /**< Time until which whole lists have used up their rate. */
+    uint64_t wholes;                                /**< Whole lists told. */
 };
 
 /** Notes a watch; NULL: no room. */
@@ -106,15 +119,20 @@
 /** Number of daemons that watched lately. */
 uint32_t watch_server_count(const struct watch_server *server, uint64_t now_ms);
 
-/** Whether a watcher lacks something of `state` and watched lately. */
-bool watch_entry_lacks(const struct watch_entry *entry, uint64_t now_ms, const struct watch_state *state);
-
-/**
- * Fills an update with what the watcher lacks and notes it as told. `items`
- * is storage of RAFT_MAX_MEMBERS members; false: the servers do not decode.
- * Release with watch_update_close().
- */
-bool watch_entry_fill(struct watch_entry *entry, const struct watch_state *state, Member *items, WatchUpdate *update);
-void watch_update_close(WatchUpdate *update);
+/** Whether a watcher that watched lately lacks something of `state` that may be told it now. */
+bool watch_server_owes(const struct watch_server *server, const struct watch_entry *entry, uint64_t now_ms,
+                       const struct watch_state *state);
+
+/** An update, and what it borrows. */
+typedef struct watch_told_t {
+    WatchUpdate update;             /**< To be sent. */
+    Member items[RAFT_MAX_MEMBERS]; /**< Members in it. */
+    server_list_changes_t changes;  /**< Changes of the list of servers in it. */
+} watch_told_t;
+
+/** Fills what the watcher lacks into `told`, all zero before, and notes it as told. Valid until `state` changes. */
+void watch_server_tell(struct watch_server *server, struct watch_entry *entry, uint64_t now_ms,
+                       struct watch_state *state, watch_told_t *told);
+void watch_told_close(watch_told_t *told);
 
 #endif
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -127,13 +127,34 @@
     }
     server_table_update(&front->servers, &list);
     front->servers_known = true;
+    front->servers_change = 0;
     message_free(ServerList_fields, &list);
     front_resume(front);
 }
 
+/* What changed since the list was last looked at; false: only the whole list tells. */
+static bool front_take_server_changes(struct front *front)
+{
+    const server_list_t *servers = &front->node->state.servers;
+    server_list_changes_t changes;
+    ServerList changed = {0};
+    bool taken = server_list_changes_since(servers, front->servers_change, &changes) &&
+                 message_decode(buffer_view(&changes.records), ServerList_fields, &changed);
+    if (taken) {
+        server_table_change(&front->servers, changes.gone, changes.gone_count, &changed);
+        message_free(ServerList_fields, &changed);
+    }
+    server_list_changes_close(&changes);
+    return taken;
+}
+
 void front_take_servers(struct front *front)
 {
-    front_take_own_servers(front, buffer_view(&front->node->state.servers));
+    server_list_t *servers = &front->node->state.servers;
+    if (!front_take_server_changes(front)) {
+        front_take_own_servers(front, server_list_whole(servers));
+    }
+    front->servers_change = servers->change;
     event_log("servers_in_force", "{s:I,s:I,s:I}", "term", (json_int_t)front->node->state.servers_term, "number",
               (json_int_t)front->node->state.servers_number, "servers", (json_int_t)HASH_COUNT(front->servers.servers));
 }
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -54,6 +54,7 @@
     struct route_table *table;      /**< Configuration in force, or NULL. */
     struct server_table servers;    /**< Servers. */
     bool servers_known;             /**< A list was taken. */
+    uint64_t servers_change;        /**< Change of the node's list that was taken last; 0: it is not that list. */
     struct turn_store cache;        /**< Turns seen lately. */
     struct forward *forwards;       /**< Requests under way. */
     uint32_t active;                /**< Their number. */
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -218,18 +218,17 @@
 static void host_tell_watcher(struct state_host *host, struct watch_entry *entry, uint64_t sequence)
 {
     struct node *node = host->node;
-    Member items[RAFT_MAX_MEMBERS];
-    Frame frame = {0};
-    frame.which_payload = Frame_watch_update_tag;
-    WatchUpdate *update = &frame.payload.watch_update;
+    uint64_t now_ms = node_now(node);
+    watch_told_t told = {0};
+    WatchUpdate *update = &told.update;
     update->sequence = sequence;
-    update->fresh = host->running && replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, node_now(node));
+    update->fresh = host->running && replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, now_ms);
     update->leader = state_host_leader(host);
-    update->watchers = watch_server_count(&host->watchers, node_now(node));
-    if (watch_entry_fill(entry, &node->state, items, update)) {
-        node_send_frame(node, entry->node, &frame);
-    }
-    watch_update_close(update);
+    update->watchers = watch_server_count(&host->watchers, now_ms);
+    watch_server_tell(&host->watchers, entry, now_ms, &node->state, &told);
+    Frame frame = {.which_payload = Frame_watch_update_tag, .payload.watch_update = told.update};
+    node_send_frame(node, entry->node, &frame);
+    watch_told_close(&told);
 }
 
 /* A replica that belongs to no group passes on what it has learnt, so that who knows only the seeds finds the members
@@ -295,16 +294,21 @@
         return;
     }
     uint64_t term = host->replica.groups[STATE_CONFIG_GROUP].raft.term;
-    const struct buffer *held = &node->state.servers;
-    bool same = term == node->state.servers_term && held->length == encoded.length &&
-                memcmp(held->data, encoded.data, encoded.length) == 0;
+    bool own_term = term == node->state.servers_term;
+    uint64_t before = node->state.servers.change;
+    server_list_put(&node->state.servers, encoded);
+    bool same = node->state.servers.change == before;
+    if (same && own_term) {
+        return;
+    }
+    /* A new leader's first list has a version of its own also where nothing changed: watchers take what is newer. */
+    node->state.servers_number = own_term ? node->state.servers_number + 1 : 1;
+    node->state.servers_term = term;
+    event_log("servers_read", "{s:I,s:I,s:I,s:b}", "term", (json_int_t)term, "number",
+              (json_int_t)node->state.servers_number, "bytes", (json_int_t)encoded.length, "same", same);
     if (same) {
         return;
     }
-    uint64_t number = term == node->state.servers_term ? node->state.servers_number + 1 : 1;
-    watch_state_put_servers(&node->state, term, number, encoded);
-    event_log("servers_read", "{s:I,s:I,s:I}", "term", (json_int_t)term, "number", (json_int_t)number, "bytes",
-              (json_int_t)encoded.length);
     struct watch_changes changes = {.servers = true};
     node_state_changed(node, changes);
 }
@@ -354,7 +358,7 @@
     }
     for (uint32_t i = 0; i < host->watchers.count; i++) {
         struct watch_entry *entry = &host->watchers.entries[i];
-        if (watch_entry_lacks(entry, node_now(node), &node->state)) {
+        if (watch_server_owes(&host->watchers, entry, node_now(node), &node->state)) {
             host_tell_watcher(host, entry, 0);
         }
     }
@@ -382,6 +386,7 @@
     metrics_write_counter(out, "memory_refused_total", "Proposals refused for want of memory.", counters->refused);
     metrics_write_counter(out, "link_frames_refused_total", "Frames for which the queues to peers had no room.",
                           host->node->links.frames_refused);
+    metrics_write_counter(out, "watch_wholes_total", "Whole lists of servers told to watchers.", host->watchers.wholes);
     metrics_write_gauge(out, "turns_stored", "Turns stored.", HASH_COUNT(group->machine.site.turns.turns));
     metrics_write_gauge(out, "turn_bytes", "Bytes of turns stored.", group->machine.site.turns.bytes);
     metrics_write_gauge(out, "programs_budgeted", "Programs with a budget.",
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -53,7 +53,6 @@
     uint32_t told_leader;               /**< Leader that the log told last. */
     bool told_leading;                  /**< Whether that was this node. */
     bool told_full[STATE_HOST_HOLDERS]; /**< Holders of memory that the log last told to be full. */
-    uint64_t servers_number;            /**< Changes of the server list read in this term. */
 };
 
 /** Loads the identity and, if it belongs to a group, the state; NULL: it cannot run. */
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -388,18 +388,19 @@
     static struct watch_server server;
     memset(&server, 0, sizeof(server));
     Watch watch = {.sequence = 1};
-    Member items[RAFT_MAX_MEMBERS];
+    static watch_told_t told;
+    memset(&told, 0, sizeof(told));
     state.document_version = 3;
     buffer_append_text(&state.document, "three");
     struct watch_entry *entry = watch_server_note(&server, 1000, 42, &watch);
-    ck_assert(watch_entry_lacks(entry, 1000, &state));
-    WatchUpdate update = {0};
-    ck_assert(watch_entry_fill(entry, &state, items, &update));
-    ck_assert_uint_eq(update.document.length, 5);
-    watch_update_close(&update);
-    ck_assert(!watch_entry_lacks(entry, 1000, &state));
+    ck_assert(watch_server_owes(&server, entry, 1000, &state));
+    watch_server_tell(&server, entry, 1000, &state, &told);
+    ck_assert_uint_eq(told.update.document.length, 5);
+    watch_told_close(&told);
+    ck_assert(!watch_server_owes(&server, entry, 1000, &state));
     state.document_version = 4;
-    ck_assert(!watch_entry_lacks(entry, 1000 + WATCH_VALID_MS, &state));
+    ck_assert(watch_server_owes(&server, entry, 1000, &state));
+    ck_assert(!watch_server_owes(&server, entry, 1000 + WATCH_VALID_MS, &state));
     ck_assert_uint_eq(watch_server_count(&server, 1000), 1);
 }
 END_TEST
