Keys and tenants: whose a request, a turn and a budget is

Cause: keys were never looked at. Ruled out: keys in the table as text (found by comparing, told by a dump); programs under their plain name, by which one tenant spends another's budget; 401 from a gateway that hears no replica, since the key may be new: 503. Records without a tenant keep their form on disk; a turn stored without a tenant is found by whoever names it, as it was then. Faults of tenants are findings.

--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -60,8 +60,9 @@
     }
     const struct turn_store *turns = &replica->groups[group].machine.site.turns;
     const struct turn *turn = turn_store_find(turns, query.turn);
+    bool found = turn != NULL && turn_is_of(turn, query.tenant);
     message_free(TurnQuery_fields, &query);
-    if (turn == NULL) {
+    if (!found) {
         replica_reply(replica, group, waiter, RESULT_NOT_FOUND, view_of(NULL, 0));
         return;
     }
--- a/src/core/route_table.c
+++ b/src/core/route_table.c
@@ -5,8 +5,12 @@
 #include <string.h>
 #include <strings.h>
 
+#include <xxhash.h>
+
 #include "base/buffer.h"
 
+static uint64_t route_secret;
+
 enum {
     ROUTE_SHARE_STEPS = 101, /* points at which the shares of a route may begin */
     ROUTE_RANDOM_SHIFT = 48  /* routes take different bits of the random number */
@@ -48,8 +52,19 @@
         free(table->services[i].name);
         free(table->services[i].health_path);
     }
+    for (uint32_t i = 0; i < table->tenant_count; i++) {
+        free(table->tenants[i].name);
+    }
+    struct route_key *key;
+    struct route_key *next;
+    HASH_ITER(hh, table->keys, key, next)
+    {
+        HASH_DEL(table->keys, key);
+        free(key);
+    }
     free(table->routes);
     free(table->services);
+    free(table->tenants);
     free(table);
 }
 
@@ -78,6 +93,56 @@
     return route_grow((void **)&route->parts, &route->part_count, sizeof(*route->parts));
 }
 
+/* ---- Tenants ------------------------------------------------------------------ */
+
+void route_table_set_secret(uint64_t secret)
+{
+    route_secret = secret;
+}
+
+struct route_tenant *route_table_add_tenant(struct route_table *table)
+{
+    table->has_tenants = true;
+    return route_grow((void **)&table->tenants, &table->tenant_count, sizeof(*table->tenants));
+}
+
+static void route_hash_key(struct view key, uint8_t hash[ROUTE_KEY_BYTES])
+{
+    XXH128_canonical_t canonical;
+    XXH128_canonicalFromHash(&canonical, XXH3_128bits_withSeed(key.data, key.length, route_secret));
+    memcpy(hash, canonical.digest, ROUTE_KEY_BYTES);
+}
+
+static struct route_key *route_find_key(const struct route_table *table, struct view key)
+{
+    uint8_t hash[ROUTE_KEY_BYTES];
+    struct route_key *found = NULL;
+    route_hash_key(key, hash);
+    HASH_FIND(hh, table->keys, hash, ROUTE_KEY_BYTES, found);
+    return found;
+}
+
+bool route_table_add_key(struct route_table *table, struct view key)
+{
+    uint32_t tenant = table->tenant_count - 1;
+    struct route_key *held = route_find_key(table, key);
+    if (held != NULL) {
+        return held->tenant == tenant;
+    }
+    held = memory_new(sizeof(*held));
+    route_hash_key(key, held->hash);
+    held->tenant = tenant;
+    HASH_ADD(hh, table->keys, hash, ROUTE_KEY_BYTES, held);
+    table->tenants[tenant].key_count++;
+    return true;
+}
+
+const struct route_tenant *route_table_tenant(const struct route_table *table, struct view key)
+{
+    const struct route_key *held = route_find_key(table, key);
+    return held == NULL ? NULL : &table->tenants[held->tenant];
+}
+
 /* ---- Checks ------------------------------------------------------------------- */
 
 static void route_check_parts(const struct route_table *table, const struct route *route, const char *place,
@@ -119,8 +184,31 @@
     route_check_parts(table, route, place, findings);
 }
 
-void route_table_check(const struct route_table *table, struct findings *findings)
+static void route_check_tenant(struct route_table *table, uint32_t position, struct findings *findings)
 {
+    struct route_tenant *tenant = &table->tenants[position];
+    char place[64];
+    snprintf(place, sizeof(place), "tenant %u (%.40s)", position, tenant->name);
+    if (tenant->name[0] == '\0') {
+        findings_add(findings, place, "has no name");
+    }
+    if (strpbrk(tenant->name, "\r\n") != NULL) {
+        findings_add(findings, place, "its name has a line break");
+    }
+    for (uint32_t i = 0; i < position; i++) {
+        if (strcmp(table->tenants[i].name, tenant->name) == 0) {
+            findings_add(findings, place, "has the name of tenant %u", i);
+        }
+    }
+    uint64_t hash = XXH64(tenant->name, strlen(tenant->name), 0);
+    tenant->hash = hash == 0 ? 1 : hash;
+}
+
+void route_table_check(struct route_table *table, struct findings *findings)
+{
+    for (uint32_t i = 0; i < table->tenant_count; i++) {
+        route_check_tenant(table, i, findings);
+    }
     if (table->version == 0) {
         findings_add(findings, "version", "must be a number above 0");
     }
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -1,8 +1,12 @@
 /**
  * @file route_table.h
  * A site's configuration in typed form: routes by host and path prefix,
- * services, and limits of what clients may send. Immutable once checked; a
- * request holds a reference to the one it began under.
+ * services, tenants with their keys, and limits of what clients may send.
+ * Immutable once checked; a request holds a reference to the one it began under.
+ *
+ * Keys are held by a 128-bit hash under a secret of the process: the table
+ * cannot be made to tell them, and the time of a look-up depends on a hash that
+ * a caller cannot compute, not on how much of a key was guessed.
  */
 #ifndef BANKBANK_CORE_ROUTE_TABLE_H
 #define BANKBANK_CORE_ROUTE_TABLE_H
@@ -10,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <uthash.h>
+
 #include "base/findings.h"
 #include "base/view.h"
 
@@ -43,6 +49,7 @@
     uint64_t retention_ms;      /**< How long. */
     bool sticky;                /**< Prompts share parts: servers keep what they read. */
     bool resumable;             /**< A broken stream may go on at another server. */
+    bool open;                  /**< It takes requests without a key, where others need one. */
     struct route_part *parts;   /**< Services. */
     uint32_t part_count;        /**< Number of those. */
 };
@@ -56,6 +63,26 @@
     uint32_t slots;           /**< Requests a server runs at once; 0: not told. */
 };
 
+/** A tenant. */
+struct route_tenant {
+    char *name;         /**< Unique name, told to servers. */
+    uint64_t hash;      /**< Of the name, never 0. */
+    bool ranked;        /**< It has a priority, which comes before that of a route. */
+    uint32_t priority;  /**< Rank, 0 is the highest. */
+    double rate_per_s;  /**< Requests a second that it may make, over all gateways; 0: no limit. */
+    double burst;       /**< Requests on top of that, at once. */
+    uint32_t key_count; /**< Keys that it holds. */
+};
+
+enum { ROUTE_KEY_BYTES = 16 /**< Bytes of a key's hash. */ };
+
+/** A key of a tenant. */
+struct route_key {
+    uint8_t hash[ROUTE_KEY_BYTES]; /**< Of the key, under the process's secret. */
+    uint32_t tenant;               /**< Position of the tenant that holds it. */
+    UT_hash_handle hh;             /**< By hash. */
+};
+
 /** Limits of what clients may send; 0: not told. */
 struct route_limits {
     uint64_t max_header_bytes;  /**< Largest head. */
@@ -71,6 +98,10 @@
     uint32_t route_count;           /**< Number of routes. */
     struct route_service *services; /**< Owned array. */
     uint32_t service_count;         /**< Number of services. */
+    bool has_tenants;               /**< Requests need a key, except on open routes. */
+    struct route_tenant *tenants;   /**< Owned array. */
+    uint32_t tenant_count;          /**< Number of tenants. */
+    struct route_key *keys;         /**< By hash. */
     struct route_limits limits;     /**< Limits. */
     uint32_t references;            /**< Holders; freed with the last one. */
 };
@@ -84,6 +115,18 @@
 /** Drops a reference; NULL is allowed. */
 void route_table_release(struct route_table *table);
 
+/** Sets the secret under which keys are hashed, before any table is read. */
+void route_table_set_secret(uint64_t secret);
+
+/** Adds a tenant, all zero; its hash is set by route_table_check(). Valid until the next addition. */
+struct route_tenant *route_table_add_tenant(struct route_table *table);
+
+/** Gives a key to the tenant added last; false: another tenant holds it. */
+bool route_table_add_key(struct route_table *table, struct view key);
+
+/** The tenant that holds a key, or NULL. */
+const struct route_tenant *route_table_tenant(const struct route_table *table, struct view key);
+
 /** Adds a route, service or part, all zero; valid until the next addition. */
 struct route *route_table_add_route(struct route_table *table);
 struct route_service *route_table_add_service(struct route_table *table);
@@ -97,7 +140,7 @@
 void route_table_begin_shares(struct route_table *table, const struct route_table *previous, uint64_t random);
 
 /** Adds every fault of the whole to `findings`. */
-void route_table_check(const struct route_table *table, struct findings *findings);
+void route_table_check(struct route_table *table, struct findings *findings);
 
 /** The route of a host (a port in it is ignored) and a target (a query in it is ignored), or NULL. */
 struct route *route_table_find(const struct route_table *table, struct view host, struct view target);
--- a/src/core/site_state.c
+++ b/src/core/site_state.c
@@ -55,6 +55,7 @@
         .input = finish->input,
         .output = finish->output,
         .retention_ms = finish->retention_ms + SITE_TURN_SLACK_MS,
+        .tenant = finish->tenant,
     };
     if (!turn_store_add(&state->turns, state->time_ms, &content)) {
         result->code = RESULT_NOT_FOUND;
--- a/src/core/turn_record.c
+++ b/src/core/turn_record.c
@@ -14,9 +14,11 @@
     uint32_t input_length;
     uint32_t id_length;
     uint32_t parent_length;
-    uint32_t kind; /* turn_text_kind_t */
+    uint32_t kind; /* turn_text_kind_t; with TURN_RECORD_TENANT the tenant follows the head */
 };
 
+enum { TURN_RECORD_TENANT = 1 << 16 };
+
 void turn_record_encode(const turn_record_t *record, struct buffer *out)
 {
     struct turn_record_head head = {
@@ -31,7 +33,9 @@
         head.offset = record->text.at.stored.offset;
         head.segment = record->text.at.stored.segment;
     }
+    head.kind |= record->tenant != 0 ? TURN_RECORD_TENANT : 0;
     buffer_append(out, &head, sizeof(head));
+    buffer_append(out, &record->tenant, record->tenant != 0 ? sizeof(record->tenant) : 0);
     buffer_append(out, record->id.data, record->id.length);
     buffer_append(out, record->parent.data, record->parent.length);
     if (record->text.kind == TURN_TEXT_HELD) {
@@ -46,14 +50,18 @@
         return false;
     }
     memcpy(&head, data.data, sizeof(head));
+    size_t tenant_length = (head.kind & TURN_RECORD_TENANT) != 0 ? sizeof(record->tenant) : 0;
+    head.kind &= ~(uint32_t)TURN_RECORD_TENANT;
     bool held = head.kind == TURN_TEXT_HELD;
-    uint64_t expected =
-        sizeof(head) + (uint64_t)head.id_length + head.parent_length + (held ? (uint64_t)head.length : 0);
+    uint64_t expected = sizeof(head) + tenant_length + (uint64_t)head.id_length + head.parent_length +
+                        (held ? (uint64_t)head.length : 0);
     bool valid = data.length == expected && head.input_length <= head.length;
     if (!valid) {
         return false;
     }
-    const uint8_t *body = data.data + sizeof(head);
+    const uint8_t *body = data.data + sizeof(head) + tenant_length;
+    record->tenant = 0;
+    memcpy(&record->tenant, data.data + sizeof(head), tenant_length);
     record->id = view_of(body, head.id_length);
     record->parent = view_of(body + head.id_length, head.parent_length);
     record->expires_ms = head.expires_ms;
@@ -91,6 +99,7 @@
         .turn = memory_copy(record.id.data, record.id.length),
         .parent = record.parent.length == 0 ? NULL : memory_copy(record.parent.data, record.parent.length),
         .expires_ms = record.expires_ms,
+        .tenant = record.tenant,
     };
     if (text.length > 0) {
         wire.input = view_of(text.data, input_length);
@@ -116,6 +125,7 @@
         .id = view_of_string(text_or_empty(wire.turn)),
         .parent = view_of_string(text_or_empty(wire.parent)),
         .expires_ms = wire.expires_ms,
+        .tenant = wire.tenant,
         .text.length = (uint32_t)text.length,
         .text.input_length = (uint32_t)wire.input.length,
     };
--- a/src/core/turn_record.h
+++ b/src/core/turn_record.h
@@ -2,7 +2,8 @@
  * @file turn_record.h
  * A turn in a snapshot. On the machine that wrote it: a fixed head in host
  * order and the two ids, since a replica writes tens of thousands of them
- * each few seconds; the text is named by its place in the history store.
+ * each few seconds; the text is named by its place in the history store. A
+ * turn without a tenant is written as versions without tenants wrote it.
  * Between machines: a TurnRecord that holds the text.
  */
 #ifndef BANKBANK_CORE_TURN_RECORD_H
@@ -15,6 +16,7 @@
     struct view id;      /**< Unique id. */
     struct view parent;  /**< Id of the turn before it; empty: none. */
     uint64_t expires_ms; /**< See struct turn. */
+    uint64_t tenant;     /**< See struct turn. */
     turn_text_t text;    /**< A held text lies in the record. */
 } turn_record_t;
 
--- a/src/core/turn_store.c
+++ b/src/core/turn_store.c
@@ -77,6 +77,11 @@
     return turn;
 }
 
+bool turn_is_of(const struct turn *turn, uint64_t tenant)
+{
+    return turn->tenant == 0 || turn->tenant == tenant;
+}
+
 /* The whole chain stays as long as its last turn. */
 static void turn_touch_chain(struct turn_store *store, struct turn *turn, uint64_t expires_ms)
 {
@@ -140,6 +145,7 @@
     if (turn == NULL) {
         return false;
     }
+    turn->tenant = content->tenant;
     turn_text_keep(store, content->input, content->output, &turn->text);
     store->bytes += turn->text.length;
     turn_touch_chain(store, turn, now_ms + content->retention_ms);
@@ -225,6 +231,7 @@
         wire.turns[i].turn = (char *)(uintptr_t)chain[i]->id;
         wire.turns[i].parent = i == 0 ? NULL : (char *)(uintptr_t)chain[i - 1]->id;
         wire.turns[i].expires_ms = chain[i]->expires_ms;
+        wire.turns[i].tenant = chain[i]->tenant;
         wire.turns[i].input = view_of(at, part->input_length);
         wire.turns[i].output = view_of(at + part->input_length, part->length - part->input_length);
         at += part->length;
@@ -243,6 +250,7 @@
         .id = view_of_string(turn->id),
         .parent = view_of_string(turn->parent == NULL ? "" : turn->parent->id),
         .expires_ms = turn->expires_ms,
+        .tenant = turn->tenant,
         .text = turn->text,
     };
     turn_record_encode(&record, out);
@@ -257,6 +265,7 @@
     }
     turn->text = record.text;
     turn->expires_ms = record.expires_ms;
+    turn->tenant = record.tenant;
     store->bytes += record.text.length;
     switch (record.text.kind) {
     case TURN_TEXT_HELD: turn->text.at.held = (uint8_t *)memory_copy(record.text.at.held, record.text.length); break;
@@ -299,6 +308,7 @@
         .input = record->input,
         .output = record->output,
         .retention_ms = record->expires_ms,
+        .tenant = record->tenant,
     };
     return turn_store_add(store, 0, &content);
 }
--- a/src/core/turn_store.h
+++ b/src/core/turn_store.h
@@ -7,6 +7,10 @@
  * A replica's store holds an index: the texts lie in the host's history store
  * (on disk) and are read when they are asked for. A cache holds the texts.
  *
+ * A turn belongs to the tenant that brought it, and is not found for another
+ * one. One stored without a tenant, by a caller without a key or before there
+ * were keys, is found by whoever names it, as it was then.
+ *
  * A turn never changes once stored. It stays, with all turns before it, until
  * the retention of the last turn that goes on from it has passed.
  */
@@ -48,6 +52,7 @@
     struct turn *parent;  /**< Turn before it, or NULL. */
     uint32_t children;    /**< Stored turns that go on from it. */
     uint64_t expires_ms;  /**< Time after which it may be dropped. */
+    uint64_t tenant;      /**< Hash of the tenant's name, 0: none. */
     turn_text_t text;     /**< What the caller brought and what was made. */
     struct turn *earlier; /**< Order of last use. */
     struct turn *later;   /**< Order of last use. */
@@ -72,6 +77,7 @@
     struct view input;     /**< What the caller brought. */
     struct view output;    /**< What was made. */
     uint64_t retention_ms; /**< Least time it stays. */
+    uint64_t tenant;       /**< Hash of the tenant's name, 0: none. */
 };
 
 /** Frees everything; texts in the history store are no longer needed. */
@@ -80,6 +86,9 @@
 /** Finds a turn, or NULL. */
 struct turn *turn_store_find(const struct turn_store *store, const char *id);
 
+/** Whether a tenant may go on from a turn. */
+bool turn_is_of(const struct turn *turn, uint64_t tenant);
+
 /** Stores a turn; true also if it is stored already, false if its parent is not. */
 bool turn_store_add(struct turn_store *store, uint64_t now_ms, const struct turn_content *content);
 
--- a/src/proxy/dialect.h
+++ b/src/proxy/dialect.h
@@ -33,6 +33,8 @@
     DIALECT_PARENT_TURN,     /**< Turn that this one goes on from. */
     DIALECT_PRIORITY,        /**< Rank at a server, set by the daemon. */
     DIALECT_RETRY_AFTER,     /**< Seconds until the client may ask again. */
+    DIALECT_AUTHORIZATION,   /**< A caller's key. */
+    DIALECT_TENANT,          /**< Name of the tenant that holds it, set by the daemon. */
     DIALECT_HEADER_COUNT
 };
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -11,6 +11,7 @@
 enum {
     FORWARD_NOT_FOUND = 404,
     FORWARD_BAD_REQUEST = 400,
+    FORWARD_UNAUTHORIZED = 401,
     FORWARD_UNAVAILABLE = 503,
     FORWARD_TIMEOUT = 504,
     FORWARD_NUMBER_MAX = 24
@@ -79,18 +80,19 @@
     uint64_t begun_ms = forward->call->received_ms;
     uint64_t first_ms = stream->first_event_ms > begun_ms ? stream->first_event_ms - begun_ms : 0;
     bool completed = strcmp(forward->reason, FORWARD_COMPLETED) == 0;
-    event_log_within(
-        completed ? "request" : "request_not_served", "request",
-        "{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:I}", "id", text_or_empty(forward->id),
-        "route", forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome", forward->reason,
-        "status", forward->told_status, "server", text_or_empty(forward->last_server), "total_ms",
-        (json_int_t)(node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends", (int)forward->sends, "runs",
-        (int)forward->runs, "hedged", forward->hedged, "events", (json_int_t)stream->event_count, "configuration",
-        (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
-        (json_int_t)node->state.servers_number, "state_age_ms", (json_int_t)node_state_age(node), "program",
-        text_or_empty(forward->turn.program), "parent", text_or_empty(forward->turn.parent), "program_left_ms",
-        (json_int_t)(forward->program_due_ms - forward->call->received_ms), "queued_ms",
-        (json_int_t)(forward->queued_ms == 0 ? 0 : node_now(node) - forward->queued_ms));
+    event_log_within(completed ? "request" : "request_not_served", "request",
+                     "{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:I}", "id",
+                     text_or_empty(forward->id), "tenant", forward->tenant == NULL ? "" : forward->tenant->name,
+                     "route", forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome",
+                     forward->reason, "status", forward->told_status, "server", text_or_empty(forward->last_server),
+                     "total_ms", (json_int_t)(node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends",
+                     (int)forward->sends, "runs", (int)forward->runs, "hedged", forward->hedged, "events",
+                     (json_int_t)stream->event_count, "configuration",
+                     (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
+                     (json_int_t)node->state.servers_number, "state_age_ms", (json_int_t)node_state_age(node),
+                     "program", text_or_empty(forward->turn.program), "parent", text_or_empty(forward->turn.parent),
+                     "program_left_ms", (json_int_t)(forward->program_due_ms - forward->call->received_ms), "queued_ms",
+                     (json_int_t)(forward->queued_ms == 0 ? 0 : node_now(node) - forward->queued_ms));
 }
 
 static void forward_close(struct forward *forward)
@@ -128,6 +130,7 @@
     struct buffer headers = {0};
     struct buffer body = {0};
     buffer_printf(&headers, "X-Run-State: %s\r\n", run_state);
+    buffer_append_text(&headers, status == FORWARD_UNAUTHORIZED ? "WWW-Authenticate: Bearer\r\n" : "");
     if (retry_after) {
         buffer_printf(&headers, "%s: %s\r\n", dialect->headers[DIALECT_RETRY_AFTER], forward_retry_after(forward));
     }
@@ -288,6 +291,9 @@
         forward_refuse(forward, FORWARD_BAD_REQUEST, "no request id");
         return;
     }
+    if (!forward_tenant_find(forward)) {
+        return;
+    }
     front->counters.requests++;
     retry_budget_note_request(&front->retries);
     forward_set_limit(forward);
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -38,7 +38,7 @@
 
 /** A turn of a program. */
 struct forward_turn {
-    char *program;                  /**< Program, or NULL: not a turn. */
+    char *program;                  /**< Program, with its tenant where there are tenants, or NULL: not a turn. */
     char *parent;                   /**< Turn it goes on from, or NULL. */
     uint64_t budget;                /**< Tokens of the program. */
     uint64_t most;                  /**< The most this turn may generate. */
@@ -82,20 +82,21 @@
 
 /** The request. */
 struct forward {
-    struct front *front;       /**< The gateway. */
-    struct http_call *call;    /**< The caller's side. */
-    struct route_table *table; /**< Configuration it began under. */
-    struct route *route;       /**< Its route. */
-    enum forward_phase phase;  /**< Phase. */
-    uv_timer_t limit;          /**< Asks a second server, and ends it in time. */
-    uint64_t limit_ms;         /**< Loop time of that. */
-    char *id;                  /**< The attempt's id. */
-    struct forward_turn turn;  /**< As a turn. */
-    struct server_wish wish;   /**< Where it may go. */
-    prefix_chain_t chain;      /**< Shared parts of its prompt. */
-    uint32_t own_tokens;       /**< Tokens of its own part. */
-    uint64_t queued_ms;        /**< Loop time at which its wait for a place began; 0: none. */
-    uint64_t program_due_ms;   /**< Loop time at which its program should be over. */
+    struct front *front;               /**< The gateway. */
+    struct http_call *call;            /**< The caller's side. */
+    struct route_table *table;         /**< Configuration it began under. */
+    struct route *route;               /**< Its route. */
+    const struct route_tenant *tenant; /**< Whose it is, in `table`; NULL: nobody's. */
+    enum forward_phase phase;          /**< Phase. */
+    uv_timer_t limit;                  /**< Asks a second server, and ends it in time. */
+    uint64_t limit_ms;                 /**< Loop time of that. */
+    char *id;                          /**< The attempt's id. */
+    struct forward_turn turn;          /**< As a turn. */
+    struct server_wish wish;           /**< Where it may go. */
+    prefix_chain_t chain;              /**< Shared parts of its prompt. */
+    uint32_t own_tokens;               /**< Tokens of its own part. */
+    uint64_t queued_ms;                /**< Loop time at which its wait for a place began; 0: none. */
+    uint64_t program_due_ms;           /**< Loop time at which its program should be over. */
     struct forward_attempt attempts[FORWARD_MAX_PARALLEL]; /**< Servers that are being asked. */
     bool hedged;                                           /**< A second server was asked for want of an answer. */
     char *last_server;                                     /**< Server asked last, for the log. */
@@ -147,6 +148,18 @@
 /** Ends without a whole answer: `status` if the caller has got nothing yet, else its connection breaks off. */
 void forward_fail(struct forward *forward, int status, const char *reason);
 
+/** forward_tenant.c: finds whose it is; false: it was refused, for want of a key that is known. */
+bool forward_tenant_find(struct forward *forward);
+
+/** forward_tenant.c: whether its key still is the same tenant's. */
+bool forward_tenant_still_holds(const struct forward *forward);
+
+/** forward_tenant.c: hash of its tenant's name, 0: none. */
+uint64_t forward_tenant_hash(const struct forward *forward);
+
+/** forward_tenant.c: name under which the state replicas know a program of its tenant; the caller frees it. */
+char *forward_tenant_program(const struct forward *forward, const char *program);
+
 /** forward_turn.c: tokens in one event of its service. */
 uint64_t forward_chunk_tokens(const struct forward *forward);
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -8,7 +8,7 @@
 #include "core/place_wait.h"
 #include "proxy/caller_headers.h"
 
-enum { FORWARD_UNAVAILABLE = 503, FORWARD_BAD_GATEWAY = 502 };
+enum { FORWARD_UNAUTHORIZED = 401, FORWARD_UNAVAILABLE = 503, FORWARD_BAD_GATEWAY = 502 };
 
 /* ---- Attempts --------------------------------------------------------------------------------- */
 
@@ -87,6 +87,9 @@
     caller_headers_write(dialect, request, goes_on ? CALLER_HEADERS_RESUMED : CALLER_HEADERS_WHOLE, out);
     buffer_printf(out, "%s: %llu\r\n", dialect->headers[DIALECT_DEADLINE_MS], (unsigned long long)left_ms);
     buffer_printf(out, "%s: %s\r\n", dialect->headers[DIALECT_EXPECT_SERVER], server->id);
+    if (forward->tenant != NULL) {
+        buffer_printf(out, "%s: %s\r\n", dialect->headers[DIALECT_TENANT], forward->tenant->name);
+    }
     if (goes_on) {
         buffer_printf(out, "%s: %llu\r\n", CALLER_HEADERS_LAST_EVENT, (unsigned long long)forward->stream.last_event);
     }
@@ -170,6 +173,10 @@
         forward_out_of_time(forward);
         return;
     }
+    if (forward->runs == 0 && !forward_tenant_still_holds(forward)) {
+        forward_refuse(forward, FORWARD_UNAUTHORIZED, "key taken away");
+        return;
+    }
     struct server *server = forward_choose(forward);
     if (server != NULL) {
         forward_send(forward, server);
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -18,10 +18,12 @@
     if (!forward->route->turns) {
         return;
     }
-    turn->program = forward_text(forward, DIALECT_PROGRAM);
-    if (turn->program == NULL) {
+    char *program = forward_text(forward, DIALECT_PROGRAM);
+    if (program == NULL) {
         return;
     }
+    turn->program = forward_tenant_program(forward, program);
+    free(program);
     turn->keep = forward->route->stateful;
     turn->parent = turn->keep ? forward_text(forward, DIALECT_PARENT_TURN) : NULL;
     turn->budget = forward_number(forward, DIALECT_TOKEN_BUDGET, UINT64_MAX / 2);
@@ -114,6 +116,7 @@
             .parent = chain.turns[i].parent,
             .input = chain.turns[i].input,
             .output = chain.turns[i].output,
+            .tenant = chain.turns[i].tenant,
         };
         turn_store_add(&front->cache, node_now(front->node), &content);
         buffer_append(&forward->turn.history, content.input.data, content.input.length);
@@ -138,7 +141,7 @@
 
 static void forward_encode_query(const struct forward *forward, struct buffer *out)
 {
-    TurnQuery query = {.turn = forward->turn.parent};
+    TurnQuery query = {.turn = forward->turn.parent, .tenant = forward_tenant_hash(forward)};
     message_encode(out, TurnQuery_fields, &query);
 }
 
@@ -164,35 +167,47 @@
     }
 }
 
-static void forward_turn_fetch(struct forward *forward)
+/* Appends the conversation; false: it was refused. */
+static bool forward_take_cached(struct forward *forward, const struct turn *parent)
+{
+    struct front *front = forward->front;
+    if (!turn_is_of(parent, forward_tenant_hash(forward))) {
+        forward_refuse(forward, FORWARD_NO_TURN, "no such turn");
+        return false;
+    }
+    front->counters.cache_hits++;
+    turn_chain_text(&front->cache, parent, &forward->turn.history);
+    return true;
+}
+
+/* False: it was refused. */
+static bool forward_turn_fetch(struct forward *forward)
 {
     struct front *front = forward->front;
     struct node *node = front->node;
     const struct turn *parent = turn_store_find(&front->cache, forward->turn.parent);
     if (parent != NULL) {
-        front->counters.cache_hits++;
-        turn_chain_text(&front->cache, parent, &forward->turn.history);
-        return;
+        return forward_take_cached(forward, parent);
     }
     front->counters.cache_misses++;
     uint32_t near = node->host != NULL ? node->id : node->watch.target;
     if (near == RAFT_NO_NODE) {
         forward_fetch_from_leader(forward);
-        return;
+        return true;
     }
     struct buffer body = {0};
     forward_encode_query(forward, &body);
     forward->turn.fetching = node_ask(node, near, REQUEST_TURNS_HELD, buffer_view(&body),
                                       node_now(node) + FORWARD_NEAR_MS, forward_on_fetched_near, forward);
     buffer_close(&body);
+    return true;
 }
 
 void forward_turn_begin(struct forward *forward)
 {
-    if (forward->turn.parent != NULL) {
-        forward_turn_fetch(forward);
+    if (forward->turn.parent == NULL || forward_turn_fetch(forward)) {
+        forward_turn_reserve(forward);
     }
-    forward_turn_reserve(forward);
 }
 
 /* ---- After it ran ---------------------------------------------------------------------------- */
@@ -211,6 +226,7 @@
         finish->input = buffer_view(&forward->call->body);
         finish->output = buffer_view(&forward->turn.output);
         finish->retention_ms = forward->route->retention_ms;
+        finish->tenant = forward_tenant_hash(forward);
     }
 }
 
@@ -235,6 +251,7 @@
         .parent = forward->turn.parent,
         .input = buffer_view(&forward->call->body),
         .output = buffer_view(&forward->turn.output),
+        .tenant = forward_tenant_hash(forward),
     };
     turn_store_add(&front->cache, node_now(front->node), &content);
 }
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -324,6 +324,8 @@
     metrics_write_counter(out, "budget_refusals_total", "Turns refused for the budget.", counters->budget_refusals);
     metrics_write_counter(out, "conversation_hits_total", "Conversations found near.", counters->cache_hits);
     metrics_write_counter(out, "conversation_misses_total", "Conversations fetched.", counters->cache_misses);
+    metrics_write_counter(out, "key_refusals_total", "Requests refused for want of a known key.",
+                          counters->key_refusals);
     metrics_write_gauge(out, "requests_active", "Requests under way.", front->active);
     metrics_write_gauge(out, "requests_waiting", "Requests that wait for configuration and servers after a start.",
                         front->waiting);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -34,6 +34,7 @@
     uint64_t sends;           /**< Requests sent to servers. */
     uint64_t server_refusals; /**< Servers that did not run a request. */
     uint64_t crossed;         /**< Answers to other requests, dropped. */
+    uint64_t key_refusals;    /**< Requests refused for want of a known key. */
     uint64_t budget_refusals; /**< Turns refused for their program's budget. */
     uint64_t pauses;          /**< Streams held back for a slow caller. */
     uint64_t probes;          /**< Dials to servers that were silent. */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -276,6 +276,7 @@
     bool replica = text_or_empty(node->settings.data)[0] != '\0';
     bool gateway = text_or_empty(node->settings.caller_address)[0] != '\0';
     node->boot_id = node_random();
+    route_table_set_secret(node_random());
     node->id = (uint32_t)node->boot_id | 1;
     if (replica) {
         node->host = state_host_open(node);
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -135,6 +135,9 @@
 /** A configuration of the given version; `extra` is put into the first route. The caller frees it. */
 char *site_configuration(int version, const char *extra);
 
+/** The same with further fields of the whole; `more` begins with a comma, or is empty. */
+char *site_configuration_with(int version, const char *extra, const char *more);
+
 /** Opens a connection. */
 int site_connect(const char *ip, int port);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -231,6 +231,11 @@
 }
 
 char *site_configuration(int version, const char *extra)
+{
+    return site_configuration_with(version, extra, "");
+}
+
+char *site_configuration_with(int version, const char *extra, const char *more)
 {
     static const char format[] =
         "{\"version\":%d,\"unknown\":{},\"routes\":["
@@ -246,9 +251,9 @@
         "\"sticky\":true,\"resumable\":true}],"
         "\"services\":[{\"name\":\"engine\",\"engine\":{\"chunk-size\":5,\"slots\":4}},{\"name\":\"plain\"}],"
         "\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":65536,\"header-timeout-ms\":1000,"
-        "\"idle-timeout-ms\":5000}}";
+        "\"idle-timeout-ms\":5000}%s}";
     struct buffer text = {0};
-    buffer_printf(&text, format, version, extra); // NOLINT
+    buffer_printf(&text, format, version, extra, more); // NOLINT
     return buffer_text(&text);
 }
 
--- a/tests/unit/turns.c
+++ b/tests/unit/turns.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "base/message.h"
+#include "core/turn_record.h"
 #include "suite.h"
 #include "support/streams.h"
 
@@ -127,6 +128,56 @@
 }
 END_TEST
 
+/* The form on disk of versions without tenants: 40 bytes of numbers, then the ids. */
+START_TEST(a_record_without_a_tenant_has_its_old_form)
+{
+    enum { OLD_HEAD = 40 };
+    turn_record_t record = {.id = view_of_string("t1"), .parent = view_of_string("t0"), .expires_ms = 77};
+    turn_record_t read;
+    struct buffer out = {0};
+    record.text.kind = TURN_TEXT_STORED;
+    record.text.length = 5;
+    turn_record_encode(&record, &out);
+    ck_assert_uint_eq(out.length, OLD_HEAD + 4);
+    ck_assert(turn_record_decode(buffer_view(&out), &read));
+    ck_assert_uint_eq(read.tenant, 0);
+    buffer_clear(&out);
+    record.tenant = 0x1234567890abcdefULL;
+    turn_record_encode(&record, &out);
+    ck_assert(turn_record_decode(buffer_view(&out), &read));
+    ck_assert_uint_eq(read.tenant, record.tenant);
+    ck_assert_int_eq(read.text.kind, TURN_TEXT_STORED);
+    ck_assert_uint_eq(read.id.length, 2);
+    ck_assert_mem_eq(read.parent.data, "t0", 2);
+    ck_assert(!turn_record_decode(view_of(out.data, out.length - 1), &read));
+    buffer_close(&out);
+}
+END_TEST
+
+START_TEST(a_turn_keeps_its_tenant_through_every_form)
+{
+    struct turn_store other = {0};
+    struct buffer local = {0};
+    struct buffer wire = {0};
+    struct buffer back = {0};
+    struct history_io in_memory = {0};
+    struct turn_content content = {.id = "a", .retention_ms = 5, .tenant = 42, .input = view_of_string("x")};
+    ck_assert(turn_store_add(&machine.site.turns, 1, &content));
+    turn_export(turn_store_find(&machine.site.turns, "a"), &local);
+    ck_assert(turn_record_to_wire(&in_memory, buffer_view(&local), &wire));
+    ck_assert(turn_record_from_wire(&in_memory, buffer_view(&wire), &back));
+    ck_assert(turn_store_import(&other, buffer_view(&back)));
+    const struct turn *turn = turn_store_find(&other, "a");
+    ck_assert(turn_is_of(turn, 42));
+    ck_assert(!turn_is_of(turn, 43));
+    ck_assert(!turn_is_of(turn, 0));
+    turn_store_close(&other);
+    buffer_close(&local);
+    buffer_close(&wire);
+    buffer_close(&back);
+}
+END_TEST
+
 START_TEST(a_budget_counts_reservations_and_settlements)
 {
     ck_assert_int_eq(begin("t1", 60, 100), RESULT_OK);
@@ -237,6 +288,8 @@
     tcase_add_test(tests, a_chain_stays_as_long_as_its_last_turn);
     tcase_add_test(tests, a_clock_that_goes_back_brings_nothing_back);
     tcase_add_test(tests, a_cache_drops_what_was_used_least_lately);
+    tcase_add_test(tests, a_record_without_a_tenant_has_its_old_form);
+    tcase_add_test(tests, a_turn_keeps_its_tenant_through_every_form);
     tcase_add_test(tests, a_budget_counts_reservations_and_settlements);
     tcase_add_test(tests, a_program_is_told_where_it_ran_last);
     tcase_add_test(tests, a_repeated_begin_or_settlement_counts_once);
