Quotas over the fleet: tokens from the leader, counted in one place

Ruled out: equal shares by gateway (a limit of 16 a second over 70 gateways is a fifth of a request each; a tenant's callers sit on a few of them): to be measured as the second way; counts in the replicated log (an entry for each request, 1,300 to 2,500 a second, on a leader whose entries are what binds). Change: core/quota_table: a token bucket a tenant at the leader; a new leader begins nearly empty, so that two changes in a window stay inside a tenth and 20; only a leader that hears a quorum gives. core/quota_purse: a gateway asks for those that wait and for what came in the last 100 ms, in one frame a turn of its loop, beside the reservation of the turn; tokens are good for 250 ms by the steady clock, and one that is 500 ms old is not sent with. 429 says when to come back, behind those refused before, spread by a quarter.

--- /dev/null
+++ b/src/core/quota_purse.c
@@ -0,0 +1,80 @@
+#include "core/quota_purse.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/buffer.h"
+
+void quota_purses_close(quota_purses_t *purses)
+{
+    quota_purse_t *purse;
+    quota_purse_t *next;
+    HASH_ITER(hh, purses->purses, purse, next)
+    {
+        HASH_DEL(purses->purses, purse);
+        free(purse);
+    }
+}
+
+static quota_purse_t *quota_purse_of(quota_purses_t *purses, uint64_t tenant)
+{
+    quota_purse_t *purse = NULL;
+    HASH_FIND(hh, purses->purses, &tenant, sizeof(tenant), purse);
+    if (purse == NULL) {
+        purse = memory_new(sizeof(*purse));
+        purse->tenant = tenant;
+        HASH_ADD(hh, purses->purses, tenant, sizeof(purse->tenant), purse);
+    }
+    return purse;
+}
+
+static void quota_purse_advance(quota_purse_t *purse, uint64_t now_ms)
+{
+    uint64_t period = now_ms / QUOTA_AHEAD_MS;
+    if (period != purse->period) {
+        purse->before = period == purse->period + 1 ? purse->recent : 0;
+        purse->recent = 0;
+        purse->period = period;
+    }
+    if (now_ms >= purse->expires_ms) {
+        purse->tokens = 0;
+    }
+}
+
+bool quota_purses_take(quota_purses_t *purses, uint64_t now_ms, uint64_t tenant)
+{
+    quota_purse_t *purse = quota_purse_of(purses, tenant);
+    quota_purse_advance(purse, now_ms);
+    purse->recent++;
+    if (purse->tokens > 0) {
+        purse->tokens--;
+        return true;
+    }
+    purse->waiting++;
+    purses->waiting++;
+    return false;
+}
+
+void quota_purses_ask(quota_purses_t *purses, uint64_t now_ms, QuotaAsk *ask)
+{
+    memset(ask, 0, sizeof(*ask));
+    ask->demands = memory_new((HASH_COUNT(purses->purses) + 1) * sizeof(*ask->demands));
+    for (quota_purse_t *purse = purses->purses; purse != NULL; purse = purse->hh.next) {
+        quota_purse_advance(purse, now_ms);
+        if (purse->waiting > 0) {
+            QuotaDemand demand = {.tenant = purse->tenant, .wanted = purse->waiting + purse->before};
+            ask->demands[ask->demands_count++] = demand;
+            purse->waiting = 0;
+        }
+    }
+    purses->waiting = 0;
+}
+
+void quota_purses_put(quota_purses_t *purses, uint64_t asked_ms, uint64_t tenant, uint32_t tokens)
+{
+    quota_purse_t *purse = quota_purse_of(purses, tenant);
+    if (tokens > 0) {
+        purse->tokens += tokens;
+        purse->expires_ms = asked_ms + QUOTA_HELD_MS;
+    }
+}
--- /dev/null
+++ b/src/core/quota_purse.h
@@ -0,0 +1,58 @@
+/**
+ * @file quota_purse.h
+ * A gateway's side of quotas: the tokens of tenants that it holds from the
+ * leader (quota_table.h), and how many it asks for. Pure.
+ *
+ * A request takes a token that is held, or waits for the answer to an ask.
+ * Asks ask for those that wait and for as many as came in the last
+ * QUOTA_AHEAD_MS, so that a gateway with much of a tenant's traffic asks a few
+ * times a second and one with little of it only when a request comes. What is
+ * not used QUOTA_HELD_MS after it was asked for is lost: a gateway that stands
+ * still or is cut off spends nothing of an earlier window later.
+ */
+#ifndef BANKBANK_CORE_QUOTA_PURSE_H
+#define BANKBANK_CORE_QUOTA_PURSE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "control.pb.h"
+
+enum {
+    QUOTA_AHEAD_MS = 100, /**< Time's worth of requests that is asked for ahead. */
+    QUOTA_HELD_MS = 250   /**< Time for which a token is good, from the ask. */
+};
+
+/** What is held of a tenant. */
+typedef struct quota_purse_t {
+    uint64_t tenant;     /**< Hash of its name. */
+    uint32_t tokens;     /**< Tokens held. */
+    uint64_t expires_ms; /**< When they are lost. */
+    uint32_t waiting;    /**< Requests that no ask has been sent for yet. */
+    uint32_t recent;     /**< Requests in the current period. */
+    uint32_t before;     /**< Requests in the period before. */
+    uint64_t period;     /**< Number of the current period. */
+    UT_hash_handle hh;   /**< By tenant. */
+} quota_purse_t;
+
+/** All tenants'. */
+typedef struct quota_purses_t {
+    quota_purse_t *purses; /**< By tenant. */
+    uint32_t waiting;      /**< Requests that no ask has been sent for yet, of all. */
+} quota_purses_t;
+
+/** Frees everything. */
+void quota_purses_close(quota_purses_t *purses);
+
+/** A request of a tenant: takes a token; false: it is counted among those that wait for the next ask. */
+bool quota_purses_take(quota_purses_t *purses, uint64_t now_ms, uint64_t tenant);
+
+/** Fills an ask for all that wait, who wait for its answer from now on; free `ask->demands`. */
+void quota_purses_ask(quota_purses_t *purses, uint64_t now_ms, QuotaAsk *ask);
+
+/** Keeps what the answer to an ask brought beyond what those that waited took. */
+void quota_purses_put(quota_purses_t *purses, uint64_t asked_ms, uint64_t tenant, uint32_t tokens);
+
+#endif
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -12,11 +12,14 @@
     FORWARD_NOT_FOUND = 404,
     FORWARD_BAD_REQUEST = 400,
     FORWARD_UNAUTHORIZED = 401,
+    FORWARD_TOO_MANY = 429,
     FORWARD_UNAVAILABLE = 503,
     FORWARD_TIMEOUT = 504,
     FORWARD_NUMBER_MAX = 24
 };
 
+static const double FORWARD_MS_PER_S = 1000;
+
 /* Outcome of an answer that was passed on whole. */
 static const char FORWARD_COMPLETED[] = "completed";
 
@@ -131,7 +134,10 @@
     struct buffer body = {0};
     buffer_printf(&headers, "X-Run-State: %s\r\n", run_state);
     buffer_append_text(&headers, status == FORWARD_UNAUTHORIZED ? "WWW-Authenticate: Bearer\r\n" : "");
-    if (retry_after) {
+    if (retry_after && forward->quota.retry_ms > 0) {
+        buffer_printf(&headers, "%s: %.3f\r\n", dialect->headers[DIALECT_RETRY_AFTER],
+                      (double)forward->quota.retry_ms / FORWARD_MS_PER_S);
+    } else if (retry_after) {
         buffer_printf(&headers, "%s: %s\r\n", dialect->headers[DIALECT_RETRY_AFTER], forward_retry_after(forward));
     }
     buffer_printf(&body, "{\"error\":{\"code\":\"%s\",\"run_state\":\"%s\"}}", code, run_state);
@@ -151,7 +157,7 @@
     }
     forward->front->counters.refused++;
     forward->reason = reason;
-    forward_reply(forward, status, reason, "not-run", status == FORWARD_UNAVAILABLE);
+    forward_reply(forward, status, reason, "not-run", status == FORWARD_UNAVAILABLE || status == FORWARD_TOO_MANY);
 }
 
 void forward_fail(struct forward *forward, int status, const char *reason)
@@ -300,16 +306,26 @@
     forward_read_parts(forward);
     forward_turn_read(forward);
     if (forward->turn.program == NULL) {
-        forward_place(forward);
+        forward_quota_take(forward);
+        forward_go_on(forward);
     } else if (node_is_isolated(front->node)) {
         /* Other daemons reach the state replicas: the caller is to connect anew. */
         http_call_close_after(call);
         forward_refuse(forward, FORWARD_UNAVAILABLE, "state replicas unreachable");
     } else {
+        forward_quota_take(forward); /* what it lacks is asked for at the same time */
         forward_turn_begin(forward);
     }
 }
 
+void forward_go_on(struct forward *forward)
+{
+    const struct forward_turn *turn = &forward->turn;
+    if (forward->quota.ask == 0 && turn->reserving == NULL && turn->fetching == NULL) {
+        forward_place(forward);
+    }
+}
+
 /* A gateway that has just started learns what is in force within moments:
  * that is worth a short wait, since callers try only a few times. */
 static void forward_wait(struct forward *forward)
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -80,6 +80,13 @@
     bool paused;                /**< The caller reads slowly: the server's answer is not read meanwhile. */
 };
 
+/** Its place in its tenant's quota; all zero: the tenant has no limit. */
+struct forward_quota {
+    uint64_t ask;      /**< Number of the ask whose answer it waits for, 0: none. */
+    uint64_t taken_ms; /**< Loop time at which it got its token. */
+    uint64_t retry_ms; /**< Refused: when to come back. */
+};
+
 /** The request. */
 struct forward {
     struct front *front;               /**< The gateway. */
@@ -92,6 +99,7 @@
     uint64_t limit_ms;                 /**< Loop time of that. */
     char *id;                          /**< The attempt's id. */
     struct forward_turn turn;          /**< As a turn. */
+    struct forward_quota quota;        /**< Its tenant's quota. */
     struct server_wish wish;           /**< Where it may go. */
     prefix_chain_t chain;              /**< Shared parts of its prompt. */
     uint32_t own_tokens;               /**< Tokens of its own part. */
@@ -160,6 +168,18 @@
 /** forward_tenant.c: name under which the state replicas know a program of its tenant; the caller frees it. */
 char *forward_tenant_program(const struct forward *forward, const char *program);
 
+/** forward.c: goes on to a server, or waits on for what it still lacks: a token, a reservation, its conversation. */
+void forward_go_on(struct forward *forward);
+
+/** forward_quota.c: takes a token of its tenant; false: it waits for the answer to the next ask. */
+bool forward_quota_take(struct forward *forward);
+
+/** forward_quota.c: whether its token, if it needs one, is not too old to be sent with. */
+bool forward_quota_is_good(const struct forward *forward);
+
+/** forward_quota.c: asks the leader for those that wait for a token. */
+void forward_quota_ask(struct front *front);
+
 /** forward_turn.c: tokens in one event of its service. */
 uint64_t forward_chunk_tokens(const struct forward *forward);
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -177,6 +177,10 @@
         forward_refuse(forward, FORWARD_UNAUTHORIZED, "key taken away");
         return;
     }
+    if (!forward_quota_is_good(forward) && !forward_quota_take(forward)) {
+        forward->phase = FORWARD_PREPARING;
+        return;
+    }
     struct server *server = forward_choose(forward);
     if (server != NULL) {
         forward_send(forward, server);
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -54,13 +54,6 @@
 
 /* ---- Before the turn runs ------------------------------------------------------------------ */
 
-static void forward_turn_go_on(struct forward *forward)
-{
-    if (forward->turn.reserving == NULL && forward->turn.fetching == NULL) {
-        forward_place(forward);
-    }
-}
-
 static void forward_on_reserved(void *context, ResultCode code, struct view body)
 {
     struct forward *forward = context;
@@ -74,7 +67,7 @@
     }
     histogram_note(&forward->front->begin, node_now(forward->front->node) - forward->turn.since_ms);
     if (code == RESULT_OK) {
-        forward_turn_go_on(forward);
+        forward_go_on(forward);
     } else if (code == RESULT_BUDGET) {
         forward->front->counters.budget_refusals++;
         forward->turn.begun = false;
@@ -131,7 +124,7 @@
     struct forward *forward = context;
     forward->turn.fetching = NULL;
     if (code == RESULT_OK && forward_take_chain(forward, body)) {
-        forward_turn_go_on(forward);
+        forward_go_on(forward);
     } else if (code == RESULT_NOT_FOUND) {
         forward_refuse(forward, FORWARD_NO_TURN, "no such turn");
     } else {
@@ -161,7 +154,7 @@
     struct forward *forward = context;
     forward->turn.fetching = NULL;
     if (code == RESULT_OK && forward_take_chain(forward, body)) {
-        forward_turn_go_on(forward);
+        forward_go_on(forward);
     } else {
         forward_fetch_from_leader(forward);
     }
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -48,6 +48,7 @@
     struct front *front = memory_new(sizeof(*front));
     struct address address;
     front->node = node;
+    front->spread = node->boot_id;
     node->upstreams.max_connections = FRONT_CONNECTIONS;
     front_watch_reach(front);
     struct http_handler handler = {
@@ -73,6 +74,7 @@
     route_table_release(front->table);
     server_table_close(&front->servers);
     turn_store_close(&front->cache);
+    quota_purses_close(&front->purses);
 }
 
 /* ---- What is in force --------------------------------------------------------------- */
@@ -281,6 +283,9 @@
         front->place_freed = false;
         forward_queue_serve(front);
     }
+    if (front->purses.waiting > 0) {
+        forward_quota_ask(front);
+    }
 }
 
 void front_tick(struct front *front)
@@ -326,6 +331,9 @@
     metrics_write_counter(out, "conversation_misses_total", "Conversations fetched.", counters->cache_misses);
     metrics_write_counter(out, "key_refusals_total", "Requests refused for want of a known key.",
                           counters->key_refusals);
+    metrics_write_counter(out, "quota_refusals_total", "Requests refused since their tenant is over its limit.",
+                          counters->quota_refusals);
+    metrics_write_counter(out, "quota_asks_total", "Asks of the leader for tokens of tenants.", front->quota_asks);
     metrics_write_gauge(out, "requests_active", "Requests under way.", front->active);
     metrics_write_gauge(out, "requests_waiting", "Requests that wait for configuration and servers after a start.",
                         front->waiting);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -7,6 +7,7 @@
 #ifndef BANKBANK_PROXY_FRONT_H
 #define BANKBANK_PROXY_FRONT_H
 
+#include "core/quota_purse.h"
 #include "core/retry.h"
 #include "core/route_table.h"
 #include "core/server_table.h"
@@ -35,6 +36,7 @@
     uint64_t server_refusals; /**< Servers that did not run a request. */
     uint64_t crossed;         /**< Answers to other requests, dropped. */
     uint64_t key_refusals;    /**< Requests refused for want of a known key. */
+    uint64_t quota_refusals;  /**< Requests refused since their tenant is over its limit. */
     uint64_t budget_refusals; /**< Turns refused for their program's budget. */
     uint64_t pauses;          /**< Streams held back for a slow caller. */
     uint64_t probes;          /**< Dials to servers that were silent. */
@@ -71,6 +73,9 @@
     uint64_t withdrawn_until_ms;    /**< Callers are left to other zones until then (presence.h). */
     bool withdrawn_told;            /**< Whether the log last told so. */
     prefix_cost_t call_cost;        /**< What a call of a model server costs, in tokens. */
+    quota_purses_t purses;          /**< What tenants with a limit may ask for here. */
+    uint64_t quota_asks;            /**< Asks of the leader for that. */
+    uint64_t spread;                /**< Random numbers that spread callers that come back. */
     struct retry_budget retries;    /**< Keeps second servers a small share. */
     struct front_counters counters; /**< Events. */
     struct histogram first_event;   /**< Time to the first event of a stream. */
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -76,6 +76,8 @@
     }
     load_table_close(&host->loads);
     presence_clear(&host->presence);
+    quota_table_clear(&host->quotas);
+    route_table_release(host->routes);
     if (host->running) {
         replica_close(&host->replica);
         log_store_close(&host->log);
@@ -131,6 +133,7 @@
     }
     host->told_leader = raft->leader;
     host->told_leading = leads;
+    quota_table_clear(&host->quotas);
     presence_clear(&host->presence); /* silence is counted from the first report to this leader */
     event_log("leader_changed", "{s:I,s:b,s:I,s:I}", "leader", (json_int_t)raft->leader, "own", leads, "term",
               (json_int_t)raft->term, "commit", (json_int_t)raft->commit);
@@ -272,9 +275,55 @@
     free(frame.payload.load_totals.loads);
 }
 
+/* The configuration that is in force, read anew when it has changed; NULL: there is none. */
+static const struct route_table *host_routes(struct state_host *host)
+{
+    const struct watch_state *state = &host->node->state;
+    if (host->routes == NULL || host->routes->version != state->document_version) {
+        struct findings findings = {0};
+        route_table_release(host->routes);
+        host->routes = host->node->dialect->read_configuration(buffer_view(&state->document), &findings);
+        findings_close(&findings);
+    }
+    return host->routes;
+}
+
+/* Only a leader that hears a quorum gives tokens: another one may give them otherwise. */
+static void host_handle_quota(struct state_host *host, uint32_t from, const Request *request)
+{
+    uint64_t now_ms = node_now(host->node);
+    bool leads = state_host_leads(host) && replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, now_ms);
+    const struct route_table *routes = leads ? host_routes(host) : NULL;
+    Frame frame = {.which_payload = Frame_reply_tag};
+    Reply *reply = &frame.payload.reply;
+    struct buffer body = {0};
+    QuotaAsk ask = {0};
+    reply->id = request->id;
+    reply->leader = state_host_leader(host);
+    reply->code = RESULT_NOT_LEADER;
+    if (routes != NULL && message_decode(request->body, QuotaAsk_fields, &ask)) {
+        QuotaGrant grant;
+        quota_table_answer(&host->quotas, now_ms, routes, &ask, &grant);
+        message_encode(&body, QuotaGrant_fields, &grant);
+        free(grant.shares);
+        message_free(QuotaAsk_fields, &ask);
+        reply->code = RESULT_OK;
+        reply->body = buffer_view(&body);
+    }
+    node_send_frame(host->node, from, &frame);
+    buffer_close(&body);
+}
+
+static bool host_is_quota(const Frame *frame)
+{
+    return frame->which_payload == Frame_request_tag && frame->payload.request.kind == REQUEST_QUOTA;
+}
+
 void state_host_receive(struct state_host *host, uint32_t from, const Frame *frame)
 {
-    if (frame->which_payload == Frame_load_report_tag) {
+    if (host->running && host_is_quota(frame)) {
+        host_handle_quota(host, from, &frame->payload.request);
+    } else if (frame->which_payload == Frame_load_report_tag) {
         host_handle_load(host, from, &frame->payload.load_report);
     } else if (frame->which_payload == Frame_watch_tag) {
         host_handle_watch(host, from, &frame->payload.watch);
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -8,6 +8,7 @@
 
 #include "core/load_table.h"
 #include "core/presence.h"
+#include "core/quota_table.h"
 #include "core/replica.h"
 #include "proxy/node.h"
 #include "store/history_store.h"
@@ -43,6 +44,8 @@
     struct watch_server watchers;       /**< Daemons that watch it. */
     struct load_table loads;            /**< Leader: what gateways have under way. */
     presence_t presence;                /**< Leader: which gateways were heard of lately. */
+    quota_table_t quotas;               /**< Leader: what tenants may still ask for. */
+    struct route_table *routes;         /**< Configuration by which that is counted, or NULL. */
     struct http_listener control;       /**< Operators' calls. */
     bool serves_control;                /**< It has a control address. */
     uint64_t join_due_ms;               /**< Next request to join. */
