--- a/tests/integration/test_tenants.c
+++ b/tests/integration/test_tenants.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "../unit/suite.h"
+#include "base/clock.h"
 #include "site.h"
 
 static int version = 100;
@@ -159,6 +160,37 @@
 }
 END_TEST
 
+/* What a flood over both gateways gets: the burst, and the rate for as long as it lasts. */
+START_TEST(a_limit_holds_over_gateways)
+{
+    enum { CALLS = 80, RATE = 10, BURST = 12 };
+    int served = 0;
+    int refused = 0;
+    ck_assert_int_eq(put("", ",\"tenants\":[{\"name\":\"few\",\"api-keys\":[\"key-f\"],\"rate-per-s\":10,"
+                             "\"burst\":12},{\"name\":\"all\",\"api-keys\":[\"key-a\"]}]"),
+                     200);
+    expect("key-a", "/safe/x", 200);
+    expect("key-1", "/safe/x", 401);
+    uint64_t begin_ms = clock_monotonic_ms();
+    for (int i = 0; i < CALLS; i++) {
+        struct site_answer answer;
+        site_call(i % SITE_GATEWAYS, "POST", "/once/x", "Authorization: Bearer key-f\r\n", "b", &answer);
+        served += answer.status == 200 ? 1 : 0;
+        if (answer.status == 429) {
+            refused++;
+            ck_assert_ptr_ne(strstr(buffer_text(&answer.head), "Retry-After: "), NULL);
+            ck_assert_ptr_ne(strstr(buffer_text(&answer.head), "X-Run-State: not-run"), NULL);
+        }
+        site_answer_close(&answer);
+    }
+    uint64_t took_ms = clock_monotonic_ms() - begin_ms;
+    ck_assert_int_eq(served + refused, CALLS);
+    ck_assert_int_ge(served, 1);
+    ck_assert_uint_le((uint64_t)served, BURST + RATE * (took_ms + 1000) / 1000);
+    expect("key-a", "/once/x", 200);
+}
+END_TEST
+
 START_TEST(keys_come_and_go_with_configurations)
 {
     two_tenants();
@@ -209,6 +241,7 @@
     tcase_add_test(tests, a_turn_is_found_by_its_tenant_alone);
     tcase_add_test(tests, a_turn_from_before_there_were_tenants_is_kept);
     tcase_add_test(tests, programs_of_two_tenants_have_two_budgets);
+    tcase_add_test(tests, a_limit_holds_over_gateways);
     tcase_add_test(tests, keys_come_and_go_with_configurations);
     tcase_add_test(tests, faults_of_tenants_are_all_reported);
     suite_add_tcase(suite, tests);
