Quotas: programs over a limit are turned away at their first turn; tokens unused go back; the allowance told

Change: begins of programs have a second bucket, charged by what programs ask for on average (learnt from what is asked, not what is given: else the more fail the shorter they seem); a gateway that does not know a program waits for its reservation, which tells whether it ran before. Tokens that no request was sent with go back to the leader. A line quota_refused tells the inputs.

--- a/src/core/quota_purse.c
+++ b/src/core/quota_purse.c
@@ -36,22 +36,43 @@
         purse->recent = 0;
         purse->period = period;
     }
-    if (now_ms >= purse->expires_ms) {
+}
+
+static void quota_purse_expire(quota_purses_t *purses, quota_purse_t *purse, uint64_t now_ms)
+{
+    if (purse->tokens > 0 && now_ms >= purse->expires_ms) {
+        purse->unused += purse->tokens;
         purse->tokens = 0;
+        purses->due = true;
     }
 }
 
-bool quota_purses_take(quota_purses_t *purses, uint64_t now_ms, uint64_t tenant)
+void quota_purses_expire(quota_purses_t *purses, uint64_t now_ms)
+{
+    for (quota_purse_t *purse = purses->purses; purse != NULL; purse = purse->hh.next) {
+        quota_purse_expire(purses, purse, now_ms);
+    }
+}
+
+void quota_purses_return(quota_purses_t *purses, uint64_t tenant)
+{
+    quota_purse_of(purses, tenant)->unused++;
+    purses->due = true;
+}
+
+bool quota_purses_take(quota_purses_t *purses, uint64_t now_ms, uint64_t tenant, quota_use_t use)
 {
     quota_purse_t *purse = quota_purse_of(purses, tenant);
     quota_purse_advance(purse, now_ms);
+    quota_purse_expire(purses, purse, now_ms);
     purse->recent++;
-    if (purse->tokens > 0) {
+    if (use == QUOTA_USE_REQUEST && purse->tokens > 0) {
         purse->tokens--;
         return true;
     }
-    purse->waiting++;
-    purses->waiting++;
+    purse->waiting += use == QUOTA_USE_REQUEST ? 1 : 0;
+    purse->begins += use == QUOTA_USE_BEGIN ? 1 : 0;
+    purses->due = true;
     return false;
 }
 
@@ -61,13 +82,19 @@
     ask->demands = memory_new((HASH_COUNT(purses->purses) + 1) * sizeof(*ask->demands));
     for (quota_purse_t *purse = purses->purses; purse != NULL; purse = purse->hh.next) {
         quota_purse_advance(purse, now_ms);
-        if (purse->waiting > 0) {
-            QuotaDemand demand = {.tenant = purse->tenant, .wanted = purse->waiting + purse->before};
-            ask->demands[ask->demands_count++] = demand;
+        quota_purse_expire(purses, purse, now_ms);
+        if (purse->waiting + purse->begins + purse->unused > 0) {
+            uint32_t ahead = purse->waiting > 0 ? purse->before : 0;
+            ask->demands[ask->demands_count++] = (QuotaDemand){.tenant = purse->tenant,
+                                                               .wanted = purse->waiting + ahead,
+                                                               .begins = purse->begins,
+                                                               .returned = purse->unused};
             purse->waiting = 0;
+            purse->begins = 0;
+            purse->unused = 0;
         }
     }
-    purses->waiting = 0;
+    purses->due = false;
 }
 
 void quota_purses_put(quota_purses_t *purses, uint64_t asked_ms, uint64_t tenant, uint32_t tokens)
--- a/src/core/quota_purse.h
+++ b/src/core/quota_purse.h
@@ -7,8 +7,11 @@
  * Asks ask for those that wait and for as many as came in the last
  * QUOTA_AHEAD_MS, so that a gateway with much of a tenant's traffic asks a few
  * times a second and one with little of it only when a request comes. What is
- * not used QUOTA_HELD_MS after it was asked for is lost: a gateway that stands
- * still or is cut off spends nothing of an earlier window later.
+ * not used QUOTA_HELD_MS after it was asked for is not used any more, so that a
+ * gateway that stands still or is cut off spends nothing of an earlier window
+ * later; it goes back to the leader with the next ask, or an ask of its own.
+ *
+ * The begin of a program always asks: the leader decides on it by other grounds.
  */
 #ifndef BANKBANK_CORE_QUOTA_PURSE_H
 #define BANKBANK_CORE_QUOTA_PURSE_H
@@ -31,6 +34,8 @@
     uint32_t tokens;     /**< Tokens held. */
     uint64_t expires_ms; /**< When they are lost. */
     uint32_t waiting;    /**< Requests that no ask has been sent for yet. */
+    uint32_t begins;     /**< Begins of programs that no ask has been sent for yet. */
+    uint32_t unused;     /**< Tokens that go back to the leader. */
     uint32_t recent;     /**< Requests in the current period. */
     uint32_t before;     /**< Requests in the period before. */
     uint64_t period;     /**< Number of the current period. */
@@ -40,14 +45,26 @@
 /** All tenants'. */
 typedef struct quota_purses_t {
     quota_purse_t *purses; /**< By tenant. */
-    uint32_t waiting;      /**< Requests that no ask has been sent for yet, of all. */
+    bool due;              /**< There is something to ask for, or to give back. */
 } quota_purses_t;
 
 /** Frees everything. */
 void quota_purses_close(quota_purses_t *purses);
 
+/** What asks for a token. */
+typedef enum quota_use_t {
+    QUOTA_USE_REQUEST, /**< Any request. */
+    QUOTA_USE_BEGIN    /**< The first request of a program. */
+} quota_use_t;
+
 /** A request of a tenant: takes a token; false: it is counted among those that wait for the next ask. */
-bool quota_purses_take(quota_purses_t *purses, uint64_t now_ms, uint64_t tenant);
+bool quota_purses_take(quota_purses_t *purses, uint64_t now_ms, uint64_t tenant, quota_use_t use);
+
+/** Gives back a token that was taken and not used. */
+void quota_purses_return(quota_purses_t *purses, uint64_t tenant);
+
+/** Looks for tokens whose time is over, which are given back then. */
+void quota_purses_expire(quota_purses_t *purses, uint64_t now_ms);
 
 /** Fills an ask for all that wait, who wait for its answer from now on; free `ask->demands`. */
 void quota_purses_ask(quota_purses_t *purses, uint64_t now_ms, QuotaAsk *ask);
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -101,6 +101,7 @@
 static void forward_close(struct forward *forward)
 {
     forward_log(forward);
+    forward_quota_end(forward);
     forward_end_attempts(forward);
     forward_turn_settle(forward);
     forward_turn_close(forward);
@@ -306,14 +307,14 @@
     forward_read_parts(forward);
     forward_turn_read(forward);
     if (forward->turn.program == NULL) {
-        forward_quota_take(forward);
+        forward_quota_begin(forward);
         forward_go_on(forward);
     } else if (node_is_isolated(front->node)) {
         /* Other daemons reach the state replicas: the caller is to connect anew. */
         http_call_close_after(call);
         forward_refuse(forward, FORWARD_UNAVAILABLE, "state replicas unreachable");
     } else {
-        forward_quota_take(forward); /* what it lacks is asked for at the same time */
+        forward_quota_begin(forward); /* what it lacks is asked for at the same time */
         forward_turn_begin(forward);
     }
 }
@@ -321,7 +322,8 @@
 void forward_go_on(struct forward *forward)
 {
     const struct forward_turn *turn = &forward->turn;
-    if (forward->quota.ask == 0 && turn->reserving == NULL && turn->fetching == NULL) {
+    bool lacks = forward->quota.ask != 0 || turn->reserving != NULL || turn->fetching != NULL;
+    if (!lacks && forward_quota_settle(forward)) {
         forward_place(forward);
     }
 }
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -82,6 +82,8 @@
 
 /** Its place in its tenant's quota; all zero: the tenant has no limit. */
 struct forward_quota {
+    bool may_begin;    /**< It may be the first of its program: that is known once its reservation is. */
+    bool begins;       /**< It is. */
     uint64_t ask;      /**< Number of the ask whose answer it waits for, 0: none. */
     uint64_t taken_ms; /**< Loop time at which it got its token. */
     uint64_t retry_ms; /**< Refused: when to come back. */
@@ -171,9 +173,22 @@
 /** forward.c: goes on to a server, or waits on for what it still lacks: a token, a reservation, its conversation. */
 void forward_go_on(struct forward *forward);
 
-/** forward_quota.c: takes a token of its tenant; false: it waits for the answer to the next ask. */
+/**
+ * forward_quota.c: takes a token of its tenant, or waits for the answer to the
+ * next ask. What may be the first request of a program does neither before its
+ * reservation tells whether it is.
+ */
+void forward_quota_begin(struct forward *forward);
+
+/** forward_quota.c: the same once the reservation is there; false: it waits. */
+bool forward_quota_settle(struct forward *forward);
+
+/** forward_quota.c: takes a token; false: it waits. */
 bool forward_quota_take(struct forward *forward);
 
+/** forward_quota.c: gives a token back that it has not been sent with. */
+void forward_quota_end(struct forward *forward);
+
 /** forward_quota.c: whether its token, if it needs one, is not too old to be sent with. */
 bool forward_quota_is_good(const struct forward *forward);
 
--- a/src/proxy/forward_quota.c
+++ b/src/proxy/forward_quota.c
@@ -1,6 +1,7 @@
 /* What a tenant may still ask for: a token for each request, held here or asked of the leader (core/quota_purse.h). */
 #include <stdlib.h>
 
+#include "base/event_log.h"
 #include "base/message.h"
 #include "proxy/forward.h"
 
@@ -24,15 +25,58 @@
     return forward->tenant != NULL && forward->tenant->rate_per_s > 0;
 }
 
+static void forward_quota_pass(struct forward *forward)
+{
+    struct front *front = forward->front;
+    forward->quota.taken_ms = node_now(front->node);
+    if (forward->turn.program != NULL) {
+        program_set_note(&front->programs, node_now(front->node), forward->turn.program);
+    }
+}
+
+void forward_quota_begin(struct forward *forward)
+{
+    struct front *front = forward->front;
+    const struct forward_turn *turn = &forward->turn;
+    if (!forward_has_limit(forward)) {
+        return;
+    }
+    forward->quota.may_begin = turn->program != NULL &&
+                               !program_set_has(&front->programs, node_now(front->node), turn->program) &&
+                               turn->parent == NULL;
+    if (!forward->quota.may_begin) {
+        forward_quota_take(forward);
+    }
+}
+
+/* A program whose turns have run nowhere yet begins with this one. */
+bool forward_quota_settle(struct forward *forward)
+{
+    if (!forward->quota.may_begin) {
+        return true;
+    }
+    forward->quota.may_begin = false;
+    forward->quota.begins = text_or_empty(forward->turn.home)[0] == '\0';
+    return forward_quota_take(forward);
+}
+
+void forward_quota_end(struct forward *forward)
+{
+    if (forward->quota.taken_ms != 0 && forward->sends == 0) {
+        quota_purses_return(&forward->front->purses, forward->tenant->hash);
+    }
+}
+
 bool forward_quota_take(struct forward *forward)
 {
     struct front *front = forward->front;
     uint64_t now_ms = node_now(front->node);
+    quota_use_t use = forward->quota.begins ? QUOTA_USE_BEGIN : QUOTA_USE_REQUEST;
     if (!forward_has_limit(forward)) {
         return true;
     }
-    if (quota_purses_take(&front->purses, now_ms, forward->tenant->hash)) {
-        forward->quota.taken_ms = now_ms;
+    if (quota_purses_take(&front->purses, now_ms, forward->tenant->hash, use)) {
+        forward_quota_pass(forward);
         return true;
     }
     forward->quota.ask = front->quota_asks + 1;
@@ -62,6 +106,20 @@
     return NULL;
 }
 
+static void forward_log_refused(const struct forward *forward)
+{
+    const struct route_tenant *tenant = forward->tenant;
+    event_log_within("quota_refused", "request", "{s:s,s:s,s:b,s:f,s:f,s:I,s:I}", "id", text_or_empty(forward->id),
+                     "tenant", tenant->name, "begins", forward->quota.begins, "rate_per_s", tenant->rate_per_s, "burst",
+                     tenant->burst, "configuration", (json_int_t)forward->table->version, "retry_ms",
+                     (json_int_t)forward->quota.retry_ms);
+}
+
+static uint32_t *forward_share_part(const struct forward *forward, QuotaShare *share)
+{
+    return forward->quota.begins ? &share->begun : &share->granted;
+}
+
 static void forward_quota_answered(struct forward *forward, const QuotaGrant *grant)
 {
     struct front *front = forward->front;
@@ -69,13 +127,16 @@
     forward->quota.ask = 0;
     if (share == NULL) {
         forward_refuse(forward, FORWARD_NO_STATE, "quota not learnt");
-    } else if (share->granted == 0) {
+    } else if (*forward_share_part(forward, share) == 0) {
         front->counters.quota_refusals++;
         forward->quota.retry_ms = forward_spread(front, share->retry_ms);
-        forward_refuse(forward, FORWARD_TOO_MANY, "over the tenant's limit");
+        forward_log_refused(forward);
+        forward_refuse(forward, FORWARD_TOO_MANY,
+                       forward->quota.begins ? "begins over the tenant's limit" : "over the tenant's limit");
     } else {
-        share->granted--;
-        forward->quota.taken_ms = node_now(front->node);
+        (*forward_share_part(forward, share))--;
+        forward->quota.begins = false; /* what is asked for from now on is for a program under way */
+        forward_quota_pass(forward);
         forward_go_on(forward);
     }
 }
@@ -105,7 +166,8 @@
         forward_quota_answered(list[--count], answered ? &grant : NULL); /* the newest stands first */
     }
     for (pb_size_t i = 0; i < grant.shares_count; i++) {
-        quota_purses_put(&front->purses, ask->asked_ms, grant.shares[i].tenant, grant.shares[i].granted);
+        const QuotaShare *share = &grant.shares[i];
+        quota_purses_put(&front->purses, ask->asked_ms, share->tenant, share->granted + share->begun);
     }
     message_free(QuotaGrant_fields, &grant);
     free(list);
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -283,13 +283,14 @@
         front->place_freed = false;
         forward_queue_serve(front);
     }
-    if (front->purses.waiting > 0) {
+    if (front->purses.due) {
         forward_quota_ask(front);
     }
 }
 
 void front_tick(struct front *front)
 {
+    quota_purses_expire(&front->purses, node_now(front->node));
     if (front->queued > 0) {
         forward_queue_serve(front);
     }
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -7,6 +7,7 @@
 #ifndef BANKBANK_PROXY_FRONT_H
 #define BANKBANK_PROXY_FRONT_H
 
+#include "core/program_set.h"
 #include "core/quota_purse.h"
 #include "core/retry.h"
 #include "core/route_table.h"
@@ -74,6 +75,7 @@
     bool withdrawn_told;            /**< Whether the log last told so. */
     prefix_cost_t call_cost;        /**< What a call of a model server costs, in tokens. */
     quota_purses_t purses;          /**< What tenants with a limit may ask for here. */
+    program_set_t programs;         /**< Programs of such tenants seen here lately. */
     uint64_t quota_asks;            /**< Asks of the leader for that. */
     uint64_t spread;                /**< Random numbers that spread callers that come back. */
     struct retry_budget retries;    /**< Keeps second servers a small share. */
--- a/src/proxy/node_settings.h
+++ b/src/proxy/node_settings.h
@@ -31,6 +31,9 @@
     char *metrics_address;    /**< IP:PORT of the metrics, or empty. */
     char *machine_list;       /**< IP:PORT of the platform's machine list. */
     struct yaml_list seeds;   /**< struct node_seed. */
+    uint64_t quota_window_ms; /**< Window over which limits of tenants are judged; 0: none told. */
+    uint64_t quota_overshoot; /**< Thousandths of a limit by which it may be missed. */
+    uint64_t quota_slack;     /**< Requests by which it may be missed besides. */
     uint64_t list_period_ms;  /**< Pause between two readings of the machine list. */
     uint64_t grace_ms;        /**< Time a stop may take. */
     uint64_t memory_mb;       /**< Memory that the process may use; 0: it sets no bounds by it. */
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -76,7 +76,7 @@
     }
     load_table_close(&host->loads);
     presence_clear(&host->presence);
-    quota_table_clear(&host->quotas);
+    quota_table_clear(&host->quotas, 0);
     route_table_release(host->routes);
     if (host->running) {
         replica_close(&host->replica);
@@ -133,7 +133,7 @@
     }
     host->told_leader = raft->leader;
     host->told_leading = leads;
-    quota_table_clear(&host->quotas);
+    quota_table_clear(&host->quotas, node_now(host->node));
     presence_clear(&host->presence); /* silence is counted from the first report to this leader */
     event_log("leader_changed", "{s:I,s:b,s:I,s:I}", "leader", (json_int_t)raft->leader, "own", leads, "term",
               (json_int_t)raft->term, "commit", (json_int_t)raft->commit);
@@ -275,6 +275,9 @@
     free(frame.payload.load_totals.loads);
 }
 
+/* Settings come in thousandths. */
+static const double HOST_PER_ONE = 1000;
+
 /* The configuration that is in force, read anew when it has changed; NULL: there is none. */
 static const struct route_table *host_routes(struct state_host *host)
 {
@@ -302,7 +305,13 @@
     reply->leader = state_host_leader(host);
     reply->code = RESULT_NOT_LEADER;
     if (routes != NULL && message_decode(request->body, QuotaAsk_fields, &ask)) {
+        const struct node_settings *settings = &host->node->settings;
         QuotaGrant grant;
+        host->quotas.bounds = (quota_bounds_t){
+            .window_s = (double)settings->quota_window_ms / HOST_PER_ONE,
+            .overshoot = (double)settings->quota_overshoot / HOST_PER_ONE,
+            .slack = (double)settings->quota_slack,
+        };
         quota_table_answer(&host->quotas, now_ms, routes, &ask, &grant);
         message_encode(&body, QuotaGrant_fields, &grant);
         free(grant.shares);
