Requests about an object go to the server that has it

Cause: the affinity key (header or cookie) of sticky routes was not read; each server saw each object cold. Change: rendezvous hashing with bounded loads: the first server by hash of object and server counts as three requests idler than the others (SERVER_OBJECT_CALLS), so that it is left once it is that much busier. Cookies are read by http_reader_cookie (RFC 6265). Ruled out: the same server whatever its load (a hot object would hold its callers behind one server). Tests: an_object_has_a_server_until_that_is_busy, a_cookie_is_found_among_others.

--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -172,7 +172,7 @@
 static uint64_t server_reading(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
 {
     if (wish->chain == NULL) {
-        return 0;
+        return wish->object == 0 ? 0 : (uint64_t)SERVER_OBJECT_CALLS << SERVER_LOAD_SHIFT;
     }
     uint32_t missing = prefix_table_missing(&server->prefixes, now_ms, wish->chain);
     return prefix_cost_calls(wish->cost, missing, 1 << SERVER_LOAD_SHIFT);
@@ -205,17 +205,18 @@
     return server_is_sound(server) && server_may_do(server, wish, now_ms);
 }
 
-/* All gateways begin with the same server for the same parts. */
+/* All gateways begin with the same server for the same parts, or the same object. */
 static const struct server *server_favored(const struct server_table *table, uint64_t now_ms,
                                            const struct server_wish *wish,
                                            bool (*fits)(const struct server *, const struct server_wish *, uint64_t))
 {
     const struct server *favored = NULL;
     uint64_t highest = 0;
-    if (wish->chain == NULL || wish->chain->count == 0) {
+    bool has_chain = wish->chain != NULL && wish->chain->count > 0;
+    uint64_t chain = has_chain ? wish->chain->hashes[wish->chain->count - 1] : wish->object;
+    if (chain == 0) {
         return NULL;
     }
-    uint64_t chain = wish->chain->hashes[wish->chain->count - 1];
     for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
         uint64_t rank = server_rank(server, chain);
         if (fits(server, wish, now_ms) && (favored == NULL || rank > highest)) {
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -6,6 +6,11 @@
  * A server that leaves gets nothing new, whatever else speaks for it. A list
  * that lags may still show a server that has answered as another one; that
  * incarnation is not used again.
+ *
+ * Requests about one object go to one server, as long as that is not much
+ * busier than others: rendezvous hashing with bounded loads (Thaler and
+ * Ravishankar 1998; Mirrokni, Thorup and Zadimoghaddam 2018). A server that has
+ * lately seen an object works faster on it.
  */
 #ifndef BANKBANK_CORE_SERVER_TABLE_H
 #define BANKBANK_CORE_SERVER_TABLE_H
@@ -29,6 +34,7 @@
     SERVER_FAILING_QUEUE = 2,   /**< Slots' worth of calls that failures count as, at most. */
     SERVER_WITNESSES = 2,       /**< Other gateways whose shares of failures together count as one's own. */
     SERVER_LEAVE_CALLS = 6,     /**< Requests that the home must have more than another one to be left. */
+    SERVER_OBJECT_CALLS = 3,    /**< Requests that a server which has not seen the request's object counts as. */
     SERVER_LOADS_VALID_MS = 700 /**< Time the loads of other gateways count at least. */
 };
 
@@ -69,6 +75,7 @@
     const prefix_chain_t *chain;                      /**< Shared parts of its prompt, or NULL. */
     const prefix_cost_t *cost;                        /**< What a call costs on average; with `chain`. */
     const char *home;                                 /**< Server that keeps the program's prompt, or NULL. */
+    uint64_t object;                                  /**< Hash of the object that it is about, 0: none. */
     const struct server *tried[SERVER_MAX_TRIED];     /**< Not these. */
     uint32_t tried_count;                             /**< Number of those. */
     bool (*warm)(void *context, const char *address); /**< Whether a connection rests there; NULL: unknown. */
--- a/src/net/http_reader.c
+++ b/src/net/http_reader.c
@@ -372,3 +372,30 @@
     }
     return false;
 }
+
+/* The value of `name` in a list of name=value, separated by semicolons. */
+static struct view http_find_cookie(struct view list, const char *name)
+{
+    size_t length = strlen(name);
+    while (list.length > 0) {
+        const uint8_t *end = memchr(list.data, ';', list.length);
+        size_t used = end == NULL ? list.length : (size_t)(end - list.data);
+        struct view pair = http_trim(view_of(list.data, used));
+        if (pair.length > length && pair.data[length] == '=' && memcmp(pair.data, name, length) == 0) {
+            return view_of(pair.data + length + 1, pair.length - length - 1);
+        }
+        list = end == NULL ? view_of(NULL, 0) : view_of(end + 1, list.length - used - 1);
+    }
+    return view_of(NULL, 0);
+}
+
+struct view http_reader_cookie(const struct http_reader *reader, const char *name)
+{
+    struct view value = view_of(NULL, 0);
+    for (int i = 0; i < reader->header_count && value.length == 0; i++) {
+        if (http_name_equal(reader->headers[i].name, "Cookie")) {
+            value = http_find_cookie(reader->headers[i].value, name);
+        }
+    }
+    return value;
+}
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -82,6 +82,9 @@
 /** Whether a header is there. */
 bool http_reader_has(const struct http_reader *reader, const char *name);
 
+/** Value of a cookie (RFC 6265), or an empty view; the first one if there are several. */
+struct view http_reader_cookie(const struct http_reader *reader, const char *name);
+
 /** Whether two texts are equal but for the case of letters. */
 bool http_name_equal(struct view name, const char *text);
 
--- a/src/proxy/dialect.h
+++ b/src/proxy/dialect.h
@@ -30,6 +30,7 @@
     DIALECT_TOKEN_BUDGET,    /**< Tokens that the program may generate. */
     DIALECT_TOKEN_USAGE,     /**< Prompt tokens, and the most to generate, separated by a comma. */
     DIALECT_PROMPT_PARTS,    /**< Parts of the prompt, the last one its own. */
+    DIALECT_OBJECT,          /**< Object that a request is about; the value may also stand in a cookie of this name. */
     DIALECT_PARENT_TURN,     /**< Turn that this one goes on from. */
     DIALECT_PRIORITY,        /**< Rank at a server, set by the daemon. */
     DIALECT_RETRY_AFTER,     /**< Seconds until the client may ask again. */
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "base/event_log.h"
 
 enum {
@@ -270,14 +272,19 @@
     uv_timer_start(&forward->limit, forward_on_timer, hedges ? hedge_ms : left_ms, 0);
 }
 
-/* Prompts of a sticky route share parts. */
+/* On a sticky route prompts share parts, and requests are about objects. */
 static void forward_read_parts(struct forward *forward)
 {
+    const struct http_reader *request = forward->call->request;
     const struct dialect *dialect = forward->front->node->dialect;
-    if (forward->route->sticky) {
-        struct view text = http_reader_header(forward->call->request, dialect->headers[DIALECT_PROMPT_PARTS]);
-        dialect->read_parts(text, &forward->chain, &forward->own_tokens);
+    if (!forward->route->sticky) {
+        return;
     }
+    struct view text = http_reader_header(request, dialect->headers[DIALECT_PROMPT_PARTS]);
+    dialect->read_parts(text, &forward->chain, &forward->own_tokens);
+    struct view object = http_reader_header(request, dialect->headers[DIALECT_OBJECT]);
+    object = object.length > 0 ? object : http_reader_cookie(request, dialect->headers[DIALECT_OBJECT]);
+    forward->wish.object = object.length > 0 ? XXH64(object.data, object.length, 0) : 0;
 }
 
 /* Finds the route, and begins. */
--- a/tests/unit/http_reader.c
+++ b/tests/unit/http_reader.c
@@ -1,4 +1,5 @@
 /* HTTP messages, events and JSON as they come from outside: whole, torn and forged. */
+#include <stdio.h>
 #include <string.h>
 
 #include "../integration/framing_cases.h"
@@ -225,6 +226,39 @@
 }
 END_TEST
 
+static void expect_cookie(const char *expected)
+{
+    struct view value = http_reader_cookie(&reader, "key");
+    ck_assert_uint_eq(value.length, strlen(expected));
+    ck_assert(value.length == 0 || memcmp(value.data, expected, value.length) == 0);
+}
+
+START_TEST(a_cookie_is_found_among_others)
+{
+    static const struct {
+        const char *lines;
+        const char *expected;
+    } cases[] = {
+        {"Cookie: key=17\r\n", "17"},
+        {"cookie: a=1; key=17;b=2\r\n", "17"},
+        {"Cookie: xkey=1; key2=2; KEY=3\r\n", ""},
+        {"Cookie: a=key=9\r\n", ""},
+        {"Cookie: ;;key=\r\nCookie: key=5\r\n", "5"},
+        {"X: key=1\r\n", ""},
+        {"Cookie: key\r\n", ""},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char text[128];
+        start(HTTP_REQUEST);
+        snprintf(text, sizeof(text), "GET / HTTP/1.1\r\nHost: h\r\n%s\r\n", cases[i].lines);
+        feed(text, 1);
+        ck_assert_int_eq(reader.fault, HTTP_FAULT_NONE);
+        expect_cookie(cases[i].expected);
+        stop();
+    }
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("http_reader");
@@ -237,6 +271,7 @@
     tcase_add_test(tests, bytes_that_are_no_answer_are_malformed);
     tcase_add_test(tests, headers_of_one_connection_are_known);
     tcase_add_test(tests, events_are_passed_whole);
+    tcase_add_test(tests, a_cookie_is_found_among_others);
     tcase_add_test(tests, deep_json_is_refused_before_it_is_parsed);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -160,6 +160,32 @@
 }
 END_TEST
 
+/* Every gateway begins with the same server for an object, and leaves it once it is that much busier. */
+START_TEST(an_object_has_a_server_until_that_is_busy)
+{
+    ServerRecord list[] = {record("a", false), record("b", false), record("c", false)};
+    struct server_wish wish = {.service = "s", .zone = "z"};
+    int first[3] = {0};
+    take_servers(list, 3);
+    for (uint64_t object = 1; object <= 60; object++) {
+        wish.object = object * 0x9e3779b97f4a7c15ULL;
+        struct server *server = server_table_choose(&servers, 1, &wish);
+        ck_assert_ptr_eq(server_table_choose(&servers, 1, &wish), server);
+        first[server->id[0] - 'a']++;
+    }
+    ck_assert(first[0] > 9 && first[1] > 9 && first[2] > 9);
+    struct server *home = server_table_choose(&servers, 1, &wish);
+    for (int i = 0; i < SERVER_OBJECT_CALLS; i++) {
+        ck_assert_ptr_eq(server_table_choose(&servers, 1, &wish), home);
+        server_begin(home, 1);
+    }
+    server_begin(home, 1);
+    ck_assert_ptr_ne(server_table_choose(&servers, 1, &wish), home);
+    wish.object = 0;
+    ck_assert_ptr_ne(server_table_choose(&servers, 1, &wish), home);
+}
+END_TEST
+
 START_TEST(a_program_stays_at_its_home_until_it_is_busy)
 {
     ServerRecord list[] = {record("a", false), record("b", false), record("c", false)};
@@ -419,6 +445,7 @@
     tcase_add_checked_fixture(placement, servers_setup, servers_teardown);
     tcase_add_test(placement, a_draining_server_gets_nothing_for_good);
     tcase_add_test(placement, calls_spread_over_idle_servers);
+    tcase_add_test(placement, an_object_has_a_server_until_that_is_busy);
     tcase_add_test(placement, a_program_stays_at_its_home_until_it_is_busy);
     tcase_add_test(placement, a_resting_connection_is_worth_some_calls);
     tcase_add_test(placement, the_own_zone_is_worth_some_calls);
