Tenant's priority in the line for places; metrics of tenants' quotas

Cause: those that wait for a place were served by the time left alone: priorities of tenants and routes were read and used nowhere. Metrics at the leader: levels, grants and refusals of at most 64 tenants.

--- a/src/core/quota_table.c
+++ b/src/core/quota_table.c
@@ -142,6 +142,8 @@
     uint32_t granted = quota_take_tokens(bucket, demand->wanted);
     uint32_t begun = quota_take_begins(bucket, demand->begins, quota_program_requests(table));
     quota_learn(table, demand, begun);
+    bucket->granted += granted + begun;
+    bucket->refused += demand->wanted - granted + demand->begins - begun;
     table->granted += granted + begun;
     table->refused += demand->wanted - granted;
     table->begins_refused += demand->begins - begun;
--- a/src/core/quota_table.h
+++ b/src/core/quota_table.h
@@ -63,6 +63,8 @@
     uint64_t filled_ms; /**< Time up to which both were filled. */
     double owed;        /**< Requests that were refused and come back, before those that are refused now. */
     double begin_owed;  /**< The same for programs, in requests. */
+    uint64_t granted;   /**< Tokens given. */
+    uint64_t refused;   /**< Tokens and begins of programs refused. */
     UT_hash_handle hh;  /**< By tenant. */
 } quota_bucket_t;
 
--- a/src/proxy/forward_queue.c
+++ b/src/proxy/forward_queue.c
@@ -1,6 +1,7 @@
 /* Requests that wait for a place at a server; who waits, and how long, is decided in core/place_wait.h. */
 #include <stdlib.h>
 
+#include "core/place_wait.h"
 #include "proxy/forward.h"
 
 void forward_queue_join(struct forward *forward)
@@ -24,17 +25,25 @@
     }
 }
 
+static place_order_t forward_queue_order(const struct forward *forward)
+{
+    const struct route_tenant *tenant = forward->tenant;
+    return (place_order_t){
+        .tenant_priority = tenant != NULL && tenant->ranked ? tenant->priority : 0,
+        .route_priority = forward->route->priority,
+        .due_ms = forward->program_due_ms,
+        .since_ms = forward->queued_ms,
+    };
+}
+
 static int forward_queue_compare(const void *a, const void *b)
 {
-    const struct forward *left = *(struct forward *const *)a;
-    const struct forward *right = *(struct forward *const *)b;
-    if (left->program_due_ms != right->program_due_ms) {
-        return left->program_due_ms < right->program_due_ms ? -1 : 1;
-    }
-    return left->queued_ms < right->queued_ms ? -1 : left->queued_ms > right->queued_ms ? 1 : 0;
+    place_order_t left = forward_queue_order(*(struct forward *const *)a);
+    place_order_t right = forward_queue_order(*(struct forward *const *)b);
+    return place_compare(&left, &right);
 }
 
-/* Those that wait, the program with the least time left first. */
+/* Those that wait, in the order in which they are served. */
 static struct forward **forward_queue_list(const struct front *front, size_t *count)
 {
     struct forward **list = memory_new((front->queued + 1U) * sizeof(struct forward *));
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -422,6 +422,38 @@
     }
 }
 
+static const char *host_tenant_name(const struct state_host *host, uint64_t hash)
+{
+    for (uint32_t i = 0; host->routes != NULL && i < host->routes->tenant_count; i++) {
+        if (host->routes->tenants[i].hash == hash) {
+            return host->routes->tenants[i].name;
+        }
+    }
+    return NULL;
+}
+
+static void host_write_quotas(const struct state_host *host, struct buffer *out)
+{
+    uint32_t told = 0;
+    metrics_write_counter(out, "quota_granted_total", "Requests granted to tenants with a limit.",
+                          host->quotas.granted);
+    metrics_write_counter(out, "quota_refused_total", "Requests refused for a tenant's limit.", host->quotas.refused);
+    metrics_write_counter(out, "quota_begins_refused_total", "Programs turned away for a tenant's limit.",
+                          host->quotas.begins_refused);
+    for (const quota_bucket_t *bucket = host->quotas.buckets; bucket != NULL; bucket = bucket->hh.next) {
+        const char *name = host_tenant_name(host, bucket->tenant);
+        bool plain = name != NULL && strpbrk(name, "\"\\\n") == NULL;
+        if (!plain || told++ >= STATE_HOST_TENANTS_TOLD) {
+            continue;
+        }
+        buffer_printf(out, "bankbank_tenant_quota_level{tenant=\"%s\"} %.1f\n", name, bucket->level);
+        buffer_printf(out, "bankbank_tenant_quota_granted_total{tenant=\"%s\"} %llu\n", name,
+                      (unsigned long long)bucket->granted);
+        buffer_printf(out, "bankbank_tenant_quota_refused_total{tenant=\"%s\"} %llu\n", name,
+                      (unsigned long long)bucket->refused);
+    }
+}
+
 void state_host_write_metrics(const struct state_host *host, struct buffer *out)
 {
     metrics_write_gauge(out, "replica_running", "Whether the replica belongs to a group.", host->running ? 1 : 0);
@@ -441,6 +473,7 @@
     metrics_write_counter(out, "raft_snapshots_total", "Snapshots taken.", counters->snapshots);
     metrics_write_counter(out, "raft_snapshots_installed_total", "Snapshots received.", counters->installs);
     host_write_memory(host, out);
+    host_write_quotas(host, out);
     metrics_write_counter(out, "memory_refused_total", "Proposals refused for want of memory.", counters->refused);
     metrics_write_counter(out, "link_frames_refused_total", "Frames for which the queues to peers had no room.",
                           host->node->links.frames_refused);
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -22,6 +22,7 @@
     STATE_HOST_TEXT_FILE_BYTES = 4 << 20, /**< Size of a file of texts, dropped as a whole. */
     STATE_HOST_JOIN_MS = 250,             /**< Pause between requests to join. */
     STATE_HOST_OUTSIDE_MS = 1000,         /**< That pause of a machine that was told that the members are enough. */
+    STATE_HOST_TENANTS_TOLD = 64,         /**< Tenants in the metrics, at most: those with a limit that asked first. */
     STATE_HOST_LOST_MS = 1000             /**< Time without a leader after which a member asks to join again. */
 };
 
