A configuration is told only by a replica that knows what is committed, and begins a gateway's life once confirmed

Ruled out: the read of the configuration by operators (a round of heartbeats, applied index: linearizable). Change: raft_is_current: a follower has applied what a settled leader told as committed; only such a replica tells a configuration, and only then it is taken. A gateway's first one waits for the leader's word, confirmed by a quorum, on the version that is committed (a follower judges by when it heard the leader, which is late after a standstill of both). 404 only while that is sure, otherwise 503. Ways weighed: replicas' own judgement alone leaves a standstill of replica and leader's queue; a linearizable read by every watch costs a round per watch; the read once a life costs one small request a start of a gateway.

--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -116,6 +116,22 @@
     return heard > raft_voter_count(&raft->members) / 2;
 }
 
+/* An entry of the leader's own term is committed: only then does its commit index cover all that others committed. */
+static bool raft_commit_is_settled(const struct raft *raft, uint64_t commit)
+{
+    return commit > 0 && raft_term_at(raft, commit) == raft->term;
+}
+
+bool raft_is_current(const struct raft *raft, uint64_t now_ms)
+{
+    if (raft->role == RAFT_LEADER) {
+        return raft_commit_is_settled(raft, raft->commit) && raft_heard_from_quorum(raft, now_ms);
+    }
+    bool heard =
+        raft->leader != RAFT_NO_NODE && now_ms < raft->last_leader_contact_ms + raft->config.election_timeout_ms;
+    return heard && raft_commit_is_settled(raft, raft->told_commit) && raft->applied >= raft->told_commit;
+}
+
 /* ---- Leader: commit and reads ------------------------------------------- */
 
 static int raft_compare_descending(const void *a, const void *b)
@@ -178,7 +194,7 @@
 
 bool raft_read(struct raft *raft, uint64_t read_id)
 {
-    bool settled = raft->role == RAFT_LEADER && raft_term_at(raft, raft->commit) == raft->term;
+    bool settled = raft->role == RAFT_LEADER && raft_commit_is_settled(raft, raft->commit);
     if (!settled || raft->read_count == RAFT_MAX_PENDING_READS) {
         return false;
     }
@@ -365,6 +381,7 @@
 void raft_handle_append(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message)
 {
     raft_follow(raft, now_ms, from);
+    raft->told_commit = message->commit;
     RaftMessage reply = {0};
     reply.type = RAFT_APPEND_REPLY;
     reply.term = raft->term;
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -173,7 +173,7 @@
 /** Handles a frame from node `from`. */
 void replica_receive(struct replica *replica, uint64_t now_ms, uint32_t from, const Frame *frame);
 
-/** Whether a group's leader, or a follower that heard of it lately: its state is about current. */
+/** Whether it holds all that was committed when a leader was heard last, an election timeout ago at most. */
 bool replica_is_fresh(const struct replica *replica, uint32_t group, uint64_t now_ms);
 
 /** Syncs pending writes and releases what waited for them. */
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -31,14 +31,7 @@
 
 bool replica_is_fresh(const struct replica *replica, uint32_t group, uint64_t now_ms)
 {
-    const struct raft *raft = &replica->groups[group].raft;
-    if (replica->failed) {
-        return false;
-    }
-    if (raft_is_leader(raft)) {
-        return raft_term_at(raft, raft->commit) == raft->term && raft_heard_from_quorum(raft, now_ms);
-    }
-    return raft->leader != RAFT_NO_NODE && now_ms < raft->last_leader_contact_ms + raft->config.election_timeout_ms;
+    return !replica->failed && raft_is_current(&replica->groups[group].raft, now_ms);
 }
 
 /* ---- Reads ---------------------------------------------------------------------- */
@@ -46,7 +39,15 @@
 static void replica_answer_document(struct replica *replica, uint32_t group, const struct replica_waiter *waiter)
 {
     const struct site_document *document = &replica->groups[group].machine.site.document;
-    DocumentState state = {.version = document->version, .content = document->content};
+    DocumentState state = {.version = document->version};
+    DocumentState held = {0};
+    if (!message_decode(view_of(waiter->body, waiter->length), DocumentState_fields, &held)) {
+        replica_reply(replica, group, waiter, RESULT_INVALID, view_of(NULL, 0));
+        return;
+    }
+    if (document->version > held.version) {
+        state.content = document->content;
+    }
     replica_reply_message(replica, group, waiter, DocumentState_fields, &state);
 }
 
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -8,6 +8,17 @@
     server_list_close(&state->servers);
 }
 
+bool watch_state_put_document(struct watch_state *state, uint64_t version, struct view content)
+{
+    if (version <= state->document_version || content.length == 0) {
+        return false;
+    }
+    state->document_version = version;
+    buffer_clear(&state->document);
+    buffer_append(&state->document, content.data, content.length);
+    return true;
+}
+
 static bool watch_servers_are_newer(const struct watch_state *state, uint64_t term, uint64_t number)
 {
     return term > state->servers_term || (term == state->servers_term && number > state->servers_number);
@@ -149,12 +160,7 @@
 {
     struct watch_changes changes = {0};
     watch_note_answer(client, now_ms, from, update);
-    if (update->document_version > state->document_version && update->document.length > 0) {
-        state->document_version = update->document_version;
-        buffer_clear(&state->document);
-        buffer_append(&state->document, update->document.data, update->document.length);
-        changes.document = true;
-    }
+    changes.document = update->fresh && watch_state_put_document(state, update->document_version, update->document);
     bool servers_told = update->servers_told || update->servers.length > 0; /* earlier versions tell the list alone */
     changes.servers = servers_told && watch_state_take_servers(state, update);
     if (update->has_members && update->members_index > state->members_index) {
@@ -229,12 +235,12 @@
 }
 
 bool watch_server_owes(const struct watch_server *server, const struct watch_entry *entry, uint64_t now_ms,
-                       const struct watch_state *state)
+                       const struct watch_state *state, bool fresh)
 {
     bool recent = now_ms < entry->heard_ms + WATCH_VALID_MS;
+    bool document = fresh && state->document_version > entry->document_version;
     bool servers = watch_entry_lacks_servers(entry, state) && watch_may_tell_servers(server, entry, now_ms, state);
-    return recent && (state->document_version > entry->document_version || servers ||
-                      state->members_index > entry->members_index);
+    return recent && (document || servers || state->members_index > entry->members_index);
 }
 
 static void watch_charge_whole(struct watch_server *server, uint64_t now_ms, size_t bytes)
@@ -270,7 +276,7 @@
 {
     WatchUpdate *update = &told->update;
     update->document_version = state->document_version;
-    if (state->document_version > entry->document_version) {
+    if (update->fresh && state->document_version > entry->document_version) {
         update->document = buffer_view(&state->document);
         entry->document_version = state->document_version;
     }
--- a/src/core/watch.h
+++ b/src/core/watch.h
@@ -6,7 +6,9 @@
  *
  * The watcher takes a value only if it is newer than its own, so that it
  * never goes back; a replica that is out of touch says so (`fresh`), and the
- * watcher turns to another one.
+ * watcher turns to another one. A configuration is told, and taken, only from
+ * one that is fresh: one that has just started, or lags, holds an older one
+ * than was acknowledged, and cannot know it.
  *
  * Of the list of servers a watcher is told what changed (server_list.h). Whole
  * lists go out at WATCH_WHOLE_BYTES_A_S, so that a start, or many watchers that
@@ -55,6 +57,9 @@
 /** Frees it. */
 void watch_state_close(struct watch_state *state);
 
+/** Takes a configuration if it is newer; returns whether it was. */
+bool watch_state_put_document(struct watch_state *state, uint64_t version, struct view content);
+
 /** Takes a whole list of servers (an encoded ServerList) if it is newer; returns whether it was. */
 bool watch_state_put_servers(struct watch_state *state, uint64_t term, uint64_t number, struct view encoded);
 
@@ -120,9 +125,10 @@
 /** Number of daemons that watched lately. */
 uint32_t watch_server_count(const struct watch_server *server, uint64_t now_ms);
 
-/** Whether a watcher that watched lately lacks something of `state` that may be told it now. */
+/** Whether a watcher that watched lately lacks something of `state` that may be told it now by a replica that is
+ * `fresh`, or is not. */
 bool watch_server_owes(const struct watch_server *server, const struct watch_entry *entry, uint64_t now_ms,
-                       const struct watch_state *state);
+                       const struct watch_state *state, bool fresh);
 
 /** An update, and what it borrows. */
 typedef struct watch_told_t {
@@ -131,7 +137,8 @@
     server_list_changes_t changes;  /**< Changes of the list of servers in it. */
 } watch_told_t;
 
-/** Fills what the watcher lacks into `told`, all zero before, and notes it as told. Valid until `state` changes. */
+/** Fills what the watcher lacks into `told`, and notes it as told. Before, `told` is all zero but for what its update
+ * says of the replica, such as whether it is fresh. Valid until `state` changes. */
 void watch_server_tell(struct watch_server *server, struct watch_entry *entry, uint64_t now_ms,
                        struct watch_state *state, watch_told_t *told);
 void watch_told_close(watch_told_t *told);
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -287,6 +287,17 @@
     forward->wish.object = object.length > 0 ? XXH64(object.data, object.length, 0) : 0;
 }
 
+/* Denied only while it is sure that no newer configuration has the route; otherwise the caller is to come back. */
+static void forward_refuse_unknown(struct forward *forward)
+{
+    forward->front->counters.unknown_route++;
+    if (node_is_fresh(forward->front->node)) {
+        forward_refuse(forward, FORWARD_NOT_FOUND, "no route");
+    } else {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, "no route as far as is known");
+    }
+}
+
 /* Finds the route, and begins. */
 static void forward_route(struct forward *forward)
 {
@@ -297,8 +308,7 @@
     forward->table = route_table_hold(front->table);
     forward->route = route_table_find(front->table, host, call->request->target);
     if (forward->route == NULL) {
-        front->counters.unknown_route++;
-        forward_refuse(forward, FORWARD_NOT_FOUND, "no route");
+        forward_refuse_unknown(forward);
         return;
     }
     if (forward->id == NULL) {
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -13,14 +13,6 @@
 #include "proxy/node_metrics.h"
 #include "proxy/state_host.h"
 
-enum {
-    FRONT_HEAD_BYTES = 16 << 10,
-    FRONT_BODY_BYTES = 4 << 20,
-    FRONT_HEADER_MS = 5000,
-    FRONT_IDLE_MS = 15000,
-    FRONT_IDLE_MARGIN_MS = 3000 /* clients use connections up to the limit told */
-};
-
 static void front_on_request(void *context, struct http_call *call)
 {
     forward_start(context, call);
@@ -44,9 +36,10 @@
 
 struct front *front_open(struct node *node)
 {
-    static const struct http_limits limits = {FRONT_HEAD_BYTES, FRONT_BODY_BYTES, FRONT_HEADER_MS, FRONT_IDLE_MS, 0};
+    struct http_limits limits;
     struct front *front = memory_new(sizeof(*front));
     struct address address;
+    front_default_limits(&limits);
     front->node = node;
     front->spread = node->boot_id;
     node->upstreams.max_connections = FRONT_CONNECTIONS;
@@ -71,55 +64,20 @@
 void front_close(struct front *front)
 {
     http_listener_close(&front->callers);
-    route_table_release(front->table);
+    front_configuration_close(front);
     server_table_close(&front->servers);
     turn_store_close(&front->cache);
     quota_purses_close(&front->purses);
 }
 
-/* ---- What is in force --------------------------------------------------------------- */
-
-static uint64_t front_limit(uint64_t told, uint64_t otherwise)
-{
-    return told == 0 ? otherwise : told;
-}
-
-static void front_apply_limits(struct front *front)
-{
-    const struct route_limits *limits = &front->table->limits;
-    front->callers.limits.max_head_bytes = (size_t)front_limit(limits->max_header_bytes, FRONT_HEAD_BYTES);
-    front->callers.limits.max_body_bytes = (size_t)front_limit(limits->max_body_bytes, FRONT_BODY_BYTES);
-    front->callers.limits.header_timeout_ms = front_limit(limits->header_timeout_ms, FRONT_HEADER_MS);
-    front->callers.limits.max_arriving_bytes = front->node->memory.arriving;
-    front->callers.limits.idle_timeout_ms = front_limit(limits->idle_timeout_ms, FRONT_IDLE_MS) + FRONT_IDLE_MARGIN_MS;
-}
-
-static void front_resume(struct front *front)
+void front_resume(struct front *front)
 {
     if (front->waiting > 0 && front_knows_site(front)) {
         forward_resume_waiting(front);
     }
 }
 
-void front_take_configuration(struct front *front)
-{
-    struct findings findings = {0};
-    struct route_table *table =
-        front->node->dialect->read_configuration(buffer_view(&front->node->state.document), &findings);
-    bool newer = table != NULL && (front->table == NULL || table->version > front->table->version);
-    event_log("configuration_in_force", "{s:I,s:b,s:I}", "version", (json_int_t)front->node->state.document_version,
-              "taken", newer, "routes", (json_int_t)(table == NULL ? 0 : table->route_count));
-    if (newer) {
-        route_table_begin_shares(table, front->table, front->node->boot_id);
-        route_table_release(front->table);
-        front->table = table;
-        front_apply_limits(front);
-        front_resume(front);
-    } else {
-        route_table_release(table);
-    }
-    findings_close(&findings);
-}
+/* ---- Servers ------------------------------------------------------------------------- */
 
 void front_take_own_servers(struct front *front, struct view encoded)
 {
@@ -290,6 +248,7 @@
 
 void front_tick(struct front *front)
 {
+    front_confirm_configuration(front);
     quota_purses_expire(&front->purses, node_now(front->node));
     if (front->queued > 0) {
         forward_queue_serve(front);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -53,37 +53,41 @@
 
 /** The gateway. */
 struct front {
-    struct node *node;              /**< The daemon. */
-    struct http_listener callers;   /**< Callers' address. */
-    struct route_table *table;      /**< Configuration in force, or NULL. */
-    struct server_table servers;    /**< Servers. */
-    bool servers_known;             /**< A list was taken. */
-    uint64_t servers_change;        /**< Change of the node's list that was taken last; 0: it is not that list. */
-    struct turn_store cache;        /**< Turns seen lately. */
-    struct forward *forwards;       /**< Requests under way. */
-    uint32_t active;                /**< Their number. */
-    uint32_t waiting;               /**< Those of them that wait for configuration and servers. */
-    uint32_t queued;                /**< Those of them that wait for a place at a server. */
-    size_t requests_bytes;          /**< Memory of requests under way when it was last looked at. */
-    bool memory_full;               /**< It was above its share. */
-    bool place_freed;               /**< A request at a server has ended since they were last looked at. */
-    uint64_t loads_reported_ms;     /**< Last report to the leader. */
-    uint32_t loads_pause_ms;        /**< Pause before the next one, as the leader told. */
-    uint64_t review_due_ms;         /**< Next look at the servers. */
-    bool loads_told;                /**< The last report was not empty. */
-    uint64_t withdrawn_until_ms;    /**< Callers are left to other zones until then (presence.h). */
-    bool withdrawn_told;            /**< Whether the log last told so. */
-    prefix_cost_t call_cost;        /**< What a call of a model server costs, in tokens. */
-    quota_purses_t purses;          /**< What tenants with a limit may ask for here. */
-    program_set_t programs;         /**< Programs of such tenants seen here lately. */
-    uint64_t quota_asks;            /**< Asks of the leader for that. */
-    uint64_t spread;                /**< Random numbers that spread callers that come back. */
-    struct retry_budget retries;    /**< Keeps second servers a small share. */
-    struct front_counters counters; /**< Events. */
-    struct histogram first_event;   /**< Time to the first event of a stream. */
-    struct histogram total;         /**< Time to the end of an answer. */
-    struct histogram begin;         /**< Time to reserve a turn's tokens. */
-    struct histogram commit;        /**< Time to store a turn. */
+    struct node *node;            /**< The daemon. */
+    struct http_listener callers; /**< Callers' address. */
+    struct route_table *table;    /**< Configuration in force, or NULL. */
+    bool confirmed; /**< The leader told, in this life, that none newer than the one held then is committed. */
+    struct node_request *confirming; /**< It is being asked, or NULL. */
+    uint64_t confirm_asked_ms;       /**< Since when. */
+    uint64_t confirm_due_ms;         /**< When it may be asked again. */
+    struct server_table servers;     /**< Servers. */
+    bool servers_known;              /**< A list was taken. */
+    uint64_t servers_change;         /**< Change of the node's list that was taken last; 0: it is not that list. */
+    struct turn_store cache;         /**< Turns seen lately. */
+    struct forward *forwards;        /**< Requests under way. */
+    uint32_t active;                 /**< Their number. */
+    uint32_t waiting;                /**< Those of them that wait for configuration and servers. */
+    uint32_t queued;                 /**< Those of them that wait for a place at a server. */
+    size_t requests_bytes;           /**< Memory of requests under way when it was last looked at. */
+    bool memory_full;                /**< It was above its share. */
+    bool place_freed;                /**< A request at a server has ended since they were last looked at. */
+    uint64_t loads_reported_ms;      /**< Last report to the leader. */
+    uint32_t loads_pause_ms;         /**< Pause before the next one, as the leader told. */
+    uint64_t review_due_ms;          /**< Next look at the servers. */
+    bool loads_told;                 /**< The last report was not empty. */
+    uint64_t withdrawn_until_ms;     /**< Callers are left to other zones until then (presence.h). */
+    bool withdrawn_told;             /**< Whether the log last told so. */
+    prefix_cost_t call_cost;         /**< What a call of a model server costs, in tokens. */
+    quota_purses_t purses;           /**< What tenants with a limit may ask for here. */
+    program_set_t programs;          /**< Programs of such tenants seen here lately. */
+    uint64_t quota_asks;             /**< Asks of the leader for that. */
+    uint64_t spread;                 /**< Random numbers that spread callers that come back. */
+    struct retry_budget retries;     /**< Keeps second servers a small share. */
+    struct front_counters counters;  /**< Events. */
+    struct histogram first_event;    /**< Time to the first event of a stream. */
+    struct histogram total;          /**< Time to the end of an answer. */
+    struct histogram begin;          /**< Time to reserve a turn's tokens. */
+    struct histogram commit;         /**< Time to store a turn. */
 };
 
 /** Starts the gateway; NULL: it cannot listen. */
@@ -92,9 +96,21 @@
 /** Ends all requests and frees what it holds; the memory itself may go once the loop has closed its handles. */
 void front_close(struct front *front);
 
-/** Takes the configuration in node->state if it is newer. */
+/** front_configuration.c: takes the configuration in node->state if it is newer; the first one once it is confirmed. */
 void front_take_configuration(struct front *front);
 
+/** front_configuration.c: asks the leader for its word on the first configuration, as long as that is due. */
+void front_confirm_configuration(struct front *front);
+
+/** front_configuration.c: what clients may send while no configuration tells it. */
+void front_default_limits(struct http_limits *limits);
+
+/** front_configuration.c: frees what it holds. */
+void front_configuration_close(struct front *front);
+
+/** Goes on with the requests that waited for configuration and servers, if both are there. */
+void front_resume(struct front *front);
+
 /** Takes the list of servers in node->state. */
 void front_take_servers(struct front *front);
 
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -50,6 +50,10 @@
     case Frame_watch_update_tag: {
         struct watch_changes changes =
             watch_client_receive(&node->watch, node_now(node), from, &frame->payload.watch_update, &node->state);
+        if (changes.document) {
+            event_log("configuration_told", "{s:I,s:I}", "version", (json_int_t)node->state.document_version, "from",
+                      (json_int_t)from);
+        }
         if (frame->payload.watch_update.fresh) {
             control_client_hint_leader(&node->client, node_now(node), STATE_CONFIG_GROUP,
                                        frame->payload.watch_update.leader);
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -218,6 +218,11 @@
 
 /* ---- Watches ---------------------------------------------------------------------------------------- */
 
+static bool host_is_fresh(const struct state_host *host, uint64_t now_ms)
+{
+    return host->running && replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, now_ms);
+}
+
 static void host_tell_watcher(struct state_host *host, struct watch_entry *entry, uint64_t sequence)
 {
     struct node *node = host->node;
@@ -225,7 +230,7 @@
     watch_told_t told = {0};
     WatchUpdate *update = &told.update;
     update->sequence = sequence;
-    update->fresh = host->running && replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, now_ms);
+    update->fresh = host_is_fresh(host, now_ms);
     update->leader = state_host_leader(host);
     update->watchers = watch_server_count(&host->watchers, now_ms);
     watch_server_tell(&host->watchers, entry, now_ms, &node->state, &told);
@@ -295,7 +300,7 @@
 static void host_handle_quota(struct state_host *host, uint32_t from, const Request *request)
 {
     uint64_t now_ms = node_now(host->node);
-    bool leads = state_host_leads(host) && replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, now_ms);
+    bool leads = state_host_leads(host) && host_is_fresh(host, now_ms);
     const struct route_table *routes = leads ? host_routes(host) : NULL;
     Frame frame = {.which_payload = Frame_reply_tag};
     Reply *reply = &frame.payload.reply;
@@ -378,11 +383,8 @@
     const struct site_document *document = &group->machine.site.document;
     struct watch_state *state = &host->node->state;
     struct watch_changes changes = {0};
-    if (document->version > state->document_version) {
-        state->document_version = document->version;
-        buffer_clear(&state->document);
-        buffer_append(&state->document, document->content.data, document->content.length);
-        changes.document = true;
+    changes.document = watch_state_put_document(state, document->version, document->content);
+    if (changes.document) {
         event_log("configuration_applied", "{s:I,s:I}", "version", (json_int_t)document->version, "index",
                   (json_int_t)group->raft.applied);
     }
@@ -414,9 +416,10 @@
     if (changes.document || changes.members) {
         node_state_changed(node, changes);
     }
+    bool fresh = host_is_fresh(host, node_now(node));
     for (uint32_t i = 0; i < host->watchers.count; i++) {
         struct watch_entry *entry = &host->watchers.entries[i];
-        if (watch_server_owes(&host->watchers, entry, node_now(node), &node->state)) {
+        if (watch_server_owes(&host->watchers, entry, node_now(node), &node->state, fresh)) {
             host_tell_watcher(host, entry, 0);
         }
     }
