--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -187,7 +187,8 @@
     struct raft_members base_members;                       /**< Members at the last compacted entry. */
     uint64_t election_deadline_ms;                          /**< Follower: time to campaign. */
     uint64_t last_leader_contact_ms;                        /**< Time the leader was last heard. */
-    uint64_t told_commit;                                   /**< Follower: commit index that the leader told last. */
+    uint64_t current_ms;                                    /**< Follower: when it had applied all that its settled
+                                                                 leader told as committed; 0: not yet. */
     uint64_t heartbeat_due_ms;                              /**< Leader: next heartbeat. */
     uint64_t quorum_checked_ms;                             /**< Leader: start of the current check-quorum window. */
     uint64_t elections;                                     /**< Campaigns started, part of the jitter. */
@@ -294,9 +295,10 @@
 bool raft_heard_from_quorum(const struct raft *raft, uint64_t now_ms);
 
 /**
- * Whether everything that is known to be committed is applied here: on a leader that has committed in its own term and
- * hears a quorum; on a follower that heard of such a leader within an election timeout and lacks nothing of what that
- * one had committed by then. A replica that has just started, lags, or is being sent a snapshot is not current.
+ * Whether everything that was committed an election timeout ago is applied here: a leader that has committed in its
+ * own term and hears a quorum; a follower that had, within that time, applied all that such a leader told it. A replica
+ * that has just started, lags, or is being sent a snapshot is not current; one that lacks a moment's entries under load
+ * is.
  */
 bool raft_is_current(const struct raft *raft, uint64_t now_ms);
 
--- a/src/core/raft_election.c
+++ b/src/core/raft_election.c
@@ -42,7 +42,7 @@
         raft->vote = RAFT_NO_NODE;
         raft->io.save_state(raft->io.context, raft->config.group, raft->term, raft->vote);
     }
-    raft->told_commit = changed ? 0 : raft->told_commit;
+    raft->current_ms = changed ? 0 : raft->current_ms;
     raft->role = RAFT_FOLLOWER;
     raft->leader = leader;
     raft->transfer_target = RAFT_NO_NODE;
--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -127,9 +127,8 @@
     if (raft->role == RAFT_LEADER) {
         return raft_commit_is_settled(raft, raft->commit) && raft_heard_from_quorum(raft, now_ms);
     }
-    bool heard =
-        raft->leader != RAFT_NO_NODE && now_ms < raft->last_leader_contact_ms + raft->config.election_timeout_ms;
-    return heard && raft_commit_is_settled(raft, raft->told_commit) && raft->applied >= raft->told_commit;
+    bool lately = raft->current_ms != 0 && now_ms < raft->current_ms + raft->config.election_timeout_ms;
+    return lately && raft->leader != RAFT_NO_NODE;
 }
 
 /* ---- Leader: commit and reads ------------------------------------------- */
@@ -381,7 +380,6 @@
 void raft_handle_append(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message)
 {
     raft_follow(raft, now_ms, from);
-    raft->told_commit = message->commit;
     RaftMessage reply = {0};
     reply.type = RAFT_APPEND_REPLY;
     reply.term = raft->term;
@@ -404,6 +402,9 @@
         raft->commit = commit;
         raft_apply_committed(raft);
     }
+    if (raft_commit_is_settled(raft, message->commit) && raft->applied >= message->commit) {
+        raft->current_ms = now_ms;
+    }
     reply.index = matched;
     raft->io.send(raft->io.context, raft->config.group, from, &reply, true);
 }
--- a/src/core/raft_snapshot.c
+++ b/src/core/raft_snapshot.c
@@ -160,7 +160,6 @@
 void raft_handle_snapshot(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message)
 {
     raft_follow(raft, now_ms, from);
-    raft->told_commit = 0; /* how far the leader is, its next entries tell */
     RaftMessage reply = {0};
     reply.type = RAFT_SNAPSHOT_REPLY;
     reply.term = raft->term;
