Store: what a start reads back is synced before it counts

Cause: bytes, names and renames of a process that was killed before its sync stay in the kernel.

Change: opening the log syncs its last segment and the folder, and fails where that fails; loading an identity syncs its folder; making a folder syncs the one above it, without which the folder of log or texts was lost as a whole; texts whose sync failed are never tried again, since the kernel may have dropped them and calls the next sync done. Cost: three more syncs a start.

Conclusion: an entry that was read back is as durable as one that was synced.

--- a/src/store/file.c
+++ b/src/store/file.c
@@ -89,16 +89,29 @@
     return done;
 }
 
+/* Makes one folder. Its name has to last in the folder above, or all that is ever synced in it is lost with it. */
+static bool file_make_one(const char *path)
+{
+    if (mkdir(path, 0700) != 0) {
+        return errno == EEXIST;
+    }
+    const char *slash = strrchr(path, '/');
+    char *above = slash == NULL ? text_copy(".") : memory_copy(path, slash == path ? 1 : (size_t)(slash - path));
+    bool synced = file_sync_folder(above);
+    free(above);
+    return synced;
+}
+
 bool file_make_folder(const char *folder)
 {
     char *path = text_copy(folder);
     bool made = true;
     for (char *slash = strchr(path + 1, '/'); made && slash != NULL; slash = strchr(slash + 1, '/')) {
         *slash = '\0';
-        made = mkdir(path, 0700) == 0 || errno == EEXIST;
+        made = file_make_one(path);
         *slash = '/';
     }
-    made = made && (mkdir(path, 0700) == 0 || errno == EEXIST);
+    made = made && file_make_one(path);
     free(path);
     return made;
 }
--- a/src/store/file.h
+++ b/src/store/file.h
@@ -23,7 +23,7 @@
 /** Syncs a folder, so that created and renamed names last. */
 bool file_sync_folder(const char *folder);
 
-/** Creates a folder and its parents. */
+/** Durably creates a folder and its parents. */
 bool file_make_folder(const char *folder);
 
 /** Returns "folder/name"; the caller frees it. */
--- a/src/store/history_store.c
+++ b/src/store/history_store.c
@@ -157,6 +157,14 @@
     return true;
 }
 
+/* The kernel may have dropped what it could not write: another sync would call it done. */
+static bool history_sync_failed(struct history_store *store, const char *what)
+{
+    history_fail(store, what);
+    store->failed = true;
+    return false;
+}
+
 bool history_store_sync(struct history_store *store)
 {
     if (store->failed || !history_write_tail(store)) {
@@ -165,14 +173,12 @@
     for (size_t i = 0; i < store->segment_count; i++) {
         struct history_segment *segment = &store->segments[i];
         if (segment->dirty && fdatasync(segment->file) != 0) {
-            history_fail(store, "cannot sync");
-            return false;
+            return history_sync_failed(store, "cannot sync");
         }
         segment->dirty = false;
     }
     if (!file_sync_folder(store->folder)) {
-        history_fail(store, "cannot sync the folder");
-        return false;
+        return history_sync_failed(store, "cannot sync the folder");
     }
     return true;
 }
--- a/src/store/identity.c
+++ b/src/store/identity.c
@@ -41,7 +41,8 @@
     struct buffer content = {0};
     bool found = file_read_all(path, &content);
     bool absent = !found && errno == ENOENT;
-    bool loaded = found && identity_read(buffer_view(&content), identity);
+    /* The process before may have ended between the rename and the sync of the folder. */
+    bool loaded = found && file_sync_folder(folder) && identity_read(buffer_view(&content), identity);
     if (absent) {
         identity->node = fresh_node;
         loaded = identity_save(folder, identity);
--- a/src/store/identity.h
+++ b/src/store/identity.h
@@ -19,7 +19,8 @@
     struct raft_members members; /**< Members at the begin of its log. */
 };
 
-/** Loads the identity of a data folder, or makes one with the id `fresh_node`; false: the disk failed. */
+/** Loads the identity of a data folder, or makes one with the id `fresh_node`, durable either way; false: the disk
+ * failed. */
 bool identity_load(const char *folder, uint32_t fresh_node, struct identity *identity);
 
 /** Durably notes that the replica belongs to a group that began with `members`. */
--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -399,6 +399,17 @@
     return true;
 }
 
+/* A process that is killed leaves bytes and names that no sync covered, and the next one reads them. They last before
+ * anything of them counts. Older segments were synced before the last one was begun. */
+static bool log_store_settle(struct log_store *store)
+{
+    if (fdatasync(store->file) != 0 || !file_sync_folder(store->folder)) {
+        log_store_fail(store, "cannot sync what was read back", store->folder);
+        return false;
+    }
+    return true;
+}
+
 bool log_store_open(struct log_store *store, const char *folder, uint32_t groups, const struct log_restore *restore)
 {
     memset(store, 0, sizeof(*store));
@@ -424,7 +435,7 @@
         }
     }
     if (store->segment_count > 0) {
-        return log_store_open_last(store, false);
+        return log_store_open_last(store, false) && log_store_settle(store);
     }
     return log_store_begin_segment(store, 1) && log_store_sync(store);
 }
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -10,7 +10,8 @@
  *
  * Recovery: an unfinished record at the very end was never acknowledged and
  * is cut off. A bad record with a good one behind it means that acknowledged
- * data is damaged: opening fails and names the place.
+ * data is damaged: opening fails and names the place. All that is read back is
+ * synced before it counts: the process before may not have come to it.
  */
 #ifndef BANKBANK_STORE_LOG_STORE_H
 #define BANKBANK_STORE_LOG_STORE_H
@@ -62,7 +63,7 @@
     char error[512];                /**< What failed, with its place. */
 };
 
-/** Opens or creates the store and replays it; false: see `error`. */
+/** Opens or creates the store and replays it. What it has told is durable when it returns; false: see `error`. */
 bool log_store_open(struct log_store *store, const char *folder, uint32_t groups, const struct log_restore *restore);
 
 /** Adds up the bytes on disk of the segments and of the snapshots of a store that may not exist. */
