--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -123,12 +123,19 @@
     return true;
 }
 
-static bool log_segment_is_covered(const struct log_store *store, const struct log_segment *segment)
+/* Its entries are covered, and it makes none void that an older segment holds behind the snapshot. */
+static bool log_segment_is_covered(const struct log_store *store, const struct log_segment *segment, size_t older)
 {
     for (uint32_t group = 0; group < store->group_count; group++) {
-        if (segment->last_index[group] > store->groups[group].snapshot_index) {
+        uint64_t snapshot_index = store->groups[group].snapshot_index;
+        if (segment->last_index[group] > snapshot_index) {
             return false;
         }
+        for (size_t i = 0; i < older && segment->last_index[group] > 0; i++) {
+            if (store->segments[i].last_index[group] > snapshot_index) {
+                return false;
+            }
+        }
     }
     return true;
 }
@@ -139,7 +146,7 @@
     for (size_t i = 0; i < store->segment_count; i++) {
         struct log_segment segment = store->segments[i];
         bool last = i + 1 == store->segment_count;
-        if (last || !log_segment_is_covered(store, &segment)) {
+        if (last || !log_segment_is_covered(store, &segment, kept)) {
             store->segments[kept++] = segment;
             continue;
         }
--- a/tests/unit/log_store.c
+++ b/tests/unit/log_store.c
@@ -192,6 +192,41 @@
 }
 END_TEST
 
+static void append_large(const uint8_t *large, uint64_t index, uint64_t term)
+{
+    struct raft_entry entry = {.index = index, .term = term, .data = (uint8_t *)(uintptr_t)large, .length = 1 << 20};
+    log_store_append(&store, 0, &entry);
+    ck_assert(log_store_sync(&store));
+}
+
+/* Entry 4 was replaced, as all behind 2 were, by entries that stand in a later segment. */
+START_TEST(a_segment_that_replaces_what_an_older_one_holds_stays)
+{
+    uint8_t *large = memory_new(1 << 20);
+    for (uint64_t index = 1; index <= 4; index++) {
+        append_large(large, index, 1);
+    }
+    ck_assert_uint_eq(store.segment_count, 2);
+    append_large(large, 2, 2);
+    append_large(large, 3, 2);
+    append_large(large, 2, 3);
+    append_large(large, 3, 3);
+    ck_assert_uint_eq(store.segment_count, 3);
+    ck_assert(save_snapshot(0, 3, "s"));
+    reopen();
+    ck_assert_uint_eq(seen[0].snapshot_index, 3);
+    ck_assert_uint_eq(seen[0].last_index, 3);
+    for (uint64_t index = 4; index <= 8; index++) {
+        append_large(large, index, 3);
+    }
+    ck_assert(save_snapshot(0, 8, "s"));
+    ck_assert_uint_eq(store.segment_count, 1);
+    reopen();
+    ck_assert_uint_eq(seen[0].snapshot_index, 8);
+    free(large);
+}
+END_TEST
+
 START_TEST(a_failed_write_stops_acknowledgement)
 {
     close(store.file);
@@ -274,6 +309,7 @@
     tcase_add_test(tests, a_damaged_middle_is_refused_with_its_place);
     tcase_add_test(tests, a_snapshot_is_loaded_and_a_damaged_one_refused);
     tcase_add_test(tests, covered_segments_are_dropped);
+    tcase_add_test(tests, a_segment_that_replaces_what_an_older_one_holds_stays);
     tcase_add_test(tests, a_failed_write_stops_acknowledgement);
     tcase_add_test(tests, a_full_disk_is_written_again_later);
     tcase_add_test(tests, history_texts_live_until_dropped);
