--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -110,6 +110,12 @@
     return entry == NULL ? 0 : entry->term;
 }
 
+bool raft_holds(const struct raft *raft, const struct raft_snapshot *snapshot)
+{
+    const struct raft_entry *entry = raft_log_get(&raft->log, snapshot->index);
+    return entry != NULL && entry->term == snapshot->term;
+}
+
 bool raft_is_leader(const struct raft *raft)
 {
     return raft->role == RAFT_LEADER;
@@ -161,9 +167,16 @@
     raft->snapshot.members = *members;
 }
 
+void raft_restore_reset(struct raft *raft)
+{
+    raft_truncate(raft, raft->log.base_index + 1);
+}
+
 bool raft_restore_entry(struct raft *raft, const struct raft_entry *entry)
 {
     if (entry->index <= raft->log.base_index) {
+        /* It replaced what was written before it, behind the snapshot too. */
+        raft_restore_reset(raft);
         return true;
     }
     if (entry->index > raft_last_index(raft) + 1) {
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -111,8 +111,8 @@
      */
     bool (*read_snapshot)(void *context, uint32_t group, uint64_t index, uint64_t *at, struct buffer *out);
     /**
-     * Takes bytes of a snapshot from the leader in their order, up to the `last`; then state and log are replaced,
-     * durably. False: refused, it must come again from its `first` bytes.
+     * Takes bytes of a snapshot from the leader in their order, up to the `last`; then the state is replaced, durably,
+     * and of the log what raft_holds() does not let stay. False: refused, it must come again from its `first` bytes.
      */
     bool (*take_snapshot)(void *context, uint32_t group, const struct raft_snapshot *snapshot, struct view bytes,
                           bool first, bool last);
@@ -221,6 +221,9 @@
  * replaces the tail from there. False: the entry leaves a gap. */
 bool raft_restore_entry(struct raft *raft, const struct raft_entry *entry);
 
+/** Before raft_start: drops the entries behind the snapshot that were added so far. */
+void raft_restore_reset(struct raft *raft);
+
 /** Begins to run; a sole voter campaigns at once. */
 void raft_start(struct raft *raft, uint64_t now_ms);
 
@@ -271,6 +274,10 @@
 /** Term of the entry at `index`; 0 if it is not known. */
 uint64_t raft_term_at(const struct raft *raft, uint64_t index);
 
+/** Whether the log holds the entry that a snapshot from the leader ends with: what stands behind it then follows from
+ * it, was acknowledged, and stays. */
+bool raft_holds(const struct raft *raft, const struct raft_snapshot *snapshot);
+
 /** Members at the applied index. */
 const struct raft_members *raft_applied_members(const struct raft *raft);
 
--- a/src/core/raft_snapshot.c
+++ b/src/core/raft_snapshot.c
@@ -157,6 +157,29 @@
     return taken;
 }
 
+/* Entries behind the snapshot that follow from it stay: they were acknowledged, and may be committed. */
+static void raft_install(struct raft *raft, const struct raft_snapshot *snapshot)
+{
+    if (!raft_holds(raft, snapshot)) {
+        raft_restore_snapshot(raft, snapshot->index, snapshot->term, &snapshot->members);
+        return;
+    }
+    raft_log_compact(&raft->log, snapshot->index, snapshot->term);
+    raft->commit = snapshot->index;
+    raft->applied = snapshot->index;
+    raft->synced = raft->synced < snapshot->index ? snapshot->index : raft->synced;
+    raft->snapshot = *snapshot;
+    raft->base_members = snapshot->members;
+    if (raft->previous_members_index <= snapshot->index) {
+        raft->previous_members = snapshot->members;
+        raft->previous_members_index = snapshot->index;
+    }
+    if (raft->members_index <= snapshot->index) {
+        raft->members = snapshot->members;
+        raft->members_index = snapshot->index;
+    }
+}
+
 void raft_handle_snapshot(struct raft *raft, uint64_t now_ms, uint32_t from, const RaftMessage *message)
 {
     raft_follow(raft, now_ms, from);
@@ -173,7 +196,7 @@
     }
     if (reply.last_chunk && message->index > raft->commit) {
         struct raft_snapshot installed = raft->incoming;
-        raft_restore_snapshot(raft, installed.index, installed.term, &installed.members);
+        raft_install(raft, &installed);
         memset(&raft->incoming, 0, sizeof(raft->incoming));
         raft->incoming_offset = 0;
     }
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -50,8 +50,8 @@
     bool (*snapshot_begin)(void *context, uint32_t group, const struct raft_snapshot *snapshot);
     /** Adds the next bytes of its state; false: the disk does not take them. */
     bool (*snapshot_write)(void *disk, uint32_t group, struct view bytes);
-    /** Makes texts and snapshot durable, in place of the stored one, and drops log entries that it covers, or all
-        with `reset_log`; false: not now, and it is given up. */
+    /** Makes texts, what was written to the log, and snapshot durable, in place of the stored one, and drops log
+        entries that it covers, or all with `reset_log`; false: not now, and it is given up. */
     bool (*snapshot_commit)(void *context, uint32_t group, bool reset_log);
     /** Gives up what was begun. */
     void (*snapshot_abort)(void *disk, uint32_t group);
--- a/src/core/replica_snapshot.c
+++ b/src/core/replica_snapshot.c
@@ -362,5 +362,7 @@
     }
     state->receiving = false;
     state_reader_close(&state->reader);
-    return replica->io.snapshot_commit(replica->io.context, group, true) && replica_adopt(replica, group, snapshot);
+    bool reset_log = !raft_holds(&state->raft, snapshot);
+    return replica->io.snapshot_commit(replica->io.context, group, reset_log) &&
+           replica_adopt(replica, group, snapshot);
 }
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -119,13 +119,12 @@
 static bool control_on_snapshot_commit(void *context, uint32_t group, bool reset_log)
 {
     struct control *control = context;
-    (void)reset_log; /* entries behind an installed snapshot are replaced as the leader sends them */
     if (!history_store_sync(&control->history_store)) {
         log_error(STATE_LOG, "snapshot of group %u failed: %s", group, control->history_store.error);
         log_store_snapshot_abort(&control->log_store, group);
         return false;
     }
-    if (!log_store_snapshot_commit(&control->log_store, group)) {
+    if (!log_store_snapshot_commit(&control->log_store, group, reset_log)) {
         log_error(STATE_LOG, "snapshot of group %u failed: %s", group, control->log_store.error);
         return false;
     }
--- a/src/proxy/state_host_disk.c
+++ b/src/proxy/state_host_disk.c
@@ -62,7 +62,7 @@
     struct state_host *host = context;
     const snapshot_stored_t *stored = &host->log.groups[group].stored;
     bool texts_synced = history_store_sync(&host->texts);
-    bool saved = texts_synced && log_store_snapshot_commit(&host->log, group);
+    bool saved = texts_synced && log_store_snapshot_commit(&host->log, group, reset_log);
     if (!texts_synced) {
         log_store_snapshot_abort(&host->log, group);
     }
--- a/src/sim/sim_disk.c
+++ b/src/sim/sim_disk.c
@@ -128,6 +128,7 @@
     struct sim_disk_group *stored = &node->disk.groups[group];
     uint64_t index = stored->written.index;
     uint64_t term = stored->written.term;
+    sim_disk_sync(context);
     node->disk.history_synced = node->disk.history.length;
     buffer_clear(&stored->snapshot);
     buffer_append(&stored->snapshot, stored->writing.data, stored->writing.length);
--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -16,7 +16,7 @@
 
 enum { LOG_RECORD_MAGIC = 0x4c424b42, LOG_NAME_MAX = 64, LOG_PENDING_KEPT = 256 << 10 };
 
-enum log_record_kind { LOG_RECORD_STATE = 1, LOG_RECORD_ENTRY = 2 };
+enum log_record_kind { LOG_RECORD_STATE = 1, LOG_RECORD_ENTRY = 2, LOG_RECORD_RESET = 3 };
 
 /* Start of every record on disk. */
 struct log_record {
@@ -63,6 +63,13 @@
     log_store_add(store, &record, view_of(NULL, 0));
 }
 
+static void log_segment_note(struct log_segment *segment, uint32_t group, uint64_t index)
+{
+    if (index > segment->last_index[group]) {
+        segment->last_index[group] = index;
+    }
+}
+
 void log_store_append(struct log_store *store, uint32_t group, const struct raft_entry *entry)
 {
     struct log_record record = {
@@ -73,10 +80,19 @@
         .detail = entry->type,
     };
     log_store_add(store, &record, view_of(entry->data, entry->length));
-    struct log_segment *segment = &store->segments[store->segment_count - 1];
-    if (entry->index > segment->last_index[group]) {
-        segment->last_index[group] = entry->index;
-    }
+    log_segment_note(&store->segments[store->segment_count - 1], group, entry->index);
+}
+
+static void log_store_reset(struct log_store *store, uint32_t group, const struct raft_snapshot *snapshot)
+{
+    struct log_record record = {
+        .kind = LOG_RECORD_RESET,
+        .group = group,
+        .index = snapshot->index,
+        .term = snapshot->term,
+    };
+    log_store_add(store, &record, view_of(NULL, 0));
+    log_segment_note(&store->segments[store->segment_count - 1], group, snapshot->index);
 }
 
 /* ---- Segments ------------------------------------------------------------------ */
@@ -248,9 +264,17 @@
     return false;
 }
 
-bool log_store_snapshot_commit(struct log_store *store, uint32_t group)
+bool log_store_snapshot_commit(struct log_store *store, uint32_t group, bool reset_log)
 {
     struct log_store_group *state = &store->groups[group];
+    if (reset_log) {
+        log_store_reset(store, group, &state->writer.snapshot);
+    }
+    /* What the log holds behind the snapshot is decided on the disk before the snapshot is there. */
+    if (store->pending.length > 0 && !log_store_sync(store)) {
+        log_store_snapshot_abort(store, group);
+        return false;
+    }
     if (!snapshot_writer_commit(&state->writer, store->folder, group, &state->stored)) {
         log_snapshot_fail(store, "cannot write the snapshot", group);
         return false;
@@ -320,8 +344,12 @@
         restore->state(restore->context, record->group, record->term, record->detail);
         return true;
     }
-    if (record->index > segment->last_index[record->group]) {
-        segment->last_index[record->group] = record->index;
+    log_segment_note(segment, record->group, record->index);
+    if (record->kind == LOG_RECORD_RESET) {
+        if (record->index <= store->groups[record->group].snapshot_index) {
+            restore->reset(restore->context, record->group);
+        }
+        return true;
     }
     struct raft_entry entry = {
         .index = record->index,
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -8,6 +8,10 @@
  * u32 kind, u32 group, u64 index, u64 term, u32 entry type or vote, u32 zero,
  * payload. Integers are in host order (the files stay on their machine).
  *
+ * A snapshot from the leader may end where the log has other entries, or none.
+ * Then a reset record goes before it: once a snapshot covers the index of that
+ * record, entries behind the snapshot that were written before it are void.
+ *
  * Recovery: an unfinished record at the very end was never acknowledged and
  * is cut off. A bad record with a good one behind it means that acknowledged
  * data is damaged: opening fails and names the place. All that is read back is
@@ -30,8 +34,10 @@
     bool (*snapshot)(void *context, uint32_t group, const struct raft_snapshot *snapshot);
     /** Term and vote, in order of writing. */
     void (*state)(void *context, uint32_t group, uint64_t term, uint32_t vote);
-    /** An entry, in order of writing. False: it leaves a gap. */
+    /** An entry, in order of writing; those behind it that came before are void. False: it leaves a gap. */
     bool (*entry)(void *context, uint32_t group, const struct raft_entry *entry);
+    /** Entries behind the snapshot that came before are void. */
+    void (*reset)(void *context, uint32_t group);
 };
 
 /** What the store knows of one group. */
@@ -46,7 +52,7 @@
 /** One segment file. */
 struct log_segment {
     uint64_t number;      /**< Part of the file name. */
-    uint64_t *last_index; /**< Highest entry index, by group. */
+    uint64_t *last_index; /**< Highest index of an entry or reset, by group; 0: there is none. */
 };
 
 /** The store. */
@@ -86,8 +92,9 @@
 /** Adds bytes of its state; false: see `error`, and it has to be given up. */
 bool log_store_snapshot_write(struct log_store *store, uint32_t group, struct view bytes);
 
-/** Durably replaces the group's snapshot and drops segments that no group needs; false: see `error`. */
-bool log_store_snapshot_commit(struct log_store *store, uint32_t group);
+/** Durably replaces the group's snapshot, behind which no entry written so far counts with `reset_log`, and drops
+ * segments that no group needs; false: see `error`. */
+bool log_store_snapshot_commit(struct log_store *store, uint32_t group, bool reset_log);
 
 /** Gives up what was begun. */
 void log_store_snapshot_abort(struct log_store *store, uint32_t group);
--- a/src/store/replica_restore.c
+++ b/src/store/replica_restore.c
@@ -17,6 +17,12 @@
     return raft_restore_entry(&replica->groups[group].raft, entry);
 }
 
+static void restore_reset(void *context, uint32_t group)
+{
+    struct replica *replica = context;
+    raft_restore_reset(&replica->groups[group].raft);
+}
+
 bool replica_restore_log(struct replica *replica, struct log_store *log, const char *folder)
 {
     struct log_restore restore = {
@@ -24,6 +30,7 @@
         .snapshot = restore_snapshot,
         .state = restore_state,
         .entry = restore_entry,
+        .reset = restore_reset,
     };
     return log_store_open(log, folder, replica->config.groups, &restore);
 }
--- a/tests/scripted/run_snapshot.c
+++ b/tests/scripted/run_snapshot.c
@@ -99,8 +99,7 @@
 static bool on_snapshot_commit(void *context, uint32_t group, bool reset_log)
 {
     host_t *host = context;
-    (void)reset_log;
-    return history_store_sync(&host->texts) && log_store_snapshot_commit(&host->log, group);
+    return history_store_sync(&host->texts) && log_store_snapshot_commit(&host->log, group, reset_log);
 }
 
 static void on_send(void *context, uint32_t to, struct view data)
--- a/tests/unit/log_store.c
+++ b/tests/unit/log_store.c
@@ -48,9 +48,15 @@
     return true;
 }
 
+static void on_reset(void *context, uint32_t group)
+{
+    (void)context;
+    seen[group].last_index = seen[group].snapshot_index;
+}
+
 static bool open_store(void)
 {
-    struct log_restore restore = {NULL, on_snapshot, on_state, on_entry};
+    struct log_restore restore = {NULL, on_snapshot, on_state, on_entry, on_reset};
     memset(seen, 0, sizeof(seen));
     return log_store_open(&store, folder, GROUPS, &restore);
 }
@@ -86,7 +92,8 @@
 {
     struct raft_snapshot snapshot = {.index = index, .term = 1, .members = {.count = 1, .nodes = {1}}};
     return log_store_snapshot_begin(&store, group, &snapshot) &&
-           log_store_snapshot_write(&store, group, view_of_string(state)) && log_store_snapshot_commit(&store, group);
+           log_store_snapshot_write(&store, group, view_of_string(state)) &&
+           log_store_snapshot_commit(&store, group, false);
 }
 
 static char *segment_path(void)
@@ -227,6 +234,29 @@
 }
 END_TEST
 
+/* A start reads entries 1 to 5 and a later 3, which made 4 and 5 void; a snapshot covers all up to 3. */
+START_TEST(an_entry_within_the_snapshot_replaces_those_behind_it)
+{
+    struct raft raft;
+    struct raft_config config = {.node = 1};
+    struct raft_io io = {0};
+    struct raft_members members = {.count = 1, .nodes = {1}};
+    struct raft_entry entry = {.term = 1};
+    raft_init(&raft, &config, &io, &members);
+    raft_restore_snapshot(&raft, 3, 2, &members);
+    for (entry.index = 1; entry.index <= 5; entry.index++) {
+        ck_assert(raft_restore_entry(&raft, &entry));
+    }
+    ck_assert_uint_eq(raft_last_index(&raft), 5);
+    entry.index = 3;
+    entry.term = 2;
+    ck_assert(raft_restore_entry(&raft, &entry));
+    ck_assert_uint_eq(raft_last_index(&raft), 3);
+    ck_assert_uint_eq(raft.synced, 3);
+    raft_close(&raft);
+}
+END_TEST
+
 START_TEST(a_failed_write_stops_acknowledgement)
 {
     close(store.file);
@@ -310,6 +340,7 @@
     tcase_add_test(tests, a_snapshot_is_loaded_and_a_damaged_one_refused);
     tcase_add_test(tests, covered_segments_are_dropped);
     tcase_add_test(tests, a_segment_that_replaces_what_an_older_one_holds_stays);
+    tcase_add_test(tests, an_entry_within_the_snapshot_replaces_those_behind_it);
     tcase_add_test(tests, a_failed_write_stops_acknowledgement);
     tcase_add_test(tests, a_full_disk_is_written_again_later);
     tcase_add_test(tests, history_texts_live_until_dropped);
--- a/tests/unit/power_loss.c
+++ b/tests/unit/power_loss.c
@@ -39,6 +39,7 @@
 static size_t kept_count;
 static bool killed;           /* the process ended: nothing is synced any more, and what it wrote stays */
 static bool killed_in_folder; /* it ends where it would sync a folder next */
+static int syncs_left;        /* it ends in the sync behind so many; -1: in none */
 static int kill_error;        /* what the sync reports then */
 static char root[64];
 static char data[96];
@@ -84,7 +85,8 @@
 {
     struct stat info;
     ck_assert_int_eq(fstat(file, &info), 0);
-    killed = killed || (killed_in_folder && S_ISDIR(info.st_mode));
+    killed = killed || syncs_left == 0 || (killed_in_folder && S_ISDIR(info.st_mode));
+    syncs_left -= syncs_left > 0 ? 1 : 0;
     if (killed) {
         errno = kill_error;
         return -1;
@@ -176,12 +178,19 @@
     closedir(folder);
 }
 
+/* Another process begins. */
+static void live_on(void)
+{
+    killed = false;
+    killed_in_folder = false;
+    syncs_left = -1;
+}
+
 /* Every process has ended. */
 static void lose_power(void)
 {
     struct stat info;
-    killed = false;
-    killed_in_folder = false;
+    live_on();
     ck_assert_int_eq(stat(root, &info), 0);
     run_shell("rm -rf %s/*", root);
     write_kept(root, info.st_ino);
@@ -217,6 +226,13 @@
     seen.vote = vote;
 }
 
+static void on_reset(void *context, uint32_t group)
+{
+    (void)context;
+    (void)group;
+    seen.last_index = seen.snapshot_index;
+}
+
 static bool on_entry(void *context, uint32_t group, const struct raft_entry *entry)
 {
     (void)context;
@@ -227,15 +243,14 @@
 
 static bool open_store(void)
 {
-    struct log_restore restore = {.snapshot = on_snapshot, .state = on_state, .entry = on_entry};
+    struct log_restore restore = {.snapshot = on_snapshot, .state = on_state, .entry = on_entry, .reset = on_reset};
     memset(&seen, 0, sizeof(seen));
     return log_store_open(&store, data, GROUPS, &restore);
 }
 
 static void start(void)
 {
-    killed = false;
-    killed_in_folder = false;
+    live_on();
     ck_assert_msg(open_store(), "%s", store.error);
 }
 
@@ -253,19 +268,24 @@
     log_store_close(&store);
 }
 
-static bool save_snapshot(uint64_t index)
+static bool save(uint64_t index, bool reset_log)
 {
     struct raft_snapshot snapshot = {.index = index, .term = 1, .members = {.count = 1, .nodes = {1}}};
     return log_store_snapshot_begin(&store, 0, &snapshot) &&
-           log_store_snapshot_write(&store, 0, view_of_string("state")) && log_store_snapshot_commit(&store, 0);
+           log_store_snapshot_write(&store, 0, view_of_string("state")) &&
+           log_store_snapshot_commit(&store, 0, reset_log);
+}
+
+static bool save_snapshot(uint64_t index)
+{
+    return save(index, false);
 }
 
 static void setup(void)
 {
     memset(&store, 0, sizeof(store));
-    killed = false;
+    live_on();
     kill_error = EIO;
-    killed_in_folder = false;
     snprintf(root, sizeof(root), "/tmp/bankbank-power-XXXXXX");
     ck_assert_ptr_nonnull(mkdtemp(root));
     snprintf(data, sizeof(data), "%s/data", root);
@@ -350,6 +370,34 @@
 }
 END_TEST
 
+/* A snapshot from the leader: of the entries 1 to 5 here, those behind 3 are of another branch. */
+START_TEST(a_reset_counts_with_its_snapshot_only)
+{
+    enum { LOG, SNAPSHOT, FOLDER, SYNCS };
+    for (int done = LOG; done <= SYNCS; done++) {
+        start();
+        for (uint64_t index = 1; index <= 5; index++) {
+            append(index);
+        }
+        ck_assert(log_store_sync(&store));
+        syncs_left = done == SYNCS ? -1 : done;
+        ck_assert_int_eq(save(3, true), done == SYNCS);
+        log_store_close(&store);
+        start();
+        ck_assert_uint_eq(seen.snapshot_index, done < FOLDER ? 0 : 3);
+        ck_assert_uint_eq(seen.last_index, done < FOLDER ? 5 : 3);
+        append(4);
+        ck_assert(log_store_sync(&store));
+        log_store_close(&store);
+        lose_power();
+        start();
+        ck_assert_uint_eq(seen.last_index, 4);
+        log_store_close(&store);
+        run_shell("rm -rf %s/*", data);
+    }
+}
+END_TEST
+
 /* What was read back and cannot be synced is not to be counted on. */
 START_TEST(a_log_that_cannot_be_synced_does_not_open)
 {
@@ -369,8 +417,7 @@
     struct identity identity;
     killed_in_folder = true;
     ck_assert(!identity_load(data, NODE, &identity));
-    killed = false;
-    killed_in_folder = false;
+    live_on();
     ck_assert(identity_load(data, NODE + 1, &identity));
     ck_assert_uint_eq(identity.node, NODE);
     lose_power();
@@ -386,8 +433,7 @@
     ck_assert(identity_load(data, NODE, &identity));
     killed_in_folder = true;
     ck_assert(!identity_form(data, &identity, &members));
-    killed = false;
-    killed_in_folder = false;
+    live_on();
     ck_assert(identity_load(data, NODE, &identity));
     ck_assert(identity.formed);
     lose_power();
@@ -462,6 +508,7 @@
     tcase_add_test(tests, an_entry_read_back_outlives_a_loss_of_power);
     tcase_add_test(tests, a_vote_read_back_outlives_a_loss_of_power);
     tcase_add_test(tests, a_snapshot_read_back_outlives_a_loss_of_power);
+    tcase_add_test(tests, a_reset_counts_with_its_snapshot_only);
     tcase_add_test(tests, a_log_that_cannot_be_synced_does_not_open);
     tcase_add_test(tests, an_identity_read_back_outlives_a_loss_of_power);
     tcase_add_test(tests, a_membership_read_back_outlives_a_loss_of_power);
