Store: a segment that was only begun gets its terms and votes at the start

Cause: every segment repeats all terms and votes, so that older ones can go.

Ruled out: writing the head before the file has its name. A name beside the others would need a rename and another sync for each segment.

Change: a start writes what the last segment does not hold, and syncs it. On a full disk it waits for the next sync, and no older segment goes before that.

--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -59,6 +59,7 @@
 {
     store->groups[group].term = term;
     store->groups[group].vote = vote;
+    store->groups[group].headed = true;
     struct log_record record = {.kind = LOG_RECORD_STATE, .group = group, .term = term, .detail = vote};
     log_store_add(store, &record, view_of(NULL, 0));
 }
@@ -341,6 +342,7 @@
     if (record->kind == LOG_RECORD_STATE) {
         store->groups[record->group].term = record->term;
         store->groups[record->group].vote = record->detail;
+        store->groups[record->group].headed = true;
         restore->state(restore->context, record->group, record->term, record->detail);
         return true;
     }
@@ -375,6 +377,9 @@
 {
     struct buffer content = {0};
     char *path = log_segment_path(store, segment->number);
+    for (uint32_t group = 0; group < store->group_count; group++) {
+        store->groups[group].headed = false;
+    }
     bool replayed = file_read_all(path, &content);
     if (!replayed) {
         log_store_fail(store, "cannot read the segment", path);
@@ -445,6 +450,18 @@
     return true;
 }
 
+/* The process before may have ended between the file of the last segment and its head. */
+static bool log_store_complete_head(struct log_store *store)
+{
+    for (uint32_t group = 0; group < store->group_count; group++) {
+        if (!store->groups[group].headed) {
+            log_store_save_state(store, group, store->groups[group].term, store->groups[group].vote);
+        }
+    }
+    /* On a full disk they wait: no older segment goes before they are written. */
+    return store->pending.length == 0 || log_store_sync(store) || !store->failed;
+}
+
 bool log_store_open(struct log_store *store, const char *folder, uint32_t groups, const struct log_restore *restore)
 {
     memset(store, 0, sizeof(*store));
@@ -470,7 +487,7 @@
         }
     }
     if (store->segment_count > 0) {
-        return log_store_open_last(store, false) && log_store_settle(store);
+        return log_store_open_last(store, false) && log_store_settle(store) && log_store_complete_head(store);
     }
     return log_store_begin_segment(store, 1) && log_store_sync(store);
 }
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -44,6 +44,7 @@
 struct log_store_group {
     uint64_t term;            /**< Last written term. */
     uint32_t vote;            /**< Last written vote. */
+    bool headed;              /**< The last segment holds them. */
     uint64_t snapshot_index;  /**< Entries up to here are covered by the snapshot. */
     snapshot_stored_t stored; /**< That snapshot. */
     snapshot_writer_t writer; /**< The one that is being written. */
--- a/tests/unit/power_loss.c
+++ b/tests/unit/power_loss.c
@@ -350,6 +350,42 @@
 }
 END_TEST
 
+/* The process ends where a segment begins: between its file and the terms and votes at its head. The older segment goes
+ * with the next snapshot. */
+START_TEST(a_vote_outlives_a_segment_that_was_only_begun)
+{
+    enum { FIRST_SEGMENT, FOLDER, HEAD, SYNCS };
+    uint8_t *large = memory_new(LOG_STORE_SEGMENT_BYTES);
+    struct raft_entry filling = {.index = 1, .term = 1, .data = large, .length = LOG_STORE_SEGMENT_BYTES};
+    for (int round = 2 * FOLDER; round < 2 * SYNCS; round++) {
+        start();
+        log_store_save_state(&store, 0, 7, 2);
+        ck_assert(log_store_sync(&store));
+        log_store_append(&store, 0, &filling);
+        syncs_left = round / 2;
+        ck_assert(!log_store_sync(&store));
+        log_store_close(&store);
+        if (round % 2 == 1) {
+            lose_power();
+        }
+        start();
+        ck_assert_uint_eq(seen.vote, 2);
+        append(2);
+        ck_assert(log_store_sync(&store));
+        ck_assert(save_snapshot(2));
+        ck_assert_uint_eq(store.segment_count, 1);
+        log_store_close(&store);
+        start();
+        ck_assert_uint_eq(seen.snapshot_index, 2);
+        ck_assert_uint_eq(seen.term, 7);
+        ck_assert_uint_eq(seen.vote, 2);
+        log_store_close(&store);
+        run_shell("rm -rf %s/*", data);
+    }
+    free(large);
+}
+END_TEST
+
 /* A snapshot takes its place by a rename, and the log goes on behind it. */
 START_TEST(a_snapshot_read_back_outlives_a_loss_of_power)
 {
@@ -507,6 +543,7 @@
     tcase_add_test(tests, synced_records_outlive_a_loss_of_power);
     tcase_add_test(tests, an_entry_read_back_outlives_a_loss_of_power);
     tcase_add_test(tests, a_vote_read_back_outlives_a_loss_of_power);
+    tcase_add_test(tests, a_vote_outlives_a_segment_that_was_only_begun);
     tcase_add_test(tests, a_snapshot_read_back_outlives_a_loss_of_power);
     tcase_add_test(tests, a_reset_counts_with_its_snapshot_only);
     tcase_add_test(tests, a_log_that_cannot_be_synced_does_not_open);
