Upstream: a dial that the kernel has taken is not late, however long this process waited

Only gaps of 400 ms seen at the tick were excused. Change: a dial is late only if its socket is still connecting, which one poll() without a wait tells; also for dials of requests (400 ms).

Ruled out: that it takes a server that is slow to accept; the kernel alone answers. Conclusion: what is left of a false loss needs a packet that is lost, or a full queue at the server, twice in a row.

--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -526,6 +527,15 @@
 
 /* ---- Time --------------------------------------------------------------------------------- */
 
+/* The kernel has the answer to a dial while this process waits for the processor: it is told in this turn's poll. */
+static bool upstream_was_answered(const struct upstream_connection *connection)
+{
+    uv_os_fd_t file;
+    bool dials = connection->since_ms != 0 && uv_fileno((const uv_handle_t *)&connection->socket, &file) == 0;
+    struct pollfd ready = {.fd = dials ? file : -1, .events = POLLOUT};
+    return dials && poll(&ready, 1, 0) > 0;
+}
+
 static void upstream_on_sweep(uv_timer_t *timer)
 {
     struct upstream_pool *pool = timer->data;
@@ -534,7 +544,8 @@
     while (connection != NULL) {
         struct upstream_connection *next = connection->next;
         uint64_t limit_ms = connection->probe ? UPSTREAM_PROBE_MS : UPSTREAM_CONNECT_MS;
-        bool late = connection->state == UPSTREAM_CONNECTING && now_ms >= connection->since_ms + limit_ms;
+        bool late = connection->state == UPSTREAM_CONNECTING && now_ms >= connection->since_ms + limit_ms &&
+                    !upstream_was_answered(connection);
         bool rested = connection->state == UPSTREAM_IDLE && now_ms >= connection->since_ms + connection->rest_ms;
         if (late || rested) {
             pool->counters.refused += late ? 1 : 0;
--- a/tests/integration/test_attempts.c
+++ b/tests/integration/test_attempts.c
@@ -4,10 +4,13 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "../unit/suite.h"
 #include "base/clock.h"
+#include "net/upstream.h"
 #include "site.h"
+#include "site_internal.h"
 
 enum {
     REQUESTS = 4,           /* of one test */
@@ -148,6 +151,41 @@
 }
 END_TEST
 
+static void note_probed(void *context, const char *address, bool answered)
+{
+    (void)address;
+    *(int *)context = answered ? 1 : 0;
+}
+
+/* The kernel takes a connection while the process that dials waits for the processor, longer than a dial may last. */
+START_TEST(a_dial_that_was_answered_meanwhile_is_answered)
+{
+    uv_loop_t loop;
+    struct upstream_pool pool;
+    struct address address;
+    char text[32];
+    int port = 0;
+    int answered = -1;
+    int listener = site_listen("127.0.0.1", &port);
+    snprintf(text, sizeof(text), "127.0.0.1:%d", port);
+    ck_assert(address_parse(text, &address));
+    uv_loop_init(&loop);
+    upstream_init(&pool, &loop);
+    pool.probed = note_probed;
+    pool.probed_context = &answered;
+    upstream_probe(&pool, &address);
+    clock_sleep_us(2 * UPSTREAM_PROBE_MS * 1000);
+    while (answered < 0) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    ck_assert_int_eq(answered, 1);
+    upstream_close(&pool);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    ck_assert_int_eq(uv_loop_close(&loop), 0);
+    close(listener);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
     site_build = argc > 1 ? argv[1] : "build";
@@ -159,5 +197,8 @@
     tcase_add_test(tests, a_stream_waits_for_its_server_that_is_full);
     tcase_add_test(tests, a_gateway_that_is_held_up_loses_no_server);
     suite_add_tcase(suite, tests);
+    TCase *dials = tcase_create("dials");
+    tcase_add_test(dials, a_dial_that_was_answered_meanwhile_is_answered);
+    suite_add_tcase(suite, dials);
     return suite_run_in_process(suite);
 }
