Store: a last write that is torn in its middle does not end a replica

Cause: one write holds the records of many entries, and a loss of power may leave any part of what no sync covered. A good record behind a bad one was taken for damage to acknowledged data in any case: the replica refused to start for good, and its disk counted as lost, though nothing of that write had been acknowledged. Where all machines lose power, several may meet it at once.

Ruled out: a count of syncs in each record. It doesn't tell on which side of the bad record the sync stands.

Change: a record tells where its write begins, in the field that was zero. What is behind a bad record counts as proof of damage if it belongs to a write that was begun behind it (all before was synced then), or to an older version's. Otherwise the rest of the last write is cut. A record that rots in the last write is cut like the unfinished one before: nothing on the disk tells the two apart.

--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -28,7 +28,7 @@
     uint64_t index;
     uint64_t term;
     uint32_t detail; /* vote, or entry type */
-    uint32_t reserved;
+    uint32_t write;  /* 1 + where the write that it belongs to begins in the file; 0: not known, of an older version */
 };
 
 static const size_t LOG_CHECKED_FROM = offsetof(struct log_record, kind);
@@ -50,6 +50,7 @@
 {
     record->magic = LOG_RECORD_MAGIC;
     record->length = (uint32_t)payload.length;
+    record->write = (uint32_t)store->file_bytes + 1;
     record->checksum = log_record_checksum(record, payload);
     buffer_append(&store->pending, record, sizeof(*record));
     buffer_append(&store->pending, payload.data, payload.length);
@@ -325,11 +326,14 @@
     return log_record_checksum(record, payload) == record->checksum ? sizeof(*record) + record->length : 0;
 }
 
-static bool log_has_record_after(const struct log_store *store, const struct buffer *content, size_t offset)
+/* Whether a write that was begun behind `offset` left a record: all before it was synced then. Of the last write itself
+ * a loss of power may leave any part. */
+static bool log_has_write_after(const struct log_store *store, const struct buffer *content, size_t offset)
 {
     struct log_record record;
     for (size_t position = offset + 1; position + sizeof(record) <= content->length; position++) {
-        if (log_record_at(store, content, position, &record) != 0) {
+        bool whole = log_record_at(store, content, position, &record) != 0;
+        if (whole && (record.write == 0 || record.write - 1 > offset)) {
             return true;
         }
     }
@@ -389,7 +393,7 @@
         struct log_record record;
         size_t length = log_record_at(store, &content, offset, &record);
         if (length == 0) {
-            bool torn = last && !log_has_record_after(store, &content, offset);
+            bool torn = last && !log_has_write_after(store, &content, offset);
             replayed = torn && log_cut_tail(store, path, offset);
             if (!torn) {
                 store->failed = true;
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -5,17 +5,19 @@
  * groups; and one snapshot file a group (snapshot_file.h).
  *
  * Record: u32 magic, u32 payload length, u64 XXH64 of all that follows, then
- * u32 kind, u32 group, u64 index, u64 term, u32 entry type or vote, u32 zero,
- * payload. Integers are in host order (the files stay on their machine).
+ * u32 kind, u32 group, u64 index, u64 term, u32 entry type or vote, u32 where
+ * its write begins, payload. Integers are in host order (the files stay on
+ * their machine).
  *
  * A snapshot from the leader may end where the log has other entries, or none.
  * Then a reset record goes before it: once a snapshot covers the index of that
  * record, entries behind the snapshot that were written before it are void.
  *
- * Recovery: an unfinished record at the very end was never acknowledged and
- * is cut off. A bad record with a good one behind it means that acknowledged
- * data is damaged: opening fails and names the place. All that is read back is
- * synced before it counts: the process before may not have come to it.
+ * Recovery: a bad record of the last write was never acknowledged, and is cut
+ * off with what stands behind it. A bad record with a later write behind it
+ * means that acknowledged data is damaged: opening fails and names the place.
+ * All that is read back is synced before it counts: the process before may not
+ * have come to it.
  */
 #ifndef BANKBANK_STORE_LOG_STORE_H
 #define BANKBANK_STORE_LOG_STORE_H
