Requests are written when a connection takes them, with the time that is left then

Cause: forward_write_request wrote the time left into the request, then the request waited: for a dial (400 ms at most) or for one of a server's 24 connections (no bound), and for as long as the process stood still meanwhile. What was written was what had been left at the begin of the wait. The time was the loop's, of the begin of its turn. Change: upstream_start takes no bytes; the pool asks for them (upstream_events.write) when a connection takes the request, for first tries, hedges, resends, resumed streams and the reader of the machine list alike. The time is the real one. With less than FORWARD_LEAST_MS left nothing is sent: the exchange ends as UPSTREAM_NOT_SENT, from a timer, never from within, its connection serves the next one, and the caller gets 503. A request that waits for a connection holds its text once, not twice, and the part of a long one that the socket does not take at once is not copied again. Silence and the usual time of a server run from then too, not from a wait here. Before: with all connections taken and a stop of 1.4 s, a server is given 2,900 ms where 1,500 remain, and a caller with 1,000 ms gets 504. After: 1,499 where 1,499 remain, and 503 with no run.

--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -74,12 +74,6 @@
     uv_close((uv_handle_t *)&connection->socket, upstream_on_closed);
 }
 
-static void upstream_exchange_free(struct upstream_exchange *exchange)
-{
-    buffer_close(&exchange->request);
-    free(exchange);
-}
-
 static void upstream_finish(struct upstream_pool *pool, struct upstream_exchange *exchange, enum upstream_end end)
 {
     const struct upstream_events *events = exchange->events;
@@ -88,7 +82,7 @@
     if (exchange->connection != NULL) {
         exchange->connection->exchange = NULL;
     }
-    upstream_exchange_free(exchange);
+    free(exchange);
     events->end(owner, end);
 }
 
@@ -268,22 +262,54 @@
 
 struct upstream_write {
     uv_write_t request;
-    uint8_t *data;
+    struct buffer data; /* the whole request: its begin has left */
 };
 
+static void upstream_write_free(struct upstream_write *write)
+{
+    buffer_close(&write->data);
+    free(write);
+}
+
+/* ---- What is not to be sent any more ---- */
+
+static void upstream_on_unsent(uv_timer_t *timer)
+{
+    struct upstream_pool *pool = timer->data;
+    while (pool->unsent != NULL) {
+        struct upstream_exchange *exchange = pool->unsent;
+        pool->unsent = exchange->next;
+        upstream_finish(pool, exchange, UPSTREAM_NOT_SENT);
+    }
+}
+
+static void upstream_leave_unsent(struct upstream_pool *pool, struct upstream_exchange *exchange)
+{
+    exchange->connection = NULL;
+    exchange->next = pool->unsent;
+    pool->unsent = exchange;
+    uv_timer_start(&pool->unsent_due, upstream_on_unsent, 0, 0);
+}
+
 static void upstream_on_written(uv_write_t *request, int status)
 {
     struct upstream_write *write = (struct upstream_write *)request;
     struct upstream_connection *connection = request->handle->data;
-    free(write->data);
-    free(write);
+    upstream_write_free(write);
     if (status == 0) {
         connection->written = true;
     }
 }
 
-static void upstream_send(struct upstream_connection *connection, struct upstream_exchange *exchange)
+/* False: it is not to be sent any more; the connection is as it was. */
+static bool upstream_send(struct upstream_connection *connection, struct upstream_exchange *exchange)
 {
+    struct buffer request = {0};
+    if (!exchange->events->write(exchange->owner, &request)) {
+        buffer_close(&request);
+        upstream_leave_unsent(connection->pool, exchange);
+        return false;
+    }
     connection->exchange = exchange;
     connection->state = UPSTREAM_ACTIVE;
     connection->written = false;
@@ -292,24 +318,30 @@
     http_reader_reset(&connection->reader);
     exchange->connection = connection;
     exchange->sent = true;
-    uv_buf_t part = uv_buf_init((char *)exchange->request.data, (unsigned)exchange->request.length);
+    uv_buf_t part = uv_buf_init((char *)request.data, (unsigned)request.length);
     int written = uv_try_write((uv_stream_t *)&connection->socket, &part, 1);
     size_t done = written < 0 ? 0 : (size_t)written;
-    connection->written = done == exchange->request.length;
+    connection->written = done == request.length;
     if (connection->written) {
-        buffer_close(&exchange->request);
-        return;
+        buffer_close(&request);
+        return true;
     }
     /* The rest is kept apart, so that it can be written on after an early answer. */
     struct upstream_write *write = memory_new(sizeof(*write));
-    size_t left = exchange->request.length - done;
-    write->data = (uint8_t *)memory_copy(exchange->request.data + done, left);
-    buffer_close(&exchange->request);
-    part = uv_buf_init((char *)write->data, (unsigned)left);
+    write->data = request;
+    part = uv_buf_init((char *)request.data + done, (unsigned)(request.length - done));
     if (uv_write(&write->request, (uv_stream_t *)&connection->socket, &part, 1, upstream_on_written) != 0) {
-        free(write->data);
-        free(write);
+        upstream_write_free(write);
     }
+    return true;
+}
+
+/* A connection that has just come up and is not needed by the one that asked for it. */
+static void upstream_rest_new(struct upstream_connection *connection)
+{
+    connection->exchange = NULL;
+    connection->rest_ms = UPSTREAM_REST_MS;
+    upstream_rest(connection);
 }
 
 static void upstream_on_connect(uv_connect_t *request, int status)
@@ -326,11 +358,10 @@
     }
     uv_tcp_nodelay(&connection->socket, 1);
     uv_read_start((uv_stream_t *)&connection->socket, upstream_on_alloc, upstream_on_read);
-    if (connection->exchange != NULL) {
-        upstream_send(connection, connection->exchange);
+    if (connection->exchange != NULL && upstream_send(connection, connection->exchange)) {
         return;
     }
-    upstream_rest(connection);
+    upstream_rest_new(connection);
     upstream_tell_probed(connection, true);
     upstream_serve_waiting(connection->pool, connection->server);
 }
@@ -404,10 +435,14 @@
                             struct upstream_exchange *exchange)
 {
     struct upstream_connection *connection = upstream_take_idle(pool, server);
-    if (connection != NULL) {
+    if (connection != NULL && upstream_send(connection, exchange)) {
         pool->counters.reuses++;
         exchange->reused = true;
-        upstream_send(connection, exchange);
+        return;
+    }
+    if (connection != NULL) {
+        connection->next_idle = server->idle; /* it rests on */
+        server->idle = connection;
         return;
     }
     bool full = pool->max_connections != 0 && server->open >= pool->max_connections;
@@ -422,16 +457,25 @@
     *place = exchange;
 }
 
+static bool upstream_has_room(const struct upstream_pool *pool, const struct upstream_server *server)
+{
+    return server->idle != NULL || pool->max_connections == 0 || server->open < pool->max_connections;
+}
+
+/* What is not to be sent any more leaves the connection to the next one. */
 static void upstream_serve_waiting(struct upstream_pool *pool, struct upstream_server *server)
 {
-    bool room = server->idle != NULL || pool->max_connections == 0 || server->open < pool->max_connections;
-    if (server->waiting == NULL || !room) {
-        return;
-    }
-    struct upstream_exchange *exchange = server->waiting;
-    server->waiting = exchange->next;
-    exchange->next = NULL;
-    upstream_assign(pool, server, exchange);
+    const struct upstream_exchange *unsent = NULL;
+    do {
+        struct upstream_exchange *exchange = server->waiting;
+        if (exchange == NULL || !upstream_has_room(pool, server)) {
+            return;
+        }
+        unsent = pool->unsent;
+        server->waiting = exchange->next;
+        exchange->next = NULL;
+        upstream_assign(pool, server, exchange);
+    } while (pool->unsent != unsent);
 }
 
 static struct upstream_server *upstream_server_of(struct upstream_pool *pool, const struct address *address)
@@ -449,18 +493,15 @@
     return server;
 }
 
-struct upstream_exchange *upstream_start(struct upstream_pool *pool, const struct address *address,
-                                         struct buffer *request, bool head_request,
+struct upstream_exchange *upstream_start(struct upstream_pool *pool, const struct address *address, bool head_request,
                                          const struct upstream_events *events, void *owner)
 {
     struct upstream_exchange *exchange = memory_new(sizeof(*exchange));
     exchange->events = events;
     exchange->owner = owner;
-    exchange->request = *request;
     exchange->head_request = head_request;
     exchange->server = upstream_server_of(pool, address);
     exchange->waiting_since_ms = uv_now(pool->loop);
-    memset(request, 0, sizeof(*request));
     upstream_assign(pool, exchange->server, exchange);
     return exchange;
 }
@@ -468,21 +509,26 @@
 void upstream_probe(struct upstream_pool *pool, const struct address *address)
 {
     struct upstream_connection *connection = upstream_connect(pool, upstream_server_of(pool, address), NULL);
-    connection->rest_ms = UPSTREAM_REST_MS;
     connection->probe = true;
 }
 
+static void upstream_unlink(struct upstream_exchange **place, const struct upstream_exchange *exchange)
+{
+    while (*place != NULL && *place != exchange) {
+        place = &(*place)->next;
+    }
+    if (*place != NULL) {
+        *place = exchange->next;
+    }
+}
+
 void upstream_cancel(struct upstream_pool *pool, struct upstream_exchange *exchange)
 {
     struct upstream_server *server = exchange->server;
     struct upstream_connection *connection = exchange->connection;
-    for (struct upstream_exchange **place = &server->waiting; *place != NULL; place = &(*place)->next) {
-        if (*place == exchange) {
-            *place = exchange->next;
-            break;
-        }
-    }
-    upstream_exchange_free(exchange);
+    upstream_unlink(&server->waiting, exchange);
+    upstream_unlink(&pool->unsent, exchange);
+    free(exchange);
     if (connection != NULL) {
         connection->exchange = NULL;
         upstream_connection_close(connection);
@@ -549,7 +595,9 @@
     memset(pool, 0, sizeof(*pool));
     pool->loop = loop;
     uv_timer_init(loop, &pool->sweep);
+    uv_timer_init(loop, &pool->unsent_due);
     pool->sweep.data = pool;
+    pool->unsent_due.data = pool;
     uv_timer_start(&pool->sweep, upstream_on_sweep, UPSTREAM_SWEEP_MS, UPSTREAM_SWEEP_MS);
 }
 
@@ -566,4 +614,5 @@
         free(server);
     }
     uv_close((uv_handle_t *)&pool->sweep, NULL);
+    uv_close((uv_handle_t *)&pool->unsent_due, NULL);
 }
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -7,6 +7,11 @@
  * A kept connection is used again only while nothing came on it since its
  * last answer, and is retired well before the server would close it. Nothing
  * is ever sent twice.
+ *
+ * An exchange may wait for its connection: it dials for up to UPSTREAM_CONNECT_MS,
+ * or all connections to its server are taken. So its bytes are made only when a
+ * connection takes them, once, and what they tell of time holds then. A request
+ * whose time is over by then is not sent.
  */
 #ifndef BANKBANK_NET_UPSTREAM_H
 #define BANKBANK_NET_UPSTREAM_H
@@ -39,6 +44,11 @@
 
 /** Receives an answer. Functions may cancel the exchange; `end` comes once, unless it was cancelled. */
 struct upstream_events {
+    /**
+     * Appends the request, right before it goes out; false: it is not to be sent any more, and ends as
+     * UPSTREAM_NOT_SENT. Comes once at most, also from within upstream_start(); it may not cancel the exchange.
+     */
+    bool (*write)(void *owner, struct buffer *request);
     void (*head)(void *owner, const struct http_reader *answer); /**< The head of a final answer. */
     void (*body)(void *owner, struct view part);                 /**< Decoded part of the body. */
     void (*end)(void *owner, enum upstream_end end);             /**< The exchange is over. */
@@ -53,13 +63,12 @@
     void *owner;                            /**< First argument of its functions. */
     struct upstream_connection *connection; /**< Connection, or NULL while it waits for one. */
     struct upstream_server *server;         /**< Server asked. */
-    struct buffer request;                  /**< Bytes to send. */
     bool head_request;                      /**< Method HEAD: the answer has no body. */
     bool reused;                            /**< The connection served a request before. */
     bool sent;                              /**< Bytes may have left. */
     bool final;                             /**< The head of the final answer came. */
     uint64_t waiting_since_ms;              /**< Time the wait for a connection began. */
-    struct upstream_exchange *next;         /**< Queue of those that wait. */
+    struct upstream_exchange *next;         /**< Queue of those that wait, or that end without having been sent. */
 };
 
 /** Events so far, one counter each. */
@@ -88,6 +97,8 @@
 struct upstream_pool {
     uv_loop_t *loop;                   /**< Event loop. */
     uv_timer_t sweep;                  /**< Retires connections. */
+    uv_timer_t unsent_due;             /**< Ends those below, so that no end comes from within. */
+    struct upstream_exchange *unsent;  /**< Exchanges that were not to be sent any more. */
     struct upstream_server *servers;   /**< By address. */
     struct upstream_connection *all;   /**< Every connection. */
     uint32_t max_connections;          /**< To one server; 0: no limit. */
@@ -102,9 +113,8 @@
 /** Closes all connections; exchanges must have ended. */
 void upstream_close(struct upstream_pool *pool);
 
-/** Sends `request` (its bytes are taken over). Ends come later, never from within. */
-struct upstream_exchange *upstream_start(struct upstream_pool *pool, const struct address *address,
-                                         struct buffer *request, bool head_request,
+/** Sends what `events` writes, as soon as there is a connection. Ends come later, never from within. */
+struct upstream_exchange *upstream_start(struct upstream_pool *pool, const struct address *address, bool head_request,
                                          const struct upstream_events *events, void *owner);
 
 /** Opens a connection to see whether the server takes it; it is kept for a later exchange. `probed` is told, later. */
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -59,7 +59,7 @@
     struct forward *forward;            /**< The request; NULL: the attempt is free. */
     struct server *server;              /**< Server asked. */
     struct upstream_exchange *exchange; /**< Exchange under way, or NULL. */
-    uint64_t sent_ms;                   /**< Loop time at which it was sent. */
+    uint64_t sent_ms;                   /**< Loop time at which it was sent, or else chosen. */
     bool silent;                        /**< It was noted that no answer has begun for long. */
     int status;                         /**< Status of the answer, 0: none yet. */
     bool refused;                       /**< The server did not run the request. */
@@ -222,6 +222,12 @@
 /** forward_resume.c: takes a stream that broke off up at a server; false: it cannot go on. Ends the attempt if so. */
 bool forward_resume(struct forward_attempt *attempt, const char *reason);
 
+/** forward_attempt.c: writes the request for a server, as it is now; false: there is no time left to run it. */
+bool forward_on_write(void *owner, struct buffer *request);
+
+/** forward_attempt.c: whether there is time left to ask a server. */
+bool forward_has_time(const struct forward *forward);
+
 /** forward_attempt.c: sends the request to a server. */
 void forward_send(struct forward *forward, struct server *server);
 
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -246,7 +246,8 @@
     struct node *node = attempt->forward->front->node;
     attempt->exchange = NULL;
     if (end == UPSTREAM_NOT_SENT) {
-        forward_not_run(attempt, "no connection to the server");
+        forward_not_run(attempt,
+                        forward_has_time(attempt->forward) ? "no connection to the server" : "no time left to send it");
         return;
     }
     if (end == UPSTREAM_BROKEN) {
@@ -265,4 +266,5 @@
     }
 }
 
-const struct upstream_events forward_upstream_events = {forward_on_head, forward_on_body, forward_on_end};
+const struct upstream_events forward_upstream_events = {forward_on_write, forward_on_head, forward_on_body,
+                                                        forward_on_end};
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -81,13 +81,18 @@
     return forward->turn.program == NULL ? TURN_RANK_DEFAULT : turn_rank(busy, first);
 }
 
-static void forward_write_request(const struct forward *forward, const struct server *server, struct buffer *out)
+bool forward_has_time(const struct forward *forward)
+{
+    return node_now(forward->front->node) + FORWARD_LEAST_MS < forward->limit_ms;
+}
+
+static void forward_write_request(const struct forward *forward, const struct server *server, uint64_t left_ms,
+                                  struct buffer *out)
 {
     const struct http_reader *request = forward->call->request;
     const struct dialect *dialect = forward->front->node->dialect;
     const struct buffer *history = &forward->turn.history;
     const struct buffer *body = &forward->call->body;
-    uint64_t left_ms = forward->limit_ms - node_now(forward->front->node);
     buffer_append(out, request->method.data, request->method.length);
     buffer_append(out, " ", 1);
     buffer_append(out, request->target.data, request->target.length);
@@ -115,6 +120,20 @@
     buffer_append(out, body->data, body->length);
 }
 
+/* The loop's time is that of the begin of its turn: a process that stood still since has less time left. */
+bool forward_on_write(void *owner, struct buffer *request)
+{
+    struct forward_attempt *attempt = owner;
+    uint64_t now_ms = node_real_now();
+    uint64_t limit_ms = attempt->forward->limit_ms;
+    if (now_ms + FORWARD_LEAST_MS >= limit_ms) {
+        return false;
+    }
+    attempt->sent_ms = node_now(attempt->forward->front->node);
+    forward_write_request(attempt->forward, attempt->server, limit_ms - now_ms, request);
+    return true;
+}
+
 static struct forward_attempt *forward_free_attempt(struct forward *forward)
 {
     for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
@@ -130,7 +149,6 @@
     struct front *front = forward->front;
     struct forward_attempt *attempt = forward_free_attempt(forward);
     struct address address;
-    struct buffer request = {0};
     forward->phase = FORWARD_RUNNING;
     forward->sends++;
     front->counters.sends++;
@@ -143,10 +161,9 @@
     server_wish_note_tried(&forward->wish, server);
     prefix_table_note(&server->prefixes, node_now(front->node), &forward->chain);
     address_parse(server->address, &address);
-    forward_write_request(forward, server, &request);
     bool head_request = http_name_equal(forward->call->request->method, "HEAD");
     attempt->exchange =
-        upstream_start(&front->node->upstreams, &address, &request, head_request, &forward_upstream_events, attempt);
+        upstream_start(&front->node->upstreams, &address, head_request, &forward_upstream_events, attempt);
 }
 
 static struct server *forward_choose_in_part(struct forward *forward)
@@ -182,7 +199,7 @@
 
 void forward_place(struct forward *forward)
 {
-    if (node_now(forward->front->node) + FORWARD_LEAST_MS >= forward->limit_ms) {
+    if (!forward_has_time(forward)) {
         forward_out_of_time(forward);
         return;
     }
@@ -211,8 +228,7 @@
 static bool forward_may_hedge(struct forward *forward)
 {
     return forward->route->kind == ROUTE_SAFE && !forward->hedged && forward->phase == FORWARD_RUNNING &&
-           forward_is_asking(forward) && forward->sends < forward->route->max_attempts &&
-           forward->limit_ms > node_now(forward->front->node) + FORWARD_LEAST_MS;
+           forward_is_asking(forward) && forward->sends < forward->route->max_attempts && forward_has_time(forward);
 }
 
 void forward_hedge(struct forward *forward)
--- a/src/proxy/machine_reader.c
+++ b/src/proxy/machine_reader.c
@@ -69,18 +69,24 @@
     buffer_close(&next_page);
 }
 
-static const struct upstream_events machine_events = {machine_on_head, machine_on_body, machine_on_end};
+static bool machine_on_write(void *owner, struct buffer *request)
+{
+    struct machine_reader *reader = owner;
+    buffer_append_text(request, "GET ");
+    reader->dialect->write_servers_target(buffer_text(&reader->page), request);
+    buffer_printf(request, " HTTP/1.1\r\nHost: %s:%u\r\n\r\n", reader->address.ip, reader->address.port);
+    return true;
+}
+
+static const struct upstream_events machine_events = {machine_on_write, machine_on_head, machine_on_body,
+                                                      machine_on_end};
 
 static void machine_reader_ask(struct machine_reader *reader)
 {
-    struct buffer request = {0};
-    buffer_append_text(&request, "GET ");
-    reader->dialect->write_servers_target(buffer_text(&reader->page), &request);
-    buffer_printf(&request, " HTTP/1.1\r\nHost: %s:%u\r\n\r\n", reader->address.ip, reader->address.port);
     buffer_clear(&reader->body);
     reader->status = 0;
     reader->calls++;
-    reader->call = upstream_start(reader->pool, &reader->address, &request, false, &machine_events, reader);
+    reader->call = upstream_start(reader->pool, &reader->address, false, &machine_events, reader);
 }
 
 void machine_reader_tick(struct machine_reader *reader, uint64_t now_ms, bool wanted)
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -34,6 +34,11 @@
     return uv_now(&node->loop);
 }
 
+uint64_t node_real_now(void)
+{
+    return clock_monotonic_ms(); /* libuv's clock too */
+}
+
 /* ---- Time ------------------------------------------------------------------------------------- */
 
 static void node_report_freshness(struct node *node)
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -86,9 +86,12 @@
 /** Runs a daemon until it is stopped; returns the exit status. */
 int node_run(const struct dialect *dialect, const char *settings_path);
 
-/** Loop time, ms. */
+/** Loop time, ms: that of the begin of its turn. */
 uint64_t node_now(const struct node *node);
 
+/** The time now, ms, on the same clock: later than the loop's where the process stood still within the turn. */
+uint64_t node_real_now(void);
+
 /** Sends a request to the leader; `reply` comes once, by `deadline_ms` at the latest. Returns a handle to forget it. */
 struct node_request *node_submit(struct node *node, RequestKind kind, struct view body, uint64_t deadline_ms,
                                  node_reply reply, void *context);
