--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -59,7 +59,7 @@
     struct forward *forward;            /**< The request; NULL: the attempt is free. */
     struct server *server;              /**< Server asked. */
     struct upstream_exchange *exchange; /**< Exchange under way, or NULL. */
-    uint64_t sent_ms;                   /**< Loop time at which it was sent. */
+    uint64_t sent_ms;                   /**< Loop time at which it was sent, or else chosen. */
     bool silent;                        /**< It was noted that no answer has begun for long. */
     int status;                         /**< Status of the answer, 0: none yet. */
     bool refused;                       /**< The server did not run the request. */
@@ -227,6 +227,12 @@
 /** forward_resume.c: the server to which a stream that broke off is bound; NULL: it is free to go anywhere. */
 struct server *forward_bound_server(struct forward *forward);
 
+/** forward_attempt.c: writes the request for a server, as it is now; false: there is no time left to run it. */
+bool forward_on_write(void *owner, struct buffer *request);
+
+/** forward_attempt.c: whether there is time left to ask a server. */
+bool forward_has_time(const struct forward *forward);
+
 /** forward_attempt.c: sends the request to a server. */
 void forward_send(struct forward *forward, struct server *server);
 
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -247,7 +247,8 @@
     attempt->exchange = NULL;
     if (end == UPSTREAM_NOT_SENT || end == UPSTREAM_VACANT) {
         attempt->server->vacant = end == UPSTREAM_VACANT;
-        forward_not_run(attempt, "no connection to the server");
+        forward_not_run(attempt,
+                        forward_has_time(attempt->forward) ? "no connection to the server" : "no time left to send it");
         return;
     }
     if (end == UPSTREAM_BROKEN) {
@@ -266,4 +267,5 @@
     }
 }
 
-const struct upstream_events forward_upstream_events = {forward_on_head, forward_on_body, forward_on_end};
+const struct upstream_events forward_upstream_events = {forward_on_write, forward_on_head, forward_on_body,
+                                                        forward_on_end};
