--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -281,10 +281,11 @@
     return value;
 }
 
-bool site_log_has(int daemon, const char *text)
+int site_log_count(int daemon, const char *text)
 {
     char path[128];
     struct buffer log = {0};
+    int count = 0;
     snprintf(path, sizeof(path), "%s/log-%d", site_folder, daemon);
     FILE *file = fopen(path, "r");
     size_t got = 0;
@@ -295,9 +296,16 @@
     if (file != NULL) {
         fclose(file);
     }
-    bool has = strstr(buffer_text(&log), text) != NULL;
+    for (const char *at = buffer_text(&log); (at = strstr(at, text)) != NULL; at += strlen(text)) {
+        count++;
+    }
     buffer_close(&log);
-    return has;
+    return count;
+}
+
+bool site_log_has(int daemon, const char *text)
+{
+    return site_log_count(daemon, text) > 0;
 }
 
 /* ---- The whole ------------------------------------------------------------------------------------- */
