Signals have their handlers before a replica reads its state back

Ruled out: ignoring them meanwhile, a stop would be lost. Change: the handlers come first; what comes while the state is read is handled when the loop runs. What is left: the moments between the start of the program and its first lines.

--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -257,29 +257,36 @@
     return got == (ssize_t)sizeof(value) && value != 0 ? value : clock_monotonic_us() | 1;
 }
 
-static void node_open_timers(struct node *node)
+/* Before a replica reads its state back, which takes a while: a signal without a handler ends the process. What comes
+ * meanwhile is handled when the loop runs. */
+static void node_open_signals(struct node *node)
 {
-    uv_timer_init(&node->loop, &node->tick);
-    uv_prepare_init(&node->loop, &node->settle);
     uv_signal_init(&node->loop, &node->terminate);
     uv_signal_init(&node->loop, &node->interrupt);
     uv_signal_init(&node->loop, &node->reload);
-    node->tick.data = node;
-    node->settle.data = node;
     node->terminate.data = node;
     node->interrupt.data = node;
     node->reload.data = node;
-    uv_timer_start(&node->tick, node_on_tick, 0, NODE_TICK_MS);
-    uv_prepare_start(&node->settle, node_on_settle);
     uv_signal_start(&node->terminate, node_on_terminate, SIGTERM);
     uv_signal_start(&node->interrupt, node_on_terminate, SIGINT);
     uv_signal_start(&node->reload, node_on_reload, SIGHUP);
 }
 
+static void node_open_timers(struct node *node)
+{
+    uv_timer_init(&node->loop, &node->tick);
+    uv_prepare_init(&node->loop, &node->settle);
+    node->tick.data = node;
+    node->settle.data = node;
+    uv_timer_start(&node->tick, node_on_tick, 0, NODE_TICK_MS);
+    uv_prepare_start(&node->settle, node_on_settle);
+}
+
 static bool node_open(struct node *node)
 {
     bool replica = text_or_empty(node->settings.data)[0] != '\0';
     bool gateway = text_or_empty(node->settings.caller_address)[0] != '\0';
+    node_open_signals(node);
     node->boot_id = node_random();
     route_table_set_secret(node_random());
     node->id = (uint32_t)node->boot_id | 1;
