A route is denied by the real time, not by the begin of a turn

A process that stood still within a turn of its loop still has the time from before: its watch looked fresh, and a request read after the standstill could be denied by a configuration of before.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -296,11 +296,12 @@
     forward->wish.object = object.length > 0 ? XXH64(object.data, object.length, 0) : 0;
 }
 
-/* Denied only while it is sure that no newer configuration has the route; otherwise the caller is to come back. */
+/* Denied only while it is sure that no newer configuration has the route; otherwise the caller is to come back. The real
+ * time counts: this process may have stood still since its turn began. */
 static void forward_refuse_unknown(struct forward *forward)
 {
     forward->front->counters.unknown_route++;
-    if (node_is_fresh(forward->front->node)) {
+    if (node_is_fresh_at(forward->front->node, node_real_now())) {
         forward_refuse(forward, FORWARD_NOT_FOUND, "no route");
     } else {
         forward_refuse(forward, FORWARD_UNAVAILABLE, "no route as far as is known");
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -128,6 +128,9 @@
 /** Whether a state replica in touch with a quorum answered lately. */
 bool node_is_fresh(const struct node *node);
 
+/** The same at a time, such as node_real_now() where the loop's may be long past. */
+bool node_is_fresh_at(const struct node *node, uint64_t now_ms);
+
 /** Time since a replica in touch with a quorum was last asked and answered, ms; 0 where this node holds one. */
 uint64_t node_state_age(const struct node *node);
 
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -304,12 +304,17 @@
     }
 }
 
-bool node_is_fresh(const struct node *node)
+bool node_is_fresh_at(const struct node *node, uint64_t now_ms)
 {
     if (node->host != NULL && node->host->running) {
-        return replica_is_fresh(&node->host->replica, STATE_CONFIG_GROUP, node_now(node));
+        return replica_is_fresh(&node->host->replica, STATE_CONFIG_GROUP, now_ms);
     }
-    return watch_client_is_fresh(&node->watch, node_now(node), NODE_FRESH_MS);
+    return watch_client_is_fresh(&node->watch, now_ms, NODE_FRESH_MS);
+}
+
+bool node_is_fresh(const struct node *node)
+{
+    return node_is_fresh_at(node, node_now(node));
 }
 
 uint64_t node_state_age(const struct node *node)
