Soak: lines for routes, servers, deadlines and ends; kept connections; outages, starving and planned work

Cause: the soak saw nothing of the incident on real processes. Its oracle had no line on a route that is added and refused, on the number of servers of a request, on the time that a server is given, nor on a request that ends without an answer; all callers opened a connection for each request, told no time, and no fault took everything away at once or left a process a part of its time.

Operators send versions that each add a route and drop one, singly and in series. Half of the callers keep their connections. Every request tells its time. Rounds of faults: mixed, everything killed at once with staggered starts some of which are killed too, planned work alone. A site of other shape by REPLICAS and GATEWAYS. callers.c and faults.c are split by job.

--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -17,7 +17,7 @@
 enum {
     SITE_STATES = 3,
     SITE_GATEWAYS = 2,
-    SITE_FURTHER = 30, /**< State replicas at most besides the first three, which are the seeds. */
+    SITE_FURTHER = 30, /**< Daemons at most besides the first five, of which the three state replicas are the seeds. */
     SITE_SERVERS = 4,
     SITE_LIMIT_MS = 20000,
     SITE_LONG_EVENTS = 12000
@@ -45,6 +45,16 @@
     SITE_RESET        /**< Part of an answer without a length, whose connection is reset. */
 };
 
+/** What a server tells as it begins a request. */
+typedef struct site_run_t {
+    int server;       /**< The server. */
+    int instance;     /**< Its instance: how often it was replaced. */
+    const char *id;   /**< The request's id. */
+    struct view body; /**< Its body. */
+    int64_t left_ms;  /**< Time that the server is given; -1: it is told none. */
+    uint64_t at_ms;   /**< When the server had read the request. */
+} site_run_t;
+
 /** An answer to a caller. */
 struct site_answer {
     int status;         /**< Status, 0: none. */
@@ -62,6 +72,14 @@
  */
 void site_start_many(int count);
 
+/** Starts a site of so many state replicas and gateways, three and two at least, all at once. */
+void site_start_shape(int states, int gateways);
+
+/** Number of daemons, and which of them is a state replica or a gateway by its number. */
+int site_daemons(void);
+int site_state_daemon(int state);
+int site_gateway_daemon(int gateway);
+
 /** Ends all; fails if a daemon does not stop cleanly. */
 void site_stop(void);
 
@@ -86,7 +104,7 @@
 
 /** From now on servers answer with the request's id as their text, and tell each run. May be called from many threads.
  */
-void site_echo(void (*run)(int server, const char *id, struct view body));
+void site_echo(void (*run)(const site_run_t *run));
 
 /** Puts a proxy before each server, from the next reading of the list on. */
 void site_use_proxies(void);
@@ -103,6 +121,9 @@
 /** Puts another instance in the place of a server that left: it has the address, and an id of its own. */
 void site_replace_server(int server);
 
+/** The instance of a server that runs now. */
+int site_instance(int server);
+
 /** Number of requests that a server ran; -1: all servers. */
 int site_runs(int server);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -35,6 +35,8 @@
 static int site_list_port;
 static char site_folder[64];
 static pid_t site_processes[SITE_DAEMONS];
+static int site_further; /* daemons besides the first ones: state replicas, then gateways */
+static int site_further_states;
 static bool site_formed;
 static int site_memory_mb;
 static bool site_kept;
@@ -54,14 +56,34 @@
     return ip;
 }
 
+int site_daemons(void)
+{
+    return SITE_FIRST_DAEMONS + site_further;
+}
+
+int site_state_daemon(int state)
+{
+    return state < SITE_STATES ? state : SITE_GATEWAYS + state;
+}
+
+int site_gateway_daemon(int gateway)
+{
+    return gateway < SITE_GATEWAYS ? SITE_STATES + gateway : SITE_STATES + site_further_states + gateway;
+}
+
+static bool site_is_gateway(int daemon)
+{
+    return (daemon >= SITE_STATES && daemon < SITE_FIRST_DAEMONS) || daemon >= SITE_FIRST_DAEMONS + site_further_states;
+}
+
 const char *site_caller_ip(int gateway)
 {
-    return site_ip(SITE_STATES + gateway);
+    return site_ip(site_gateway_daemon(gateway));
 }
 
 const char *site_control_ip(int state)
 {
-    return site_ip(state);
+    return site_ip(site_state_daemon(state));
 }
 
 pid_t site_process(int daemon)
@@ -71,7 +93,7 @@
 
 static void site_write_settings(int daemon, const char *path)
 {
-    bool gateway = daemon >= SITE_STATES && daemon < SITE_FIRST_DAEMONS;
+    bool gateway = site_is_gateway(daemon);
     FILE *file = fopen(path, "w");
     ck_assert_ptr_nonnull(file);
     fprintf(file, "name: \"machine-%d\"\nzone: \"z%d\"\nip: \"%s\"\npeer_port: %d\nbootstrap: %s\n", daemon,
@@ -324,6 +346,8 @@
     snprintf(site_folder, sizeof(site_folder), "/tmp/bankbank-site-XXXXXX");
     ck_assert_ptr_nonnull(mkdtemp(site_folder));
     site_formed = false;
+    site_further = 0;
+    site_further_states = 0;
     site_caller_port = ports_take();
     site_control_port = ports_take();
     site_ready_port = ports_take();
@@ -352,11 +376,27 @@
     site_form();
 }
 
+void site_start_shape(int states, int gateways)
+{
+    site_prepare();
+    site_further_states = states - SITE_STATES;
+    site_further = site_further_states + gateways - SITE_GATEWAYS;
+    ck_assert_int_ge(site_further_states, 0);
+    ck_assert_int_ge(gateways, SITE_GATEWAYS);
+    ck_assert_int_le(site_further, SITE_FURTHER);
+    for (int i = 0; i < site_daemons(); i++) {
+        site_start_daemon(i);
+    }
+    site_form();
+}
+
 void site_start_many(int count)
 {
     site_prepare();
+    site_further = count;
+    site_further_states = count;
     site_start_daemon(0);
-    for (int i = SITE_STATES; i < SITE_FIRST_DAEMONS + count; i++) {
+    for (int i = SITE_STATES; i < site_daemons(); i++) {
         site_start_daemon(i);
     }
     clock_sleep_us(SITE_HEAD_START_US);
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -23,7 +23,8 @@
     SITE_FILLERS = 4,
     SITE_BACKLOG = 128,
     SITE_DARK_US = 10000,
-    SITE_PAUSE_US = 2000000
+    SITE_PAUSE_US = 2000000,
+    SITE_NUMBER = 24 /* most bytes of a number in a header */
 };
 
 /* One back end of the stand-in. */
@@ -46,7 +47,7 @@
 static char *site_body;
 static char *site_head;
 static int site_cancellations;
-static void (*site_on_run)(int server, const char *id, struct view body);
+static void (*site_on_run)(const site_run_t *run);
 
 struct site_connection {
     int file;
@@ -131,6 +132,18 @@
     setsockopt(file, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
 }
 
+/* The time that a request's header leaves; -1: there is none. */
+static int64_t site_left_ms(const struct http_reader *reader)
+{
+    struct view value = http_reader_header(reader, "Bankbank-Deadline-Ms");
+    char text[SITE_NUMBER] = "";
+    if (value.length == 0 || value.length >= sizeof(text)) {
+        return -1;
+    }
+    memcpy(text, value.data, value.length);
+    return strtoll(text, NULL, 10);
+}
+
 /* Serves one request; false: the connection ends. */
 static bool site_serve(int file, struct site_server *server)
 {
@@ -143,7 +156,11 @@
     struct view id_view = http_reader_header(&reader, "Bankbank-Request-Id");
     char id[64];
     snprintf(id, sizeof(id), "%.*s", (int)id_view.length, (const char *)id_view.data);
+    site_run_t run = {.id = id, .body = buffer_view(&body), .left_ms = site_left_ms(&reader)};
+    run.at_ms = clock_monotonic_ms();
+    run.server = (int)(server - site_servers);
     pthread_mutex_lock(&site_lock);
+    run.instance = server->instance;
     enum site_mode mode = server->mode;
     bool runs = mode != SITE_REFUSE && mode != SITE_MISDIRECTED;
     server->runs += runs ? 1 : 0;
@@ -155,7 +172,7 @@
     }
     pthread_mutex_unlock(&site_lock);
     if (runs && site_on_run != NULL) {
-        site_on_run((int)(server - site_servers), id, buffer_view(&body));
+        site_on_run(&run);
     }
     struct view last_view = http_reader_header(&reader, "Last-Event-Id");
     int last = last_view.length == 0 ? 0 : atoi((const char *)last_view.data);
@@ -297,7 +314,7 @@
     pthread_mutex_unlock(&site_lock);
 }
 
-void site_echo(void (*run)(int server, const char *id, struct view body))
+void site_echo(void (*run)(const site_run_t *run))
 {
     site_on_run = run;
 }
@@ -367,6 +384,14 @@
     pthread_mutex_unlock(&site_lock);
 }
 
+int site_instance(int server)
+{
+    pthread_mutex_lock(&site_lock);
+    int instance = site_servers[server].instance;
+    pthread_mutex_unlock(&site_lock);
+    return instance;
+}
+
 int site_runs(int server)
 {
     int runs = 0;
--- a/tests/integration/test_attempts.c
+++ b/tests/integration/test_attempts.c
@@ -35,20 +35,19 @@
 static int requests_made;
 static bool refuse_after_run; /* the server that ran a request takes no further one */
 
-static void note_run(int server, const char *id, struct view body)
+static void note_run(const site_run_t *run)
 {
-    (void)body;
     pthread_mutex_lock(&lock);
     for (int i = 0; i < REQUESTS; i++) {
-        if (strcmp(requests[i].id, id) == 0) {
-            requests[i].ran_on[server] = true;
+        if (strcmp(requests[i].id, run->id) == 0) {
+            requests[i].ran_on[run->server] = true;
             requests[i].runs++;
         }
     }
     bool refuse = refuse_after_run;
     pthread_mutex_unlock(&lock);
     if (refuse) {
-        site_set_mode(server, SITE_REFUSE);
+        site_set_mode(run->server, SITE_REFUSE);
     }
 }
 
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -1,8 +1,9 @@
 /**
  * @file callers.h
  * Callers and operators of the soak, in threads: requests that may not be
- * repeated, programs of turns within a budget, configurations. They tell the
- * oracle what they were promised.
+ * repeated, streams, routes that configurations add, programs of turns within a
+ * budget, configurations. They tell the oracle what they were promised. Every
+ * second caller keeps its connections open.
  */
 #ifndef BANKBANK_TESTS_CALLERS_H
 #define BANKBANK_TESTS_CALLERS_H
@@ -12,6 +13,7 @@
 /** What callers have seen so far. */
 typedef struct callers_sum_t {
     uint64_t calls;          /**< Requests sent. */
+    uint64_t kept;           /**< Of these on a connection that carried one before. */
     uint64_t served;         /**< Whole successes. */
     uint64_t refused;        /**< Refused as not run. */
     uint64_t turns;          /**< Turns acknowledged. */
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -1,30 +1,35 @@
 #include "faults.h"
 
-#include <check.h>
-#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
-#include <string.h>
-#include <sys/wait.h>
 
 #include "../integration/site.h"
 #include "base/clock.h"
+#include "daemons.h"
+#include "lives.h"
 #include "oracle.h"
 #include "random.h"
 
 enum {
-    DAEMONS = SITE_STATES + SITE_GATEWAYS,
-    STEP_MS = 20,
     GAP_MS = 900,    /* most time between two faults */
     LASTS_MS = 2500, /* most time that one lasts */
-    CALM_MS = 3000,  /* a disk is lost only so long after the last fault of a state replica: one loss at a time */
-    STOP_MS = 10000  /* a stop that was asked for is over by then */
+    LEAST_MS = 50,   /* least time that one lasts */
+    STARVED_LEAST_MS = 1000,
+    STARVED_MORE_MS = 2000,
+    OUTAGE_SOON_MS = 300, /* most time until the first ones come back after all were killed */
+    START_MS = 400,       /* most time of a start that is killed */
+    STARTS = 3,           /* most starts that are killed, less one */
+    PLANNED_GAP_MS = 500, /* most time between two pieces of planned work */
+    MIXED_MS = 5000,      /* time of a round of each kind */
+    OUTAGE_MS = 4000,
+    PLANNED_MS = 4000
 };
 
-/** What can happen. */
+/* What can happen. */
 typedef enum fault_t {
     FAULT_KILL,
     FAULT_FREEZE,
+    FAULT_STARVE,
     FAULT_STOP,
     FAULT_RELOAD,
     FAULT_KILL_STATES,
@@ -36,18 +41,12 @@
     FAULTS
 } fault_t;
 
-/** What goes on with a daemon. */
-typedef enum daemon_state_t { DAEMON_RUNS, DAEMON_DOWN, DAEMON_FROZEN, DAEMON_STOPPING } daemon_state_t;
-
-static daemon_state_t states[DAEMONS];
-static uint64_t until_ms[DAEMONS]; /* when that ends */
-static uint64_t full_until_ms[SITE_STATES];
 static uint64_t server_until_ms[SITE_SERVERS];
 static uint64_t proxy_until_ms[SITE_SERVERS];
 static uint64_t leave_until_ms[SITE_SERVERS];
-static uint64_t state_fault_ms;
 static int count;
 static uint64_t started_ms;
+static uint64_t end_ms;
 
 static uint64_t now_ms(void)
 {
@@ -63,179 +62,157 @@
 
 static uint64_t lasts(uint64_t *seed)
 {
-    return now_ms() + 50 + random_below(seed, LASTS_MS);
+    return LEAST_MS + random_below(seed, LASTS_MS);
 }
 
 /* ---- Daemons ---------------------------------------------------------------- */
 
-/* Nobody but this file ends a daemon. */
-static void check_running(int daemon)
-{
-    int status = 0;
-    if (waitpid(site_process(daemon), &status, WNOHANG) != 0) {
-        oracle_violated("ended: daemon %d ended by itself, status %x", daemon, (unsigned)status);
-        site_start_daemon(daemon);
-    }
-}
-
-static void check_stop(int daemon)
+static void kill_one(uint64_t *seed, int daemon, uint64_t down_ms)
 {
-    int status = 0;
-    bool ended = waitpid(site_process(daemon), &status, WNOHANG) != 0;
-    if (ended && !(WIFEXITED(status) && WEXITSTATUS(status) == 0)) {
-        oracle_violated("ended: daemon %d was asked to stop and ended with %x", daemon, (unsigned)status);
-    }
-    if (!ended && now_ms() >= until_ms[daemon]) {
-        oracle_violated("ended: daemon %d was asked to stop and did not", daemon);
-        site_end_daemon(daemon, SIGKILL);
-        ended = true;
-    }
-    if (ended) {
-        site_start_daemon(daemon);
-        states[daemon] = DAEMON_RUNS;
-    }
+    int starts = (int)random_below(seed, 3) == 0 ? (int)random_below(seed, STARTS) : 0;
+    uint64_t start_ms = LEAST_MS / 2 + random_below(seed, START_MS);
+    daemons_kill(daemon, down_ms, daemons_is_state(daemon) ? starts : 0, start_ms);
 }
 
-static void look_after(int daemon)
+static void disturb_daemon(uint64_t *seed, fault_t fault)
 {
-    bool over = now_ms() >= until_ms[daemon];
-    switch (states[daemon]) {
-    case DAEMON_RUNS: check_running(daemon); break;
-    case DAEMON_DOWN:
-        if (over) {
-            site_start_daemon(daemon);
-            states[daemon] = DAEMON_RUNS;
-        }
-        break;
-    case DAEMON_FROZEN:
-        if (over) {
-            kill(site_process(daemon), SIGCONT);
-            states[daemon] = DAEMON_RUNS;
-        }
-        break;
-    case DAEMON_STOPPING: check_stop(daemon); break;
-    }
-    if (daemon < SITE_STATES && states[daemon] != DAEMON_RUNS) {
-        state_fault_ms = now_ms();
-    }
-}
-
-static void kill_daemon(int daemon, uint64_t end_ms)
-{
-    if (states[daemon] == DAEMON_RUNS) {
-        site_end_daemon(daemon, SIGKILL);
-        states[daemon] = DAEMON_DOWN;
-        until_ms[daemon] = end_ms;
-    }
-}
-
-/* ---- Faults ----------------------------------------------------------------- */
-
-static void signal_daemon(uint64_t *seed, fault_t fault)
-{
-    int daemon = (int)random_below(seed, DAEMONS);
-    if (states[daemon] != DAEMON_RUNS) {
+    int daemon = (int)random_below(seed, (uint32_t)daemons_count());
+    if (!daemons_runs(daemon)) {
         return;
     }
     if (fault == FAULT_KILL) {
         tell("kill", daemon);
-        kill_daemon(daemon, lasts(seed));
+        kill_one(seed, daemon, lasts(seed));
     } else if (fault == FAULT_FREEZE) {
         tell("freeze", daemon);
-        kill(site_process(daemon), SIGSTOP);
-        states[daemon] = DAEMON_FROZEN;
-        until_ms[daemon] = lasts(seed);
+        daemons_freeze(daemon, lasts(seed));
+    } else if (fault == FAULT_STARVE) {
+        tell("starve", daemon);
+        daemons_starve(daemon, STARVED_LEAST_MS + random_below(seed, STARVED_MORE_MS));
     } else if (fault == FAULT_STOP) {
         tell("stop", daemon);
-        kill(site_process(daemon), SIGTERM);
-        states[daemon] = DAEMON_STOPPING;
-        until_ms[daemon] = now_ms() + STOP_MS;
+        daemons_stop(daemon);
     } else {
         tell("reload", daemon);
-        kill(site_process(daemon), SIGHUP);
+        daemons_reload(daemon);
     }
 }
 
 static void kill_states(uint64_t *seed)
 {
-    tell("kill all replicas", SITE_STATES);
-    for (int i = 0; i < SITE_STATES; i++) {
-        kill_daemon(i, lasts(seed));
+    tell("kill all replicas", daemons_states());
+    for (int i = 0; i < daemons_states(); i++) {
+        kill_one(seed, site_state_daemon(i), lasts(seed));
     }
 }
 
-/* The others have everything that was acknowledged: they were well for a while, and count as members. */
-static bool may_lose_disk(int state)
+/* Gateways and one replica come back at once, or each daemon at a time of its own. */
+static void kill_all(uint64_t *seed)
 {
-    if (now_ms() < state_fault_ms + CALM_MS) {
-        return false;
+    bool one_soon = random_below(seed, 2) == 0;
+    int soon = site_state_daemon((int)random_below(seed, (uint32_t)daemons_states()));
+    tell("kill everything", daemons_count());
+    for (int i = 0; i < daemons_count(); i++) {
+        bool early = one_soon && (i == soon || !daemons_is_state(i));
+        kill_one(seed, i, early ? LEAST_MS + random_below(seed, OUTAGE_SOON_MS) : lasts(seed));
     }
-    for (int i = 0; i < SITE_STATES; i++) {
-        if (states[i] != DAEMON_RUNS || now_ms() < full_until_ms[i] + CALM_MS ||
-            (i != state && site_metric(i, "raft_members") != SITE_STATES)) {
-            return false;
-        }
-    }
-    return true;
 }
 
 static void lose_disk(uint64_t *seed)
 {
-    int state = (int)random_below(seed, SITE_STATES);
-    if (may_lose_disk(state)) {
-        tell("lose the disk of", state);
-        kill_daemon(state, lasts(seed));
-        site_lose_disk(state);
+    int state = site_state_daemon((int)random_below(seed, (uint32_t)daemons_states()));
+    if (daemons_lose_disk(state, lasts(seed))) {
+        tell("lost the disk of", state);
     }
 }
 
 static void fill_disk(uint64_t *seed)
 {
-    int state = (int)random_below(seed, SITE_STATES);
-    if (states[state] == DAEMON_RUNS) {
+    int state = site_state_daemon((int)random_below(seed, (uint32_t)daemons_states()));
+    if (daemons_runs(state)) {
         tell("fill the disk of", state);
-        site_set_disk_full(state, true);
-        full_until_ms[state] = lasts(seed);
+        daemons_fill_disk(state, lasts(seed));
     }
 }
 
+/* ---- Servers ---------------------------------------------------------------- */
+
 static void fail_server(uint64_t *seed)
 {
-    static const enum site_mode modes[] = {SITE_REFUSE, SITE_CUT, SITE_CUT_MIDWAY, SITE_SLOW, SITE_STALL, SITE_TORN};
+    static const enum site_mode modes[] = {SITE_REFUSE, SITE_CUT,  SITE_CUT_MIDWAY, SITE_SLOW,
+                                           SITE_STALL,  SITE_TORN, SITE_PAUSED};
     int server = (int)random_below(seed, SITE_SERVERS);
-    tell("fail server", server);
-    site_set_mode(server, modes[random_below(seed, sizeof(modes) / sizeof(modes[0]))]);
-    server_until_ms[server] = lasts(seed);
+    enum site_mode mode = modes[random_below(seed, sizeof(modes) / sizeof(modes[0]))];
+    uint64_t for_ms = lasts(seed);
+    if (server_until_ms[server] == 0) {
+        tell("fail server", server);
+        lives_begin(LIVES_SERVERS, LIVES_FAILS);
+        site_set_mode(server, mode);
+        server_until_ms[server] = now_ms() + for_ms;
+    }
 }
 
 static void disturb_proxy(uint64_t *seed)
 {
     int server = (int)random_below(seed, SITE_SERVERS);
     enum proxy_mode mode = (enum proxy_mode)(1 + random_below(seed, PROXY_MODES - 1));
-    tell("disturb the way to server", server);
-    site_set_proxy(server, mode);
-    proxy_until_ms[server] = lasts(seed);
+    uint64_t for_ms = lasts(seed);
+    if (proxy_until_ms[server] == 0) {
+        tell("disturb the way to server", server);
+        lives_begin(LIVES_SERVERS, LIVES_FAILS);
+        site_set_proxy(server, mode);
+        proxy_until_ms[server] = now_ms() + for_ms;
+    }
 }
 
 static void drain_server(uint64_t *seed)
 {
     int server = (int)random_below(seed, SITE_SERVERS);
-    if (leave_until_ms[server] != 0) {
-        return;
+    uint64_t for_ms = lasts(seed);
+    if (leave_until_ms[server] == 0) {
+        tell("drain server", server);
+        lives_begin(LIVES_SERVERS, LIVES_FAILS);
+        site_set_draining(server, true);
+        leave_until_ms[server] = now_ms() + for_ms;
     }
-    tell("drain server", server);
-    site_set_draining(server, true);
-    leave_until_ms[server] = lasts(seed);
 }
 
+static bool is_over(uint64_t *until_ms)
+{
+    bool over = *until_ms != 0 && now_ms() >= *until_ms;
+    *until_ms = over ? 0 : *until_ms;
+    return over;
+}
+
+static void look_after_servers(void)
+{
+    for (int i = 0; i < SITE_SERVERS; i++) {
+        if (is_over(&server_until_ms[i])) {
+            site_set_mode(i, SITE_NORMAL);
+            lives_end(LIVES_SERVERS, LIVES_FAILS);
+        }
+        if (is_over(&proxy_until_ms[i])) {
+            site_set_proxy(i, PROXY_PASS);
+            lives_end(LIVES_SERVERS, LIVES_FAILS);
+        }
+        if (is_over(&leave_until_ms[i])) {
+            site_replace_server(i);
+            lives_end(LIVES_SERVERS, LIVES_FAILS);
+        }
+    }
+}
+
+/* ---- Time ------------------------------------------------------------------- */
+
 static void inject(uint64_t *seed)
 {
     fault_t fault = (fault_t)random_below(seed, FAULTS);
     switch (fault) {
     case FAULT_KILL:
     case FAULT_FREEZE:
+    case FAULT_STARVE:
     case FAULT_STOP:
-    case FAULT_RELOAD: signal_daemon(seed, fault); break;
+    case FAULT_RELOAD: disturb_daemon(seed, fault); break;
     case FAULT_KILL_STATES: kill_states(seed); break;
     case FAULT_LOSE_DISK: lose_disk(seed); break;
     case FAULT_FULL_DISK: fill_disk(seed); break;
@@ -246,68 +223,85 @@
     }
 }
 
-/* ---- Time ------------------------------------------------------------------- */
+/* Stops of gateways may overlap; of the state replicas one at a time stops, since the others are to go on. */
+static void work_as_planned(uint64_t *seed)
+{
+    int daemon = (int)random_below(seed, (uint32_t)daemons_count());
+    bool stops = random_below(seed, 2) == 0;
+    if (!stops) {
+        tell("reload", daemon);
+        daemons_reload(daemon);
+    } else if (daemons_runs(daemon) && (!daemons_is_state(daemon) || daemons_states_away() == 0)) {
+        tell("stop", daemon);
+        daemons_stop(daemon);
+    }
+}
 
-static void look_after_all(void)
+static void pass(uint64_t duration_ms)
 {
-    for (int i = 0; i < DAEMONS; i++) {
-        look_after(i);
+    uint64_t until_ms = now_ms() + duration_ms;
+    while (now_ms() < until_ms) {
+        daemons_look_after();
+        look_after_servers();
+        clock_sleep_us(DAEMONS_STEP_MS * 1000);
     }
-    for (int i = 0; i < SITE_STATES; i++) {
-        if (full_until_ms[i] != 0 && now_ms() >= full_until_ms[i]) {
-            site_set_disk_full(i, false);
-            full_until_ms[i] = 0;
-            state_fault_ms = now_ms();
-        }
+}
+
+static bool goes_on(uint64_t until_ms)
+{
+    return now_ms() < until_ms && now_ms() < end_ms && oracle_count() == 0;
+}
+
+static void run_mixed(uint64_t *seed)
+{
+    uint64_t until_ms = now_ms() + MIXED_MS;
+    while (goes_on(until_ms)) {
+        pass(random_below(seed, GAP_MS));
+        inject(seed);
     }
-    for (int i = 0; i < SITE_SERVERS; i++) {
-        if (server_until_ms[i] != 0 && now_ms() >= server_until_ms[i]) {
-            site_set_mode(i, SITE_NORMAL);
-            server_until_ms[i] = 0;
-        }
-        if (proxy_until_ms[i] != 0 && now_ms() >= proxy_until_ms[i]) {
-            site_set_proxy(i, PROXY_PASS);
-            proxy_until_ms[i] = 0;
-        }
-        if (leave_until_ms[i] != 0 && now_ms() >= leave_until_ms[i]) {
-            site_replace_server(i);
-            leave_until_ms[i] = 0;
-        }
+}
+
+static void run_outage(uint64_t *seed)
+{
+    uint64_t until_ms = now_ms() + OUTAGE_MS;
+    if (goes_on(until_ms)) {
+        kill_all(seed);
+    }
+    while (goes_on(until_ms)) {
+        pass(random_below(seed, GAP_MS));
+        disturb_daemon(seed, FAULT_STARVE);
     }
 }
 
-static void pass(uint64_t duration_ms)
+/* Planned work alone: what was under way before has ended. */
+static void run_planned(uint64_t *seed)
 {
-    uint64_t end_ms = now_ms() + duration_ms;
-    while (now_ms() < end_ms) {
-        look_after_all();
-        clock_sleep_us(STEP_MS * 1000);
+    pass(goes_on(end_ms) ? LASTS_MS : 0);
+    uint64_t until_ms = now_ms() + PLANNED_MS;
+    while (goes_on(until_ms)) {
+        pass(random_below(seed, PLANNED_GAP_MS));
+        work_as_planned(seed);
     }
 }
 
 void faults_run(uint64_t seed, uint64_t duration_ms)
 {
     started_ms = now_ms();
-    state_fault_ms = started_ms;
-    while (now_ms() < started_ms + duration_ms && oracle_count() == 0) {
-        pass(random_below(&seed, GAP_MS));
-        inject(&seed);
+    end_ms = started_ms + duration_ms;
+    while (goes_on(end_ms)) {
+        run_mixed(&seed);
+        run_outage(&seed);
+        run_mixed(&seed);
+        run_planned(&seed);
     }
 }
 
 static bool all_are_well(void *context)
 {
     (void)context;
-    look_after_all();
-    for (int i = 0; i < DAEMONS; i++) {
-        if (states[i] != DAEMON_RUNS) {
-            return false;
-        }
-    }
-    for (int i = 0; i < SITE_STATES; i++) {
-        if (full_until_ms[i] != 0 || site_metric(i, "raft_members") != SITE_STATES) {
-            return false;
-        }
+    pass(DAEMONS_STEP_MS);
+    if (!daemons_are_whole()) {
+        return false;
     }
     struct site_answer answer;
     site_call_as(0, "well", "POST", "/safe/x", "", "x", &answer);
@@ -320,7 +314,7 @@
 {
     oracle_wish_t wish = {0};
     oracle_expect("well", &wish);
-    pass(LASTS_MS + 100);
+    pass(STARVED_LEAST_MS + STARVED_MORE_MS);
     site_wait(all_are_well, NULL, "the site is whole again");
 }
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -2,8 +2,9 @@
  * The fault soak: real daemons as processes of their own, faults from outside
  * them, and an oracle that judges by what callers and servers see.
  *
- * Usage: soak BUILD SECONDS SEED
+ * Usage: soak BUILD SECONDS SEED [REPLICAS [GATEWAYS]]
  *
+ * Three replicas and two gateways at least; as many where nothing else is said.
  * The seed fixes the faults and what callers ask for, not the order in which
  * threads and processes run. A violation ends the run; the folder with logs
  * and data is kept then.
@@ -13,18 +14,33 @@
 #include "../integration/site.h"
 #include "../unit/suite.h"
 #include "callers.h"
+#include "daemons.h"
 #include "faults.h"
+#include "lives.h"
 #include "oracle.h"
 
 enum { MEMORY_MB = 64, END_S = 150 /* for the end of all faults and the last checks */ };
 
 static uint64_t seconds;
 static uint64_t seed;
+static int replicas = SITE_STATES;
+static int gateways = SITE_GATEWAYS;
+
+/* Since they were last started. */
+static double count_snapshots(void)
+{
+    double snapshots = 0;
+    for (int i = 0; i < replicas; i++) {
+        snapshots += site_metric(site_state_daemon(i), "raft_snapshots_total");
+    }
+    return snapshots;
+}
 
 START_TEST(promises_hold_under_faults)
 {
     site_limit_memory(MEMORY_MB);
-    site_start();
+    site_start_shape(replicas, gateways);
+    daemons_open(replicas, gateways);
     site_echo(oracle_run);
     site_use_proxies();
     callers_start(seed);
@@ -33,11 +49,11 @@
     callers_stop();
     int violations = oracle_end();
     callers_sum_t sum = callers_sum();
-    printf("soak seed %llu: %d faults, %llu calls, %llu served, %llu refused, %llu turns, %llu configurations, "
-           "%d violations\n",
-           (unsigned long long)seed, faults_count(), (unsigned long long)sum.calls, (unsigned long long)sum.served,
-           (unsigned long long)sum.refused, (unsigned long long)sum.turns, (unsigned long long)sum.configurations,
-           violations);
+    printf("soak seed %llu: %d faults, %llu calls, %llu on kept connections, %llu served, %llu refused, %llu turns, "
+           "%llu configurations, %.0f snapshots, %d violations\n",
+           (unsigned long long)seed, faults_count(), (unsigned long long)sum.calls, (unsigned long long)sum.kept,
+           (unsigned long long)sum.served, (unsigned long long)sum.refused, (unsigned long long)sum.turns,
+           (unsigned long long)sum.configurations, count_snapshots(), violations);
     if (violations > 0) {
         printf("logs and data: %s\n", site_keep_folder());
     }
@@ -48,8 +64,11 @@
 
 int main(int argc, char **argv)
 {
-    if (argc != 4) {
-        fprintf(stderr, "usage: soak BUILD SECONDS SEED\n");
+    replicas = argc > 4 ? atoi(argv[4]) : replicas;
+    gateways = argc > 5 ? atoi(argv[5]) : gateways;
+    if (argc < 4 || argc > 6 || replicas < SITE_STATES || gateways < SITE_GATEWAYS ||
+        replicas + gateways > LIVES_MOST - SITE_STATES) {
+        fprintf(stderr, "usage: soak BUILD SECONDS SEED [REPLICAS [GATEWAYS]]\n");
         return EXIT_FAILURE;
     }
     site_build = argv[1];
