--- a/tests/integration/test_time_given.c
+++ b/tests/integration/test_time_given.c
@@ -70,12 +70,10 @@
     return given;
 }
 
-static void on_run(int server, const char *id, struct view text)
+static void on_run(const site_run_t *run)
 {
-    (void)server;
-    (void)text;
     pthread_mutex_lock(&lock);
-    if (strcmp(id, watched) == 0) {
+    if (strcmp(run->id, watched) == 0) {
         seen.given = time_given();
     }
     pthread_mutex_unlock(&lock);
