Reach: a stream that may run on one server leaves it after four dials, not two

Cause: a server is lost after two dials without an answer, and a stream on it goes elsewhere whatever its route allows; two dials also stay unanswered at a server that lives, where packets are lost or its queue of connections is full. Change: lost (two dials) still keeps new work away and moves what a route lets run on a further server; what may run on one server leaves only when it is cut off: four dials. An unanswered dial is followed by the next one at once, not at the next look in up to 50 ms. reach.script: a lost server was dialled next after 200 ms; now at once until the fourth, then every 200 ms.

Left: a route without room whose server drains and breaks off still goes elsewhere, as before.

--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -12,7 +12,7 @@
     if (reach->dialling) {
         return false;
     }
-    if (reach->lost) {
+    if (reach->cut_off) {
         return now_ms >= reach->dialled_ms + REACH_AGAIN_MS;
     }
     if (reach->failures > 0) {
@@ -30,6 +30,7 @@
 {
     bool lost = reach->lost;
     reach->lost = false;
+    reach->cut_off = false;
     reach->failures = 0;
     return lost ? REACH_REGAINED : REACH_AS_BEFORE;
 }
@@ -43,9 +44,15 @@
         return reach_regain(reach);
     }
     reach->failures++;
-    bool now_lost = !reach->lost && reach->failures >= REACH_DIALS;
-    reach->lost = reach->lost || now_lost;
-    return now_lost ? REACH_LOST : REACH_AS_BEFORE;
+    if (!reach->lost && reach->failures >= REACH_DIALS) {
+        reach->lost = true;
+        return REACH_LOST;
+    }
+    if (!reach->cut_off && reach->failures >= REACH_DIALS_SURE) {
+        reach->cut_off = true;
+        return REACH_CUT_OFF;
+    }
+    return REACH_AS_BEFORE;
 }
 
 void reach_note_answer(reach_t *reach, uint64_t after_ms)
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -6,12 +6,17 @@
  * alike on a connection that is open. A new connection tells them apart: the
  * former's never comes up. So a server with requests under way that has been
  * silent for a while is dialled; one that does not take two connections in a
- * row is lost, until it takes one again. How long a silence is borne follows the
- * times in which the server answers, by the rule for retransmissions (RFC 6298),
- * and dials to one that is merely slow become rare.
+ * row is lost, until it takes one again: it gets no new work, and what may run on
+ * a further server leaves it. That much also comes of lost packets and of a full
+ * queue at a server that lives, so that it is dialled on at once: after four dials
+ * it counts as cut off, and what may run on one server only leaves as well. How
+ * long a silence is borne follows the times in which the server answers, by the
+ * rule for retransmissions (RFC 6298), and dials to one that is merely slow become
+ * rare.
  *
  *   HEARD -> (silence) DIALLED -> (it answers) HEARD, asked half as often
- *                              -> (no answer, twice) LOST -> (it answers) HEARD
+ *                              -> (no answer, twice) LOST -> (no answer, twice more) CUT OFF
+ *   LOST, CUT OFF -> (it answers, or its bytes come) HEARD
  */
 #ifndef BANKBANK_CORE_REACH_H
 #define BANKBANK_CORE_REACH_H
@@ -24,8 +29,9 @@
     REACH_MEAN_SHARE = 8,   /**< An answer moves the usual time by one part in so many. */
     REACH_SPREAD_SHARE = 4, /**< And its spread by one part in so many. */
     REACH_SPREADS = 4,      /**< Silence that is borne: the usual time and so many times its spread. */
-    REACH_AGAIN_MS = 200,   /**< Pause between dials to a server that is lost. */
+    REACH_AGAIN_MS = 200,   /**< Pause between dials to a server that is cut off. */
     REACH_DIALS = 2,        /**< Dials without an answer after which it is lost. */
+    REACH_DIALS_SURE = 4,   /**< And after which it counts as cut off: one packet in ten lost looks so once in 700. */
     REACH_STEPS_MAX = 5     /**< Doublings of the silence that is borne. */
 };
 
@@ -33,6 +39,7 @@
 typedef struct reach_t {
     bool dialling;       /**< A dial is under way. */
     bool lost;           /**< It took no connection lately. */
+    bool cut_off;        /**< And it is sure that it cannot be reached. */
     uint32_t failures;   /**< Dials without an answer in a row. */
     uint32_t usual_ms;   /**< Usual time to the begin of an answer; 0: none came yet. */
     uint32_t spread_ms;  /**< Its mean deviation. */
@@ -44,6 +51,7 @@
 typedef enum reach_change_t {
     REACH_AS_BEFORE, /**< Nothing. */
     REACH_LOST,      /**< The server is lost from now on. */
+    REACH_CUT_OFF,   /**< It is sure that it cannot be reached. */
     REACH_REGAINED   /**< It can be reached again. */
 } reach_change_t;
 
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -100,7 +100,7 @@
 
 bool server_is_gone(const struct server *server)
 {
-    return !server->listed || server->draining || server->misplaced || server->vacant || server->reach.lost;
+    return !server->listed || server->draining || server->misplaced || server->vacant || server->reach.cut_off;
 }
 
 /* Nothing shows that it cannot be reached. */
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -3,6 +3,12 @@
 #include "core/resume.h"
 #include "proxy/forward.h"
 
+/* Whether its route allows a further server. */
+static bool forward_has_room(const struct forward *forward)
+{
+    return forward->wish.tried_count < forward->route->max_attempts;
+}
+
 static resume_view_t forward_resume_view(const struct forward_attempt *attempt)
 {
     const struct forward *forward = attempt->forward;
@@ -10,7 +16,7 @@
     uint64_t now_ms = node_now(forward->front->node);
     return (resume_view_t){
         .resumable = forward->route->resumable && !forward->turn.keep && !forward->stream.unnumbered,
-        .server_gone = server_is_gone(server),
+        .server_gone = server_is_gone(server) || (server->reach.lost && forward_has_room(forward)),
         .resumes = forward->stream.resumes,
         .servers = forward->wish.tried_count,
         .max_attempts = forward->route->max_attempts,
@@ -73,7 +79,7 @@
     forward->stream.resumes++;
     forward->front->counters.resumes++;
     forward_drop_torn_event(forward);
-    forward_bind(forward, way == RESUME_SAME && view.servers >= view.max_attempts ? server : NULL);
+    forward_bind(forward, way == RESUME_SAME && !forward_has_room(forward) ? server : NULL);
     if (way == RESUME_SAME) {
         forward_send(forward, server);
         forward_end_attempt(attempt);
@@ -84,10 +90,12 @@
     return true;
 }
 
-/* What has no whole answer yet and may run again. */
-static bool forward_may_leave(const struct forward *forward)
+/* What has no whole answer yet and may run again; where no further server is allowed, only what is sure to be gone
+ * is left. */
+static bool forward_may_leave(const struct forward *forward, const struct server *server)
 {
-    return forward->route->kind == ROUTE_SAFE || (forward->route->resumable && !forward->turn.keep);
+    bool resumable = forward->route->resumable && !forward->turn.keep;
+    return forward->route->kind == ROUTE_SAFE || (resumable && (forward_has_room(forward) || server_is_gone(server)));
 }
 
 /* What was not sent yet has not run; what may not run again waits on, since its answer may still come. */
@@ -96,7 +104,7 @@
     static const char reason[] = "the server cannot be reached";
     if (!upstream_was_sent(attempt->exchange)) {
         forward_not_run(attempt, reason);
-    } else if (forward_may_leave(attempt->forward)) {
+    } else if (forward_may_leave(attempt->forward, attempt->server)) {
         forward_may_have_run(attempt, reason);
     }
 }
--- a/src/proxy/front_reach.c
+++ b/src/proxy/front_reach.c
@@ -4,18 +4,21 @@
 #include "base/event_log.h"
 #include "proxy/forward.h"
 
+static void front_log_reach(const struct front *front, const struct server *server, const char *event)
+{
+    event_log(event, "{s:s,s:s,s:i,s:I}", "server", server->id, "address", server->address, "calls", (int)server->calls,
+              "silent_ms", (json_int_t)(node_now(front->node) - server->heard_ms));
+}
+
 static void front_tell_reach(struct front *front, struct server *server, reach_change_t change)
 {
     switch (change) {
     case REACH_AS_BEFORE: break;
-    case REACH_LOST:
-    case REACH_REGAINED:
-        event_log(change == REACH_LOST ? "server_lost" : "server_regained", "{s:s,s:s,s:i,s:I}", "server", server->id,
-                  "address", server->address, "calls", (int)server->calls, "silent_ms",
-                  (json_int_t)(node_now(front->node) - server->heard_ms));
-        break;
+    case REACH_LOST: front_log_reach(front, server, "server_lost"); break;
+    case REACH_CUT_OFF: front_log_reach(front, server, "server_cut_off"); break;
+    case REACH_REGAINED: front_log_reach(front, server, "server_regained"); break;
     }
-    if (change == REACH_LOST) {
+    if (change == REACH_LOST || change == REACH_CUT_OFF) {
         forward_server_lost(front, server);
     }
 }
@@ -27,6 +30,17 @@
     server_heard(server, node_now(front->node));
 }
 
+void front_probe_if_silent(struct front *front, struct server *server)
+{
+    struct address address;
+    bool due = reach_is_due(&server->reach, node_now(front->node), server->calls > 0, server->heard_ms);
+    if (due && server->listed && address_parse(server->address, &address)) {
+        reach_note_dial(&server->reach);
+        front->counters.probes++;
+        upstream_probe(&front->node->upstreams, &address);
+    }
+}
+
 /* Where this process stood still meanwhile, a dial without an answer says nothing. */
 static void front_on_probed(void *context, const char *address, bool answered)
 {
@@ -37,23 +51,14 @@
     while (server != NULL) {
         struct server *next = server->hh.next; /* a server that is not listed ends with its last request */
         if (server->reach.dialling && strcmp(server->address, address) == 0) {
-            front_tell_reach(front, server, reach_note_outcome(&server->reach, now_ms, answered || excused));
+            reach_change_t change = reach_note_outcome(&server->reach, now_ms, answered || excused);
+            front_probe_if_silent(front, server); /* the next dial at once: a stream waits for it */
+            front_tell_reach(front, server, change);
         }
         server = next;
     }
 }
 
-void front_probe_if_silent(struct front *front, struct server *server)
-{
-    struct address address;
-    bool due = reach_is_due(&server->reach, node_now(front->node), server->calls > 0, server->heard_ms);
-    if (due && server->listed && address_parse(server->address, &address)) {
-        reach_note_dial(&server->reach);
-        front->counters.probes++;
-        upstream_probe(&front->node->upstreams, &address);
-    }
-}
-
 void front_watch_reach(struct front *front)
 {
     front->node->upstreams.probed = front_on_probed;
--- a/tests/scripted/run_reach.c
+++ b/tests/scripted/run_reach.c
@@ -15,6 +15,7 @@
     switch (change) {
     case REACH_AS_BEFORE: return "as before\n";
     case REACH_LOST: return "lost\n";
+    case REACH_CUT_OFF: return "cut off\n";
     case REACH_REGAINED: return "regained\n";
     }
     return "";
