Entries of the platform's list are read one by one: one of another writer names no server, and the others hold

Cause: a page was parsed as one JSON text and refused as a whole for one entry without id or address or with bytes that aren't UTF-8; slots of another type became 0, every state but "ready" became "draining". Ruled out: parsing the whole page with bad bytes replaced (a broken quote or bracket still takes the page with it); taking what can be used of an entry (an entry whose fields are of other types is not the platform's, whatever else it says). Change: platform_list finds the entries by their bounds in the text and reads each by itself. An entry names a server only with its eight fields, each of its type: id, service and zone not empty, an address of IP and port (port 0, 0.0.0.0, groups and broadcast are none), slots from 0 to 2^32-1, state ready or draining, no control bytes (an id goes into a request's head), texts up to 255 bytes. born may be absent; null, fractions and negative numbers are another writer's. phase and models may be absent or null. The page's frame is read as strictly as before; a token that is no text or has spaces in it makes it no page. core/server_entries: of an id that stands twice the later life holds, in one life the entry read first; of an address that stands twice both hold, since only the server there can tell which it is (it refuses as not run). What is left out is counted by kind, told in one line when it changes (servers_left_out), and counted in two metrics. A list holds at most 60,000 servers (its count has 16 bits). machine_reader: pages read before one that fails are kept, and that page is asked again at the next reading's time, at most twice; before, all began anew. Test changed: fuzz_messages' page has all fields now.

--- a/src/proxy/dialect.h
+++ b/src/proxy/dialect.h
@@ -15,6 +15,7 @@
 #include "control.pb.h"
 #include "core/prefix_table.h"
 #include "core/route_table.h"
+#include "core/server_entries.h"
 
 /** Headers of requests and answers. */
 enum dialect_header {
@@ -58,8 +59,9 @@
     const char *ready_path; /**< Path of the readiness question. */
     /** Reads a configuration; NULL: `findings` tells all faults. The caller releases it. */
     struct route_table *(*read_configuration)(struct view text, struct findings *findings);
-    /** Appends the servers of one page to `list`; `next_page` gets the next page's token, or stays empty. */
-    bool (*read_servers)(struct view text, ServerList *list, struct buffer *next_page);
+    /** Appends the servers of one page to `list`, and counts the entries that name none in `left`; `next_page` gets the
+     * next page's token, or stays empty. False: the text is no whole page. */
+    bool (*read_servers)(struct view text, ServerList *list, server_entries_left_t *left, struct buffer *next_page);
     /** Reads the value of DIALECT_PROMPT_PARTS: the shared parts, and the tokens of the request's own one. */
     void (*read_parts)(struct view text, prefix_chain_t *shared, uint32_t *own_tokens);
     /** Appends the target of the machine list's page. */
--- a/src/proxy/machine_reader.c
+++ b/src/proxy/machine_reader.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/event_log.h"
 #include "base/message.h"
 
 enum { MACHINE_READER_OK = 200 };
@@ -13,21 +14,35 @@
 {
     message_free(ServerList_fields, &reader->list);
     memset(&reader->list, 0, sizeof(reader->list));
+    memset(&reader->left, 0, sizeof(reader->left));
     buffer_clear(&reader->page);
     buffer_clear(&reader->body);
+    reader->agains = 0;
 }
 
-static int machine_compare(const void *a, const void *b)
+/* What is left out, where that differs from the reading before. */
+static void machine_tell_left(struct machine_reader *reader)
 {
-    return strcmp(((const ServerRecord *)a)->id, ((const ServerRecord *)b)->id);
+    const uint32_t *counts = reader->left.counts;
+    reader->left_out += server_entries_sum(&reader->left);
+    if (memcmp(&reader->left, &reader->told, sizeof(reader->left)) == 0) {
+        return;
+    }
+    reader->told = reader->left;
+    event_log("servers_left_out", "{s:i,s:i,s:i,s:i,s:i,s:i}", server_entry_fault_name(SERVER_ENTRY_UNREADABLE),
+              (int)counts[SERVER_ENTRY_UNREADABLE], server_entry_fault_name(SERVER_ENTRY_MISSING),
+              (int)counts[SERVER_ENTRY_MISSING], server_entry_fault_name(SERVER_ENTRY_TYPE),
+              (int)counts[SERVER_ENTRY_TYPE], server_entry_fault_name(SERVER_ENTRY_VALUE),
+              (int)counts[SERVER_ENTRY_VALUE], server_entry_fault_name(SERVER_ENTRY_STATE),
+              (int)counts[SERVER_ENTRY_STATE], server_entry_fault_name(SERVER_ENTRY_TWICE),
+              (int)counts[SERVER_ENTRY_TWICE]);
 }
 
 static void machine_reader_finish(struct machine_reader *reader)
 {
     struct buffer encoded = {0};
-    if (reader->list.servers_count > 1) {
-        qsort(reader->list.servers, reader->list.servers_count, sizeof(*reader->list.servers), machine_compare);
-    }
+    server_entries_settle(&reader->list, &reader->left);
+    machine_tell_left(reader);
     reader->read_ms = uv_now(reader->pool->loop);
     if (message_encode(&encoded, ServerList_fields, &reader->list)) {
         reader->done(reader->context, buffer_view(&encoded));
@@ -48,16 +63,48 @@
     buffer_append(&reader->body, part.data, part.length);
 }
 
+/* Nothing is lost where it is the first page. */
+static void machine_page_failed(struct machine_reader *reader)
+{
+    reader->failures++;
+    if (reader->page.length > 0 && reader->agains < MACHINE_READER_AGAIN_MOST) {
+        reader->agains++;
+    } else {
+        machine_reader_reset(reader);
+    }
+}
+
+/* Takes a whole page or nothing of it. */
+static bool machine_take_page(struct machine_reader *reader, struct buffer *next_page)
+{
+    ServerList *list = &reader->list;
+    ServerList page = {0};
+    server_entries_left_t left = reader->left;
+    bool good = reader->dialect->read_servers(buffer_view(&reader->body), &page, &left, next_page) &&
+                (size_t)list->servers_count + page.servers_count <= PB_SIZE_MAX;
+    if (!good) {
+        message_free(ServerList_fields, &page);
+        return false;
+    }
+    size_t count = (size_t)list->servers_count + page.servers_count;
+    reader->left = left;
+    if (page.servers_count > 0) {
+        list->servers = memory_resize(list->servers, count * sizeof(*list->servers));
+        memcpy(list->servers + list->servers_count, page.servers, page.servers_count * sizeof(*page.servers));
+        list->servers_count = (pb_size_t)count;
+    }
+    free(page.servers); /* its records are the list's now */
+    return true;
+}
+
 static void machine_on_end(void *owner, enum upstream_end end)
 {
     struct machine_reader *reader = owner;
     struct buffer next_page = {0};
     reader->call = NULL;
-    bool good = end == UPSTREAM_DONE && reader->status == MACHINE_READER_OK &&
-                reader->dialect->read_servers(buffer_view(&reader->body), &reader->list, &next_page);
+    bool good = end == UPSTREAM_DONE && reader->status == MACHINE_READER_OK && machine_take_page(reader, &next_page);
     if (!good) {
-        reader->failures++;
-        machine_reader_reset(reader);
+        machine_page_failed(reader);
     } else if (next_page.length > 0) {
         buffer_close(&reader->page);
         reader->page = next_page;
@@ -89,13 +136,17 @@
     if (late) {
         upstream_cancel(reader->pool, reader->call);
         reader->call = NULL;
-        reader->failures++;
-        machine_reader_reset(reader);
+        machine_page_failed(reader);
+    }
+    if (reader->call == NULL && !wanted) {
+        machine_reader_reset(reader); /* pages of a reading that nobody waits for grow old */
     }
     if (reader->call == NULL && wanted && now_ms >= reader->due_ms) {
         reader->due_ms = now_ms + reader->period_ms;
         reader->begun_ms = now_ms;
-        machine_reader_reset(reader);
+        if (reader->agains == 0) {
+            machine_reader_reset(reader);
+        }
         machine_reader_ask(reader);
     }
 }
--- a/src/proxy/node_metrics.c
+++ b/src/proxy/node_metrics.c
@@ -62,6 +62,10 @@
                           node->machines.calls);
     metrics_write_counter(out, "machine_list_failures_total", "Readings of the machine list that failed.",
                           node->machines.failures);
+    metrics_write_counter(out, "machine_list_left_out_total", "Entries of the machine list that named no server.",
+                          node->machines.left_out);
+    metrics_write_gauge(out, "machine_list_left_out", "The same of the last reading.",
+                        server_entries_sum(&node->machines.told));
     metrics_write_counter(out, "upstream_connections_total", "New connections to servers.", upstreams->connections);
     metrics_write_counter(out, "upstream_reuses_total", "Requests on kept connections.", upstreams->reuses);
     metrics_write_counter(out, "upstream_stray_bytes_total", "Connections closed for bytes of no request.",
--- a/tests/fuzz/fuzz_messages.c
+++ b/tests/fuzz/fuzz_messages.c
@@ -20,7 +20,7 @@
     "\"timeout-ms\":1,\"split\":[{\"service\":\"s\",\"weight\":9}],\"retention-s\":1.5}],"
     "\"services\":[{\"name\":\"s\",\"engine\":{\"chunk-size\":9}}],\"limits\":{\"max-body-bytes\":1}}",
     "{\"instances\":[{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":1,\"state\":\"ready\","
-    "\"id\":\"i\"}],\"next-token\":\"p\"}",
+    "\"version\":\"v\",\"cold-remaining-ms\":0,\"born\":7,\"id\":\"i\"}],\"next-token\":\"p\"}",
 };
 
 static bool ignore_message(void *context, struct http_reader *reader)
@@ -87,8 +87,9 @@
     struct findings findings = {0};
     struct buffer page = {0};
     ServerList list = {0};
+    server_entries_left_t left = {0};
     route_table_release(platform_read_configuration(text, &findings));
-    platform_read_servers(text, &list, &page);
+    platform_read_servers(text, &list, &left, &page);
     for (pb_size_t i = 0; i < list.servers_count; i++) {
         free(list.servers[i].id);
         free(list.servers[i].service);
--- a/tests/unit/entries.c
+++ b/tests/unit/entries.c
@@ -171,13 +171,15 @@
 static struct buffer page;
 static struct buffer token;
 static ServerList list;
+static server_entries_left_t left;
 
 static bool read_page(void)
 {
     message_free(ServerList_fields, &list);
     memset(&list, 0, sizeof(list));
     buffer_clear(&token);
-    return platform_read_servers(buffer_view(&page), &list, &token);
+    memset(&left, 0, sizeof(left));
+    return platform_read_servers(buffer_view(&page), &list, &left, &token);
 }
 
 static void append_good(const char *id, int host)
@@ -330,6 +332,7 @@
         "{\"instances\":[],\"next-token\":7}",
         "{\"instances\":[],\"next-token\":\"p 50\\r\\n\"}",
         "{\"instances\":[],\"instances\":[],\"next-token\":null}",
+        "{\"instances\":[{}],\"instances\":[{}],\"next-token\":null}",
         "{\"instances\":[],\"next-token\":null}}",
         "{\"instances\":[],\"x\":\"\xff\",\"next-token\":null}",
         "{\"of\":{\"instances\":[],\"next-token\":null}}",
@@ -354,6 +357,96 @@
 }
 END_TEST
 
+START_TEST(what_is_left_out_is_counted_by_its_kind)
+{
+    static const struct {
+        const char *text;
+        server_entry_fault_t fault;
+    } kinds[] = {
+        {"{\"id\":\"\xff\"}", SERVER_ENTRY_UNREADABLE},
+        {"{\"id\":\"i9", SERVER_ENTRY_UNREADABLE},
+        {"[]", SERVER_ENTRY_MISSING},
+        {"{\"id\":\"i9\"}", SERVER_ENTRY_MISSING},
+        {ID("7"), SERVER_ENTRY_TYPE},
+        {SLOTS("\"4\""), SERVER_ENTRY_TYPE},
+        {SLOTS("-1"), SERVER_ENTRY_VALUE},
+        {ADDRESS("\"x\""), SERVER_ENTRY_VALUE},
+        {STATE("\"sleeping\""), SERVER_ENTRY_STATE},
+    };
+    for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+        begin_page();
+        buffer_append_text(&page, kinds[i].text);
+        buffer_append_text(&page, ",");
+        append_good("a", 1);
+        end_page();
+        ck_assert(read_page());
+        ck_assert_msg(left.counts[kinds[i].fault] == 1 && server_entries_sum(&left) == 1, "%s: %u of %d", kinds[i].text,
+                      left.counts[kinds[i].fault], (int)server_entries_sum(&left));
+    }
+}
+END_TEST
+
+/* ---- Several entries for one server -------------------------------------------------------- */
+
+static void append_life(const char *id, int host, uint64_t born)
+{
+    buffer_printf(&page,
+                  "%s{\"id\":\"%s\",\"service\":\"s\",\"address\":\"10.0.0.%d:80\",\"zone\":\"z\",\"version\":\"v1\","
+                  "\"slots\":4,\"state\":\"ready\",\"cold-remaining-ms\":0,\"born\":%llu}",
+                  page.data[page.length - 1] == '[' ? "" : ",", id, host, (unsigned long long)born);
+}
+
+static void check_settled(const char *expected, uint32_t twice)
+{
+    struct buffer text = {0};
+    end_page();
+    ck_assert(read_page());
+    server_entries_settle(&list, &left);
+    for (pb_size_t i = 0; i < list.servers_count; i++) {
+        buffer_printf(&text, "%s%s@%s", i == 0 ? "" : " ", list.servers[i].id, list.servers[i].address);
+    }
+    ck_assert_str_eq(buffer_text(&text), expected);
+    ck_assert_uint_eq(left.counts[SERVER_ENTRY_TWICE], twice);
+    ck_assert_uint_eq(server_entries_sum(&left), twice);
+    buffer_close(&text);
+}
+
+START_TEST(of_an_id_that_stands_twice_the_later_life_holds)
+{
+    begin_page();
+    append_life("b", 1, 1000);
+    append_life("a", 2, 2000);
+    append_life("a", 3, 3000);
+    append_life("a", 4, 0);
+    check_settled("a@10.0.0.3:80 b@10.0.0.1:80", 2);
+    begin_page();
+    append_life("a", 3, 3000);
+    append_life("a", 2, 2000);
+    check_settled("a@10.0.0.3:80", 1);
+}
+END_TEST
+
+START_TEST(of_an_id_that_stands_twice_in_one_life_the_first_holds)
+{
+    begin_page();
+    append_life("c", 1, 0);
+    for (int host = 2; host < 60; host++) {
+        append_life("a", host, 7);
+        append_life("b", 100 + host, 0);
+    }
+    check_settled("a@10.0.0.2:80 b@10.0.0.102:80 c@10.0.0.1:80", 114);
+}
+END_TEST
+
+START_TEST(of_an_address_that_stands_twice_both_hold)
+{
+    begin_page();
+    append_life("b", 1, 2000);
+    append_life("a", 1, 1000);
+    check_settled("a@10.0.0.1:80 b@10.0.0.1:80", 0);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("entries");
@@ -365,6 +458,10 @@
     tcase_add_test(tests, a_page_that_is_cut_off_is_not_read);
     tcase_add_test(tests, what_is_no_page_is_not_read);
     tcase_add_test(tests, a_page_of_nothing_but_broken_entries_is_given_up);
+    tcase_add_test(tests, what_is_left_out_is_counted_by_its_kind);
+    tcase_add_test(tests, of_an_id_that_stands_twice_the_later_life_holds);
+    tcase_add_test(tests, of_an_id_that_stands_twice_in_one_life_the_first_holds);
+    tcase_add_test(tests, of_an_address_that_stands_twice_both_hold);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
 }
