--- /dev/null
+++ b/tests/scripted/run_reader.c
@@ -0,0 +1,162 @@
+/* Readings of the platform's list, page after page:
+ *   answer IDS NEXT       the platform's next answer: a page with these servers (a,b or -) and the next page's token,
+ * or - answer IDS cut        the same, cut off answer status NUMBER  no page tick MS [unwanted]    the reader's turn;
+ * tells what it asks for, and the list once it is whole
+ */
+#include "net/upstream.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/message.h"
+#include "platform.h"
+#include "proxy/machine_reader.h"
+#include "script.h"
+
+enum { ANSWERS = 8, PERIOD_MS = 100, SPACE = 4096, NAME = 64 };
+
+static uv_loop_t loop;
+static uv_tcp_t listener;
+static struct upstream_pool pool;
+static struct machine_reader reader;
+static struct buffer answers[ANSWERS];
+static int answer_count;
+static int answered;
+static char space[SPACE];
+
+/* ---- The platform ------------------------------------------------------------------------ */
+
+static void on_closed(uv_handle_t *handle)
+{
+    free(handle);
+}
+
+static void on_written(uv_write_t *write, int status)
+{
+    (void)status;
+    uv_close((uv_handle_t *)write->handle, on_closed);
+    free(write);
+}
+
+static void on_space(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
+{
+    (void)handle;
+    (void)suggested;
+    *out = uv_buf_init(space, sizeof(space));
+}
+
+static void on_asked(uv_stream_t *stream, ssize_t got, const uv_buf_t *text)
+{
+    if (got <= 0) {
+        return;
+    }
+    int target = (int)strcspn(text->base + 4, " ");
+    script_print("asked %.*s\n", target, text->base + 4);
+    uv_read_stop(stream);
+    uv_write_t *write = memory_new(sizeof(*write));
+    uv_buf_t answer = uv_buf_init((char *)answers[answered].data, (unsigned)answers[answered].length);
+    answered++;
+    uv_write(write, stream, &answer, 1, on_written);
+}
+
+static void on_connected(uv_stream_t *from, int status)
+{
+    uv_tcp_t *client = memory_new(sizeof(*client));
+    (void)status;
+    uv_tcp_init(&loop, client);
+    uv_accept(from, (uv_stream_t *)client);
+    uv_read_start((uv_stream_t *)client, on_space, on_asked);
+}
+
+static void write_entries(const char *ids, struct buffer *out)
+{
+    for (const char *id = ids; *id != '\0' && *id != '-'; id += id[1] == ',' ? 2 : 1) {
+        buffer_printf(out,
+                      "%s{\"id\":\"%c\",\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v\","
+                      "\"slots\":1,\"state\":\"ready\",\"cold-remaining-ms\":0}",
+                      id == ids ? "" : ",", *id);
+    }
+}
+
+static void run_answer(const script_command_t *command)
+{
+    struct buffer body = {0};
+    struct buffer *out = &answers[answer_count++];
+    char ids[NAME];
+    char next[NAME];
+    script_copy(command, 1, ids, sizeof(ids));
+    script_copy(command, 2, next, sizeof(next));
+    bool page = !script_is(command, 1, "status");
+    if (page) {
+        buffer_append_text(&body, "{\"instances\":[");
+        write_entries(ids, &body);
+    }
+    if (page && strcmp(next, "cut") != 0) {
+        buffer_printf(&body, strcmp(next, "-") == 0 ? "],\"next-token\":null}" : "],\"next-token\":\"%s\"}", next);
+    }
+    buffer_printf(out, "HTTP/1.1 %s No\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n%s", page ? "200" : next,
+                  body.length, buffer_text(&body));
+    buffer_close(&body);
+}
+
+/* ---- The reader -------------------------------------------------------------------------- */
+
+static void on_list(void *context, struct view encoded)
+{
+    ServerList list = {0};
+    (void)context;
+    message_decode(encoded, ServerList_fields, &list);
+    script_print("list");
+    for (pb_size_t i = 0; i < list.servers_count; i++) {
+        script_print(" %s", list.servers[i].id);
+    }
+    script_print("\n");
+    message_free(ServerList_fields, &list);
+}
+
+static void run_tick(const script_command_t *command)
+{
+    uint64_t failures = reader.failures;
+    machine_reader_tick(&reader, script_number(command, 1, 0), !script_is(command, 2, "unwanted"));
+    while (reader.call != NULL) {
+        uv_run(&loop, UV_RUN_ONCE);
+    }
+    script_print(reader.failures > failures ? "failed\n" : "");
+    for (int i = 0; i < answered; i++) {
+        buffer_close(&answers[i]);
+    }
+    answer_count = 0;
+    answered = 0;
+}
+
+static void run(const script_command_t *command)
+{
+    if (script_is(command, 0, "answer")) {
+        run_answer(command);
+    } else {
+        run_tick(command);
+    }
+}
+
+int main(int argc, char **argv)
+{
+    struct sockaddr_in any;
+    struct sockaddr_in bound;
+    int length = sizeof(bound);
+    char address[NAME];
+    uv_loop_init(&loop);
+    uv_tcp_init(&loop, &listener);
+    uv_ip4_addr("127.0.0.1", 0, &any);
+    uv_tcp_bind(&listener, (const struct sockaddr *)&any, 0);
+    uv_listen((uv_stream_t *)&listener, ANSWERS, on_connected);
+    uv_tcp_getsockname(&listener, (struct sockaddr *)&bound, &length);
+    snprintf(address, sizeof(address), "127.0.0.1:%u", ntohs(bound.sin_port));
+    upstream_init(&pool, &loop);
+    reader.pool = &pool;
+    reader.dialect = &platform_dialect;
+    reader.period_ms = PERIOD_MS;
+    reader.done = on_list;
+    address_parse(address, &reader.address);
+    return argc > 1 ? script_main(argv[1], run) : 1;
+}
