Event ids beyond 64 bits carry no order

Cause: such an id wrapped round to another number, which was believed as the last event and would be named when the stream is taken up elsewhere. Change: it counts as an id that is no number; such a stream is passed on and not taken up. Looked at besides in what servers say of themselves: Keep-Alive (bounded at an hour, no number is no time), ids and signatures in heads (compared, passed on), Retry-After and further headers (passed on).

--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -108,11 +108,12 @@
         return true;
     }
     for (size_t i = 0; i < event->id.length; i++) {
-        if (event->id.data[i] < '0' || event->id.data[i] > '9') {
+        uint64_t digit = (uint64_t)event->id.data[i] - '0';
+        if (digit > 9 || id > (UINT64_MAX - digit) / 10) {
             answer->unnumbered = true;
-            return true; /* ids that are not numbers carry no order */
+            return true; /* ids that are not numbers, or too large, carry no order */
         }
-        id = id * 10 + (uint64_t)(event->id.data[i] - '0');
+        id = id * 10 + digit;
     }
     bool next = answer->event_count == 0 || id > answer->last_event;
     answer->last_event = id;
