A site's test with entries of another writer on the list

Five of them stand on the list for good, one cut off in a string; a server that is replaced meanwhile is learnt, and the metric counts the five. The test has the other server refuse now.

--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -103,6 +103,9 @@
 /** Puts another instance in the place of a server that left: it has the address, and an id of its own. */
 void site_replace_server(int server);
 
+/** Puts entries of another writer behind the servers on the list, as they are written: each begins with a comma. */
+void site_list_also(const char *entries);
+
 /** Number of requests that a server ran; -1: all servers. */
 int site_runs(int server);
 
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -43,6 +43,7 @@
 static pthread_mutex_t site_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct site_server site_servers[SITE_SERVERS];
 static int site_list_listener;
+static char *site_foreign; /* entries of another writer on the list, each with a comma before it */
 static char *site_body;
 static char *site_head;
 static int site_cancellations;
@@ -254,10 +255,19 @@
                       i == 0 ? "" : ",", id, i < 2 ? "engine" : "plain", site_servers[i].listed_port,
                       site_servers[i].draining ? "draining" : "ready");
     }
+    buffer_append_text(out, text_or_empty(site_foreign));
     pthread_mutex_unlock(&site_lock);
     buffer_append_text(out, "],\"next-token\":null}");
 }
 
+void site_list_also(const char *entries)
+{
+    pthread_mutex_lock(&site_lock);
+    free(site_foreign);
+    site_foreign = text_copy(entries);
+    pthread_mutex_unlock(&site_lock);
+}
+
 static void *site_run_list(void *argument)
 {
     (void)argument;
--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -379,6 +379,42 @@
 }
 END_TEST
 
+/* While the other one refuses. */
+static bool the_new_server_runs(void *context)
+{
+    (void)context;
+    site_set_mode(-1, SITE_NORMAL);
+    site_set_mode(3, SITE_REFUSE);
+    return status_of("GET", "/safe/x") == 200 && site_runs(2) == 1;
+}
+
+static bool entries_are_left_out(void *context)
+{
+    for (int i = 0; i < SITE_STATES; i++) {
+        if (site_metric(i, "machine_list_left_out") == *(int *)context) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* What stands on the list for good beside the servers, and a server that is replaced meanwhile. */
+START_TEST(entries_of_another_writer_hide_no_server)
+{
+    int left_out = 5;
+    int none = 0;
+    site_list_also(",{\"id\":7},null,{\"id\":\"\xff\",\"service\":\"plain\"},"
+                   "{\"id\":\"sleeper\",\"service\":\"plain\",\"address\":\"127.0.0.1:1\",\"zone\":\"z1\","
+                   "\"version\":\"v1\",\"slots\":4,\"state\":\"sleeping\",\"cold-remaining-ms\":0},"
+                   "{\"id\":\"cut off");
+    site_wait(entries_are_left_out, &left_out, "five entries name no server");
+    site_replace_server(2);
+    site_wait(the_new_server_runs, NULL, "the new server is learnt");
+    site_list_also("");
+    site_wait(entries_are_left_out, &none, "no entry is left out");
+}
+END_TEST
+
 /* ---- Faults of daemons -------------------------------------------------------------------------- */
 
 static bool three_vote_again(void *context)
@@ -618,6 +654,7 @@
     tcase_add_test(tests, everything_killed_at_once_forgets_nothing);
     tcase_add_test(tests, a_planned_stop_ends_what_is_under_way);
     tcase_add_test(tests, a_leaving_server_gets_nothing_new);
+    tcase_add_test(tests, entries_of_another_writer_hide_no_server);
     tcase_add_test(tests, a_slow_reader_gets_its_whole_stream);
     tcase_add_test(tests, a_call_waits_for_a_fresh_gateway);
     tcase_add_test(tests, a_call_does_not_wait_for_ever);
