A server's life is its id and its start: what was known of the old one does not stand for the new one

Cause: servers were known by their id alone, which a server may keep when it starts again. The prompts that it kept, its health, draining, misplacement, refusals and counts were believed of the new process, its address was never taken anew, and a program's home stood for whoever had the id. Ruled out: ordering lives by their start (clocks of servers may go back); taking every other start as news (a list that lags more than the one before brings the old life back); ending calls here (the table does not know what was sent). Change: struct server is one life. Another start, address or service under an id ends it and begins a new struct; the old one is found no more and kept until its calls end. A start that is told later, or no more, is the same life. Lives that ended are remembered (512 hashes); news of one changes nothing, unless it stands for 15 s without contradiction: then the other one was wrong. A life is named id@start, or the plain id where no start is told; homes and loads go by that name. A plain id as home, which earlier versions stored, names the life that is known, unless there was one before. Other unit and scripted tests without failures.

--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -6,20 +6,61 @@
 #include <xxhash.h>
 
 #include "base/buffer.h"
+#include "base/message.h"
 #include "core/load_table.h"
 
 enum { SERVER_LOAD_SHIFT = 16 };
 
-static void server_free(struct server_table *table, struct server *server)
+/* ---- Lives ----------------------------------------------------------------------------------- */
+
+static uint64_t server_hash_text(const char *text)
 {
-    HASH_DEL(table->servers, server);
+    return XXH64(text, strlen(text), 0);
+}
+
+/* What tells lives of one id apart: the start or, where that is not known, address and service. */
+static uint64_t server_life_hash(const char *id, uint64_t born, const char *address, const char *service)
+{
+    uint64_t material[4] = {server_hash_text(text_or_empty(id)), born,
+                            born != 0 ? 0 : server_hash_text(text_or_empty(address)),
+                            born != 0 ? 0 : server_hash_text(text_or_empty(service))};
+    return XXH64(material, sizeof(material), 0);
+}
+
+static void server_note_ended(struct server_table *table, const struct server *server)
+{
+    table->ended[table->ended_count++ % SERVER_ENDED_LIVES] =
+        server_life_hash(server->id, server->born, server->address, server->service);
+}
+
+static void server_forget_late(struct server *server)
+{
+    if (server->late != NULL) {
+        message_free(ServerRecord_fields, server->late);
+        free(server->late);
+        server->late = NULL;
+        server->late_ms = 0;
+    }
+}
+
+static void server_release(struct server *server)
+{
+    server_forget_late(server);
     free(server->id);
+    free(server->life);
     free(server->service);
     free(server->address);
     free(server->zone);
     free(server);
 }
 
+static void server_free(struct server_table *table, struct server *server)
+{
+    HASH_DEL(table->servers, server);
+    server_note_ended(table, server);
+    server_release(server);
+}
+
 void server_table_close(struct server_table *table)
 {
     while (table->servers != NULL) {
@@ -27,14 +68,47 @@
     }
 }
 
+static bool server_has_ended(const struct server_table *table, const ServerRecord *record)
+{
+    uint64_t hash = server_life_hash(record->id, record->born, record->address, record->service);
+    uint32_t count = table->ended_count < SERVER_ENDED_LIVES ? table->ended_count : SERVER_ENDED_LIVES;
+    for (uint32_t i = 0; i < count; i++) {
+        if (table->ended[i] == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool server_is_life_of(const struct server *server, const ServerRecord *record)
+{
+    bool born = server->born == record->born || server->born == 0 || record->born == 0;
+    return born && text_equal(server->address, record->address) && text_equal(server->service, record->service);
+}
+
+/* The plain id where the start is not known: that is what earlier versions call it. */
+static void server_name_life(struct server *server)
+{
+    struct buffer name = {0};
+    buffer_append_text(&name, server->id);
+    if (server->born != 0) {
+        buffer_printf(&name, "@%llu", (unsigned long long)server->born);
+    }
+    free(server->life);
+    server->life = text_copy(buffer_text(&name));
+    server->hash = server_hash_text(server->life);
+    buffer_close(&name);
+}
+
 static struct server *server_add(struct server_table *table, const ServerRecord *record)
 {
     struct server *server = memory_new(sizeof(*server));
     server->id = text_copy(record->id);
+    server->born = record->born;
+    server_name_life(server);
     server->service = text_copy(record->service);
     server->address = text_copy(record->address);
     server->zone = text_copy(record->zone);
-    server->hash = XXH64(server->id, strlen(server->id), 0);
     HASH_ADD_KEYPTR(hh, table->servers, server->id, strlen(server->id), server);
     return server;
 }
@@ -45,28 +119,114 @@
     struct server *next;
     HASH_ITER(hh, table->servers, server, next)
     {
+        server->listed = server->listed && server->seen;
         if (!server->listed && server->calls == 0) {
             server_free(table, server);
         }
     }
 }
 
-static void server_take_record(struct server_table *table, const ServerRecord *record)
+/* It keeps its calls until they end, and is found no more. */
+static void server_end_life(struct server_table *table, struct server *server)
 {
-    struct server *server = NULL;
-    HASH_FIND_STR(table->servers, text_or_empty(record->id), server);
-    if (server == NULL) {
-        server = server_add(table, record);
+    HASH_DEL(table->servers, server);
+    server->ended = true;
+    server->listed = false;
+    server_forget_late(server);
+    server_note_ended(table, server);
+    if (table->life_ended != NULL) {
+        table->life_ended(table->context, server);
+    }
+    if (server->calls == 0) {
+        server_release(server);
     }
+}
+
+static struct server *server_begin_life(struct server_table *table, struct server *old, const ServerRecord *record)
+{
+    server_end_life(table, old);
+    struct server *server = server_add(table, record);
+    server->reborn = true;
+    return server;
+}
+
+static void server_note_late(struct server *server, const ServerRecord *record)
+{
+    server_forget_late(server);
+    server->late = memory_new(sizeof(*server->late));
+    *server->late = (ServerRecord){
+        .id = text_copy(record->id),
+        .service = text_copy(record->service),
+        .address = text_copy(record->address),
+        .zone = text_copy(record->zone),
+        .slots = record->slots,
+        .draining = record->draining,
+        .born = record->born,
+    };
+}
+
+static void server_fill(struct server *server, const ServerRecord *record)
+{
+    if (server->born == 0 && record->born != 0) {
+        server->born = record->born;
+        server_name_life(server);
+    }
+    server_forget_late(server);
     server->listed = true;
+    server->seen = true;
     server->slots = record->slots;
     server->draining = server->draining || record->draining;
 }
 
+static struct server *server_of_id(const struct server_table *table, const char *id)
+{
+    struct server *server = NULL;
+    HASH_FIND_STR(table->servers, text_or_empty(id), server);
+    return server;
+}
+
+static void server_take_record(struct server_table *table, const ServerRecord *record)
+{
+    struct server *server = server_of_id(table, record->id);
+    if (server == NULL) {
+        server = server_add(table, record);
+    } else if (!server_is_life_of(server, record)) {
+        if (server_has_ended(table, record)) {
+            server_note_late(server, record);
+            server->seen = true;
+            return;
+        }
+        server = server_begin_life(table, server, record);
+    }
+    server_fill(server, record);
+}
+
+void server_table_review(struct server_table *table, uint64_t now_ms)
+{
+    struct server *server;
+    struct server *next;
+    HASH_ITER(hh, table->servers, server, next)
+    {
+        ServerRecord *late = server->late;
+        if (late == NULL) {
+            continue;
+        }
+        server->late_ms = server->late_ms == 0 ? now_ms : server->late_ms;
+        if (now_ms >= server->late_ms + SERVER_LATE_MS) {
+            server->late = NULL;
+            server_fill(server_begin_life(table, server, late), late);
+            message_free(ServerRecord_fields, late);
+            free(late);
+        }
+    }
+}
+
+/* ---- Lists ----------------------------------------------------------------------------------- */
+
 void server_table_update(struct server_table *table, const ServerList *list)
 {
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        server->listed = false;
+        server->seen = false;
     }
     for (pb_size_t i = 0; i < list->servers_count; i++) {
         server_take_record(table, &list->servers[i]);
@@ -77,12 +237,12 @@
 void server_table_change(struct server_table *table, char *const *gone, size_t gone_count, const ServerList *changed)
 {
     for (size_t i = 0; i < gone_count; i++) {
-        struct server *server = NULL;
-        HASH_FIND_STR(table->servers, gone[i], server);
+        struct server *server = server_of_id(table, gone[i]);
         if (server == NULL) {
             continue;
         }
         server->listed = false;
+        server_forget_late(server);
         if (server->calls == 0) {
             server_free(table, server);
         }
@@ -268,14 +428,28 @@
     return at_home >= server_slots(home) + SERVER_HOME_QUEUE && elsewhere + SERVER_LEAVE_CALLS <= at_home;
 }
 
+/* A plain id, as earlier versions stored it, names the only life that is known here. */
+static struct server *server_at_home(const struct server_table *table, const char *home)
+{
+    struct server *server = server_of_id(table, home);
+    const char *start = strrchr(text_or_empty(home), '@');
+    if (server != NULL) {
+        return server->reborn && server->born != 0 ? NULL : server;
+    }
+    if (start == NULL) {
+        return NULL;
+    }
+    HASH_FIND(hh, table->servers, home, (size_t)(start - home), server);
+    return server != NULL && text_equal(server->life, home) ? server : NULL;
+}
+
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish)
 {
-    struct server *home = NULL;
     struct server *idlest = server_idlest(table, now_ms, wish, server_fits);
     if (idlest == NULL) {
         return server_idlest(table, now_ms, wish, server_may_do);
     }
-    HASH_FIND_STR(table->servers, text_or_empty(wish->home), home);
+    struct server *home = server_at_home(table, wish->home);
     bool stays = home != NULL && server_fits(home, wish, now_ms) && !server_should_leave(table, home, idlest, now_ms);
     return stays ? home : idlest;
 }
@@ -356,7 +530,9 @@
 void server_end(struct server_table *table, struct server *server)
 {
     server->calls--;
-    if (!server->listed && server->calls == 0) {
+    if (server->ended && server->calls == 0) {
+        server_release(server);
+    } else if (!server->listed && server->calls == 0) {
         server_free(table, server);
     }
 }
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -3,9 +3,20 @@
  * The servers that a gateway knows, their health as its own traffic shows it,
  * and the choice among them. Pure.
  *
+ * A server may start again under its id, and then knows nothing of before. A
+ * `struct server` is one life, told by id and start. Another address or service
+ * shows another life too, also where the start is not told. With the next life all
+ * that is known begins anew; the old one is kept aside until its calls end. A life
+ * that tells its start only after a while is the same one.
+ *
+ * Starts say nothing of the order of lives, since clocks may go back. Lists have
+ * an order, but each may lag more than the one before. So news of a life that
+ * has ended here is late and changes nothing, as long as it does not stand for
+ * SERVER_LATE_MS: then it was the other one that was wrong.
+ *
  * A server that leaves gets nothing new, whatever else speaks for it. A list
  * that lags may still show a server that has answered as another one; that
- * incarnation is not used again.
+ * life is not used again.
  *
  * A program stays at its home, which keeps its conversation, until the queue
  * there costs more than reading the conversation anew elsewhere. Reading 3,600
@@ -33,28 +44,37 @@
 #include "core/reach.h"
 
 enum {
-    SERVER_MAX_TRIED = 8,       /**< Servers one request remembers as tried. */
-    SERVER_SHED_PAUSE_MS = 30,  /**< Time a server that was full is passed over. */
-    SERVER_HOME_QUEUE = 16,     /**< Requests beyond its slots that a program's home may have: see below. */
-    SERVER_COLD_CALLS = 2,      /**< Requests that opening a connection counts as. */
-    SERVER_REMOTE_CALLS = 2,    /**< Requests that a server in another zone counts as. */
-    SERVER_FAILING_QUEUE = 2,   /**< Slots' worth of calls that failures count as, at most. */
-    SERVER_WITNESSES = 2,       /**< Other gateways whose shares of failures together count as one's own. */
-    SERVER_LEAVE_CALLS = 16,    /**< Requests that the home must have more than another one to be left. */
-    SERVER_OBJECT_CALLS = 3,    /**< Requests that a server which has not seen the request's object counts as. */
-    SERVER_LOADS_VALID_MS = 700 /**< Time the loads of other gateways count at least. */
+    SERVER_MAX_TRIED = 8,        /**< Servers one request remembers as tried. */
+    SERVER_SHED_PAUSE_MS = 30,   /**< Time a server that was full is passed over. */
+    SERVER_HOME_QUEUE = 16,      /**< Requests beyond its slots that a program's home may have: see below. */
+    SERVER_COLD_CALLS = 2,       /**< Requests that opening a connection counts as. */
+    SERVER_REMOTE_CALLS = 2,     /**< Requests that a server in another zone counts as. */
+    SERVER_FAILING_QUEUE = 2,    /**< Slots' worth of calls that failures count as, at most. */
+    SERVER_WITNESSES = 2,        /**< Other gateways whose shares of failures together count as one's own. */
+    SERVER_LEAVE_CALLS = 16,     /**< Requests that the home must have more than another one to be left. */
+    SERVER_OBJECT_CALLS = 3,     /**< Requests that a server which has not seen the request's object counts as. */
+    SERVER_LOADS_VALID_MS = 700, /**< Time the loads of other gateways count at least. */
+    SERVER_ENDED_LIVES = 512,    /**< Lives that are known to have ended. */
+    SERVER_LATE_MS = 15000       /**< Longer than the platform's list lags. */
 };
 
-/** One incarnation of a server. */
+/** One life of a server. */
 struct server {
-    char *id;                /**< Incarnation. */
+    char *id;                /**< Id, which other lives may have too. */
+    char *life;              /**< Name of this life: the id and, where it is known, @ and the start. */
+    uint64_t born;           /**< Unix ms of its start, 0: not told. */
+    bool reborn;             /**< Another life with its id was known here before. */
+    bool ended;              /**< Another life has its id now. */
+    ServerRecord *late;      /**< News of a life that has ended here, or NULL. */
+    uint64_t late_ms;        /**< Time of that news, 0: not noted yet. */
     char *service;           /**< Service it belongs to. */
     char *address;           /**< IP:PORT. */
     char *zone;              /**< Zone. */
     uint32_t slots;          /**< Requests it works on at once. */
     bool draining;           /**< It leaves. */
     bool listed;             /**< It is on the newest list. */
-    bool misplaced;          /**< Another incarnation answered at its address. */
+    bool seen;               /**< The whole list that is looked at has its id. */
+    bool misplaced;          /**< Another server answered at its address. */
     uint32_t calls;          /**< Own requests under way there. */
     uint32_t others;         /**< Requests of other gateways there, as told last. */
     uint32_t others_failed;  /**< Sum of the shares of failures that they see, as told last. */
@@ -64,15 +84,22 @@
     prefix_table_t prefixes; /**< Shared prompt parts that it keeps, as sent from here. */
     reach_t reach;           /**< Whether it can be reached. */
     bool told_failing;       /**< Whether the log last told that it fails. */
-    uint64_t hash;           /**< Of its id. */
+    uint64_t hash;           /**< Of its life's name. */
     UT_hash_handle hh;       /**< By id. */
 };
 
+/** Tells that another life has the id of `server` now. */
+typedef void (*server_life_ended)(void *context, const struct server *server);
+
 /** All servers. */
 struct server_table {
-    struct server *servers;  /**< By id. */
-    uint32_t rotation;       /**< Breaks ties. */
-    uint64_t loads_until_ms; /**< Time until which the loads of other gateways count. */
+    struct server *servers;             /**< By id: the life that each has now. */
+    uint32_t rotation;                  /**< Breaks ties. */
+    uint64_t ended[SERVER_ENDED_LIVES]; /**< Hashes of lives that have ended, a ring. */
+    uint32_t ended_count;               /**< Those so far. */
+    server_life_ended life_ended;       /**< Receiver, or NULL. */
+    void *context;                      /**< Its first argument. */
+    uint64_t loads_until_ms;            /**< Time until which the loads of other gateways count. */
 };
 
 /** A request to place. */
@@ -81,7 +108,7 @@
     const char *zone;                                 /**< The gateway's zone. */
     const prefix_chain_t *chain;                      /**< Shared parts of its prompt, or NULL. */
     const prefix_cost_t *cost;                        /**< What a call costs on average; with `chain`. */
-    const char *home;                                 /**< Server that keeps the program's prompt, or NULL. */
+    const char *home;                                 /**< Life that keeps the program's prompt, or NULL. */
     uint64_t object;                                  /**< Hash of the object that it is about, 0: none. */
     const struct server *tried[SERVER_MAX_TRIED];     /**< Not these. */
     uint32_t tried_count;                             /**< Number of those. */
@@ -98,6 +125,9 @@
 /** Takes what changed since the list before: servers that left it, then those that came or changed. */
 void server_table_change(struct server_table *table, char *const *gone, size_t gone_count, const ServerList *changed);
 
+/** Takes news of lives that has stood for so long that it is not late. */
+void server_table_review(struct server_table *table, uint64_t now_ms);
+
 /** Takes what other gateways have under way. */
 void server_table_take_loads(struct server_table *table, uint64_t now_ms, const LoadTotals *totals);
 
--- a/tests/scripted/run_lives.c
+++ b/tests/scripted/run_lives.c
@@ -8,6 +8,7 @@
  *   begin ID | end            a request begins there; the oldest one ends
  *   home                      where the program's next turn goes: to its home, or elsewhere
  *   stored NAME               what the state holds as the program's home
+ *   later MS                  so much later the table looks at what is late
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -118,7 +119,7 @@
     prefix_chain_t chain = prompt();
     prefix_table_note(&server->prefixes, now_ms, &chain);
     health_note(&server->health, now_ms, HEALTH_FAILED);
-    snprintf(home, sizeof(home), "%s", server->id);
+    snprintf(home, sizeof(home), "%s", server->life);
 }
 
 static void go_home(void)
@@ -164,6 +165,10 @@
         server_refused(&servers, find(command), now_ms);
     } else if (script_is(command, 0, "home")) {
         go_home();
+    } else if (script_is(command, 0, "later")) {
+        server_table_review(&servers, now_ms);
+        now_ms += script_number(command, 1, 0);
+        server_table_review(&servers, now_ms);
     } else if (script_is(command, 0, "stored")) {
         script_copy(command, 1, home, sizeof(home));
     } else {
--- a/tests/unit/watchers.c
+++ b/tests/unit/watchers.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/message.h"
+#include "core/server_table.h"
 #include "core/watch.h"
 #include "suite.h"
 
@@ -39,6 +40,7 @@
 
 typedef struct test_server_t {
     int incarnation;
+    uint64_t born; /* 0: not told */
     bool draining;
     bool absent;
 } test_server_t;
@@ -64,7 +66,8 @@
                                      .zone = (char *)(uintptr_t) "zone-1",
                                      .version = (char *)(uintptr_t) "v1",
                                      .slots = 8,
-                                     .draining = servers[i].draining};
+                                     .draining = servers[i].draining,
+                                     .born = servers[i].born};
     }
     message_encode(out, ServerList_fields, &list);
 }
@@ -350,6 +353,104 @@
 }
 END_TEST
 
+/* ---- Lives ---------------------------------------------------------------------------------- */
+
+/* A gateway's table follows its list as the gateway does. */
+static void follow_list(struct server_table *table, struct watch_state *state, uint64_t *change)
+{
+    server_list_changes_t changes;
+    ServerList list = {0};
+    if (server_list_changes_since(&state->servers, *change, &changes)) {
+        ck_assert(message_decode(buffer_view(&changes.records), ServerList_fields, &list));
+        server_table_change(table, changes.gone, changes.gone_count, &list);
+    } else {
+        ck_assert(message_decode(server_list_whole(&state->servers), ServerList_fields, &list));
+        server_table_update(table, &list);
+    }
+    message_free(ServerList_fields, &list);
+    server_list_changes_close(&changes);
+    *change = state->servers.change;
+}
+
+/* Each server on the list is the life that the list tells, and no other one is listed. */
+static void check_lives(const struct server_table *table, const struct watch_state *state)
+{
+    for (const server_list_entry_t *entry = state->servers.entries; entry != NULL; entry = entry->hh.next) {
+        ServerRecord record = {0};
+        struct server *server = NULL;
+        ck_assert(message_decode(view_of(entry->record, entry->length), ServerRecord_fields, &record));
+        HASH_FIND_STR(table->servers, entry->id, server);
+        ck_assert_ptr_ne(server, NULL);
+        ck_assert(server->listed);
+        ck_assert(server->born == record.born);
+        ck_assert(!record.draining || server->draining);
+        message_free(ServerRecord_fields, &record);
+    }
+    ck_assert_uint_eq(HASH_COUNT(table->servers), HASH_COUNT(state->servers.entries));
+}
+
+START_TEST(whatever_is_lost_a_gateway_and_the_leader_believe_one_life)
+{
+    struct server_table table = {0};
+    uint64_t change = 0;
+    uint64_t births = 0;
+    int leader = 0;
+    random_state = (uint64_t)_i + 100;
+    lost_of_100 = 30;
+    for (int round = 0; round < 60; round++) {
+        for (uint32_t k = draw(20); k > 0; k--) {
+            test_server_t *server = &servers[draw(SERVERS / 10)];
+            /* Each start is told once, and may lie before the last one. */
+            server->born = draw(2) == 0 ? draw(1000000) * 10000ULL + ++births : server->born;
+            server->draining = draw(4) == 0;
+            server->absent = draw(5) == 0;
+        }
+        if (draw(6) == 0) {
+            term++;
+            leader = (int)draw(REPLICAS);
+        }
+        read_servers(leader);
+        follow_leader(leader);
+        run_for(draw(30) * STEP_MS);
+        if (watchers[9].servers.change != change) {
+            follow_list(&table, &watchers[9], &change);
+            check_lives(&table, &watchers[9]);
+        }
+    }
+    lost_of_100 = 0;
+    read_servers(leader);
+    follow_leader(leader);
+    run_for(SETTLE_MS);
+    check_all_have(leader);
+    follow_list(&table, &watchers[9], &change);
+    check_lives(&table, &replicas[leader]);
+    server_table_close(&table);
+}
+END_TEST
+
+/* An id that left the list and is told again before it was looked at is the life that is told last. */
+START_TEST(a_life_that_takes_the_place_of_one_that_left_is_told)
+{
+    struct server_table table = {0};
+    uint64_t change = 0;
+    servers[3].born = 2000;
+    start();
+    follow_list(&table, &watchers[9], &change);
+    servers[3].absent = true;
+    read_servers(0);
+    follow_leader(0);
+    run_for(2 * WATCH_PERIOD_MS);
+    servers[3].absent = false;
+    servers[3].born = 1000;
+    read_servers(0);
+    follow_leader(0);
+    run_for(2 * WATCH_PERIOD_MS);
+    follow_list(&table, &watchers[9], &change);
+    check_lives(&table, &replicas[0]);
+    server_table_close(&table);
+}
+END_TEST
+
 /* More servers leave than are remembered: who has an old list gets it whole, and nobody keeps one that left. */
 START_TEST(a_list_that_is_too_old_is_told_whole)
 {
@@ -397,6 +498,8 @@
     tcase_add_test(tests, a_new_leader_with_the_same_list_tells_nothing_anew);
     tcase_add_test(tests, a_watcher_that_follows_another_replica_is_told_changes);
     tcase_add_loop_test(tests, whatever_is_lost_all_have_the_list_in_the_end, 0, 4);
+    tcase_add_loop_test(tests, whatever_is_lost_a_gateway_and_the_leader_believe_one_life, 0, 4);
+    tcase_add_test(tests, a_life_that_takes_the_place_of_one_that_left_is_told);
     tcase_add_test(tests, a_list_that_is_too_old_is_told_whole);
     tcase_add_test(tests, a_list_of_an_earlier_version_is_taken_whole);
     suite_add_tcase(suite, tests);
