Gateways: calls and connections of a server's life that has ended; homes name the life

Cause: a gateway kept connections at rest to a server that had started again, and waited for what was under way at the old life until the caller's time was over; a program's home was stored as an id, whichever life had it. The list comes late, and what was sent since the restart runs at the new process, which has the same id and address; a process that ends resets its connections by itself, so that only what is silent can be the old life's. Change: with the next life the connections at rest to that address are closed (upstream_forget), and the log tells it (server_reborn; servers_reborn_total). A call at the old life of which no byte was sent is placed again at once, as not run. One that was sent ends as at a server that crashed (forward_may_have_run: on elsewhere only where that is allowed) when nothing has come of it for two seconds or four times the route's aim since the news; a caller that reads slowly and a standstill of the gateway excuse it. A turn's home is stored as the life's name. The stand-in's servers tell a start where a test sets one (site_set_born). Not run: a roll between versions.

--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -520,6 +520,15 @@
     return count;
 }
 
+void upstream_forget(struct upstream_pool *pool, const char *address)
+{
+    struct upstream_server *server = NULL;
+    HASH_FIND_STR(pool->servers, address, server);
+    while (server != NULL && server->idle != NULL) {
+        upstream_connection_close(server->idle);
+    }
+}
+
 /* ---- Time --------------------------------------------------------------------------------- */
 
 static void upstream_on_sweep(uv_timer_t *timer)
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -119,6 +119,9 @@
 /** Connections that rest, to a server. */
 uint32_t upstream_idle_count(const struct upstream_pool *pool, const char *address);
 
+/** Closes the connections that rest, to a server that has started again. */
+void upstream_forget(struct upstream_pool *pool, const char *address);
+
 /** Whether bytes of the request may have left. */
 bool upstream_was_sent(const struct upstream_exchange *exchange);
 
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -28,6 +28,7 @@
     FORWARD_NEAR_MS = 120,          /**< Time a near replica may take before the leader is asked. */
     FORWARD_MAX_PENDING = 64 << 10, /**< Bytes of a stream kept for a caller that reads slowly. */
     FORWARD_LEAST_MS = 30,          /**< Least time left to ask a server. */
+    FORWARD_ENDED_SILENT_MS = 2000, /**< Silence at a server that has started again that ends a call, at least. */
     FORWARD_START_MS = 1500,        /**< Time a request waits for a gateway that has just started, at most. */
     FORWARD_START_SHARE = 2,        /**< Part of the caller's time it waits, at most: one in so many. */
     FORWARD_MAX_WAITING = 256       /**< Requests that wait for that. */
@@ -60,6 +61,8 @@
     struct server *server;              /**< Server asked. */
     struct upstream_exchange *exchange; /**< Exchange under way, or NULL. */
     uint64_t sent_ms;                   /**< Loop time at which it was sent. */
+    uint64_t heard_ms;                  /**< Loop time at which something came last, 0: never. */
+    uint64_t ended_ms;                  /**< Loop time at which the server was seen to have started again, 0: never. */
     bool silent;                        /**< It was noted that no answer has begun for long. */
     int status;                         /**< Status of the answer, 0: none yet. */
     bool refused;                       /**< The server did not run the request. */
@@ -137,6 +140,9 @@
 /** forward_resume.c: a server cannot be reached any more: what may go on elsewhere does. */
 void forward_server_lost(struct front *front, const struct server *server);
 
+/** forward_resume.c: ends what is silent at servers that have started again, as at one that crashed. */
+void forward_end_silent(struct front *front);
+
 /** forward_queue.c: it waits for a place at a server. */
 void forward_queue_join(struct forward *forward);
 
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -65,13 +65,20 @@
     return http_reader_has(answer, mark) || answer->status == FORWARD_MISDIRECTED;
 }
 
+static void forward_note_heard(struct forward_attempt *attempt)
+{
+    struct front *front = attempt->forward->front;
+    attempt->heard_ms = node_now(front->node);
+    front_note_heard(front, attempt->server);
+}
+
 static void forward_on_head(void *owner, const struct http_reader *answer)
 {
     struct forward_attempt *attempt = owner;
     struct forward *forward = attempt->forward;
     attempt->status = answer->status;
     reach_note_answer(&attempt->server->reach, node_now(forward->front->node) - attempt->sent_ms);
-    front_note_heard(forward->front, attempt->server);
+    forward_note_heard(attempt);
     if (forward_is_not_run(forward, answer)) {
         attempt->refused = true;
         return;
@@ -162,7 +169,7 @@
     for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
         struct forward_attempt *attempt = &forward->attempts[i];
         if (attempt->streaming && attempt->exchange != NULL) {
-            front_note_heard(forward->front, attempt->server);
+            forward_note_heard(attempt);
             upstream_pause(attempt->exchange, false);
         }
     }
@@ -172,7 +179,7 @@
 {
     struct forward_attempt *attempt = owner;
     struct forward *forward = attempt->forward;
-    front_note_heard(forward->front, attempt->server);
+    forward_note_heard(attempt);
     if (attempt->refused) {
         return;
     }
@@ -223,7 +230,7 @@
         forward_may_have_run(attempt, "a stream that ends inside an event");
         return;
     }
-    forward->turn.ran_at = text_copy(attempt->server->id);
+    forward->turn.ran_at = text_copy(attempt->server->life);
     prefix_cost_note(&forward->front->call_cost, forward->own_tokens,
                      forward->stream.event_count * forward_chunk_tokens(forward));
     forward_end_attempt(attempt);
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -92,3 +92,46 @@
         }
     }
 }
+
+/* ---- Servers that have started again ------------------------------------------------------------- */
+
+/* The list tells a restart late: what was sent meanwhile runs at the new life, and is heard. */
+static bool forward_is_dead(const struct forward *forward, struct forward_attempt *attempt)
+{
+    const struct node *node = forward->front->node;
+    uint64_t now_ms = node_now(node);
+    if (!attempt->server->ended || attempt->exchange == NULL || forward->stream.paused) {
+        return false;
+    }
+    attempt->ended_ms = attempt->ended_ms == 0 ? now_ms : attempt->ended_ms;
+    uint64_t since_ms = attempt->heard_ms > attempt->ended_ms ? attempt->heard_ms : attempt->ended_ms;
+    since_ms = node->woke_ms > since_ms ? node->woke_ms : since_ms;
+    uint64_t aimed_ms = HEALTH_UNANSWERED_AIMS * forward->route->target_latency_ms;
+    uint64_t silence_ms = aimed_ms > FORWARD_ENDED_SILENT_MS ? aimed_ms : FORWARD_ENDED_SILENT_MS;
+    return !upstream_was_sent(attempt->exchange) || now_ms >= since_ms + silence_ms;
+}
+
+static void forward_end_dead(struct forward_attempt *attempt)
+{
+    static const char reason[] = "the server started again";
+    if (upstream_was_sent(attempt->exchange)) {
+        forward_may_have_run(attempt, reason);
+    } else {
+        forward_not_run(attempt, reason);
+    }
+}
+
+void forward_end_silent(struct front *front)
+{
+    struct forward *next = NULL;
+    for (struct forward *forward = front->forwards; forward != NULL; forward = next) {
+        next = forward->next;
+        for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+            struct forward_attempt *attempt = &forward->attempts[i];
+            if (attempt->forward != NULL && forward_is_dead(forward, attempt)) {
+                forward_end_dead(attempt);
+                break;
+            }
+        }
+    }
+}
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -34,6 +34,16 @@
     }
 }
 
+/* Connections at rest may lead to the old life. */
+static void front_on_life_ended(void *context, const struct server *server)
+{
+    struct front *front = context;
+    front->counters.reborn++;
+    event_log("server_reborn", "{s:s,s:s,s:s,s:i}", "server", server->id, "old_life", server->life, "address",
+              server->address, "calls", (int)server->calls);
+    upstream_forget(&front->node->upstreams, server->address);
+}
+
 struct front *front_open(struct node *node)
 {
     struct http_limits limits;
@@ -44,6 +54,8 @@
     front->spread = node->boot_id;
     node->upstreams.max_connections = FRONT_CONNECTIONS;
     front_watch_reach(front);
+    front->servers.life_ended = front_on_life_ended;
+    front->servers.context = front;
     struct http_handler handler = {
         .context = front,
         .request = front_on_request,
@@ -229,6 +241,8 @@
     for (struct forward *forward = front->forwards; forward != NULL; forward = forward->next) {
         forward_note_silence(forward);
     }
+    forward_end_silent(front);
+    server_table_review(&front->servers, node_now(front->node));
     for (struct server *server = front->servers.servers; server != NULL; server = server->hh.next) {
         front_report_failing(front, server);
         front_probe_if_silent(front, server);
@@ -281,6 +295,7 @@
                           counters->server_refusals);
     metrics_write_counter(out, "probes_total", "Connections opened to see whether a silent server can be reached.",
                           counters->probes);
+    metrics_write_counter(out, "servers_reborn_total", "Servers that started again under their id.", counters->reborn);
     metrics_write_counter(out, "queued_total", "Requests that waited for a place at a server.", counters->queued);
     metrics_write_counter(out, "resumes_total", "Streams taken up after they broke off.", counters->resumes);
     metrics_write_counter(out, "hedges_total", "Second servers asked for want of an answer.", counters->hedges);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -40,6 +40,7 @@
     uint64_t quota_refusals;  /**< Requests refused since their tenant is over its limit. */
     uint64_t budget_refusals; /**< Turns refused for their program's budget. */
     uint64_t pauses;          /**< Streams held back for a slow caller. */
+    uint64_t reborn;          /**< Servers that started again under their id. */
     uint64_t probes;          /**< Dials to servers that were silent. */
     uint64_t queued;          /**< Requests that waited for a place. */
     uint64_t resumes;         /**< Streams taken up after they broke off. */
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -103,6 +103,9 @@
 /** Puts another instance in the place of a server that left: it has the address, and an id of its own. */
 void site_replace_server(int server);
 
+/** Shows all servers as started at `born`, a Unix time in ms, under the ids that they have; 0: they do not tell. */
+void site_set_born(uint64_t born);
+
 /** Puts entries of another writer behind the servers on the list, as they are written: each begins with a comma. */
 void site_list_also(const char *entries);
 
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -43,6 +43,7 @@
 static pthread_mutex_t site_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct site_server site_servers[SITE_SERVERS];
 static int site_list_listener;
+static uint64_t site_born; /* start that all servers tell, 0: none */
 static char *site_foreign; /* entries of another writer on the list, each with a comma before it */
 static char *site_body;
 static char *site_head;
@@ -241,6 +242,13 @@
     }
 }
 
+static void site_write_born(struct buffer *out)
+{
+    if (site_born != 0) {
+        buffer_printf(out, "\"born\":%llu,", (unsigned long long)site_born);
+    }
+}
+
 static void site_write_list(struct buffer *out)
 {
     buffer_append_text(out, "{\"instances\":[");
@@ -249,10 +257,12 @@
         char id[32];
         snprintf(id, sizeof(id), site_servers[i].instance == 0 ? "server-%d" : "server-%d-%d", i,
                  site_servers[i].instance);
+        buffer_append_text(out, i == 0 ? "{" : ",{");
+        site_write_born(out);
         buffer_printf(out,
-                      "%s{\"id\":\"%s\",\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
+                      "\"id\":\"%s\",\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
                       "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\",\"cold-remaining-ms\":0,\"unknown\":[1]}",
-                      i == 0 ? "" : ",", id, i < 2 ? "engine" : "plain", site_servers[i].listed_port,
+                      id, i < 2 ? "engine" : "plain", site_servers[i].listed_port,
                       site_servers[i].draining ? "draining" : "ready");
     }
     buffer_append_text(out, text_or_empty(site_foreign));
@@ -260,6 +270,13 @@
     buffer_append_text(out, "],\"next-token\":null}");
 }
 
+void site_set_born(uint64_t born)
+{
+    pthread_mutex_lock(&site_lock);
+    site_born = born;
+    pthread_mutex_unlock(&site_lock);
+}
+
 void site_list_also(const char *entries)
 {
     pthread_mutex_lock(&site_lock);
