--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -571,6 +571,15 @@
     return count;
 }
 
+void upstream_forget(struct upstream_pool *pool, const char *address)
+{
+    struct upstream_server *server = NULL;
+    HASH_FIND_STR(pool->servers, address, server);
+    while (server != NULL && server->idle != NULL) {
+        upstream_connection_close(server->idle);
+    }
+}
+
 /* ---- Time --------------------------------------------------------------------------------- */
 
 /* The kernel has the answer to a dial while this process waits for the processor: it is told in this turn's poll. */
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -125,6 +125,12 @@
 /** The instance of a server that runs now. */
 int site_instance(int server);
 
+/** Shows all servers as started at `born`, a Unix time in ms, under the ids that they have; 0: they do not tell. */
+void site_set_born(uint64_t born);
+
+/** Puts entries of another writer behind the servers on the list, as they are written: each begins with a comma. */
+void site_list_also(const char *entries);
+
 /** Number of requests that a server ran; -1: all servers. */
 int site_runs(int server);
 
