--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -296,8 +296,8 @@
     forward->wish.object = object.length > 0 ? XXH64(object.data, object.length, 0) : 0;
 }
 
-/* Denied only while it is sure that no newer configuration has the route; otherwise the caller is to come back. The real
- * time counts: this process may have stood still since its turn began. */
+/* Denied only while it is sure that no newer configuration has the route; otherwise the caller is to come back. The
+ * real time counts: this process may have stood still since its turn began. */
 static void forward_refuse_unknown(struct forward *forward)
 {
     forward->front->counters.unknown_route++;
