Listener: what a late process has not read is no silence, and an answer not yet taken is no rest

Cause, three ways in which a connection ends without the answer that is due on it, each shown on real sockets: - Time limits are looked at before the loop reads. A process that was late closes a connection whose request lies in the kernel since before its limit, or whose request it has read in part. - A stop lingers on each connection that rests, also one whose request lies there unread: it is read then, and thrown away. A process that waits for its share of a core does so with requests that are older than loss-slack-ms. - An answer that has not left is forgotten: one second into a linger, at the idle limit on a kept connection, and at the exit, since http_listener_active() did not count it. Change: a limit that is over while bytes wait gets one look more; a stop leaves such a connection open until its request is answered; bytes of an answer count as under way, and end only when the client has taken none for 15 s.

--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -30,6 +30,8 @@
     bool arriving;                    /**< A part of a request has come. */
     size_t arriving_bytes;            /**< Length of the body that is being read, as told or else the most it may be. */
     bool no_room;                     /**< There is no memory to read it. */
+    size_t unsent;                    /**< Bytes of answers not taken yet, at the last look at time limits. */
+    bool looked_again;                /**< Its time was over, and bytes of its request were there unread. */
     bool close_after;                 /**< The answer closes the connection. */
     bool handling;                    /**< Guards against recursion while bytes are handled. */
     struct http_connection *previous; /**< Connections of the listener. */
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -11,7 +11,8 @@
     HTTP_LISTENER_SWEEP_MS = 250,
     HTTP_LISTENER_READ_BYTES = 1 << 16,
     HTTP_LISTENER_NO_ROOM = 503,
-    HTTP_LISTENER_LINGER_MS = 1000,     /* time for the client to take the last answer */
+    HTTP_LISTENER_LINGER_MS = 1000,     /* time for the client to close, once the last answer has left */
+    HTTP_LISTENER_TAKE_MS = 15000,      /* time in which a client takes nothing of an answer that is due to it */
     HTTP_LISTENER_AHEAD_BYTES = 1 << 16 /* bytes read behind a request that is being answered */
 };
 
@@ -143,6 +144,7 @@
     struct http_listener *listener = connection->listener;
     connection->state = HTTP_ANSWERING;
     connection->arriving = false;
+    connection->looked_again = false;
     http_connection_arrived(connection);
     connection->call.received_ms = uv_now(listener->loop);
     listener->counters.requests++;
@@ -236,9 +238,21 @@
 
 /* ---- Time --------------------------------------------------------------------------------------- */
 
+/* What a process that was late has not read yet is no silence of the client's. */
+static bool http_connection_has_bytes(const struct http_connection *connection)
+{
+    uv_os_fd_t file;
+    char byte;
+    return uv_fileno((const uv_handle_t *)&connection->socket, &file) == 0 &&
+           recv(file, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 static uint64_t http_connection_limit(const struct http_connection *connection)
 {
     const struct http_limits *limits = &connection->listener->limits;
+    if (connection->unsent > 0) {
+        return HTTP_LISTENER_TAKE_MS;
+    }
     switch (connection->state) {
     case HTTP_READING: return connection->arriving ? limits->header_timeout_ms : limits->idle_timeout_ms;
     case HTTP_LINGERING: return HTTP_LISTENER_LINGER_MS;
@@ -246,6 +260,29 @@
     }
 }
 
+/* An answer that the client takes, however slowly, is neither a rest nor a linger. */
+static void http_connection_note_unsent(struct http_connection *connection, uint64_t now_ms)
+{
+    size_t unsent = http_call_pending(&connection->call);
+    if (unsent != connection->unsent) {
+        connection->unsent = unsent;
+        connection->since_ms = now_ms;
+    }
+}
+
+/* Whether its time is over. Bytes that wait are read in this turn; a request gets one look more for its rest. */
+static bool http_connection_is_over(struct http_connection *connection, uint64_t now_ms)
+{
+    uint64_t limit = http_connection_limit(connection);
+    if (limit == 0 || now_ms < connection->since_ms + limit) {
+        return false;
+    }
+    bool reads = connection->state == HTTP_READING && connection->unsent == 0;
+    bool again = reads && !connection->looked_again && http_connection_has_bytes(connection);
+    connection->looked_again = again;
+    return !again;
+}
+
 static void http_on_sweep(uv_timer_t *timer)
 {
     struct http_listener *listener = timer->data;
@@ -253,8 +290,8 @@
     struct http_connection *next = NULL;
     for (struct http_connection *connection = listener->connections; connection != NULL; connection = next) {
         next = connection->next;
-        uint64_t limit = http_connection_limit(connection);
-        if (limit != 0 && now_ms >= connection->since_ms + limit) {
+        http_connection_note_unsent(connection, now_ms);
+        if (http_connection_is_over(connection, now_ms)) {
             listener->counters.timeouts++;
             http_connection_close(connection);
         }
@@ -296,7 +333,7 @@
     struct http_connection *next = NULL;
     for (struct http_connection *connection = listener->connections; connection != NULL; connection = next) {
         next = connection->next;
-        if (connection->state == HTTP_READING && !connection->arriving) {
+        if (connection->state == HTTP_READING && !connection->arriving && !http_connection_has_bytes(connection)) {
             http_connection_linger(connection);
         }
     }
@@ -322,7 +359,8 @@
     uint32_t active = 0;
     for (const struct http_connection *connection = listener->connections; connection != NULL;
          connection = connection->next) {
-        active += connection->state == HTTP_ANSWERING || connection->arriving ? 1 : 0;
+        bool busy = connection->state == HTTP_ANSWERING || connection->arriving;
+        active += busy || http_call_pending(&connection->call) > 0 ? 1 : 0;
     }
     return active;
 }
