What came while the process stood still is not timed out unread

Cause: after a stop of the process the timers may run before the sockets are read. A request whose rest had come in time was closed without an answer as too slow, and a connection to a server that had come up was given up as not coming up, which counts against the server where it only asked whether it can be reached. Ruled out: excusing all that falls due in a late turn; a process that is always late would then close nothing. Change: what is about to be timed out is looked at first (recv with MSG_PEEK, poll): where the loop is yet to be told of something, it is told.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -295,6 +295,15 @@
     }
 }
 
+/* Where this process stood still meanwhile, what came in time may not have been read yet. */
+static bool http_connection_has_unread(const struct http_connection *connection)
+{
+    uv_os_fd_t file;
+    char byte;
+    return connection->state == HTTP_READING && uv_fileno((const uv_handle_t *)&connection->socket, &file) == 0 &&
+           recv(file, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 static void http_on_sweep(uv_timer_t *timer)
 {
     struct http_listener *listener = timer->data;
@@ -303,7 +312,8 @@
     for (struct http_connection *connection = listener->connections; connection != NULL; connection = next) {
         next = connection->next;
         uint64_t limit = http_connection_limit(connection);
-        if (limit != 0 && now_ms >= connection->since_ms + limit) {
+        bool late = limit != 0 && now_ms >= connection->since_ms + limit;
+        if (late && !http_connection_has_unread(connection)) {
             listener->counters.timeouts++;
             http_connection_close(connection);
         }
--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -568,6 +569,19 @@
 
 /* ---- Time --------------------------------------------------------------------------------- */
 
+/* Whether the loop is yet to be told how a dial has ended: where this process stood still meanwhile, it may have come
+ * up in time. One that could not begin has no time of its own. */
+static bool upstream_dial_has_ended(const struct upstream_connection *connection)
+{
+    uv_os_fd_t file;
+    struct pollfd ask = {.fd = -1, .events = POLLOUT};
+    if (connection->since_ms == 0 || uv_fileno((const uv_handle_t *)&connection->socket, &file) != 0) {
+        return false;
+    }
+    ask.fd = file;
+    return poll(&ask, 1, 0) > 0;
+}
+
 static void upstream_on_sweep(uv_timer_t *timer)
 {
     struct upstream_pool *pool = timer->data;
@@ -576,7 +590,8 @@
     while (connection != NULL) {
         struct upstream_connection *next = connection->next;
         uint64_t limit_ms = connection->probe ? UPSTREAM_PROBE_MS : UPSTREAM_CONNECT_MS;
-        bool late = connection->state == UPSTREAM_CONNECTING && now_ms >= connection->since_ms + limit_ms;
+        bool late = connection->state == UPSTREAM_CONNECTING && now_ms >= connection->since_ms + limit_ms &&
+                    !upstream_dial_has_ended(connection);
         bool rested = connection->state == UPSTREAM_IDLE && now_ms >= connection->since_ms + connection->rest_ms;
         if (late || rested) {
             pool->counters.refused += late ? 1 : 0;
--- a/tests/integration/test_time_given.c
+++ b/tests/integration/test_time_given.c
@@ -34,6 +34,7 @@
     PLAIN = 2,             /* first server of the service that /safe/ and /once/ go to */
     SHORT_MS = 600,        /* callers whose time is over meanwhile */
     RESTED_MS = 4500,      /* after which a gateway keeps no connection to a server */
+    ARRIVAL_MS = 1000,     /* in which a request has to arrive once begun: header-timeout-ms */
     READ_MS = 100          /* in which a server reads what was sent to it */
 };
 
@@ -285,6 +286,24 @@
 }
 END_TEST
 
+/* What came while the gateway stood still came in time. */
+START_TEST(a_request_whose_rest_comes_while_the_gateway_stands_still)
+{
+    ask_t ask = ask_new(LEFT_MS);
+    ask_watch(&ask);
+    ask_send_head(&ask, "POST", "/once/x", BODY_BYTES);
+    stand_still(READ_MS);
+    kill(site_process(GATEWAY), SIGSTOP);
+    site_send(ask.file, body, BODY_BYTES);
+    stand_still(ARRIVAL_MS + SLACK_MS);
+    uint64_t passed_ms = clock_monotonic_ms() - ask.sent_ms;
+    kill(site_process(GATEWAY), SIGCONT);
+    outcome_t outcome = ask_answer(&ask);
+    expect_no_more(&ask, &outcome, passed_ms, "a rest that comes in time");
+    ck_assert_int_eq(outcome.status, 200);
+}
+END_TEST
+
 static void expect_refused_after_pause(const char *what, bool kept, void (*send)(ask_t *ask))
 {
     ask_t ask = ask_new(SHORT_MS);
@@ -339,10 +358,11 @@
 START_TEST(a_dial_that_comes_up_while_the_gateway_stands_still)
 {
     set_dark(true);
+    double sends = site_metric(GATEWAY, "sends_total");
     ask_t ask = ask_new(LEFT_MS);
     ask_watch(&ask);
     ask_send(&ask, "/once/x");
-    stand_still(100);
+    stand_still(READ_MS);
     kill(site_process(GATEWAY), SIGSTOP);
     set_dark(false);
     stand_still(1500);
@@ -350,6 +370,7 @@
     kill(site_process(GATEWAY), SIGCONT);
     outcome_t outcome = ask_answer(&ask);
     expect_no_more(&ask, &outcome, passed_ms, "a dial that comes up late");
+    ck_assert_int_eq((int)(site_metric(GATEWAY, "sends_total") - sends), 1);
 }
 END_TEST
 
@@ -427,6 +448,7 @@
     tcase_add_test(tests, a_body_on_a_kept_connection);
     tcase_add_test(tests, a_stream);
     tcase_add_test(tests, a_body_that_comes_late);
+    tcase_add_test(tests, a_request_whose_rest_comes_while_the_gateway_stands_still);
     tcase_add_test(tests, what_has_no_time_left_is_not_run);
     tcase_add_test(tests, servers_that_take_no_connection);
     tcase_add_test(tests, a_dial_that_comes_up_while_the_gateway_stands_still);
