--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -359,7 +359,9 @@
     uint32_t active = 0;
     for (const struct http_connection *connection = listener->connections; connection != NULL;
          connection = connection->next) {
-        bool busy = connection->state == HTTP_ANSWERING || connection->arriving;
+        bool reads =
+            connection->state == HTTP_READING && (connection->arriving || http_connection_has_bytes(connection));
+        bool busy = connection->state == HTTP_ANSWERING || reads;
         active += busy || http_call_pending(&connection->call) > 0 ? 1 : 0;
     }
     return active;
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -89,7 +89,8 @@
 /** From now on each answer closes its connection. */
 void http_listener_drain(struct http_listener *listener);
 
-/** Number of connections with a request that arrives, is being answered, or has an answer not yet taken whole. */
+/** Number of connections with a request that waits to be read, arrives or is being answered, or an answer that is not
+ * taken whole yet. */
 uint32_t http_listener_active(const struct http_listener *listener);
 
 /** Answers whole; `headers` are lines each ended by CRLF, or NULL. */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -104,10 +104,10 @@
     uint64_t since_ms = node_now(node) - node->drain_since_ms;
     bool late = since_ms + NODE_STOP_MARGIN_MS >= node->settings.grace_ms;
     bool handing_over = node->host != NULL && state_host_hand_over(node->host);
-    bool serving = node->front != NULL && (since_ms < NODE_LEAVE_MS || front_is_busy(node->front));
     if (node->front != NULL && since_ms >= NODE_LEAVE_MS) {
-        front_stop_accepting(node->front);
+        front_stop_accepting(node->front); /* before the look at what is under way: nothing may come behind it */
     }
+    bool serving = node->front != NULL && (since_ms < NODE_LEAVE_MS || front_is_busy(node->front));
     if (late || (!handing_over && !serving && !node_is_settling(node))) {
         node_stop(node);
     }
