A server that comes to leave gets nothing that waited for a connection to it

Cause: a server is chosen before the request waits for a connection (400 ms of a dial, no bound in a full pool), and the choice was not looked at again when it was sent. Seen with real processes: all connections taken, both servers of the service shown as leaving meanwhile; two seconds later the request that waited was sent to one of them, given 900 ms. Change: what is chosen is looked at once more right before the bytes go out; a server that leaves, is not listed any more or has another one at its address is not sent anything: the request has not run, and is placed anew or refused. After: 503, no run; other servers in their place are used. Ruled out: no wait of the kind beside the pool's and the dial's; a choice and a write in one turn are told the same list.

--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -222,9 +222,13 @@
 /** forward_resume.c: takes a stream that broke off up at a server; false: it cannot go on. Ends the attempt if so. */
 bool forward_resume(struct forward_attempt *attempt, const char *reason);
 
-/** forward_attempt.c: writes the request for a server, as it is now; false: there is no time left to run it. */
+/** forward_attempt.c: writes the request for a server, as it is now; false: there is no time left to run it, or the
+ * server has come to leave. */
 bool forward_on_write(void *owner, struct buffer *request);
 
+/** forward_attempt.c: why an attempt ended without having been sent. */
+const char *forward_unsent_reason(const struct forward_attempt *attempt);
+
 /** forward_attempt.c: whether there is time left to ask a server. */
 bool forward_has_time(const struct forward *forward);
 
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -246,8 +246,7 @@
     struct node *node = attempt->forward->front->node;
     attempt->exchange = NULL;
     if (end == UPSTREAM_NOT_SENT) {
-        forward_not_run(attempt,
-                        forward_has_time(attempt->forward) ? "no connection to the server" : "no time left to send it");
+        forward_not_run(attempt, forward_unsent_reason(attempt));
         return;
     }
     if (end == UPSTREAM_BROKEN) {
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -120,13 +120,27 @@
     buffer_append(out, body->data, body->length);
 }
 
+/* It was chosen before a wait for a connection, in which it may have come to leave. */
+static bool forward_server_leaves(const struct server *server)
+{
+    return !server->listed || server->draining || server->misplaced;
+}
+
+const char *forward_unsent_reason(const struct forward_attempt *attempt)
+{
+    if (forward_server_leaves(attempt->server)) {
+        return "the server leaves";
+    }
+    return forward_has_time(attempt->forward) ? "no connection to the server" : "no time left to send it";
+}
+
 /* The loop's time is that of the begin of its turn: a process that stood still since has less time left. */
 bool forward_on_write(void *owner, struct buffer *request)
 {
     struct forward_attempt *attempt = owner;
     uint64_t now_ms = node_real_now();
     uint64_t limit_ms = attempt->forward->limit_ms;
-    if (now_ms + FORWARD_LEAST_MS >= limit_ms) {
+    if (now_ms + FORWARD_LEAST_MS >= limit_ms || forward_server_leaves(attempt->server)) {
         return false;
     }
     attempt->sent_ms = node_now(attempt->forward->front->node);
--- a/tests/integration/test_time_given.c
+++ b/tests/integration/test_time_given.c
@@ -395,14 +395,14 @@
     }
 }
 
-/* Every connection to the service's servers is at work for SLOW_MS, and one request waits for them. */
-static void fill_pool(ask_t *ask)
+/* Every connection to the service's servers is taken by callers who have `left_ms`, and one request waits for them. */
+static void fill_pool(ask_t *ask, enum site_mode mode, int left_ms)
 {
     teach_slowness();
     stand_still(RESTED_MS);
-    site_set_mode(-1, SITE_SLOW);
+    site_set_mode(-1, mode);
     for (int i = 0; i < POOL; i++) {
-        ask_t one = ask_new(LEFT_MS);
+        ask_t one = ask_new(left_ms);
         ask_send(&one, "/once/x");
     }
     *ask = ask_new(LEFT_MS);
@@ -415,7 +415,7 @@
 START_TEST(a_pool_that_is_taken_before_the_gateway_stands_still)
 {
     ask_t longer;
-    fill_pool(&longer);
+    fill_pool(&longer, SITE_SLOW, LEFT_MS);
     ask_t shorter = ask_new(SLOW_MS);
     ask_send(&shorter, "/once/x");
     stand_still(READ_MS);
@@ -434,6 +434,36 @@
 }
 END_TEST
 
+static bool plain_is_served(void *context)
+{
+    struct site_answer answer;
+    (void)context;
+    site_call(0, "GET", "/safe/x", "", NULL, &answer);
+    bool served = answer.status == 200;
+    site_answer_close(&answer);
+    return served;
+}
+
+/* The servers are shown as leaving while the request waits; connections are free once the others' time is over. */
+START_TEST(a_server_that_leaves_gets_nothing_that_waited)
+{
+    ask_t ask;
+    fill_pool(&ask, SITE_SILENT, 2 * SLOW_MS);
+    for (int server = PLAIN; server < SITE_SERVERS; server++) {
+        site_set_draining(server, true);
+    }
+    outcome_t outcome = ask_answer(&ask);
+    printf("a server that leaves: given %ld, answered %d\n", outcome.given, outcome.status);
+    ck_assert_msg(outcome.given < 0, "a server that leaves is given what waited for a connection");
+    ck_assert_int_eq(outcome.status, 503);
+    site_set_mode(-1, SITE_NORMAL);
+    for (int server = PLAIN; server < SITE_SERVERS; server++) {
+        site_replace_server(server);
+    }
+    site_wait(plain_is_served, NULL, "other servers in their place are used");
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
     site_build = argc > 1 ? argv[1] : "build";
@@ -453,6 +483,7 @@
     tcase_add_test(tests, servers_that_take_no_connection);
     tcase_add_test(tests, a_dial_that_comes_up_while_the_gateway_stands_still);
     tcase_add_test(tests, a_pool_that_is_taken_before_the_gateway_stands_still);
+    tcase_add_test(tests, a_server_that_leaves_gets_nothing_that_waited);
     suite_add_tcase(suite, tests);
     site_echo(on_run);
     return suite_run_in_process(suite);
