--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -234,9 +234,13 @@
 /** forward_resume.c: the server to which a stream that broke off is bound; NULL: it is free to go anywhere. */
 struct server *forward_bound_server(struct forward *forward);
 
-/** forward_attempt.c: writes the request for a server, as it is now; false: there is no time left to run it. */
+/** forward_attempt.c: writes the request for a server, as it is now; false: there is no time left to run it, or the
+ * server has come to leave. */
 bool forward_on_write(void *owner, struct buffer *request);
 
+/** forward_attempt.c: why an attempt ended without having been sent. */
+const char *forward_unsent_reason(const struct forward_attempt *attempt);
+
 /** forward_attempt.c: whether there is time left to ask a server. */
 bool forward_has_time(const struct forward *forward);
 
--- a/src/proxy/forward_answer.c
+++ b/src/proxy/forward_answer.c
@@ -255,8 +255,7 @@
     attempt->exchange = NULL;
     if (end == UPSTREAM_NOT_SENT || end == UPSTREAM_VACANT) {
         attempt->server->vacant = end == UPSTREAM_VACANT;
-        forward_not_run(attempt,
-                        forward_has_time(attempt->forward) ? "no connection to the server" : "no time left to send it");
+        forward_not_run(attempt, forward_unsent_reason(attempt));
         return;
     }
     if (end == UPSTREAM_BROKEN) {
