--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -20,6 +20,7 @@
     START_MS = 400,       /* most time of a start that is killed */
     STARTS = 3,           /* most starts that are killed, less one */
     PLANNED_GAP_MS = 500, /* most time between two pieces of planned work */
+    SERVERS_ONE_IN = 3,   /* of the faults of mixed rounds comes with one of a server */
     MIXED_MS = 5000,      /* time of a round of each kind */
     OUTAGE_MS = 4000,
     PLANNED_MS = 4000
@@ -252,12 +253,16 @@
     return now_ms() < until_ms && now_ms() < end_ms && oracle_count() == 0;
 }
 
-static void run_mixed(uint64_t *seed)
+/* Servers fail more often than the rest, by numbers of their own. */
+static void run_mixed(uint64_t *seed, uint64_t *servers_seed)
 {
     uint64_t until_ms = now_ms() + MIXED_MS;
     while (goes_on(until_ms)) {
         pass(random_below(seed, GAP_MS));
         inject(seed);
+        if (random_below(servers_seed, SERVERS_ONE_IN) == 0) {
+            fail_server(servers_seed);
+        }
     }
 }
 
@@ -288,12 +293,13 @@
 
 void faults_run(uint64_t seed, uint64_t duration_ms)
 {
+    uint64_t servers_seed = ~seed;
     started_ms = now_ms();
     end_ms = started_ms + duration_ms;
     while (goes_on(end_ms)) {
-        run_mixed(&seed);
+        run_mixed(&seed, &servers_seed);
         run_outage(&seed);
-        run_mixed(&seed);
+        run_mixed(&seed, &servers_seed);
         run_planned(&seed);
     }
 }
