--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -111,8 +111,8 @@
      */
     bool (*read_snapshot)(void *context, uint32_t group, uint64_t index, uint64_t *at, struct buffer *out);
     /**
-     * Takes bytes of a snapshot from the leader in their order, up to the `last`; then state and log are replaced,
-     * durably. False: refused, it must come again from its `first` bytes.
+     * Takes bytes of a snapshot from the leader in their order, up to the `last`; then the state is replaced, durably,
+     * and of the log what raft_holds() does not let stay. False: refused, it must come again from its `first` bytes.
      */
     bool (*take_snapshot)(void *context, uint32_t group, const struct raft_snapshot *snapshot, struct view bytes,
                           bool first, bool last);
@@ -187,7 +187,8 @@
     struct raft_members base_members;                       /**< Members at the last compacted entry. */
     uint64_t election_deadline_ms;                          /**< Follower: time to campaign. */
     uint64_t last_leader_contact_ms;                        /**< Time the leader was last heard. */
-    uint64_t told_commit;                                   /**< Follower: commit index that the leader told last. */
+    uint64_t current_ms;                                    /**< Follower: when it had applied all that its settled
+                                                                 leader told as committed; 0: not yet. */
     uint64_t heartbeat_due_ms;                              /**< Leader: next heartbeat. */
     uint64_t quorum_checked_ms;                             /**< Leader: start of the current check-quorum window. */
     uint64_t elections;                                     /**< Campaigns started, part of the jitter. */
@@ -222,6 +223,9 @@
  * replaces the tail from there. False: the entry leaves a gap. */
 bool raft_restore_entry(struct raft *raft, const struct raft_entry *entry);
 
+/** Before raft_start: drops the entries behind the snapshot that were added so far. */
+void raft_restore_reset(struct raft *raft);
+
 /** Begins to run; a sole voter campaigns at once. */
 void raft_start(struct raft *raft, uint64_t now_ms);
 
@@ -272,6 +276,10 @@
 /** Term of the entry at `index`; 0 if it is not known. */
 uint64_t raft_term_at(const struct raft *raft, uint64_t index);
 
+/** Whether the log holds the entry that a snapshot from the leader ends with: what stands behind it then follows from
+ * it, was acknowledged, and stays. */
+bool raft_holds(const struct raft *raft, const struct raft_snapshot *snapshot);
+
 /** Members at the applied index. */
 const struct raft_members *raft_applied_members(const struct raft *raft);
 
@@ -294,9 +302,10 @@
 bool raft_heard_from_quorum(const struct raft *raft, uint64_t now_ms);
 
 /**
- * Whether everything that is known to be committed is applied here: on a leader that has committed in its own term and
- * hears a quorum; on a follower that heard of such a leader within an election timeout and lacks nothing of what that
- * one had committed by then. A replica that has just started, lags, or is being sent a snapshot is not current.
+ * Whether everything that was committed an election timeout ago is applied here: a leader that has committed in its
+ * own term and hears a quorum; a follower that had, within that time, applied all that such a leader told it. A replica
+ * that has just started, lags, or is being sent a snapshot is not current; one that lacks a moment's entries under load
+ * is.
  */
 bool raft_is_current(const struct raft *raft, uint64_t now_ms);
 
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -258,6 +258,11 @@
     return server->listed && !server->draining && !server->misplaced && now_ms >= server->full_until_ms;
 }
 
+bool server_is_gone(const struct server *server)
+{
+    return !server->listed || server->draining || server->misplaced || server->vacant || server->reach.cut_off;
+}
+
 /* Nothing shows that it cannot be reached. */
 static bool server_is_sound(const struct server *server)
 {
@@ -429,18 +434,18 @@
 }
 
 /* A plain id, as earlier versions stored it, names the only life that is known here. */
-static struct server *server_at_home(const struct server_table *table, const char *home)
+struct server *server_table_life(const struct server_table *table, const char *life)
 {
-    struct server *server = server_of_id(table, home);
-    const char *start = strrchr(text_or_empty(home), '@');
+    struct server *server = server_of_id(table, life);
+    const char *start = strrchr(text_or_empty(life), '@');
     if (server != NULL) {
         return server->reborn && server->born != 0 ? NULL : server;
     }
     if (start == NULL) {
         return NULL;
     }
-    HASH_FIND(hh, table->servers, home, (size_t)(start - home), server);
-    return server != NULL && text_equal(server->life, home) ? server : NULL;
+    HASH_FIND(hh, table->servers, life, (size_t)(start - life), server);
+    return server != NULL && text_equal(server->life, life) ? server : NULL;
 }
 
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish)
@@ -449,7 +454,7 @@
     if (idlest == NULL) {
         return server_idlest(table, now_ms, wish, server_may_do);
     }
-    struct server *home = server_at_home(table, wish->home);
+    struct server *home = server_table_life(table, wish->home);
     bool stays = home != NULL && server_fits(home, wish, now_ms) && !server_should_leave(table, home, idlest, now_ms);
     return stays ? home : idlest;
 }
@@ -516,6 +521,7 @@
 void server_heard(struct server *server, uint64_t now_ms)
 {
     server->heard_ms = now_ms;
+    server->vacant = false;
     reach_note_heard(&server->reach);
 }
 
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -75,6 +75,7 @@
     bool listed;             /**< It is on the newest list. */
     bool seen;               /**< The whole list that is looked at has its id. */
     bool misplaced;          /**< Another server answered at its address. */
+    bool vacant;             /**< Nothing listened at its address: it has ended. */
     uint32_t calls;          /**< Own requests under way there. */
     uint32_t others;         /**< Requests of other gateways there, as told last. */
     uint32_t others_failed;  /**< Sum of the shares of failures that they see, as told last. */
@@ -125,6 +126,9 @@
 /** Takes what changed since the list before: servers that left it, then those that came or changed. */
 void server_table_change(struct server_table *table, char *const *gone, size_t gone_count, const ServerList *changed);
 
+/** The life with a name (`life` of struct server), or NULL where it has ended. */
+struct server *server_table_life(const struct server_table *table, const char *life);
+
 /** Takes news of lives that has stood for so long that it is not late. */
 void server_table_review(struct server_table *table, uint64_t now_ms);
 
@@ -137,6 +141,9 @@
 /** Chooses a server, or NULL if none may be used. */
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish);
 
+/** Whether a server has ended, leaves or is cut off: a run there is out of the count of those that a route allows. */
+bool server_is_gone(const struct server *server);
+
 /** Whether a service has a server that may be used. */
 bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service);
 
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -60,7 +60,7 @@
     struct forward *forward;            /**< The request; NULL: the attempt is free. */
     struct server *server;              /**< Server asked. */
     struct upstream_exchange *exchange; /**< Exchange under way, or NULL. */
-    uint64_t sent_ms;                   /**< Loop time at which it was sent. */
+    uint64_t sent_ms;                   /**< Loop time at which it was sent, or else chosen. */
     uint64_t heard_ms;                  /**< Loop time at which something came last, 0: never. */
     uint64_t ended_ms;                  /**< Loop time at which the server was seen to have started again, 0: never. */
     bool silent;                        /**< It was noted that no answer has begun for long. */
@@ -115,11 +115,13 @@
     char *last_server;                                     /**< Server asked last, for the log. */
     uint32_t sends;                                        /**< Servers asked. */
     uint32_t runs;                                         /**< Servers on which it may have run. */
-    struct forward_stream stream;                          /**< An answer under way to the caller. */
-    const char *reason;                                    /**< Why it ended as it did, for the log. */
-    int told_status;                                       /**< Status the caller got, 0: none. */
-    struct forward *previous;                              /**< Requests of the gateway. */
-    struct forward *next;                                  /**< Requests of the gateway. */
+    char *bound;                  /**< Life of a server to which it comes back, or NULL: any. */
+    uint64_t bound_due_ms;        /**< Loop time before which it does not ask there again. */
+    struct forward_stream stream; /**< An answer under way to the caller. */
+    const char *reason;           /**< Why it ended as it did, for the log. */
+    int told_status;              /**< Status the caller got, 0: none. */
+    struct forward *previous;     /**< Requests of the gateway. */
+    struct forward *next;         /**< Requests of the gateway. */
 };
 
 /** Takes a caller's request. */
@@ -228,6 +230,15 @@
 /** forward_resume.c: takes a stream that broke off up at a server; false: it cannot go on. Ends the attempt if so. */
 bool forward_resume(struct forward_attempt *attempt, const char *reason);
 
+/** forward_resume.c: the server to which a stream that broke off is bound; NULL: it is free to go anywhere. */
+struct server *forward_bound_server(struct forward *forward);
+
+/** forward_attempt.c: writes the request for a server, as it is now; false: there is no time left to run it. */
+bool forward_on_write(void *owner, struct buffer *request);
+
+/** forward_attempt.c: whether there is time left to ask a server. */
+bool forward_has_time(const struct forward *forward);
+
 /** forward_attempt.c: sends the request to a server. */
 void forward_send(struct forward *forward, struct server *server);
 
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -3,6 +3,12 @@
 #include "core/resume.h"
 #include "proxy/forward.h"
 
+/* Whether its route allows a further server. */
+static bool forward_has_room(const struct forward *forward)
+{
+    return forward->wish.tried_count < forward->route->max_attempts;
+}
+
 static resume_view_t forward_resume_view(const struct forward_attempt *attempt)
 {
     const struct forward *forward = attempt->forward;
@@ -10,7 +16,7 @@
     uint64_t now_ms = node_now(forward->front->node);
     return (resume_view_t){
         .resumable = forward->route->resumable && !forward->turn.keep && !forward->stream.unnumbered,
-        .server_gone = !server->listed || server->draining || server->misplaced || server->reach.lost,
+        .server_gone = server_is_gone(server) || (server->reach.lost && forward_has_room(forward)),
         .resumes = forward->stream.resumes,
         .servers = forward->wish.tried_count,
         .max_attempts = forward->route->max_attempts,
@@ -36,6 +42,27 @@
     forward->stream.paused = false;
 }
 
+/* Where the route has no room for a further server, it waits for this one, as long as requests wait for places. */
+static void forward_bind(struct forward *forward, const struct server *server)
+{
+    free(forward->bound);
+    forward->bound = server == NULL ? NULL : text_copy(server->life);
+    forward->queued_ms = 0;
+}
+
+struct server *forward_bound_server(struct forward *forward)
+{
+    if (forward->bound == NULL) {
+        return NULL;
+    }
+    struct server *server = server_table_life(&forward->front->servers, forward->bound);
+    if (server == NULL || server_is_gone(server)) {
+        forward_bind(forward, NULL);
+        return NULL;
+    }
+    return server;
+}
+
 bool forward_resume(struct forward_attempt *attempt, const char *reason)
 {
     struct forward *forward = attempt->forward;
@@ -51,6 +78,7 @@
     forward->stream.resumes++;
     forward->front->counters.resumes++;
     forward_drop_torn_event(forward);
+    forward_bind(forward, way == RESUME_SAME && !forward_has_room(forward) ? server : NULL);
     if (way == RESUME_SAME) {
         forward_send(forward, server);
         forward_end_attempt(attempt);
@@ -61,10 +89,12 @@
     return true;
 }
 
-/* What has no whole answer yet and may run again. */
-static bool forward_may_leave(const struct forward *forward)
+/* What has no whole answer yet and may run again; where no further server is allowed, only what is sure to be gone
+ * is left. */
+static bool forward_may_leave(const struct forward *forward, const struct server *server)
 {
-    return forward->route->kind == ROUTE_SAFE || (forward->route->resumable && !forward->turn.keep);
+    bool resumable = forward->route->resumable && !forward->turn.keep;
+    return forward->route->kind == ROUTE_SAFE || (resumable && (forward_has_room(forward) || server_is_gone(server)));
 }
 
 /* What was not sent yet has not run; what may not run again waits on, since its answer may still come. */
@@ -73,7 +103,7 @@
     static const char reason[] = "the server cannot be reached";
     if (!upstream_was_sent(attempt->exchange)) {
         forward_not_run(attempt, reason);
-    } else if (forward_may_leave(attempt->forward)) {
+    } else if (forward_may_leave(attempt->forward, attempt->server)) {
         forward_may_have_run(attempt, reason);
     }
 }
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -86,9 +86,12 @@
 /** Runs a daemon until it is stopped; returns the exit status. */
 int node_run(const struct dialect *dialect, const char *settings_path);
 
-/** Loop time, ms. */
+/** Loop time, ms: that of the begin of its turn. */
 uint64_t node_now(const struct node *node);
 
+/** The time now, ms, on the same clock: later than the loop's where the process stood still within the turn. */
+uint64_t node_real_now(void);
+
 /** Sends a request to the leader; `reply` comes once, by `deadline_ms` at the latest. Returns a handle to forget it. */
 struct node_request *node_submit(struct node *node, RequestKind kind, struct view body, uint64_t deadline_ms,
                                  node_reply reply, void *context);
@@ -125,6 +128,9 @@
 /** Whether a state replica in touch with a quorum answered lately. */
 bool node_is_fresh(const struct node *node);
 
+/** The same at a time, such as node_real_now() where the loop's may be long past. */
+bool node_is_fresh_at(const struct node *node, uint64_t now_ms);
+
 /** Time since a replica in touch with a quorum was last asked and answered, ms; 0 where this node holds one. */
 uint64_t node_state_age(const struct node *node);
 
--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -16,7 +16,7 @@
 
 enum { LOG_RECORD_MAGIC = 0x4c424b42, LOG_NAME_MAX = 64, LOG_PENDING_KEPT = 256 << 10 };
 
-enum log_record_kind { LOG_RECORD_STATE = 1, LOG_RECORD_ENTRY = 2 };
+enum log_record_kind { LOG_RECORD_STATE = 1, LOG_RECORD_ENTRY = 2, LOG_RECORD_RESET = 3 };
 
 /* Start of every record on disk. */
 struct log_record {
@@ -28,7 +28,7 @@
     uint64_t index;
     uint64_t term;
     uint32_t detail; /* vote, or entry type */
-    uint32_t reserved;
+    uint32_t write;  /* 1 + where the write that it belongs to begins in the file; 0: not known, of an older version */
 };
 
 static const size_t LOG_CHECKED_FROM = offsetof(struct log_record, kind);
@@ -50,6 +50,7 @@
 {
     record->magic = LOG_RECORD_MAGIC;
     record->length = (uint32_t)payload.length;
+    record->write = (uint32_t)store->file_bytes + 1;
     record->checksum = log_record_checksum(record, payload);
     buffer_append(&store->pending, record, sizeof(*record));
     buffer_append(&store->pending, payload.data, payload.length);
@@ -59,10 +60,18 @@
 {
     store->groups[group].term = term;
     store->groups[group].vote = vote;
+    store->groups[group].headed = true;
     struct log_record record = {.kind = LOG_RECORD_STATE, .group = group, .term = term, .detail = vote};
     log_store_add(store, &record, view_of(NULL, 0));
 }
 
+static void log_segment_note(struct log_segment *segment, uint32_t group, uint64_t index)
+{
+    if (index > segment->last_index[group]) {
+        segment->last_index[group] = index;
+    }
+}
+
 void log_store_append(struct log_store *store, uint32_t group, const struct raft_entry *entry)
 {
     struct log_record record = {
@@ -73,10 +82,19 @@
         .detail = entry->type,
     };
     log_store_add(store, &record, view_of(entry->data, entry->length));
-    struct log_segment *segment = &store->segments[store->segment_count - 1];
-    if (entry->index > segment->last_index[group]) {
-        segment->last_index[group] = entry->index;
-    }
+    log_segment_note(&store->segments[store->segment_count - 1], group, entry->index);
+}
+
+static void log_store_reset(struct log_store *store, uint32_t group, const struct raft_snapshot *snapshot)
+{
+    struct log_record record = {
+        .kind = LOG_RECORD_RESET,
+        .group = group,
+        .index = snapshot->index,
+        .term = snapshot->term,
+    };
+    log_store_add(store, &record, view_of(NULL, 0));
+    log_segment_note(&store->segments[store->segment_count - 1], group, snapshot->index);
 }
 
 /* ---- Segments ------------------------------------------------------------------ */
@@ -123,12 +141,19 @@
     return true;
 }
 
-static bool log_segment_is_covered(const struct log_store *store, const struct log_segment *segment)
+/* Its entries are covered, and it makes none void that an older segment holds behind the snapshot. */
+static bool log_segment_is_covered(const struct log_store *store, const struct log_segment *segment, size_t older)
 {
     for (uint32_t group = 0; group < store->group_count; group++) {
-        if (segment->last_index[group] > store->groups[group].snapshot_index) {
+        uint64_t snapshot_index = store->groups[group].snapshot_index;
+        if (segment->last_index[group] > snapshot_index) {
             return false;
         }
+        for (size_t i = 0; i < older && segment->last_index[group] > 0; i++) {
+            if (store->segments[i].last_index[group] > snapshot_index) {
+                return false;
+            }
+        }
     }
     return true;
 }
@@ -139,7 +164,7 @@
     for (size_t i = 0; i < store->segment_count; i++) {
         struct log_segment segment = store->segments[i];
         bool last = i + 1 == store->segment_count;
-        if (last || !log_segment_is_covered(store, &segment)) {
+        if (last || !log_segment_is_covered(store, &segment, kept)) {
             store->segments[kept++] = segment;
             continue;
         }
@@ -241,9 +266,17 @@
     return false;
 }
 
-bool log_store_snapshot_commit(struct log_store *store, uint32_t group)
+bool log_store_snapshot_commit(struct log_store *store, uint32_t group, bool reset_log)
 {
     struct log_store_group *state = &store->groups[group];
+    if (reset_log) {
+        log_store_reset(store, group, &state->writer.snapshot);
+    }
+    /* What the log holds behind the snapshot is decided on the disk before the snapshot is there. */
+    if (store->pending.length > 0 && !log_store_sync(store)) {
+        log_store_snapshot_abort(store, group);
+        return false;
+    }
     if (!snapshot_writer_commit(&state->writer, store->folder, group, &state->stored)) {
         log_snapshot_fail(store, "cannot write the snapshot", group);
         return false;
@@ -293,11 +326,14 @@
     return log_record_checksum(record, payload) == record->checksum ? sizeof(*record) + record->length : 0;
 }
 
-static bool log_has_record_after(const struct log_store *store, const struct buffer *content, size_t offset)
+/* Whether a write that was begun behind `offset` left a record: all before it was synced then. Of the last write itself
+ * a loss of power may leave any part. */
+static bool log_has_write_after(const struct log_store *store, const struct buffer *content, size_t offset)
 {
     struct log_record record;
     for (size_t position = offset + 1; position + sizeof(record) <= content->length; position++) {
-        if (log_record_at(store, content, position, &record) != 0) {
+        bool whole = log_record_at(store, content, position, &record) != 0;
+        if (whole && (record.write == 0 || record.write - 1 > offset)) {
             return true;
         }
     }
@@ -310,11 +346,16 @@
     if (record->kind == LOG_RECORD_STATE) {
         store->groups[record->group].term = record->term;
         store->groups[record->group].vote = record->detail;
+        store->groups[record->group].headed = true;
         restore->state(restore->context, record->group, record->term, record->detail);
         return true;
     }
-    if (record->index > segment->last_index[record->group]) {
-        segment->last_index[record->group] = record->index;
+    log_segment_note(segment, record->group, record->index);
+    if (record->kind == LOG_RECORD_RESET) {
+        if (record->index <= store->groups[record->group].snapshot_index) {
+            restore->reset(restore->context, record->group);
+        }
+        return true;
     }
     struct raft_entry entry = {
         .index = record->index,
@@ -340,6 +381,9 @@
 {
     struct buffer content = {0};
     char *path = log_segment_path(store, segment->number);
+    for (uint32_t group = 0; group < store->group_count; group++) {
+        store->groups[group].headed = false;
+    }
     bool replayed = file_read_all(path, &content);
     if (!replayed) {
         log_store_fail(store, "cannot read the segment", path);
@@ -349,7 +393,7 @@
         struct log_record record;
         size_t length = log_record_at(store, &content, offset, &record);
         if (length == 0) {
-            bool torn = last && !log_has_record_after(store, &content, offset);
+            bool torn = last && !log_has_write_after(store, &content, offset);
             replayed = torn && log_cut_tail(store, path, offset);
             if (!torn) {
                 store->failed = true;
@@ -399,6 +443,29 @@
     return true;
 }
 
+/* A process that is killed leaves bytes and names that no sync covered, and the next one reads them. They last before
+ * anything of them counts. Older segments were synced before the last one was begun. */
+static bool log_store_settle(struct log_store *store)
+{
+    if (fdatasync(store->file) != 0 || !file_sync_folder(store->folder)) {
+        log_store_fail(store, "cannot sync what was read back", store->folder);
+        return false;
+    }
+    return true;
+}
+
+/* The process before may have ended between the file of the last segment and its head. */
+static bool log_store_complete_head(struct log_store *store)
+{
+    for (uint32_t group = 0; group < store->group_count; group++) {
+        if (!store->groups[group].headed) {
+            log_store_save_state(store, group, store->groups[group].term, store->groups[group].vote);
+        }
+    }
+    /* On a full disk they wait: no older segment goes before they are written. */
+    return store->pending.length == 0 || log_store_sync(store) || !store->failed;
+}
+
 bool log_store_open(struct log_store *store, const char *folder, uint32_t groups, const struct log_restore *restore)
 {
     memset(store, 0, sizeof(*store));
@@ -424,7 +491,7 @@
         }
     }
     if (store->segment_count > 0) {
-        return log_store_open_last(store, false);
+        return log_store_open_last(store, false) && log_store_settle(store) && log_store_complete_head(store);
     }
     return log_store_begin_segment(store, 1) && log_store_sync(store);
 }
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -5,12 +5,19 @@
  * groups; and one snapshot file a group (snapshot_file.h).
  *
  * Record: u32 magic, u32 payload length, u64 XXH64 of all that follows, then
- * u32 kind, u32 group, u64 index, u64 term, u32 entry type or vote, u32 zero,
- * payload. Integers are in host order (the files stay on their machine).
+ * u32 kind, u32 group, u64 index, u64 term, u32 entry type or vote, u32 where
+ * its write begins, payload. Integers are in host order (the files stay on
+ * their machine).
  *
- * Recovery: an unfinished record at the very end was never acknowledged and
- * is cut off. A bad record with a good one behind it means that acknowledged
- * data is damaged: opening fails and names the place.
+ * A snapshot from the leader may end where the log has other entries, or none.
+ * Then a reset record goes before it: once a snapshot covers the index of that
+ * record, entries behind the snapshot that were written before it are void.
+ *
+ * Recovery: a bad record of the last write was never acknowledged, and is cut
+ * off with what stands behind it. A bad record with a later write behind it
+ * means that acknowledged data is damaged: opening fails and names the place.
+ * All that is read back is synced before it counts: the process before may not
+ * have come to it.
  */
 #ifndef BANKBANK_STORE_LOG_STORE_H
 #define BANKBANK_STORE_LOG_STORE_H
@@ -29,14 +36,17 @@
     bool (*snapshot)(void *context, uint32_t group, const struct raft_snapshot *snapshot);
     /** Term and vote, in order of writing. */
     void (*state)(void *context, uint32_t group, uint64_t term, uint32_t vote);
-    /** An entry, in order of writing. False: it leaves a gap. */
+    /** An entry, in order of writing; those behind it that came before are void. False: it leaves a gap. */
     bool (*entry)(void *context, uint32_t group, const struct raft_entry *entry);
+    /** Entries behind the snapshot that came before are void. */
+    void (*reset)(void *context, uint32_t group);
 };
 
 /** What the store knows of one group. */
 struct log_store_group {
     uint64_t term;            /**< Last written term. */
     uint32_t vote;            /**< Last written vote. */
+    bool headed;              /**< The last segment holds them. */
     uint64_t snapshot_index;  /**< Entries up to here are covered by the snapshot. */
     snapshot_stored_t stored; /**< That snapshot. */
     snapshot_writer_t writer; /**< The one that is being written. */
@@ -45,7 +55,7 @@
 /** One segment file. */
 struct log_segment {
     uint64_t number;      /**< Part of the file name. */
-    uint64_t *last_index; /**< Highest entry index, by group. */
+    uint64_t *last_index; /**< Highest index of an entry or reset, by group; 0: there is none. */
 };
 
 /** The store. */
@@ -62,7 +72,7 @@
     char error[512];                /**< What failed, with its place. */
 };
 
-/** Opens or creates the store and replays it; false: see `error`. */
+/** Opens or creates the store and replays it. What it has told is durable when it returns; false: see `error`. */
 bool log_store_open(struct log_store *store, const char *folder, uint32_t groups, const struct log_restore *restore);
 
 /** Adds up the bytes on disk of the segments and of the snapshots of a store that may not exist. */
@@ -85,8 +95,9 @@
 /** Adds bytes of its state; false: see `error`, and it has to be given up. */
 bool log_store_snapshot_write(struct log_store *store, uint32_t group, struct view bytes);
 
-/** Durably replaces the group's snapshot and drops segments that no group needs; false: see `error`. */
-bool log_store_snapshot_commit(struct log_store *store, uint32_t group);
+/** Durably replaces the group's snapshot, behind which no entry written so far counts with `reset_log`, and drops
+ * segments that no group needs; false: see `error`. */
+bool log_store_snapshot_commit(struct log_store *store, uint32_t group, bool reset_log);
 
 /** Gives up what was begun. */
 void log_store_snapshot_abort(struct log_store *store, uint32_t group);
--- a/tests/unit/log_store.c
+++ b/tests/unit/log_store.c
@@ -48,9 +48,15 @@
     return true;
 }
 
+static void on_reset(void *context, uint32_t group)
+{
+    (void)context;
+    seen[group].last_index = seen[group].snapshot_index;
+}
+
 static bool open_store(void)
 {
-    struct log_restore restore = {NULL, on_snapshot, on_state, on_entry};
+    struct log_restore restore = {NULL, on_snapshot, on_state, on_entry, on_reset};
     memset(seen, 0, sizeof(seen));
     return log_store_open(&store, folder, GROUPS, &restore);
 }
@@ -86,7 +92,8 @@
 {
     struct raft_snapshot snapshot = {.index = index, .term = 1, .members = {.count = 1, .nodes = {1}}};
     return log_store_snapshot_begin(&store, group, &snapshot) &&
-           log_store_snapshot_write(&store, group, view_of_string(state)) && log_store_snapshot_commit(&store, group);
+           log_store_snapshot_write(&store, group, view_of_string(state)) &&
+           log_store_snapshot_commit(&store, group, false);
 }
 
 static char *segment_path(void)
@@ -134,12 +141,43 @@
 }
 END_TEST
 
-START_TEST(a_damaged_middle_is_refused_with_its_place)
+/* A write of three records that no sync covered: after a loss of power any part of it may be missing. */
+START_TEST(a_write_torn_in_its_middle_is_cut)
 {
+    enum { RECORDS = 3 };
+    char zeros[16] = {0};
+    char *path = segment_path();
+    struct stat before;
+    struct stat after;
     append(0, 1, 1);
-    append(0, 2, 1);
-    append(0, 3, 1);
     ck_assert(log_store_sync(&store));
+    ck_assert_int_eq(stat(path, &before), 0);
+    for (int whole = 0; whole < RECORDS; whole++) {
+        for (int i = 0; i < RECORDS; i++) {
+            append(0, 2 + (uint64_t)i, 1);
+        }
+        ck_assert(log_store_sync(&store));
+        ck_assert_int_eq(stat(path, &after), 0);
+        off_t record = (after.st_size - before.st_size) / RECORDS;
+        int file = open(path, O_RDWR);
+        ck_assert_int_eq(pwrite(file, zeros, sizeof(zeros), before.st_size + whole * record), sizeof(zeros));
+        close(file);
+        reopen();
+        ck_assert_uint_eq(seen[0].last_index, 1 + (uint64_t)whole);
+        ck_assert_int_eq(truncate(path, before.st_size), 0);
+        reopen();
+        ck_assert_uint_eq(seen[0].last_index, 1);
+    }
+    free(path);
+}
+END_TEST
+
+START_TEST(a_damaged_middle_is_refused_with_its_place)
+{
+    for (uint64_t index = 1; index <= 3; index++) {
+        append(0, index, 1);
+        ck_assert(log_store_sync(&store));
+    }
     log_store_close(&store);
     char *path = segment_path();
     struct stat info;
@@ -192,6 +230,64 @@
 }
 END_TEST
 
+static void append_large(const uint8_t *large, uint64_t index, uint64_t term)
+{
+    struct raft_entry entry = {.index = index, .term = term, .data = (uint8_t *)(uintptr_t)large, .length = 1 << 20};
+    log_store_append(&store, 0, &entry);
+    ck_assert(log_store_sync(&store));
+}
+
+/* Entry 4 was replaced, as all behind 2 were, by entries that stand in a later segment. */
+START_TEST(a_segment_that_replaces_what_an_older_one_holds_stays)
+{
+    uint8_t *large = memory_new(1 << 20);
+    for (uint64_t index = 1; index <= 4; index++) {
+        append_large(large, index, 1);
+    }
+    ck_assert_uint_eq(store.segment_count, 2);
+    append_large(large, 2, 2);
+    append_large(large, 3, 2);
+    append_large(large, 2, 3);
+    append_large(large, 3, 3);
+    ck_assert_uint_eq(store.segment_count, 3);
+    ck_assert(save_snapshot(0, 3, "s"));
+    reopen();
+    ck_assert_uint_eq(seen[0].snapshot_index, 3);
+    ck_assert_uint_eq(seen[0].last_index, 3);
+    for (uint64_t index = 4; index <= 8; index++) {
+        append_large(large, index, 3);
+    }
+    ck_assert(save_snapshot(0, 8, "s"));
+    ck_assert_uint_eq(store.segment_count, 1);
+    reopen();
+    ck_assert_uint_eq(seen[0].snapshot_index, 8);
+    free(large);
+}
+END_TEST
+
+/* A start reads entries 1 to 5 and a later 3, which made 4 and 5 void; a snapshot covers all up to 3. */
+START_TEST(an_entry_within_the_snapshot_replaces_those_behind_it)
+{
+    struct raft raft;
+    struct raft_config config = {.node = 1};
+    struct raft_io io = {0};
+    struct raft_members members = {.count = 1, .nodes = {1}};
+    struct raft_entry entry = {.term = 1};
+    raft_init(&raft, &config, &io, &members);
+    raft_restore_snapshot(&raft, 3, 2, &members);
+    for (entry.index = 1; entry.index <= 5; entry.index++) {
+        ck_assert(raft_restore_entry(&raft, &entry));
+    }
+    ck_assert_uint_eq(raft_last_index(&raft), 5);
+    entry.index = 3;
+    entry.term = 2;
+    ck_assert(raft_restore_entry(&raft, &entry));
+    ck_assert_uint_eq(raft_last_index(&raft), 3);
+    ck_assert_uint_eq(raft.synced, 3);
+    raft_close(&raft);
+}
+END_TEST
+
 START_TEST(a_failed_write_stops_acknowledgement)
 {
     close(store.file);
@@ -271,9 +367,12 @@
     tcase_set_timeout(tests, 60);
     tcase_add_test(tests, synced_records_survive);
     tcase_add_test(tests, a_torn_tail_is_cut_at_every_byte);
+    tcase_add_test(tests, a_write_torn_in_its_middle_is_cut);
     tcase_add_test(tests, a_damaged_middle_is_refused_with_its_place);
     tcase_add_test(tests, a_snapshot_is_loaded_and_a_damaged_one_refused);
     tcase_add_test(tests, covered_segments_are_dropped);
+    tcase_add_test(tests, a_segment_that_replaces_what_an_older_one_holds_stays);
+    tcase_add_test(tests, an_entry_within_the_snapshot_replaces_those_behind_it);
     tcase_add_test(tests, a_failed_write_stops_acknowledgement);
     tcase_add_test(tests, a_full_disk_is_written_again_later);
     tcase_add_test(tests, history_texts_live_until_dropped);
