--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -434,18 +434,18 @@
 }
 
 /* A plain id, as earlier versions stored it, names the only life that is known here. */
-static struct server *server_at_home(const struct server_table *table, const char *home)
+struct server *server_table_life(const struct server_table *table, const char *life)
 {
-    struct server *server = server_of_id(table, home);
-    const char *start = strrchr(text_or_empty(home), '@');
+    struct server *server = server_of_id(table, life);
+    const char *start = strrchr(text_or_empty(life), '@');
     if (server != NULL) {
         return server->reborn && server->born != 0 ? NULL : server;
     }
     if (start == NULL) {
         return NULL;
     }
-    HASH_FIND(hh, table->servers, home, (size_t)(start - home), server);
-    return server != NULL && text_equal(server->life, home) ? server : NULL;
+    HASH_FIND(hh, table->servers, life, (size_t)(start - life), server);
+    return server != NULL && text_equal(server->life, life) ? server : NULL;
 }
 
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_wish *wish)
@@ -454,7 +454,7 @@
     if (idlest == NULL) {
         return server_idlest(table, now_ms, wish, server_may_do);
     }
-    struct server *home = server_at_home(table, wish->home);
+    struct server *home = server_table_life(table, wish->home);
     bool stays = home != NULL && server_fits(home, wish, now_ms) && !server_should_leave(table, home, idlest, now_ms);
     return stays ? home : idlest;
 }
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -126,6 +126,9 @@
 /** Takes what changed since the list before: servers that left it, then those that came or changed. */
 void server_table_change(struct server_table *table, char *const *gone, size_t gone_count, const ServerList *changed);
 
+/** The life with a name (`life` of struct server), or NULL where it has ended. */
+struct server *server_table_life(const struct server_table *table, const char *life);
+
 /** Takes news of lives that has stood for so long that it is not late. */
 void server_table_review(struct server_table *table, uint64_t now_ms);
 
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -53,7 +53,6 @@
 
 struct server *forward_bound_server(struct forward *forward)
 {
-    struct server *server = NULL;
     if (forward->bound == NULL) {
         return NULL;
     }
--- a/tests/integration/test_unanswered.c
+++ b/tests/integration/test_unanswered.c
@@ -221,12 +221,10 @@
 static struct client clients[CLIENTS];
 static bool over;
 
-static void note_run(int server, const char *id, struct view body)
+static void note_run(const site_run_t *run)
 {
-    (void)server;
-    (void)body;
     char *at = NULL;
-    long client = strncmp(id, "u-", 2) == 0 ? strtol(id + 2, &at, NUMBER_BASE) : CLIENTS;
+    long client = strncmp(run->id, "u-", 2) == 0 ? strtol(run->id + 2, &at, NUMBER_BASE) : CLIENTS;
     if (client < CLIENTS && at != NULL && *at == '-') {
         pthread_mutex_lock(&lock);
         clients[client].ran[strtol(at + 1, NULL, NUMBER_BASE)] = true;
