A request that was sent ahead came with the newest bytes, not with the first request of its connection

Cause: the time at which a request came was noted only where nothing lay unread behind the one before. A client that always has some requests on their way got the time of the first of them for all, and from the route's timeout on would have been refused for want of time. Change: what lies behind an answered request counts as come with the newest bytes that were read.

--- a/src/net/http_answer.c
+++ b/src/net/http_answer.c
@@ -81,6 +81,7 @@
     connection->state = HTTP_READING;
     connection->since_ms = uv_now(connection->listener->loop);
     connection->arriving = connection->ahead.length > 0;
+    connection->came_ms = connection->newest_ms; /* what was sent ahead came with the newest bytes at the latest */
     buffer_close(&connection->call.body);
     memset(&connection->call, 0, sizeof(connection->call));
     connection->call.connection = connection;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -28,6 +28,7 @@
     struct buffer ahead;              /**< Bytes behind the current request. */
     uint64_t since_ms;                /**< Start of the current rest, request or linger. */
     uint64_t came_ms;                 /**< Loop time at which the first bytes of the current or next request came. */
+    uint64_t newest_ms;               /**< Loop time at which the newest bytes came. */
     uint64_t unread_since_ms;         /**< Loop time since which nothing was read here; 0: since the turn before. */
     bool arriving;                    /**< A part of a request has come. */
     size_t arriving_bytes;            /**< Length of the body that is being read, as told or else the most it may be. */
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -232,8 +232,9 @@
     if (got == 0 || connection->state == HTTP_LINGERING) {
         return;
     }
+    connection->newest_ms = http_connection_came_ms(connection);
     if (!connection->arriving && connection->ahead.length == 0) {
-        connection->came_ms = http_connection_came_ms(connection);
+        connection->came_ms = connection->newest_ms;
     }
     connection->unread_since_ms = 0;
     if (connection->state == HTTP_READING && !connection->arriving) {
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -39,7 +39,8 @@
     struct http_connection *connection; /**< Its connection. */
     struct http_reader *request;        /**< Head: method, target, headers. */
     struct buffer body;                 /**< Whole body. */
-    uint64_t received_ms;               /**< Loop time at which its first bytes came; never later than now. */
+    uint64_t received_ms;               /**< Loop time at which its first bytes came, or, where it was sent ahead of an
+                                             answer, the newest bytes read by then; never later than now. */
     void *owner;                        /**< The handler's. */
     bool head_sent;                     /**< The answer has begun. */
     bool chunked;                       /**< The answer's body goes in chunks. */
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -115,14 +115,13 @@
     char *last_server;                                     /**< Server asked last, for the log. */
     uint32_t sends;                                        /**< Servers asked. */
     uint32_t runs;                                         /**< Servers on which it may have run. */
-    char *bound;                                           /**< Server to which it comes back, or NULL: any. */
-    uint64_t bound_born;                                   /**< Start of that one, as server->born. */
-    uint64_t bound_due_ms;                                 /**< Loop time before which it does not ask there again. */
-    struct forward_stream stream;                          /**< An answer under way to the caller. */
-    const char *reason;                                    /**< Why it ended as it did, for the log. */
-    int told_status;                                       /**< Status the caller got, 0: none. */
-    struct forward *previous;                              /**< Requests of the gateway. */
-    struct forward *next;                                  /**< Requests of the gateway. */
+    char *bound;                  /**< Life of the server to which it comes back, or NULL: any. */
+    uint64_t bound_due_ms;        /**< Loop time before which it does not ask there again. */
+    struct forward_stream stream; /**< An answer under way to the caller. */
+    const char *reason;           /**< Why it ended as it did, for the log. */
+    int told_status;              /**< Status the caller got, 0: none. */
+    struct forward *previous;     /**< Requests of the gateway. */
+    struct forward *next;         /**< Requests of the gateway. */
 };
 
 /** Takes a caller's request. */
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -46,8 +46,7 @@
 static void forward_bind(struct forward *forward, const struct server *server)
 {
     free(forward->bound);
-    forward->bound = server == NULL ? NULL : text_copy(server->id);
-    forward->bound_born = server == NULL ? 0 : server->born;
+    forward->bound = server == NULL ? NULL : text_copy(server->life);
     forward->queued_ms = 0;
 }
 
@@ -56,9 +55,8 @@
     if (forward->bound == NULL) {
         return NULL;
     }
-    HASH_FIND_STR(forward->front->servers.servers, forward->bound, server);
-    bool other_life = server != NULL && forward->bound_born != 0 && server->born != forward->bound_born;
-    if (server == NULL || other_life || server_is_gone(server)) {
+    struct server *server = server_table_life(&forward->front->servers, forward->bound);
+    if (server == NULL || server_is_gone(server)) {
         forward_bind(forward, NULL);
         return NULL;
     }
--- a/src/proxy/forward_tenant.c
+++ b/src/proxy/forward_tenant.c
@@ -31,12 +31,13 @@
     return key.length == 0 ? NULL : route_table_tenant(table, key);
 }
 
-/* A gateway that hears no state replica cannot know whether a key is new: others can. */
+/* A gateway that hears no state replica cannot know whether a key is new: others can. The real time counts: this
+ * process may have stood still since its turn began. */
 static void forward_refuse_key(struct forward *forward)
 {
     struct front *front = forward->front;
     front->counters.key_refusals++;
-    if (node_is_fresh(front->node)) {
+    if (node_is_fresh_at(front->node, node_real_now())) {
         forward_refuse(forward, FORWARD_UNAUTHORIZED, forward_key(forward).length == 0 ? "no key" : "unknown key");
     } else {
         http_call_close_after(forward->call);
