--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -305,7 +305,8 @@
  * Whether everything that was committed an election timeout ago is applied here: a leader that has committed in its
  * own term and hears a quorum; a follower that had, within that time, applied all that such a leader told it. A replica
  * that has just started, lags, or is being sent a snapshot is not current; one that lacks a moment's entries under load
- * is.
+ * is. Messages count by when they are read: a process that stood still may take what came before for new. Who cannot
+ * bear that asks the leader (raft_read).
  */
 bool raft_is_current(const struct raft *raft, uint64_t now_ms);
 
--- a/src/core/resume.h
+++ b/src/core/resume.h
@@ -4,10 +4,10 @@
  *
  * A run that a caller reads may be taken up with the id of the last event that
  * was passed on. The server that broke off is asked first: it keeps the prompt,
- * and a run there counts as no further server. It is passed over only when it
- * is known to have ended, to leave or to be out of reach: only then can the
- * former run not go on beside the new one, and only then do the attempts that a
- * route allows not count it. Where the route has no room for a further server
+ * and a run there counts as no further server. It is passed over when it has
+ * ended, leaves or is out of reach, since then the former run ends soon or has
+ * ended. A server that leaves, or that only takes no connections, may work on
+ * for a while beside the new run: that is not told apart yet. Where the route has no room for a further server
  * and that one does not take the run back, being full, it is waited for as
  * requests wait for a place (place_wait.h), and the stream ends if it stays full.
  */
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -13,8 +13,9 @@
  * Then a reset record goes before it: once a snapshot covers the index of that
  * record, entries behind the snapshot that were written before it are void.
  *
- * Recovery: a bad record of the last write was never acknowledged, and is cut
- * off with what stands behind it. A bad record with a later write behind it
+ * Recovery: a bad record of the last write counts as never acknowledged, and is
+ * cut off with what stands behind it: a write that was synced and rotted later
+ * cannot be told from one that was torn. A bad record with a later write behind it
  * means that acknowledged data is damaged: opening fails and names the place.
  * All that is read back is synced before it counts: the process before may not
  * have come to it.
