--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -157,6 +157,12 @@
 
 void site_answer_close(struct site_answer *answer);
 
+enum { SITE_TURN_BYTES = 60 * 1024 /**< What a large turn brings; the route takes 64 KiB. */ };
+
+/** Runs the only turn of a program of its own, SITE_TURN_BYTES long, which makes logs grow; fails if it is not served.
+ */
+void site_large_turn(int gateway, int number);
+
 /** Sends an operator's call to a state replica; returns the status. */
 int site_order(int state, const char *method, const char *path, const char *body, struct buffer *reply);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -228,6 +228,19 @@
     site_call_as(gateway, NULL, method, path, lines, body, answer);
 }
 
+void site_large_turn(int gateway, int number)
+{
+    static char text[SITE_TURN_BYTES + 1];
+    char lines[160];
+    struct site_answer answer;
+    memset(text, 'a' + number % 26, sizeof(text) - 1);
+    snprintf(lines, sizeof(lines),
+             "Bankbank-Program-Id: p-%d\r\nBankbank-Token-Budget: 100000\r\nBankbank-Token-Usage: 10,15\r\n", number);
+    site_call(gateway, "POST", "/chat/x", lines, text, &answer);
+    ck_assert_int_eq(answer.status, 200);
+    site_answer_close(&answer);
+}
+
 void site_answer_close(struct site_answer *answer)
 {
     buffer_close(&answer->head);
--- a/tests/integration/test_in_force.c
+++ b/tests/integration/test_in_force.c
@@ -27,7 +27,6 @@
 
 enum {
     LIMIT_MB = 48,            /* so that a log of a few MB makes a snapshot due */
-    TURN_BYTES = 60 * 1024,   /* what a caller brings; the route takes 64 KiB */
     TURNS_MOST = 1000,        /* until each replica has taken its snapshot */
     ADDED_VERSION = 7,        /* of the configuration with one route more */
     WITHOUT_LEADER_MS = 1500, /* time that the one replica runs alone */
@@ -39,7 +38,6 @@
     "{\"name\":\"added\",\"host\":\"app.example\",\"path-prefix\":\"/added/\",\"kind\":\"safe\","
     "\"timeout-ms\":3000,\"service\":\"plain\",\"max-attempts\":2";
 
-static char text[TURN_BYTES + 1];
 static int statuses[600];
 
 static void setup(void)
@@ -48,18 +46,6 @@
     site_start();
 }
 
-static void run_turn(int number)
-{
-    char lines[160];
-    struct site_answer answer;
-    memset(text, 'a' + number % 26, sizeof(text) - 1);
-    snprintf(lines, sizeof(lines),
-             "Bankbank-Program-Id: p-%d\r\nBankbank-Token-Budget: 100000\r\nBankbank-Token-Usage: 10,15\r\n", number);
-    site_call(0, "POST", "/chat/x", lines, text, &answer);
-    ck_assert_int_eq(answer.status, 200);
-    site_answer_close(&answer);
-}
-
 static bool all_have_snapshots(void)
 {
     for (int state = 0; state < SITE_STATES; state++) {
@@ -114,7 +100,7 @@
 {
     for (int i = 0; !all_have_snapshots(); i++) {
         ck_assert_msg(i < TURNS_MOST, "no snapshot after %d turns", i);
-        run_turn(i);
+        site_large_turn(0, i);
     }
     char *added = site_configuration(ADDED_VERSION, ADDED);
     site_wait(added_configuration_is_taken, added, "the added route is acknowledged");
--- a/tests/integration/test_signals.c
+++ b/tests/integration/test_signals.c
@@ -22,32 +22,17 @@
 #include "site.h"
 
 enum {
-    TURN_BYTES = 60 * 1024, /* what a caller brings; the route takes 64 KiB */
-    TURNS = 60,             /* so that reading the log takes milliseconds */
-    STARTS = 5,             /* of the replica */
+    TURNS = 60, /* so that reading the log takes milliseconds */
+    STARTS = 5, /* of the replica */
     LOOK_US = 50,
     LIMIT_US = 5000000
 };
 
-static char text[TURN_BYTES + 1];
-
-static void run_turn(int number)
-{
-    char lines[160];
-    struct site_answer answer;
-    memset(text, 'a' + number % 26, sizeof(text) - 1);
-    snprintf(lines, sizeof(lines),
-             "Bankbank-Program-Id: p-%d\r\nBankbank-Token-Budget: 100000\r\nBankbank-Token-Usage: 10,15\r\n", number);
-    site_call(0, "POST", "/chat/x", lines, text, &answer);
-    ck_assert_int_eq(answer.status, 200);
-    site_answer_close(&answer);
-}
-
 static void setup(void)
 {
     site_start();
     for (int i = 0; i < TURNS; i++) {
-        run_turn(i);
+        site_large_turn(0, i);
     }
 }
 
