--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -159,8 +159,8 @@
 
 enum { SITE_TURN_BYTES = 60 * 1024 /**< What a large turn brings; the route takes 64 KiB. */ };
 
-/** Runs the only turn of a program of its own, SITE_TURN_BYTES long, which makes logs grow; fails if it is not served.
- */
+/** Runs the only turn of a program of its own, SITE_TURN_BYTES long, which makes logs grow; one that is refused while
+ * the replicas' disk stands still is asked for again. */
 void site_large_turn(int gateway, int number);
 
 /** Sends an operator's call to a state replica; returns the status. */
