A stream that may run on one server leaves it only when its kernel is silent too

Draining alone is no end. Where the system tells nothing, four dials decide as before. Test replaced: resume's a_stream_leaves_a_server_that_is_lost made a server take no connection while its kernel answered on, which is the case of a full queue; it now drops all that comes to the server, its kernel's answers included (socket filter), and asserts the same.

--- a/src/core/resume.h
+++ b/src/core/resume.h
@@ -6,8 +6,8 @@
  * was passed on. The server that broke off is asked first: it keeps the prompt,
  * and a run there counts as no further server. It is passed over when it has
  * ended, leaves or is out of reach, since then the former run ends soon or has
- * ended. A server that leaves, or that only takes no connections, may work on
- * for a while beside the new run: that is not told apart yet. Where the route has no room for a further server
+ * ended. A run whose server only takes no connections does not break off: who
+ * decides that a server has ended, asks its kernel too. Where the route has no room for a further server
  * and that one does not take the run back, being full, it is waited for as
  * requests wait for a place (place_wait.h), and the stream ends if it stays full.
  */
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -89,12 +89,23 @@
     return true;
 }
 
+/* Whether it is sure that a server works on nothing any more. One that leaves works on; one that takes no connection
+ * may have a full queue of them, and then its kernel answers on those that are open. */
+static bool forward_has_ended(const struct forward_attempt *attempt)
+{
+    const struct server *server = attempt->server;
+    bool known = !server->listed || server->misplaced || server->vacant;
+    return known || (server->reach.cut_off && upstream_kernel_silent_ms(attempt->exchange) >= FORWARD_KERNEL_SILENT_MS);
+}
+
 /* What has no whole answer yet and may run again; where no further server is allowed, only what is sure to be gone
  * is left. */
-static bool forward_may_leave(const struct forward *forward, const struct server *server)
+static bool forward_may_leave(const struct forward_attempt *attempt)
 {
+    const struct forward *forward = attempt->forward;
     bool resumable = forward->route->resumable && !forward->turn.keep;
-    return forward->route->kind == ROUTE_SAFE || (resumable && (forward_has_room(forward) || server_is_gone(server)));
+    return forward->route->kind == ROUTE_SAFE ||
+           (resumable && (forward_has_room(forward) || forward_has_ended(attempt)));
 }
 
 /* What was not sent yet has not run; what may not run again waits on, since its answer may still come. */
@@ -103,7 +114,7 @@
     static const char reason[] = "the server cannot be reached";
     if (!upstream_was_sent(attempt->exchange)) {
         forward_not_run(attempt, reason);
-    } else if (forward_may_leave(attempt->forward, attempt->server)) {
+    } else if (forward_may_leave(attempt)) {
         forward_may_have_run(attempt, reason);
     }
 }
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -5,6 +5,7 @@
 #include <check.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <linux/filter.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,6 +23,7 @@
     SITE_PADDING = 1024,
     SITE_FILLERS = 4,
     SITE_BACKLOG = 128,
+    SITE_OPEN = 64, /* connections of a server that are known, at most */
     SITE_DARK_US = 10000,
     SITE_PAUSE_US = 2000000,
     SITE_PACE_US = 80000,
@@ -40,6 +42,7 @@
     int runs;
     bool dark;                 /* takes no connection */
     int fillers[SITE_FILLERS]; /* connections that fill its backlog meanwhile */
+    int open[SITE_OPEN];       /* connections that it serves, 0: none */
 };
 
 static pthread_mutex_t site_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -229,11 +232,26 @@
     return goes_on;
 }
 
+/* Replaces a connection of a server that is known. */
+static void site_note_open(struct site_server *server, int before, int now)
+{
+    pthread_mutex_lock(&site_lock);
+    for (int i = 0; i < SITE_OPEN; i++) {
+        if (server->open[i] == before) {
+            server->open[i] = now;
+            break;
+        }
+    }
+    pthread_mutex_unlock(&site_lock);
+}
+
 static void *site_run_connection(void *argument)
 {
     struct site_connection *connection = argument;
+    site_note_open(connection->server, 0, connection->file);
     while (site_serve(connection->file, connection->server)) {
     }
+    site_note_open(connection->server, connection->file, 0);
     close(connection->file);
     free(connection);
     return NULL;
@@ -404,6 +422,29 @@
     }
 }
 
+/* The kernel drops all that comes to a socket with such a filter before it answers. */
+static void site_drop_all(int file, bool drops)
+{
+    struct sock_filter none = BPF_STMT(BPF_RET | BPF_K, 0);
+    struct sock_fprog program = {.len = 1, .filter = &none};
+    int result = drops ? setsockopt(file, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program))
+                       : setsockopt(file, SOL_SOCKET, SO_DETACH_FILTER, &program, sizeof(program));
+    ck_assert_int_eq(result, 0);
+}
+
+void site_set_dead(int server, bool dead)
+{
+    struct site_server *it = &site_servers[server];
+    pthread_mutex_lock(&site_lock);
+    site_drop_all(it->listener, dead);
+    for (int i = 0; i < SITE_OPEN; i++) {
+        if (it->open[i] != 0) {
+            site_drop_all(it->open[i], dead);
+        }
+    }
+    pthread_mutex_unlock(&site_lock);
+}
+
 void site_set_draining(int server, bool draining)
 {
     pthread_mutex_lock(&site_lock);
--- a/tests/integration/test_resume.c
+++ b/tests/integration/test_resume.c
@@ -94,17 +94,27 @@
     return NULL;
 }
 
-/* A server that falls silent with a stream under way, and takes no connection: the stream goes on at the other. */
+static void *lose_power(void *context)
+{
+    (void)context;
+    site_wait(a_server_stalls, NULL, "a stream begins");
+    stalled = site_runs(0) > 0 ? 0 : 1;
+    site_set_dead(stalled, true);
+    return NULL;
+}
+
+/* A server that loses its power with a stream under way: neither it nor its kernel answers any more, and the stream
+ * goes on at the other, as the route's only server. */
 START_TEST(a_stream_leaves_a_server_that_is_lost)
 {
     pthread_t thread;
     site_set_mode(-1, SITE_STALL);
-    pthread_create(&thread, NULL, go_dark, NULL);
+    pthread_create(&thread, NULL, lose_power, NULL);
     expect_whole("r7", "p7");
     pthread_join(thread, NULL);
     ck_assert_int_eq(site_runs(stalled), 1);
     ck_assert_int_eq(site_runs(1 - stalled), 1);
-    site_set_dark(stalled, false);
+    site_set_dead(stalled, false);
 }
 END_TEST
 
