Operators drain a zone: nothing new goes to its servers, through any gateway

The set of zones has a revision; gateways take it from replicas that are current, as they do the configuration, and a gateway that starts waits for the leader's word on both. A drained server is asked for nothing new on any way (waiting and resent requests, hedges, resumed streams, homes, what waited for a connection); a stream that broke off there goes on elsewhere only where its route has room. What no zone may serve is refused at once. An older replica would pass the entry over: the leader refuses it while one is connected (levels in Hello).

--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -11,9 +11,8 @@
  * queue at a server that lives, so that it is dialled on at once: after four dials
  * it counts as cut off, and what may run on one server only leaves as well, once
  * the server's kernel is silent on the open connection too: that of a server with
- * a full queue, or of one that leaves, answers there. How long a silence is borne follows the times in which the server answers, by the
- * rule for retransmissions (RFC 6298), and dials to one that is merely slow become
- * rare.
+ * a full queue, or of one that leaves, answers there. How long a silence is borne follows the times in which the server
+ * answers, by the rule for retransmissions (RFC 6298), and dials to one that is merely slow become rare.
  *
  *   HEARD -> (silence) DIALLED -> (it answers) HEARD, asked half as often
  *                              -> (no answer, twice) LOST -> (no answer, twice more) CUT OFF
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -38,7 +38,8 @@
 
 static void replica_answer_document(struct replica *replica, uint32_t group, const struct replica_waiter *waiter)
 {
-    const struct site_document *document = &replica->groups[group].machine.site.document;
+    const struct site_state *site = &replica->groups[group].machine.site;
+    const struct site_document *document = &site->document;
     DocumentState state = {.version = document->version};
     DocumentState held = {0};
     if (!message_decode(view_of(waiter->body, waiter->length), DocumentState_fields, &held)) {
@@ -48,7 +49,10 @@
     if (document->version > held.version) {
         state.content = document->content;
     }
+    state.has_drained = site->drained.revision > held.drained.revision;
+    zone_set_tell(&site->drained, &state.drained);
     replica_reply_message(replica, group, waiter, DocumentState_fields, &state);
+    message_free(DocumentState_fields, &held);
 }
 
 static void replica_answer_turns(struct replica *replica, uint32_t group, const struct replica_waiter *waiter,
--- a/src/core/resume.c
+++ b/src/core/resume.c
@@ -9,5 +9,8 @@
         return RESUME_OTHER;
     }
     bool others_allowed = view->servers < view->max_attempts;
+    if (view->server_closed) {
+        return others_allowed ? RESUME_OTHER : RESUME_NOT;
+    }
     return others_allowed && view->resumes >= RESUME_SAME_MAX ? RESUME_OTHER : RESUME_SAME;
 }
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -109,6 +109,7 @@
     server->service = text_copy(record->service);
     server->address = text_copy(record->address);
     server->zone = text_copy(record->zone);
+    server->zone_drained = table->drained != NULL && zone_set_has(table->drained, server->zone);
     HASH_ADD_KEYPTR(hh, table->servers, server->id, strlen(server->id), server);
     return server;
 }
@@ -252,15 +253,47 @@
     }
 }
 
+void server_table_zones_changed(struct server_table *table)
+{
+    for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        server->zone_drained = table->drained != NULL && zone_set_has(table->drained, server->zone);
+    }
+}
+
+static bool server_leaves(const struct server *server)
+{
+    return !server->listed || server->draining || server->misplaced;
+}
+
+bool server_is_closed(const struct server *server)
+{
+    return server_leaves(server) || server->zone_drained;
+}
+
+bool server_table_is_drained(const struct server_table *table, const char *service)
+{
+    bool drained = false;
+    for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        if (!text_equal(server->service, service) || server_leaves(server)) {
+            continue;
+        }
+        if (!server->zone_drained) {
+            return false;
+        }
+        drained = true;
+    }
+    return drained;
+}
+
 /* May get requests at all. */
 static bool server_is_open(const struct server *server, uint64_t now_ms)
 {
-    return server->listed && !server->draining && !server->misplaced && now_ms >= server->full_until_ms;
+    return !server_is_closed(server) && now_ms >= server->full_until_ms;
 }
 
 bool server_is_gone(const struct server *server)
 {
-    return !server->listed || server->draining || server->misplaced || server->vacant || server->reach.cut_off;
+    return server_leaves(server) || server->vacant || server->reach.cut_off;
 }
 
 /* Nothing shows that it cannot be reached. */
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -14,7 +14,8 @@
  * has ended here is late and changes nothing, as long as it does not stand for
  * SERVER_LATE_MS: then it was the other one that was wrong.
  *
- * A server that leaves gets nothing new, whatever else speaks for it. A list
+ * A server that leaves, or whose zone is drained (zone_set.h), gets nothing new,
+ * whatever else speaks for it; the latter works on what it has. A list
  * that lags may still show a server that has answered as another one; that
  * life is not used again.
  *
@@ -42,6 +43,7 @@
 #include "core/health.h"
 #include "core/prefix_table.h"
 #include "core/reach.h"
+#include "core/zone_set.h"
 
 enum {
     SERVER_MAX_TRIED = 8,        /**< Servers one request remembers as tried. */
@@ -72,6 +74,7 @@
     char *zone;              /**< Zone. */
     uint32_t slots;          /**< Requests it works on at once. */
     bool draining;           /**< It leaves. */
+    bool zone_drained;       /**< Its zone is drained. */
     bool listed;             /**< It is on the newest list. */
     bool seen;               /**< The whole list that is looked at has its id. */
     bool misplaced;          /**< Another server answered at its address. */
@@ -100,6 +103,7 @@
     uint32_t ended_count;               /**< Those so far. */
     server_life_ended life_ended;       /**< Receiver, or NULL. */
     void *context;                      /**< Its first argument. */
+    const zone_set_t *drained;          /**< Drained zones, kept by the caller; NULL: none. */
     uint64_t loads_until_ms;            /**< Time until which the loads of other gateways count. */
 };
 
@@ -126,6 +130,15 @@
 /** Takes what changed since the list before: servers that left it, then those that came or changed. */
 void server_table_change(struct server_table *table, char *const *gone, size_t gone_count, const ServerList *changed);
 
+/** To be called when the drained zones have changed. */
+void server_table_zones_changed(struct server_table *table);
+
+/** Whether a service has no server that may be used, and only since the zones of some are drained. */
+bool server_table_is_drained(const struct server_table *table, const char *service);
+
+/** Whether a server gets nothing new: it leaves, is not on the list, or its zone is drained. */
+bool server_is_closed(const struct server *server);
+
 /** The life with a name (`life` of struct server), or NULL where it has ended. */
 struct server *server_table_life(const struct server_table *table, const char *life);
 
--- a/src/core/site_state.c
+++ b/src/core/site_state.c
@@ -18,6 +18,7 @@
         free(state->retired[i]);
     }
     free(state->retired);
+    zone_set_close(&state->drained);
     memset(state, 0, sizeof(*state));
 }
 
@@ -81,6 +82,15 @@
     state->retired[state->retired_count++] = text_copy(start->machine);
 }
 
+/* A zone that is so already is acknowledged: an order may come again. */
+static void site_drain_zone(struct site_state *state, const ZoneDrain *drain, EntryResult *result)
+{
+    if (zone_set_put(&state->drained, text_or_empty(drain->zone), drain->drained) == ZONE_SET_FULL) {
+        result->code = RESULT_LIMIT;
+    }
+    result->revision = state->drained.revision;
+}
+
 static void site_expire(struct site_state *state)
 {
     if (state->time_ms < state->expired_ms + SITE_EXPIRE_PERIOD_MS) {
@@ -100,6 +110,7 @@
     case Entry_turn_begin_tag: site_begin_turn(state, &entry->command.turn_begin, result); return true;
     case Entry_turn_finish_tag: site_finish_turn(state, &entry->command.turn_finish, result); return true;
     case Entry_retire_start_tag: site_start_retire(state, &entry->command.retire_start); return true;
+    case Entry_zone_drain_tag: site_drain_zone(state, &entry->command.zone_drain, result); return true;
     default: return false;
     }
 }
@@ -119,6 +130,8 @@
     snapshot->document.content = state->document.content;
     snapshot->retired = state->retired;
     snapshot->retired_count = (pb_size_t)state->retired_count;
+    snapshot->has_drained = state->drained.revision > 0;
+    zone_set_tell(&state->drained, &snapshot->drained);
 }
 
 void site_state_import(struct site_state *state, const SiteSnapshot *snapshot)
@@ -140,4 +153,5 @@
         RetireStart start = {.machine = snapshot->retired[i]};
         site_start_retire(state, &start);
     }
+    zone_set_take(&state->drained, &snapshot->drained);
 }
--- a/src/core/site_state.h
+++ b/src/core/site_state.h
@@ -1,8 +1,8 @@
 /**
  * @file site_state.h
  * What group 0 replicates for a site's gateways besides operators' resources:
- * the configuration document, turns of conversations, budgets of programs and
- * the machines that are to be emptied.
+ * the configuration document, turns of conversations, budgets of programs, the
+ * machines that are to be emptied and the zones that are drained.
  *
  * Its clock is the stamps of the entries and never goes back, so that a
  * leader whose wall clock jumps cannot bring turns back to life; leaders stamp
@@ -13,6 +13,7 @@
 
 #include "core/budget_table.h"
 #include "core/turn_store.h"
+#include "core/zone_set.h"
 
 enum {
     SITE_TURN_SLACK_MS = 10 * 1000, /**< Turns stay this much longer than asked for. */
@@ -34,6 +35,7 @@
     struct budget_table budgets;   /**< Budgets. */
     char **retired;                /**< Machines to be emptied, owned names. */
     uint32_t retired_count;        /**< Number of those. */
+    zone_set_t drained;            /**< Zones whose back ends get nothing new. */
 };
 
 /** Starts an empty state, whose turns keep their texts in `history`; all zero is one that holds them in memory. */
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -5,6 +5,7 @@
 void watch_state_close(struct watch_state *state)
 {
     buffer_close(&state->document);
+    zone_set_close(&state->drained);
     server_list_close(&state->servers);
 }
 
@@ -137,6 +138,7 @@
     watch->servers_number = state->servers_number;
     watch->servers_digest = state->servers.digest;
     watch->members_index = state->members_index;
+    watch->drained_revision = state->drained.revision;
     return true;
 }
 
@@ -161,6 +163,7 @@
     struct watch_changes changes = {0};
     watch_note_answer(client, now_ms, from, update);
     changes.document = update->fresh && watch_state_put_document(state, update->document_version, update->document);
+    changes.drained = update->fresh && update->has_drained && zone_set_take(&state->drained, &update->drained);
     bool servers_told = update->servers_told || update->servers.length > 0; /* earlier versions tell the list alone */
     changes.servers = servers_told && watch_state_take_servers(state, update);
     if (update->has_members && update->members_index > state->members_index) {
@@ -203,6 +206,7 @@
     entry->node = node;
     entry->heard_ms = now_ms;
     entry->document_version = watch->document_version;
+    entry->drained_revision = watch->drained_revision;
     entry->servers_term = watch->servers_term;
     entry->servers_number = watch->servers_number;
     entry->servers_digest = watch->servers_digest;
@@ -239,8 +243,9 @@
 {
     bool recent = now_ms < entry->heard_ms + WATCH_VALID_MS;
     bool document = fresh && state->document_version > entry->document_version;
+    bool drained = fresh && state->drained.revision > entry->drained_revision;
     bool servers = watch_entry_lacks_servers(entry, state) && watch_may_tell_servers(server, entry, now_ms, state);
-    return recent && (document || servers || state->members_index > entry->members_index);
+    return recent && (document || drained || servers || state->members_index > entry->members_index);
 }
 
 static void watch_charge_whole(struct watch_server *server, uint64_t now_ms, size_t bytes)
@@ -280,6 +285,11 @@
         update->document = buffer_view(&state->document);
         entry->document_version = state->document_version;
     }
+    if (update->fresh && state->drained.revision > entry->drained_revision) {
+        update->has_drained = true;
+        zone_set_tell(&state->drained, &update->drained);
+        entry->drained_revision = state->drained.revision;
+    }
     update->servers_term = state->servers_term;
     update->servers_number = state->servers_number;
     if (watch_entry_lacks_servers(entry, state) && watch_may_tell_servers(server, entry, now_ms, state)) {
--- a/src/core/watch.h
+++ b/src/core/watch.h
@@ -6,7 +6,7 @@
  *
  * The watcher takes a value only if it is newer than its own, so that it
  * never goes back; a replica that is out of touch says so (`fresh`), and the
- * watcher turns to another one. A configuration is told, and taken, only from
+ * watcher turns to another one. A configuration, or drained zones, are told, and taken, only from
  * one that is fresh: one that has just started, or lags, holds an older one
  * than was acknowledged, and cannot know it.
  *
@@ -23,6 +23,7 @@
 #include "control.pb.h"
 #include "core/raft.h"
 #include "core/server_list.h"
+#include "core/zone_set.h"
 
 enum {
     WATCH_PERIOD_MS = 500,           /**< Period of watches. */
@@ -40,6 +41,7 @@
 struct watch_state {
     uint64_t document_version;   /**< Configuration's version, 0: none. */
     struct buffer document;      /**< Its text. */
+    zone_set_t drained;          /**< Drained zones. */
     uint64_t servers_term;       /**< Leader's term that read the list of servers. */
     uint64_t servers_number;     /**< Change within that term. */
     server_list_t servers;       /**< The list. */
@@ -50,6 +52,7 @@
 /** What a watcher took from an update. */
 struct watch_changes {
     bool document; /**< The configuration is newer. */
+    bool drained;  /**< The drained zones are newer. */
     bool servers;  /**< The list of servers is newer. */
     bool members;  /**< The members are newer. */
 };
@@ -104,6 +107,7 @@
     uint32_t node;             /**< Its node id. */
     uint64_t heard_ms;         /**< Time of its last watch. */
     uint64_t document_version; /**< What it has. */
+    uint64_t drained_revision; /**< What it has. */
     uint64_t servers_term;     /**< What it has. */
     uint64_t servers_number;   /**< What it has. */
     uint64_t servers_digest;   /**< What it has. */
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -301,6 +301,17 @@
     return count;
 }
 
+uint32_t links_least_level(const struct links *links, const uint32_t *nodes, uint32_t count)
+{
+    uint32_t least = LINKS_LEVEL;
+    for (uint32_t i = 0; i < count; i++) {
+        const struct link *link = NULL;
+        HASH_FIND(hh, links->by_node, &nodes[i], sizeof(nodes[i]), link);
+        least = link != NULL && link->level < least ? link->level : least;
+    }
+    return least;
+}
+
 void links_ready(struct links *links, void *subject, bool readable, bool writable)
 {
     if (subject == &links->listener) {
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -28,6 +28,7 @@
 
 enum {
     LINKS_VERSION = 1,           /**< Protocol version told in Hello. */
+    LINKS_LEVEL = 1,             /**< Level of log entries told in Hello: 1 knows zones that are drained. */
     LINKS_MAX_FRAME = 64 << 20,  /**< Largest frame accepted, in bytes. */
     LINKS_MAX_QUEUED = 64 << 20, /**< Unsent bytes kept for all connections, by default. */
     LINKS_KEPT_BYTES = 32 << 10, /**< Room of a buffer that is kept whether it is used or not. */
@@ -116,6 +117,9 @@
 /** Fills `nodes` with the replicas that are connected and told their place; returns their number. */
 uint32_t links_replicas(const struct links *links, uint32_t *nodes, struct raft_member_place *places, uint32_t most);
 
+/** Least level of log entries that one of the nodes that are connected told; LINKS_LEVEL where none is. */
+uint32_t links_least_level(const struct links *links, const uint32_t *nodes, uint32_t count);
+
 /** With a watcher: handles readiness of `subject`; call links_round() where `ended` is set by it. */
 void links_ready(struct links *links, void *subject, bool readable, bool writable);
 
--- a/src/net/links_dial.c
+++ b/src/net/links_dial.c
@@ -35,6 +35,7 @@
     hello->cluster = (char *)(uintptr_t)links->config.cluster;
     hello->zone = (char *)(uintptr_t)links->config.zone;
     hello->version = LINKS_VERSION;
+    hello->level = LINKS_LEVEL;
     hello->node = links->config.node;
     hello->boot_id = links->config.boot_id;
     hello->has_member = links->config.replica;
--- a/src/net/links_internal.h
+++ b/src/net/links_internal.h
@@ -24,6 +24,7 @@
     bool closing;                   /* to be removed after the current event */
     bool wants_write;               /* registered for writability */
     bool replica;                   /* peer holds a replica that joins by itself */
+    uint32_t level;                 /* of the log entries that the peer can apply */
     void *watch;                    /* handle of the host's watch */
     uint64_t connect_until_ms;      /* an attempt to connect is given up then */
     bool silent;                    /* it was given up */
--- a/src/net/links_receive.c
+++ b/src/net/links_receive.c
@@ -39,6 +39,7 @@
     link->node = hello->node;
     links_index(links, link->node);
     link->replica = hello->has_member;
+    link->level = hello->level;
     raft_member_place_from_wire(&hello->member, &link->place);
     log_debug(LINKS_LOG, "peer %u connected", hello->node);
     if (links->handler.connected != NULL) {
--- a/src/proxy/control_api.c
+++ b/src/proxy/control_api.c
@@ -1,4 +1,4 @@
-/* Operators' calls: configuration and emptying of machines. Any replica takes
+/* Operators' calls: configuration, emptying of machines, draining of zones. Any replica takes
  * them and passes them to the leader; every call may be sent again. */
 #include <stdlib.h>
 #include <string.h>
@@ -22,7 +22,7 @@
     struct state_host *host;
     enum dialect_order order;
     uint64_t version;
-    char machine[DIALECT_MACHINE_MAX];
+    char name[DIALECT_NAME_MAX];
 };
 
 static void control_answer(struct http_call *call, int status, struct view body)
@@ -34,9 +34,10 @@
 
 static void control_log(const struct control_call *item, int status, const char *reason)
 {
-    static const char *const names[] = {"none", "put_configuration", "get_configuration", "start_retire", "get_retire"};
+    static const char *const names[] = {"none",       "put_configuration", "get_configuration", "start_retire",
+                                        "get_retire", "drain_zone",        "open_zone"};
     event_log("order", "{s:s,s:i,s:s,s:I,s:s,s:I}", "order", names[item->order], "status", status, "reason", reason,
-              "version", (json_int_t)item->version, "machine", item->machine, "leader",
+              "version", (json_int_t)item->version, "name", item->name, "leader",
               (json_int_t)state_host_leader(item->host));
 }
 
@@ -57,7 +58,10 @@
     switch (code) {
     case RESULT_OK: control_finish(item, CONTROL_OK, view_of(NULL, 0), "committed"); break;
     case RESULT_NOT_FOUND: control_finish(item, CONTROL_UNKNOWN, view_of(NULL, 0), "unknown machine"); break;
-    case RESULT_LIMIT: control_finish(item, CONTROL_TOO_FEW, view_of(NULL, 0), "too few would be left"); break;
+    case RESULT_LIMIT: control_finish(item, CONTROL_TOO_FEW, view_of(NULL, 0), "too few or too many"); break;
+    case RESULT_UNAVAILABLE:
+        control_finish(item, CONTROL_UNSURE, view_of(NULL, 0), "replicas of an earlier version");
+        break;
     default: control_finish(item, CONTROL_UNSURE, view_of(NULL, 0), "outcome not learnt"); break;
     }
 }
@@ -130,14 +134,42 @@
 {
     Entry entry = {0};
     entry.which_command = Entry_retire_start_tag;
-    entry.command.retire_start.machine = item->machine;
+    entry.command.retire_start.machine = item->name;
     struct node *node = item->host->node;
     node_propose(node, &entry, node_now(node) + CONTROL_CALL_MS, control_on_changed, item);
 }
 
+/* Zones that the settings name, where they name any. */
+static bool control_knows_zone(const struct node *node, const char *zone)
+{
+    const struct yaml_list *zones = &node->settings.zones;
+    const struct node_zone *items = zones->items;
+    for (size_t i = 0; i < zones->count; i++) {
+        if (text_equal(items[i].name, zone)) {
+            return true;
+        }
+    }
+    return zones->count == 0;
+}
+
+static void control_drain_zone(struct control_call *item, bool drained)
+{
+    struct node *node = item->host->node;
+    if (!control_knows_zone(node, item->name)) {
+        static const char told[] = "{\"error\":\"unknown zone\"}";
+        control_finish(item, CONTROL_UNKNOWN, view_of_string(told), "unknown zone");
+        return;
+    }
+    Entry entry = {0};
+    entry.which_command = Entry_zone_drain_tag;
+    entry.command.zone_drain.zone = item->name;
+    entry.command.zone_drain.drained = drained;
+    node_propose(node, &entry, node_now(node) + CONTROL_CALL_MS, control_on_changed, item);
+}
+
 static void control_get_retire(struct control_call *item)
 {
-    RetireQuery query = {.machine = item->machine};
+    RetireQuery query = {.machine = item->name};
     struct node *node = item->host->node;
     struct buffer body = {0};
     message_encode(&body, RetireQuery_fields, &query);
@@ -152,7 +184,7 @@
     struct control_call *item = memory_new(sizeof(*item));
     item->host = host;
     item->call = call;
-    item->order = node->dialect->read_order(call->request->method, call->request->target, item->machine);
+    item->order = node->dialect->read_order(call->request->method, call->request->target, item->name);
     call->owner = item;
     switch (item->order) {
     case DIALECT_ORDER_PUT_CONFIG: control_put(item); break;
@@ -162,6 +194,8 @@
         break;
     case DIALECT_ORDER_START_RETIRE: control_start_retire(item); break;
     case DIALECT_ORDER_GET_RETIRE: control_get_retire(item); break;
-    default: control_finish(item, CONTROL_UNKNOWN, view_of(NULL, 0), "no such call"); break;
+    case DIALECT_ORDER_DRAIN_ZONE: control_drain_zone(item, true); break;
+    case DIALECT_ORDER_OPEN_ZONE: control_drain_zone(item, false); break;
+    case DIALECT_ORDER_NONE: control_finish(item, CONTROL_UNKNOWN, view_of(NULL, 0), "no such call"); break;
     }
 }
--- a/src/proxy/dialect.h
+++ b/src/proxy/dialect.h
@@ -46,10 +46,12 @@
     DIALECT_ORDER_PUT_CONFIG,   /**< Replace the configuration. */
     DIALECT_ORDER_GET_CONFIG,   /**< Read it. */
     DIALECT_ORDER_START_RETIRE, /**< Empty a machine. */
-    DIALECT_ORDER_GET_RETIRE    /**< How far that is. */
+    DIALECT_ORDER_GET_RETIRE,   /**< How far that is. */
+    DIALECT_ORDER_DRAIN_ZONE,   /**< Send nothing more to the servers of a zone. */
+    DIALECT_ORDER_OPEN_ZONE     /**< Take that back. */
 };
 
-enum { DIALECT_MACHINE_MAX = 64 /**< Bytes of a machine's name, NUL included. */ };
+enum { DIALECT_NAME_MAX = 64 /**< Bytes of the name of a machine or a zone, NUL included. */ };
 
 /** A platform's manner of speaking. */
 struct dialect {
@@ -66,8 +68,8 @@
     void (*read_parts)(struct view text, prefix_chain_t *shared, uint32_t *own_tokens);
     /** Appends the target of the machine list's page. */
     void (*write_servers_target)(const char *page, struct buffer *out);
-    /** Tells which order a request is; `machine` gets the machine it names. */
-    enum dialect_order (*read_order)(struct view method, struct view target, char machine[DIALECT_MACHINE_MAX]);
+    /** Tells which order a request is; `name` gets the machine or the zone that it names. */
+    enum dialect_order (*read_order)(struct view method, struct view target, char name[DIALECT_NAME_MAX]);
     /** Appends the answer to a question how far emptying a machine is. */
     void (*write_retire_state)(bool completed, struct buffer *out);
 };
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -232,6 +232,9 @@
 /** forward_resume.c: takes a stream that broke off up at a server; false: it cannot go on. Ends the attempt if so. */
 bool forward_resume(struct forward_attempt *attempt, const char *reason);
 
+/** forward_resume.c: whether it is bound to a server that gets nothing new: it can go on nowhere. */
+bool forward_is_stranded(struct forward *forward);
+
 /** forward_resume.c: the server to which a stream that broke off is bound; NULL: it is free to go anywhere. */
 struct server *forward_bound_server(struct forward *forward);
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -120,27 +120,22 @@
     buffer_append(out, body->data, body->length);
 }
 
-/* It was chosen before a wait for a connection, in which it may have come to leave. */
-static bool forward_server_leaves(const struct server *server)
-{
-    return !server->listed || server->draining || server->misplaced;
-}
-
 const char *forward_unsent_reason(const struct forward_attempt *attempt)
 {
-    if (forward_server_leaves(attempt->server)) {
-        return "the server leaves";
+    if (server_is_closed(attempt->server)) {
+        return attempt->server->zone_drained ? "the server's zone is drained" : "the server leaves";
     }
     return forward_has_time(attempt->forward) ? "no connection to the server" : "no time left to send it";
 }
 
-/* The loop's time is that of the begin of its turn: a process that stood still since has less time left. */
+/* The server was chosen before a wait for a connection, in which it may have come to leave, or its zone was drained.
+ * The loop's time is that of the begin of its turn: a process that stood still since has less time left. */
 bool forward_on_write(void *owner, struct buffer *request)
 {
     struct forward_attempt *attempt = owner;
     uint64_t now_ms = node_real_now();
     uint64_t limit_ms = attempt->forward->limit_ms;
-    if (now_ms + FORWARD_LEAST_MS >= limit_ms || forward_server_leaves(attempt->server)) {
+    if (now_ms + FORWARD_LEAST_MS >= limit_ms || server_is_closed(attempt->server)) {
         return false;
     }
     attempt->sent_ms = node_now(attempt->forward->front->node);
@@ -193,7 +188,8 @@
     struct server *bound = forward_bound_server(forward);
     if (bound != NULL) {
         uint64_t now_ms = node_now(forward->front->node);
-        return now_ms >= bound->full_until_ms && now_ms >= forward->bound_due_ms ? bound : NULL;
+        bool open = !bound->zone_drained && now_ms >= bound->full_until_ms && now_ms >= forward->bound_due_ms;
+        return open ? bound : NULL;
     }
     forward->wish.zone = forward->front->node->settings.zone;
     forward->wish.warm = forward_is_warm;
@@ -216,6 +212,27 @@
     return place_may_wait(waited_ms, forward->limit_ms - now_ms);
 }
 
+/* Nothing that waits here would find a server: it is told so at once. */
+static bool forward_is_drained(const struct forward *forward)
+{
+    const struct route *route = forward->route;
+    bool drained = route->part_count > 0;
+    for (uint32_t i = 0; i < route->part_count; i++) {
+        drained = drained && server_table_is_drained(&forward->front->servers, route->parts[i].service);
+    }
+    return drained;
+}
+
+/* Ends for want of a server. */
+static void forward_end_unplaced(struct forward *forward, const char *reason)
+{
+    if (forward->runs > 0) {
+        forward_fail(forward, FORWARD_BAD_GATEWAY, reason);
+    } else {
+        forward_refuse(forward, FORWARD_UNAVAILABLE, reason);
+    }
+}
+
 void forward_place(struct forward *forward)
 {
     if (!forward_has_time(forward)) {
@@ -233,12 +250,12 @@
     struct server *server = forward_choose(forward);
     if (server != NULL) {
         forward_send(forward, server);
+    } else if (forward_is_drained(forward) || forward_is_stranded(forward)) {
+        forward_end_unplaced(forward, "zones drained");
     } else if (forward_may_queue(forward)) {
         forward_queue_join(forward);
-    } else if (forward->runs > 0) {
-        forward_fail(forward, FORWARD_BAD_GATEWAY, "no other server");
     } else {
-        forward_refuse(forward, FORWARD_UNAVAILABLE, "no server");
+        forward_end_unplaced(forward, forward->runs > 0 ? "no other server" : "no server");
     }
 }
 
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -17,6 +17,7 @@
     return (resume_view_t){
         .resumable = forward->route->resumable && !forward->turn.keep && !forward->stream.unnumbered,
         .server_gone = server_is_gone(server) || (server->reach.lost && forward_has_room(forward)),
+        .server_closed = server->zone_drained,
         .resumes = forward->stream.resumes,
         .servers = forward->wish.tried_count,
         .max_attempts = forward->route->max_attempts,
@@ -63,6 +64,12 @@
     return server;
 }
 
+bool forward_is_stranded(struct forward *forward)
+{
+    const struct server *server = forward_bound_server(forward);
+    return server != NULL && server->zone_drained;
+}
+
 bool forward_resume(struct forward_attempt *attempt, const char *reason)
 {
     struct forward *forward = attempt->forward;
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -56,6 +56,7 @@
     front_watch_reach(front);
     front->servers.life_ended = front_on_life_ended;
     front->servers.context = front;
+    front->servers.drained = &node->state.drained;
     struct http_handler handler = {
         .context = front,
         .request = front_on_request,
@@ -131,6 +132,12 @@
               (json_int_t)front->node->state.servers_number, "servers", (json_int_t)HASH_COUNT(front->servers.servers));
 }
 
+void front_take_drained(struct front *front)
+{
+    server_table_zones_changed(&front->servers);
+    node_log_drained(front->node, "zones_in_force");
+}
+
 /* ---- State ------------------------------------------------------------------------------ */
 
 bool front_knows_site(const struct front *front)
@@ -321,6 +328,7 @@
     metrics_write_gauge(out, "withdrawn", "Whether callers are left to other zones.",
                         front_is_withdrawn(front) ? 1 : 0);
     front_memory_write_metrics(front, out);
+    metrics_write_gauge(out, "zones_drained", "Zones whose servers get nothing new.", front->node->state.drained.count);
     metrics_write_gauge(out, "servers_known", "Servers known.", HASH_COUNT(front->servers.servers));
     histogram_write(&front->first_event, "first_event_seconds", "Time to the first event of a stream.", out);
     histogram_write(&front->total, "answer_seconds", "Time to the end of an answer.", out);
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -115,6 +115,9 @@
 /** Takes the list of servers in node->state. */
 void front_take_servers(struct front *front);
 
+/** Takes the drained zones in node->state. */
+void front_take_drained(struct front *front);
+
 /** Takes a list that this gateway read itself. */
 void front_take_own_servers(struct front *front, struct view encoded);
 
--- a/src/proxy/front_configuration.c
+++ b/src/proxy/front_configuration.c
@@ -5,7 +5,8 @@
  * on which version is committed: the replica that told it may have heard its
  * leader late (both stood still, or have just started) and then holds an older
  * one than was acknowledged and obeyed before. From then on whatever is told is
- * newer than what is in force, and is taken at once.
+ * newer than what is in force, and is taken at once. The same answer tells the
+ * zones that are drained.
  */
 #include "base/event_log.h"
 #include "base/message.h"
@@ -74,6 +75,9 @@
         return;
     }
     watch_state_put_document(known, committed.version, committed.content);
+    if (committed.has_drained && zone_set_take(&known->drained, &committed.drained)) {
+        front_take_drained(front);
+    }
     front->confirmed = known->document_version >= committed.version;
     event_log("configuration_confirmed", "{s:I,s:I,s:I}", "held", (json_int_t)held, "committed",
               (json_int_t)committed.version, "asked_ms", (json_int_t)(node_now(front->node) - front->confirm_asked_ms));
@@ -91,7 +95,11 @@
     if (!wanted || front->confirming != NULL || now_ms < front->confirm_due_ms) {
         return;
     }
-    DocumentState held = {.version = node->state.document_version};
+    DocumentState held = {
+        .version = node->state.document_version,
+        .has_drained = true,
+        .drained = {.revision = node->state.drained.revision},
+    };
     struct buffer body = {0};
     message_encode(&body, DocumentState_fields, &held);
     front->confirm_asked_ms = now_ms;
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -125,6 +125,9 @@
 /** Tells the gateway, if there is one, what is new. */
 void node_state_changed(struct node *node, struct watch_changes changes);
 
+/** Writes a log line of the drained zones that are known. */
+void node_log_drained(const struct node *node, const char *event);
+
 /** Whether a state replica in touch with a quorum answered lately. */
 bool node_is_fresh(const struct node *node);
 
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -288,6 +288,18 @@
     control_client_disconnected(&node->client, node_now(node), peer);
 }
 
+void node_log_drained(const struct node *node, const char *event)
+{
+    const zone_set_t *drained = &node->state.drained;
+    struct buffer names = {0};
+    for (uint32_t i = 0; i < drained->count; i++) {
+        buffer_printf(&names, "%s%s", i == 0 ? "" : ",", drained->names[i]);
+    }
+    event_log(event, "{s:I,s:s,s:I}", "revision", (json_int_t)drained->revision, "drained", buffer_text(&names),
+              "state_age_ms", (json_int_t)node_state_age(node));
+    buffer_close(&names);
+}
+
 /* ---- What is known of the site -------------------------------------------------------------- */
 
 void node_state_changed(struct node *node, struct watch_changes changes)
@@ -299,6 +311,9 @@
     if (node->front != NULL && changes.document) {
         front_take_configuration(node->front);
     }
+    if (node->front != NULL && changes.drained) {
+        front_take_drained(node->front);
+    }
     if (node->front != NULL && changes.servers) {
         front_take_servers(node->front);
     }
--- a/src/proxy/node_settings.c
+++ b/src/proxy/node_settings.c
@@ -22,6 +22,12 @@
     {.key = NULL},
 };
 
+static const struct yaml_field node_zone_fields[] = {
+    {.key = "name", .type = YAML_TEXT, .offset = offsetof(struct node_zone, name), .required = true},
+    {.key = "region", .type = YAML_TEXT, .offset = offsetof(struct node_zone, region)},
+    {.key = NULL},
+};
+
 #define NODE_TEXT(name)                                                                                                \
     {                                                                                                                  \
         .key = #name, .type = YAML_TEXT, .offset = offsetof(struct node_settings, name)                                \
@@ -49,6 +55,11 @@
      .offset = offsetof(struct node_settings, seeds),
      .fields = node_seed_fields,
      .item_size = sizeof(struct node_seed)},
+    {.key = "zones",
+     .type = YAML_LIST,
+     .offset = offsetof(struct node_settings, zones),
+     .fields = node_zone_fields,
+     .item_size = sizeof(struct node_zone)},
     NODE_NUMBER(list_period_ms, 50, NODE_MOST_MS),
     {.key = "grace_s",
      .type = YAML_SECONDS,
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -256,6 +256,12 @@
         event_log("configuration_applied", "{s:I,s:I}", "version", (json_int_t)document->version, "index",
                   (json_int_t)group->raft.applied);
     }
+    DrainedZones drained;
+    zone_set_tell(&group->machine.site.drained, &drained);
+    changes.drained = zone_set_take(&state->drained, &drained);
+    if (changes.drained) {
+        node_log_drained(host->node, "zones_applied");
+    }
     /* Index 0 is the begin of the log; watchers count from 1. */
     uint64_t members_index = group->raft.members_index + 1;
     if (group->raft.members_index <= group->raft.commit && members_index > state->members_index) {
@@ -281,7 +287,7 @@
     }
     host_dial_members(host);
     struct watch_changes changes = host_mirror(host);
-    if (changes.document || changes.members) {
+    if (changes.document || changes.drained || changes.members) {
         node_state_changed(node, changes);
     }
     state_host_tell_owed(host);
--- a/src/proxy/state_host_daemons.c
+++ b/src/proxy/state_host_daemons.c
@@ -2,10 +2,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/event_log.h"
 #include "base/message.h"
 #include "proxy/node_metrics.h"
 #include "proxy/state_host_internal.h"
 
+enum {
+    HOST_LEVEL_ZONES = 1,  /* of log entries (LINKS_LEVEL): drained zones */
+    HOST_SMALL_ENTRY = 512 /* bytes; entries of turns, which are many, are not looked into */
+};
+
 /* ---- Watches ---------------------------------------------------------------------------------------- */
 
 static bool host_is_fresh(const struct state_host *host, uint64_t now_ms)
@@ -167,6 +173,39 @@
     }
 }
 
+/* ---- Levels ------------------------------------------------------------------------------------------ */
+
+static bool host_proposes(const Frame *frame, int tag)
+{
+    const Request *request = &frame->payload.request;
+    Entry entry = {0};
+    bool proposal = frame->which_payload == Frame_request_tag && request->kind == REQUEST_PROPOSE;
+    if (!proposal || request->body.length > HOST_SMALL_ENTRY || !message_decode(request->body, Entry_fields, &entry)) {
+        return false;
+    }
+    bool is = entry.which_command == tag;
+    message_free(Entry_fields, &entry);
+    return is;
+}
+
+/* A member of an earlier version would pass such an entry over, and then lead without it. */
+static bool host_is_too_new(const struct state_host *host, const Frame *frame)
+{
+    const struct raft_members *members = state_host_logged_members(host);
+    return state_host_leads(host) && host_proposes(frame, Entry_zone_drain_tag) &&
+           links_least_level(&host->node->links, members->nodes, members->count) < HOST_LEVEL_ZONES;
+}
+
+static void host_answer_too_new(struct state_host *host, uint32_t from, const Request *request)
+{
+    Frame frame = {.which_payload = Frame_reply_tag};
+    frame.payload.reply.id = request->id;
+    frame.payload.reply.code = RESULT_UNAVAILABLE;
+    frame.payload.reply.leader = state_host_leader(host);
+    event_log("entry_refused", "{s:s,s:I}", "reason", "a member runs an earlier version", "from", (json_int_t)from);
+    node_send_frame(host->node, from, &frame);
+}
+
 /* ---- Frames ------------------------------------------------------------------------------------------ */
 
 static bool host_is_quota(const Frame *frame)
@@ -176,7 +215,9 @@
 
 void state_host_receive(struct state_host *host, uint32_t from, const Frame *frame)
 {
-    if (host->running && host_is_quota(frame)) {
+    if (host->running && host_is_too_new(host, frame)) {
+        host_answer_too_new(host, from, &frame->payload.request);
+    } else if (host->running && host_is_quota(frame)) {
         host_handle_quota(host, from, &frame->payload.request);
     } else if (frame->which_payload == Frame_load_report_tag) {
         host_handle_load(host, from, &frame->payload.load_report);
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -119,6 +119,9 @@
 /** Makes a server take no connection any more, without a word, or take them again. */
 void site_set_dark(int server, bool dark);
 
+/** Puts another instance of a server into a zone (a constant text); at first all are in z1. */
+void site_set_zone(int server, const char *zone);
+
 /** Drops all that comes to a server, its kernel's answers included, as if it had no power; what comes on connections
  * that it takes afterwards is heard. */
 void site_set_dead(int server, bool dead);
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -38,7 +38,8 @@
     struct proxy *proxy; /* or NULL */
     enum site_mode mode;
     bool draining;
-    int instance; /* how often it was replaced */
+    const char *zone; /* NULL: z1 */
+    int instance;     /* how often it was replaced */
     int runs;
     bool dark;                 /* takes no connection */
     int fillers[SITE_FILLERS]; /* connections that fill its backlog meanwhile */
@@ -303,9 +304,10 @@
         buffer_append_text(out, i == 0 ? "{" : ",{");
         site_write_born(out);
         buffer_printf(out,
-                      "\"id\":\"%s\",\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z1\","
+                      "\"id\":\"%s\",\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
                       "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\",\"cold-remaining-ms\":0,\"unknown\":[1]}",
                       id, i < 2 ? "engine" : "plain", site_servers[i].listed_port,
+                      site_servers[i].zone == NULL ? "z1" : site_servers[i].zone,
                       site_servers[i].draining ? "draining" : "ready");
     }
     buffer_append_text(out, text_or_empty(site_foreign));
@@ -445,6 +447,14 @@
     pthread_mutex_unlock(&site_lock);
 }
 
+void site_set_zone(int server, const char *zone)
+{
+    pthread_mutex_lock(&site_lock);
+    site_servers[server].zone = zone;
+    pthread_mutex_unlock(&site_lock);
+    site_replace_server(server);
+}
+
 void site_set_draining(int server, bool draining)
 {
     pthread_mutex_lock(&site_lock);
--- a/tests/scripted/run_resume.c
+++ b/tests/scripted/run_resume.c
@@ -1,6 +1,7 @@
 /* Where a broken stream goes on:
- *   decide [servers N] [attempts N] [resumes N] [left MS] [gone] [fixed]
- *                                 `gone`: its server is known to have ended; `fixed`: the route cannot be resumed */
+ *   decide [servers N] [attempts N] [resumes N] [left MS] [gone] [closed] [fixed]
+ *                                 `gone`: its server is known to have ended; `closed`: its zone is drained; `fixed`:
+ * the route cannot be resumed */
 #include "core/resume.h"
 #include "script.h"
 
@@ -20,6 +21,8 @@
             view.left_ms = script_number(command, i + 1, 0);
         } else if (script_is(command, i, "gone")) {
             view.server_gone = true;
+        } else if (script_is(command, i, "closed")) {
+            view.server_closed = true;
         } else if (script_is(command, i, "fixed")) {
             view.resumable = false;
         }
