Servers that have just started get, from all gateways together, what their service says they bear

Cause: nothing read the rate of cold servers, nor which servers are cold; every gateway sends a server that comes back idle what it likes. Ways weighed: shares by rendezvous over gateways (two views of who is there break the bound), tokens of the leader as for tenants' limits; the second is taken, since whoever is cut off then sends nothing. Change: the list's word (a flag: the time that is left would change the list at each reading), a server that comes back after it could not be reached, and servers of a zone that is opened count as just started; they are used last, and each request there takes a token that is good for 250 ms, until its bytes leave.

--- a/src/core/quota_purse.c
+++ b/src/core/quota_purse.c
@@ -54,6 +54,39 @@
     }
 }
 
+bool quota_purses_has(const quota_purses_t *purses, uint64_t now_ms, uint64_t tenant)
+{
+    const quota_purse_t *purse = NULL;
+    HASH_FIND(hh, purses->purses, &tenant, sizeof(tenant), purse);
+    return purse != NULL && purse->tokens > 0 && now_ms < purse->expires_ms;
+}
+
+uint64_t quota_purses_expiry(const quota_purses_t *purses, uint64_t tenant)
+{
+    const quota_purse_t *purse = NULL;
+    HASH_FIND(hh, purses->purses, &tenant, sizeof(tenant), purse);
+    return purse == NULL ? 0 : purse->expires_ms;
+}
+
+void quota_purses_name_service(quota_purses_t *purses, uint64_t tenant, uint64_t service)
+{
+    quota_purse_of(purses, tenant)->service = service;
+}
+
+void quota_purses_forget_idle(quota_purses_t *purses, uint64_t now_ms)
+{
+    quota_purse_t *purse;
+    quota_purse_t *next;
+    HASH_ITER(hh, purses->purses, purse, next)
+    {
+        bool idle = now_ms >= (purse->period + 1) * QUOTA_AHEAD_MS + QUOTA_IDLE_MS;
+        if (idle && purse->tokens + purse->waiting + purse->begins + purse->unused == 0) {
+            HASH_DEL(purses->purses, purse);
+            free(purse);
+        }
+    }
+}
+
 void quota_purses_return(quota_purses_t *purses, uint64_t tenant)
 {
     quota_purse_of(purses, tenant)->unused++;
@@ -88,6 +121,7 @@
             ask->demands[ask->demands_count++] = (QuotaDemand){.tenant = purse->tenant,
                                                                .wanted = purse->waiting + ahead,
                                                                .begins = purse->begins,
+                                                               .service = purse->service,
                                                                .returned = purse->unused};
             purse->waiting = 0;
             purse->begins = 0;
--- a/src/core/quota_purse.h
+++ b/src/core/quota_purse.h
@@ -25,12 +25,14 @@
 
 enum {
     QUOTA_AHEAD_MS = 100, /**< Time's worth of requests that is asked for ahead. */
-    QUOTA_HELD_MS = 250   /**< Time for which a token is good, from the ask. */
+    QUOTA_HELD_MS = 250,  /**< Time for which a token is good, from the ask. */
+    QUOTA_IDLE_MS = 10000 /**< Time after which what nobody asks for is forgotten. */
 };
 
 /** What is held of a tenant. */
 typedef struct quota_purse_t {
     uint64_t tenant;     /**< Hash of its name. */
+    uint64_t service;    /**< Told with each ask. */
     uint32_t tokens;     /**< Tokens held. */
     uint64_t expires_ms; /**< When they are lost. */
     uint32_t waiting;    /**< Requests that no ask has been sent for yet. */
@@ -60,6 +62,18 @@
 /** A request of a tenant: takes a token; false: it is counted among those that wait for the next ask. */
 bool quota_purses_take(quota_purses_t *purses, uint64_t now_ms, uint64_t tenant, quota_use_t use);
 
+/** Whether a token is held, which counts as no request. */
+bool quota_purses_has(const quota_purses_t *purses, uint64_t now_ms, uint64_t tenant);
+
+/** Time at which the tokens held are lost, 0: none were ever held. */
+uint64_t quota_purses_expiry(const quota_purses_t *purses, uint64_t tenant);
+
+/** Names the service of what is asked for under a key. */
+void quota_purses_name_service(quota_purses_t *purses, uint64_t tenant, uint64_t service);
+
+/** Forgets what was neither asked for nor held lately. */
+void quota_purses_forget_idle(quota_purses_t *purses, uint64_t now_ms);
+
 /** Gives back a token that was taken and not used. */
 void quota_purses_return(quota_purses_t *purses, uint64_t tenant);
 
--- a/src/core/route_table.c
+++ b/src/core/route_table.c
@@ -216,6 +216,8 @@
         route_check(table, i, findings);
     }
     for (uint32_t i = 0; i < table->service_count; i++) {
+        struct route_service *service = &table->services[i];
+        service->hash = XXH64(service->name, strlen(service->name), 0);
         for (uint32_t k = 0; k < i; k++) {
             if (strcmp(table->services[i].name, table->services[k].name) == 0) {
                 findings_add(findings, table->services[i].name, "is the name of two services");
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -61,6 +61,8 @@
     uint32_t max_connections; /**< Connections that a server accepts from all daemons together. */
     uint32_t chunk_tokens;    /**< Tokens in an event; 0: not a model engine. */
     uint32_t slots;           /**< Requests a server runs at once; 0: not told. */
+    uint64_t hash;            /**< Of the name; set by route_table_check(). */
+    double start_rate_per_s;  /**< Requests a second that a server bears while it starts; 0: as many as ever. */
 };
 
 /** A tenant. */
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -177,6 +177,7 @@
     server->seen = true;
     server->slots = record->slots;
     server->draining = server->draining || record->draining;
+    server->starting = record->cold_ms > 0;
 }
 
 static struct server *server_of_id(const struct server_table *table, const char *id)
@@ -253,13 +254,21 @@
     }
 }
 
-void server_table_zones_changed(struct server_table *table)
+void server_table_zones_changed(struct server_table *table, uint64_t now_ms)
 {
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        bool before = server->zone_drained;
         server->zone_drained = table->drained != NULL && zone_set_has(table->drained, server->zone);
+        server->returned_ms = before && !server->zone_drained ? now_ms : server->returned_ms;
     }
 }
 
+bool server_is_starting(const struct server *server, uint64_t now_ms)
+{
+    bool returned = server->returned_ms != 0 && now_ms < server->returned_ms + SERVER_RETURN_MS;
+    return server->starting || returned;
+}
+
 static bool server_leaves(const struct server *server)
 {
     return !server->listed || server->draining || server->misplaced;
@@ -382,7 +391,7 @@
 }
 
 /* Calls per slot in a scale that keeps fractions. What speaks against a server counts as calls: a new
- * connection, the way to another zone, failures, parts of the prompt to be read. */
+ * connection, the way to another zone, failures, a start, parts of the prompt to be read. */
 static uint64_t server_load(const struct server_table *table, const struct server *server,
                             const struct server_wish *wish, uint64_t now_ms, bool favored)
 {
@@ -392,6 +401,7 @@
     calls += cold ? SERVER_COLD_CALLS : 0;
     calls += remote ? SERVER_REMOTE_CALLS : 0;
     calls += server_failure_calls(table, server, now_ms);
+    calls += wish->may_start != NULL && server_is_starting(server, now_ms) ? server_slots(server) : 0;
     uint64_t reading = favored ? 0 : server_reading(server, wish, now_ms);
     return ((calls << SERVER_LOAD_SHIFT) + reading) / server_slots(server);
 }
@@ -399,8 +409,10 @@
 /* Where no server is sound, any open one is better than none. */
 static bool server_may_do(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
 {
-    return text_equal(server->service, wish->service) && server_is_open(server, now_ms) &&
-           !server_was_tried(server, wish);
+    bool fits =
+        text_equal(server->service, wish->service) && server_is_open(server, now_ms) && !server_was_tried(server, wish);
+    bool held_back = fits && wish->may_start != NULL && server_is_starting(server, now_ms);
+    return fits && (!held_back || wish->may_start(wish->context, server));
 }
 
 static bool server_fits(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
@@ -492,6 +504,23 @@
     return stays ? home : idlest;
 }
 
+struct server *server_table_starting(struct server_table *table, uint64_t now_ms, const struct server_wish *wish)
+{
+    struct server *chosen = NULL;
+    uint64_t highest = 0;
+    table->rotation++;
+    for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        bool fits = text_equal(server->service, wish->service) && server_is_starting(server, now_ms) &&
+                    server_is_sound(server) && server_is_open(server, now_ms) && !server_was_tried(server, wish);
+        uint64_t rank = fits ? server_rank(server, table->rotation) : 0;
+        if (fits && (chosen == NULL || rank > highest)) {
+            chosen = server;
+            highest = rank;
+        }
+    }
+    return chosen;
+}
+
 static int server_compare_loads(const void *a, const void *b)
 {
     uint64_t left = ((const ServerLoad *)a)->server;
@@ -554,6 +583,7 @@
 void server_heard(struct server *server, uint64_t now_ms)
 {
     server->heard_ms = now_ms;
+    server->returned_ms = server->vacant ? now_ms : server->returned_ms;
     server->vacant = false;
     reach_note_heard(&server->reach);
 }
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -19,6 +19,12 @@
  * that lags may still show a server that has answered as another one; that
  * life is not used again.
  *
+ * A server that has just started is used last, and only with a token (slow_start.h),
+ * where its service names a rate for such servers. What the list tells of it lags:
+ * one that comes back into use after it could not be reached, or when its zone is
+ * opened again, counts as just started for SERVER_RETURN_MS, by when the list
+ * tells it.
+ *
  * A program stays at its home, which keeps its conversation, until the queue
  * there costs more than reading the conversation anew elsewhere. Reading 3,600
  * tokens at 65 a millisecond stops a batch of 8 for 55 ms: 440 ms of requests.
@@ -57,6 +63,8 @@
     SERVER_OBJECT_CALLS = 3,     /**< Requests that a server which has not seen the request's object counts as. */
     SERVER_LOADS_VALID_MS = 700, /**< Time the loads of other gateways count at least. */
     SERVER_ENDED_LIVES = 512,    /**< Lives that are known to have ended. */
+    SERVER_RETURN_MS = 2500,     /**< Time for the list to tell that a server which returns has started: its lag (0.8 s
+                                      on all sheets), two readings and the way. */
     SERVER_LATE_MS = 15000       /**< Longer than the platform's list lags. */
 };
 
@@ -75,6 +83,9 @@
     uint32_t slots;          /**< Requests it works on at once. */
     bool draining;           /**< It leaves. */
     bool zone_drained;       /**< Its zone is drained. */
+    bool starting;           /**< The list shows that it has just started. */
+    uint64_t returned_ms;    /**< Time at which it came back into use, 0: never. */
+    bool told_starting;      /**< Whether the log last told that it counts as just started. */
     bool listed;             /**< It is on the newest list. */
     bool seen;               /**< The whole list that is looked at has its id. */
     bool misplaced;          /**< Another server answered at its address. */
@@ -109,12 +120,14 @@
 
 /** A request to place. */
 struct server_wish {
-    const char *service;                              /**< Service. */
-    const char *zone;                                 /**< The gateway's zone. */
-    const prefix_chain_t *chain;                      /**< Shared parts of its prompt, or NULL. */
-    const prefix_cost_t *cost;                        /**< What a call costs on average; with `chain`. */
-    const char *home;                                 /**< Life that keeps the program's prompt, or NULL. */
-    uint64_t object;                                  /**< Hash of the object that it is about, 0: none. */
+    const char *service;         /**< Service. */
+    const char *zone;            /**< The gateway's zone. */
+    const prefix_chain_t *chain; /**< Shared parts of its prompt, or NULL. */
+    const prefix_cost_t *cost;   /**< What a call costs on average; with `chain`. */
+    const char *home;            /**< Life that keeps the program's prompt, or NULL. */
+    uint64_t object;             /**< Hash of the object that it is about, 0: none. */
+    /** Whether a token is held for a server that has just started; NULL: such servers are used as others are. */
+    bool (*may_start)(void *context, const struct server *server);
     const struct server *tried[SERVER_MAX_TRIED];     /**< Not these. */
     uint32_t tried_count;                             /**< Number of those. */
     bool (*warm)(void *context, const char *address); /**< Whether a connection rests there; NULL: unknown. */
@@ -131,7 +144,13 @@
 void server_table_change(struct server_table *table, char *const *gone, size_t gone_count, const ServerList *changed);
 
 /** To be called when the drained zones have changed. */
-void server_table_zones_changed(struct server_table *table);
+void server_table_zones_changed(struct server_table *table, uint64_t now_ms);
+
+/** Whether a server counts as just started. */
+bool server_is_starting(const struct server *server, uint64_t now_ms);
+
+/** A server that may be used but for the token that a starting one needs; a different one each time. NULL: none. */
+struct server *server_table_starting(struct server_table *table, uint64_t now_ms, const struct server_wish *wish);
 
 /** Whether a service has no server that may be used, and only since the zones of some are drained. */
 bool server_table_is_drained(const struct server_table *table, const char *service);
@@ -179,7 +198,7 @@
 /** Notes that a server has left a request without an answer for long; a queue there excuses it. */
 void server_unanswered(const struct server_table *table, struct server *server, uint64_t now_ms);
 
-/** Notes that something came from a server. */
+/** Notes that something came from a server; one whose address was vacant has started since. */
 void server_heard(struct server *server, uint64_t now_ms);
 
 #endif
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -62,6 +62,7 @@
     struct server *server;              /**< Server asked. */
     struct upstream_exchange *exchange; /**< Exchange under way, or NULL. */
     uint64_t sent_ms;                   /**< Loop time at which it was sent, or else chosen. */
+    uint64_t start_until_ms;            /**< Until when its token for a server that has just started is good, or 0. */
     uint64_t heard_ms;                  /**< Loop time at which something came last, 0: never. */
     uint64_t ended_ms;                  /**< Loop time at which the server was seen to have started again, 0: never. */
     bool silent;                        /**< It was noted that no answer has begun for long. */
@@ -153,6 +154,24 @@
 /** forward_queue.c: places those that wait, as far as there are places, and refuses those that have waited too long. */
 void forward_queue_serve(struct front *front);
 
+/** forward_start.c: tells the choice of a server whether tokens are needed for those that have just started. */
+void forward_pace_starts(struct forward *forward);
+
+/** forward_start.c: whether a server may be sent a request: it has not just started, or a token is held for it. */
+bool forward_may_start(const struct forward *forward, const struct server *server);
+
+/** forward_start.c: takes the token that a server needs; returns until when it may be used, 0: it needs none. */
+uint64_t forward_take_start(struct forward *forward, const struct server *server);
+
+/** forward_start.c: where the chosen server (NULL: none) is busy, asks for a token of one that has just started. */
+void forward_want_start(struct forward *forward, const struct server *chosen);
+
+/** forward_start.c: sends the asks that are due to the leader. */
+void forward_ask_starts(struct front *front);
+
+/** forward_start.c: tells the log when a server comes to count as just started, or no more. */
+void forward_report_starting(struct front *front, struct server *server);
+
 /** forward_attempt.c: goes on once a turn is reserved and its conversation is there. */
 void forward_place(struct forward *forward);
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -122,6 +122,9 @@
 
 const char *forward_unsent_reason(const struct forward_attempt *attempt)
 {
+    if (attempt->start_until_ms != 0 && node_now(attempt->forward->front->node) >= attempt->start_until_ms) {
+        return "its token for a server that has just started is too old";
+    }
     if (server_is_closed(attempt->server)) {
         return attempt->server->zone_drained ? "the server's zone is drained" : "the server leaves";
     }
@@ -135,7 +138,8 @@
     struct forward_attempt *attempt = owner;
     uint64_t now_ms = node_real_now();
     uint64_t limit_ms = attempt->forward->limit_ms;
-    if (now_ms + FORWARD_LEAST_MS >= limit_ms || server_is_closed(attempt->server)) {
+    bool old_token = attempt->start_until_ms != 0 && now_ms >= attempt->start_until_ms;
+    if (now_ms + FORWARD_LEAST_MS >= limit_ms || old_token || server_is_closed(attempt->server)) {
         return false;
     }
     attempt->sent_ms = node_now(attempt->forward->front->node);
@@ -165,6 +169,7 @@
     attempt->forward = forward;
     attempt->server = server;
     attempt->sent_ms = node_now(front->node);
+    attempt->start_until_ms = forward_take_start(forward, server);
     free(forward->last_server);
     forward->last_server = text_copy(server->id);
     server_wish_note_tried(&forward->wish, server);
@@ -178,8 +183,13 @@
 static struct server *forward_choose_in_part(struct forward *forward)
 {
     struct front *front = forward->front;
-    return forward->wish.service == NULL ? NULL
-                                         : server_table_choose(&front->servers, node_now(front->node), &forward->wish);
+    if (forward->wish.service == NULL) {
+        return NULL;
+    }
+    forward_pace_starts(forward);
+    struct server *server = server_table_choose(&front->servers, node_now(front->node), &forward->wish);
+    forward_want_start(forward, server);
+    return server;
 }
 
 /* A request that is sent again stays in its part of the route, as long as that has another server. */
@@ -188,7 +198,8 @@
     struct server *bound = forward_bound_server(forward);
     if (bound != NULL) {
         uint64_t now_ms = node_now(forward->front->node);
-        bool open = !bound->zone_drained && now_ms >= bound->full_until_ms && now_ms >= forward->bound_due_ms;
+        bool open = !bound->zone_drained && now_ms >= bound->full_until_ms && now_ms >= forward->bound_due_ms &&
+                    forward_may_start(forward, bound);
         return open ? bound : NULL;
     }
     forward->wish.zone = forward->front->node->settings.zone;
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -86,7 +86,7 @@
     forward->front->counters.resumes++;
     forward_drop_torn_event(forward);
     forward_bind(forward, way == RESUME_SAME && !forward_has_room(forward) ? server : NULL);
-    if (way == RESUME_SAME) {
+    if (way == RESUME_SAME && forward_may_start(forward, server)) {
         forward_send(forward, server);
         forward_end_attempt(attempt);
     } else {
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -81,6 +81,7 @@
     server_table_close(&front->servers);
     turn_store_close(&front->cache);
     quota_purses_close(&front->purses);
+    quota_purses_close(&front->starts);
 }
 
 void front_resume(struct front *front)
@@ -134,7 +135,7 @@
 
 void front_take_drained(struct front *front)
 {
-    server_table_zones_changed(&front->servers);
+    server_table_zones_changed(&front->servers, node_now(front->node));
     node_log_drained(front->node, "zones_in_force");
 }
 
@@ -249,11 +250,13 @@
         forward_note_silence(forward);
     }
     forward_end_silent(front);
+    quota_purses_forget_idle(&front->starts, node_now(front->node));
     server_table_review(&front->servers, node_now(front->node));
     struct server *next = NULL;
     for (struct server *server = front->servers.servers; server != NULL; server = next) {
         next = server->hh.next; /* a server that is not listed ends with its last request */
         front_report_failing(front, server);
+        forward_report_starting(front, server);
         front_probe_if_silent(front, server);
         if (server->reach.cut_off && server->calls > 0) {
             forward_server_lost(front, server);
@@ -270,12 +273,14 @@
     if (front->purses.due) {
         forward_quota_ask(front);
     }
+    forward_ask_starts(front);
 }
 
 void front_tick(struct front *front)
 {
     front_confirm_configuration(front);
     quota_purses_expire(&front->purses, node_now(front->node));
+    quota_purses_expire(&front->starts, node_now(front->node));
     if (front->queued > 0) {
         forward_queue_serve(front);
     }
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -80,6 +80,9 @@
     bool withdrawn_told;             /**< Whether the log last told so. */
     prefix_cost_t call_cost;         /**< What a call of a model server costs, in tokens. */
     quota_purses_t purses;           /**< What tenants with a limit may ask for here. */
+    quota_purses_t starts;           /**< Requests that servers which have just started may get from here. */
+    bool starts_asked;               /**< The leader is being asked for some. */
+    uint64_t starts_asked_ms;        /**< Since when, or the last time. */
     program_set_t programs;          /**< Programs of such tenants seen here lately. */
     uint64_t quota_asks;             /**< Asks of the leader for that. */
     uint64_t spread;                 /**< Random numbers that spread callers that come back. */
--- a/src/proxy/front_reach.c
+++ b/src/proxy/front_reach.c
@@ -16,7 +16,10 @@
     case REACH_AS_BEFORE: break;
     case REACH_LOST: front_log_reach(front, server, "server_lost"); break;
     case REACH_CUT_OFF: front_log_reach(front, server, "server_cut_off"); break;
-    case REACH_REGAINED: front_log_reach(front, server, "server_regained"); break;
+    case REACH_REGAINED:
+        server->returned_ms = node_now(front->node); /* it may have started anew meanwhile */
+        front_log_reach(front, server, "server_regained");
+        break;
     }
     if (change == REACH_LOST || change == REACH_CUT_OFF) {
         forward_server_lost(front, server);
--- a/src/proxy/node_settings.c
+++ b/src/proxy/node_settings.c
@@ -12,7 +12,8 @@
     NODE_LOG_LINES_PER_S = 40,
     NODE_MOST_MS = 3600 * 1000,
     NODE_MOST_MEMORY_MB = 1 << 20,
-    NODE_MOST_OVERSHOOT = 1000, /* thousandths */
+    NODE_MOST_OVERSHOOT = 1000,         /* thousandths */
+    NODE_MOST_START_OVERSHOOT = 100000, /* thousandths */
     NODE_MOST_SLACK = 1000000,
     NODE_MOST_PORT = 65535
 };
@@ -69,12 +70,17 @@
      .type = YAML_SECONDS,
      .offset = offsetof(struct node_settings, quota_window_ms),
      .maximum = NODE_MOST_MS},
-    /* A fraction: read as seconds are, it comes in thousandths. */
+    /* Fractions: read as seconds are, they come in thousandths. */
     {.key = "quota_overshoot",
      .type = YAML_SECONDS,
      .offset = offsetof(struct node_settings, quota_overshoot),
      .maximum = NODE_MOST_OVERSHOOT},
     NODE_NUMBER(quota_slack, 0, NODE_MOST_SLACK),
+    {.key = "start_overshoot",
+     .type = YAML_SECONDS,
+     .offset = offsetof(struct node_settings, start_overshoot),
+     .maximum = NODE_MOST_START_OVERSHOOT},
+    NODE_NUMBER(start_slack, 0, NODE_MOST_SLACK),
     NODE_NUMBER(memory_mb, 0, NODE_MOST_MEMORY_MB),
     NODE_NUMBER(log_lines_per_s, 0, 100000),
     NODE_TEXT(log_level),
--- a/src/proxy/node_settings.h
+++ b/src/proxy/node_settings.h
@@ -41,6 +41,8 @@
     uint64_t quota_window_ms; /**< Window over which limits of tenants are judged; 0: none told. */
     uint64_t quota_overshoot; /**< Thousandths of a limit by which it may be missed. */
     uint64_t quota_slack;     /**< Requests by which it may be missed besides. */
+    uint64_t start_overshoot; /**< Thousandths: multiple of the rate of servers that have just started; 0: 1,000. */
+    uint64_t start_slack;     /**< Requests a second that they may get besides. */
     uint64_t list_period_ms;  /**< Pause between two readings of the machine list. */
     uint64_t grace_ms;        /**< Time a stop may take. */
     uint64_t memory_mb;       /**< Memory that the process may use; 0: it sets no bounds by it. */
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -46,6 +46,7 @@
     struct load_table loads;            /**< Leader: what gateways have under way. */
     presence_t presence;                /**< Leader: which gateways were heard of lately. */
     quota_table_t quotas;               /**< Leader: what tenants may still ask for. */
+    quota_table_t slow_starts;          /**< Leader: what servers that have just started may still get. */
     struct route_table *routes;         /**< Configuration by which that is counted, or NULL. */
     struct http_listener control;       /**< Operators' calls. */
     bool serves_control;                /**< It has a control address. */
--- a/src/proxy/state_host_daemons.c
+++ b/src/proxy/state_host_daemons.c
@@ -4,6 +4,7 @@
 
 #include "base/event_log.h"
 #include "base/message.h"
+#include "core/slow_start.h"
 #include "proxy/node_metrics.h"
 #include "proxy/state_host_internal.h"
 
@@ -109,8 +110,31 @@
     return host->routes;
 }
 
+static void host_grant_quota(struct state_host *host, const struct route_table *routes, const QuotaAsk *ask,
+                             QuotaGrant *grant)
+{
+    const struct node_settings *settings = &host->node->settings;
+    host->quotas.bounds = (quota_bounds_t){
+        .window_s = (double)settings->quota_window_ms / HOST_PER_ONE,
+        .overshoot = (double)settings->quota_overshoot / HOST_PER_ONE,
+        .slack = (double)settings->quota_slack,
+    };
+    quota_table_answer(&host->quotas, node_now(host->node), routes, ask, grant);
+}
+
+static void host_grant_starts(struct state_host *host, const struct route_table *routes, const QuotaAsk *ask,
+                              QuotaGrant *grant)
+{
+    const struct node_settings *settings = &host->node->settings;
+    slow_start_bounds_t bounds = {
+        .overshoot = (double)settings->start_overshoot / HOST_PER_ONE,
+        .slack = (double)settings->start_slack,
+    };
+    slow_start_answer(&host->slow_starts, node_now(host->node), routes, &bounds, ask, grant);
+}
+
 /* Only a leader that hears a quorum gives tokens: another one may give them otherwise. */
-static void host_handle_quota(struct state_host *host, uint32_t from, const Request *request)
+static void host_handle_ask(struct state_host *host, uint32_t from, const Request *request)
 {
     uint64_t now_ms = node_now(host->node);
     bool leads = state_host_leads(host) && host_is_fresh(host, now_ms);
@@ -123,14 +147,12 @@
     reply->leader = state_host_leader(host);
     reply->code = RESULT_NOT_LEADER;
     if (routes != NULL && message_decode(request->body, QuotaAsk_fields, &ask)) {
-        const struct node_settings *settings = &host->node->settings;
         QuotaGrant grant;
-        host->quotas.bounds = (quota_bounds_t){
-            .window_s = (double)settings->quota_window_ms / HOST_PER_ONE,
-            .overshoot = (double)settings->quota_overshoot / HOST_PER_ONE,
-            .slack = (double)settings->quota_slack,
-        };
-        quota_table_answer(&host->quotas, now_ms, routes, &ask, &grant);
+        if (request->kind == REQUEST_QUOTA) {
+            host_grant_quota(host, routes, &ask, &grant);
+        } else {
+            host_grant_starts(host, routes, &ask, &grant);
+        }
         message_encode(&body, QuotaGrant_fields, &grant);
         free(grant.shares);
         message_free(QuotaAsk_fields, &ask);
@@ -159,6 +181,10 @@
     metrics_write_counter(out, "quota_refused_total", "Requests refused for a tenant's limit.", host->quotas.refused);
     metrics_write_counter(out, "quota_begins_refused_total", "Programs turned away for a tenant's limit.",
                           host->quotas.begins_refused);
+    metrics_write_counter(out, "slow_starts_granted_total", "Requests granted to servers that have just started.",
+                          host->slow_starts.granted);
+    metrics_write_counter(out, "slow_starts_refused_total", "Requests asked for and not granted to such servers.",
+                          host->slow_starts.refused);
     for (const quota_bucket_t *bucket = host->quotas.buckets; bucket != NULL; bucket = bucket->hh.next) {
         const char *name = host_tenant_name(host, bucket->tenant);
         bool plain = name != NULL && strpbrk(name, "\"\\\n") == NULL;
@@ -208,17 +234,18 @@
 
 /* ---- Frames ------------------------------------------------------------------------------------------ */
 
-static bool host_is_quota(const Frame *frame)
+static bool host_is_ask(const Frame *frame)
 {
-    return frame->which_payload == Frame_request_tag && frame->payload.request.kind == REQUEST_QUOTA;
+    RequestKind kind = frame->payload.request.kind;
+    return frame->which_payload == Frame_request_tag && (kind == REQUEST_QUOTA || kind == REQUEST_SLOW_START);
 }
 
 void state_host_receive(struct state_host *host, uint32_t from, const Frame *frame)
 {
     if (host->running && host_is_too_new(host, frame)) {
         host_answer_too_new(host, from, &frame->payload.request);
-    } else if (host->running && host_is_quota(frame)) {
-        host_handle_quota(host, from, &frame->payload.request);
+    } else if (host->running && host_is_ask(frame)) {
+        host_handle_ask(host, from, &frame->payload.request);
     } else if (frame->which_payload == Frame_load_report_tag) {
         host_handle_load(host, from, &frame->payload.load_report);
     } else if (frame->which_payload == Frame_watch_tag) {
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -119,6 +119,9 @@
 /** Makes a server take no connection any more, without a word, or take them again. */
 void site_set_dark(int server, bool dark);
 
+/** Shows a server as one that has just started, or no more. */
+void site_set_starting(int server, bool starting);
+
 /** Puts another instance of a server into a zone (a constant text); at first all are in z1. */
 void site_set_zone(int server, const char *zone);
 
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -27,6 +27,7 @@
     SITE_DARK_US = 10000,
     SITE_PAUSE_US = 2000000,
     SITE_PACE_US = 80000,
+    SITE_COLD_MS = 3000,
     SITE_NUMBER = 24 /* most bytes of a number in a header */
 };
 
@@ -39,6 +40,7 @@
     enum site_mode mode;
     bool draining;
     const char *zone; /* NULL: z1 */
+    bool starting;    /* the list shows it as cold */
     int instance;     /* how often it was replaced */
     int runs;
     bool dark;                 /* takes no connection */
@@ -305,10 +307,10 @@
         site_write_born(out);
         buffer_printf(out,
                       "\"id\":\"%s\",\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
-                      "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\",\"cold-remaining-ms\":0,\"unknown\":[1]}",
+                      "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\",\"cold-remaining-ms\":%d,\"unknown\":[1]}",
                       id, i < 2 ? "engine" : "plain", site_servers[i].listed_port,
                       site_servers[i].zone == NULL ? "z1" : site_servers[i].zone,
-                      site_servers[i].draining ? "draining" : "ready");
+                      site_servers[i].draining ? "draining" : "ready", site_servers[i].starting ? SITE_COLD_MS : 0);
     }
     buffer_append_text(out, text_or_empty(site_foreign));
     pthread_mutex_unlock(&site_lock);
@@ -447,6 +449,13 @@
     pthread_mutex_unlock(&site_lock);
 }
 
+void site_set_starting(int server, bool starting)
+{
+    pthread_mutex_lock(&site_lock);
+    site_servers[server].starting = starting;
+    pthread_mutex_unlock(&site_lock);
+}
+
 void site_set_zone(int server, const char *zone)
 {
     pthread_mutex_lock(&site_lock);
--- a/tests/scripted/run_zones.c
+++ b/tests/scripted/run_zones.c
@@ -97,7 +97,7 @@
     answer.update.has_drained = answer.update.has_drained && !script_is(command, 1, "old");
     struct watch_changes changes = watch_client_receive(&client, now_ms, 1, &answer.update, &gateway);
     watch_told_close(&answer);
-    server_table_zones_changed(&servers);
+    server_table_zones_changed(&servers, now_ms);
     script_print("%s, ", changes.drained ? "taken" : "nothing new");
     print_zones(&gateway.drained);
 }
@@ -107,7 +107,7 @@
     watch_state_close(&gateway);
     memset(&gateway, 0, sizeof(gateway));
     memset(&client, 0, sizeof(client));
-    server_table_zones_changed(&servers);
+    server_table_zones_changed(&servers, now_ms);
 }
 
 static void list(const script_command_t *command)
