Routes and tenants name the regions that may serve them

Cause: nothing read allowed-regions: a request of a route that names them went to any server. Change: both a route's and a tenant's regions bind the choice of a server on every way; where none stands in them the request is refused at once; a conversation is kept on such a route only where all members of the replicas' group stand in its regions, as what is kept goes to all of them (ways weighed: docs/design/zones-and-starts.md). The settings tell the zones' regions. Before: a route restricted to r2 used servers of r1 and r2 alike.

--- a/src/core/route_table.c
+++ b/src/core/route_table.c
@@ -29,8 +29,17 @@
     return table;
 }
 
+static void route_regions_close(route_regions_t *regions)
+{
+    for (uint32_t i = 0; i < regions->count; i++) {
+        free(regions->names[i]);
+    }
+    free(regions->names);
+}
+
 static void route_close(struct route *route)
 {
+    route_regions_close(&route->regions);
     free(route->name);
     free(route->host);
     free(route->prefix);
@@ -54,6 +63,7 @@
     }
     for (uint32_t i = 0; i < table->tenant_count; i++) {
         free(table->tenants[i].name);
+        route_regions_close(&table->tenants[i].regions);
     }
     struct route_key *key;
     struct route_key *next;
@@ -93,6 +103,24 @@
     return route_grow((void **)&route->parts, &route->part_count, sizeof(*route->parts));
 }
 
+/* ---- Regions ------------------------------------------------------------------ */
+
+void route_regions_add(route_regions_t *regions, const char *name)
+{
+    regions->names = memory_resize(regions->names, (regions->count + 1) * sizeof(*regions->names));
+    regions->names[regions->count++] = text_copy(name);
+}
+
+bool route_regions_allow(const route_regions_t *regions, const char *name)
+{
+    for (uint32_t i = 0; i < regions->count; i++) {
+        if (name != NULL && strcmp(regions->names[i], name) == 0) {
+            return true;
+        }
+    }
+    return regions->count == 0;
+}
+
 /* ---- Tenants ------------------------------------------------------------------ */
 
 void route_table_set_secret(uint64_t secret)
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -26,6 +26,12 @@
     ROUTE_STREAM /**< Answers as a series of events; at most once unless resumable. */
 };
 
+/** Regions that may serve, store and be told what is said; none named: all. */
+typedef struct route_regions_t {
+    char **names;   /**< Owned names. */
+    uint32_t count; /**< Number of those. */
+} route_regions_t;
+
 /** One of the services that share a route. */
 struct route_part {
     char *service;   /**< Name. */
@@ -50,6 +56,7 @@
     bool sticky;                /**< Prompts share parts: servers keep what they read. */
     bool resumable;             /**< A broken stream may go on at another server. */
     bool open;                  /**< It takes requests without a key, where others need one. */
+    route_regions_t regions;    /**< Where its requests may go. */
     struct route_part *parts;   /**< Services. */
     uint32_t part_count;        /**< Number of those. */
 };
@@ -67,13 +74,14 @@
 
 /** A tenant. */
 struct route_tenant {
-    char *name;         /**< Unique name, told to servers. */
-    uint64_t hash;      /**< Of the name, never 0. */
-    bool ranked;        /**< It has a priority, which comes before that of a route. */
-    uint32_t priority;  /**< Rank, 0 is the highest. */
-    double rate_per_s;  /**< Requests a second that it may make, over all gateways; 0: no limit. */
-    double burst;       /**< Requests on top of that, at once. */
-    uint32_t key_count; /**< Keys that it holds. */
+    char *name;              /**< Unique name, told to servers. */
+    uint64_t hash;           /**< Of the name, never 0. */
+    bool ranked;             /**< It has a priority, which comes before that of a route. */
+    uint32_t priority;       /**< Rank, 0 is the highest. */
+    double rate_per_s;       /**< Requests a second that it may make, over all gateways; 0: no limit. */
+    double burst;            /**< Requests on top of that, at once. */
+    uint32_t key_count;      /**< Keys that it holds. */
+    route_regions_t regions; /**< Where its requests may go, besides what their route says. */
 };
 
 enum { ROUTE_KEY_BYTES = 16 /**< Bytes of a key's hash. */ };
@@ -154,6 +162,12 @@
 const struct route_part *route_choose_part(struct route *route, bool (*usable)(void *context, const char *service),
                                            void *context);
 
+/** Adds a region that may be used. */
+void route_regions_add(route_regions_t *regions, const char *name);
+
+/** Whether a region (NULL: not known) may be used. */
+bool route_regions_allow(const route_regions_t *regions, const char *name);
+
 /** Whether a request of this route may run more than once. */
 bool route_may_repeat(const struct route *route);
 
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -109,6 +109,7 @@
     server->service = text_copy(record->service);
     server->address = text_copy(record->address);
     server->zone = text_copy(record->zone);
+    server->region = zone_region(table->places, table->place_count, server->zone);
     server->zone_drained = table->drained != NULL && zone_set_has(table->drained, server->zone);
     HASH_ADD_KEYPTR(hh, table->servers, server->id, strlen(server->id), server);
     return server;
@@ -279,19 +280,28 @@
     return server_leaves(server) || server->zone_drained;
 }
 
-bool server_table_is_drained(const struct server_table *table, const char *service)
+static bool server_region_is_allowed(const struct server *server, const struct server_wish *wish)
 {
-    bool drained = false;
+    bool allowed = true;
+    for (int i = 0; i < SERVER_BINDS; i++) {
+        allowed = allowed && (wish->regions[i] == NULL || route_regions_allow(wish->regions[i], server->region));
+    }
+    return allowed;
+}
+
+bool server_table_bars(const struct server_table *table, const struct server_wish *wish)
+{
+    bool barred = false;
     for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        if (!text_equal(server->service, service) || server_leaves(server)) {
+        if (!text_equal(server->service, wish->service) || server_leaves(server)) {
             continue;
         }
-        if (!server->zone_drained) {
+        if (!server->zone_drained && server_region_is_allowed(server, wish)) {
             return false;
         }
-        drained = true;
+        barred = true;
     }
-    return drained;
+    return barred;
 }
 
 /* May get requests at all. */
@@ -328,10 +338,12 @@
     }
 }
 
-bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service)
+bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service,
+                         const struct server_wish *wish)
 {
     for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        if (text_equal(server->service, service) && server_is_open(server, now_ms)) {
+        if (text_equal(server->service, service) && server_is_open(server, now_ms) &&
+            server_region_is_allowed(server, wish)) {
             return true;
         }
     }
@@ -409,8 +421,8 @@
 /* Where no server is sound, any open one is better than none. */
 static bool server_may_do(const struct server *server, const struct server_wish *wish, uint64_t now_ms)
 {
-    bool fits =
-        text_equal(server->service, wish->service) && server_is_open(server, now_ms) && !server_was_tried(server, wish);
+    bool fits = text_equal(server->service, wish->service) && server_is_open(server, now_ms) &&
+                !server_was_tried(server, wish) && server_region_is_allowed(server, wish);
     bool held_back = fits && wish->may_start != NULL && server_is_starting(server, now_ms);
     return fits && (!held_back || wish->may_start(wish->context, server));
 }
@@ -511,7 +523,8 @@
     table->rotation++;
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
         bool fits = text_equal(server->service, wish->service) && server_is_starting(server, now_ms) &&
-                    server_is_sound(server) && server_is_open(server, now_ms) && !server_was_tried(server, wish);
+                    server_is_sound(server) && server_is_open(server, now_ms) && !server_was_tried(server, wish) &&
+                    server_region_is_allowed(server, wish);
         uint64_t rank = fits ? server_rank(server, table->rotation) : 0;
         if (fits && (chosen == NULL || rank > highest)) {
             chosen = server;
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -49,9 +49,11 @@
 #include "core/health.h"
 #include "core/prefix_table.h"
 #include "core/reach.h"
+#include "core/route_table.h"
 #include "core/zone_set.h"
 
 enum {
+    SERVER_BINDS = 2,            /**< What names regions for one request: its route and its tenant. */
     SERVER_MAX_TRIED = 8,        /**< Servers one request remembers as tried. */
     SERVER_SHED_PAUSE_MS = 30,   /**< Time a server that was full is passed over. */
     SERVER_HOME_QUEUE = 16,      /**< Requests beyond its slots that a program's home may have: see below. */
@@ -80,6 +82,7 @@
     char *service;           /**< Service it belongs to. */
     char *address;           /**< IP:PORT. */
     char *zone;              /**< Zone. */
+    const char *region;      /**< Region of that zone, kept by the caller; NULL: not known. */
     uint32_t slots;          /**< Requests it works on at once. */
     bool draining;           /**< It leaves. */
     bool zone_drained;       /**< Its zone is drained. */
@@ -114,18 +117,21 @@
     uint32_t ended_count;               /**< Those so far. */
     server_life_ended life_ended;       /**< Receiver, or NULL. */
     void *context;                      /**< Its first argument. */
+    const zone_place_t *places;         /**< Zones and their regions, kept by the caller. */
+    size_t place_count;                 /**< Number of those. */
     const zone_set_t *drained;          /**< Drained zones, kept by the caller; NULL: none. */
     uint64_t loads_until_ms;            /**< Time until which the loads of other gateways count. */
 };
 
 /** A request to place. */
 struct server_wish {
-    const char *service;         /**< Service. */
-    const char *zone;            /**< The gateway's zone. */
-    const prefix_chain_t *chain; /**< Shared parts of its prompt, or NULL. */
-    const prefix_cost_t *cost;   /**< What a call costs on average; with `chain`. */
-    const char *home;            /**< Life that keeps the program's prompt, or NULL. */
-    uint64_t object;             /**< Hash of the object that it is about, 0: none. */
+    const char *service;                          /**< Service. */
+    const char *zone;                             /**< The gateway's zone. */
+    const route_regions_t *regions[SERVER_BINDS]; /**< Regions that may be used: all of these bind; NULL: any. */
+    const prefix_chain_t *chain;                  /**< Shared parts of its prompt, or NULL. */
+    const prefix_cost_t *cost;                    /**< What a call costs on average; with `chain`. */
+    const char *home;                             /**< Life that keeps the program's prompt, or NULL. */
+    uint64_t object;                              /**< Hash of the object that it is about, 0: none. */
     /** Whether a token is held for a server that has just started; NULL: such servers are used as others are. */
     bool (*may_start)(void *context, const struct server *server);
     const struct server *tried[SERVER_MAX_TRIED];     /**< Not these. */
@@ -152,8 +158,8 @@
 /** A server that may be used but for the token that a starting one needs; a different one each time. NULL: none. */
 struct server *server_table_starting(struct server_table *table, uint64_t now_ms, const struct server_wish *wish);
 
-/** Whether a service has no server that may be used, and only since the zones of some are drained. */
-bool server_table_is_drained(const struct server_table *table, const char *service);
+/** Whether the wish's service has servers, but each stands in a drained zone or in a region that the wish bars. */
+bool server_table_bars(const struct server_table *table, const struct server_wish *wish);
 
 /** Whether a server gets nothing new: it leaves, is not on the list, or its zone is drained. */
 bool server_is_closed(const struct server *server);
@@ -176,8 +182,9 @@
 /** Whether a server has ended, leaves or is cut off: a run there is out of the count of those that a route allows. */
 bool server_is_gone(const struct server *server);
 
-/** Whether a service has a server that may be used. */
-bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service);
+/** Whether a service has a server that may be used by a request with a wish, whose own service is not looked at. */
+bool server_table_serves(const struct server_table *table, uint64_t now_ms, const char *service,
+                         const struct server_wish *wish);
 
 /** Notes that a request was sent to a server; a second time there counts once. */
 void server_wish_note_tried(struct server_wish *wish, const struct server *server);
--- a/src/core/zone_set.c
+++ b/src/core/zone_set.c
@@ -5,6 +5,16 @@
 
 #include "base/buffer.h"
 
+const char *zone_region(const zone_place_t *places, size_t count, const char *zone)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (text_equal(places[i].name, zone) && text_or_empty(places[i].region)[0] != '\0') {
+            return places[i].region;
+        }
+    }
+    return NULL;
+}
+
 static void zone_set_clear(zone_set_t *set)
 {
     for (uint32_t i = 0; i < set->count; i++) {
--- a/src/core/zone_set.h
+++ b/src/core/zone_set.h
@@ -8,17 +8,29 @@
  * log. A holder takes a set only if its revision is higher than that of its own,
  * so that an order that is sent again, or told late, never undoes a newer one.
  * All zero: no zone was ever drained. Pure.
+ *
+ * Beside it, which region a zone stands in.
  */
 #ifndef BANKBANK_CORE_ZONE_SET_H
 #define BANKBANK_CORE_ZONE_SET_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "control.pb.h"
 
 enum { ZONE_SET_MOST = 256 /**< Zones that can be drained at once. */ };
 
+/** A zone of the site. */
+typedef struct zone_place_t {
+    char *name;   /**< Name. */
+    char *region; /**< Region it stands in, or empty. */
+} zone_place_t;
+
+/** The region of a zone, or NULL where it is not known. */
+const char *zone_region(const zone_place_t *places, size_t count, const char *zone);
+
 /** The set. */
 typedef struct zone_set_t {
     char **names;      /**< Owned names, in the order in which they were drained. */
--- a/src/proxy/control_api.c
+++ b/src/proxy/control_api.c
@@ -143,7 +143,7 @@
 static bool control_knows_zone(const struct node *node, const char *zone)
 {
     const struct yaml_list *zones = &node->settings.zones;
-    const struct node_zone *items = zones->items;
+    const zone_place_t *items = zones->items;
     for (size_t i = 0; i < zones->count; i++) {
         if (text_equal(items[i].name, zone)) {
             return true;
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -63,8 +63,9 @@
 
 static bool forward_part_is_usable(void *context, const char *service)
 {
-    struct front *front = context;
-    return server_table_serves(&front->servers, node_now(front->node), service);
+    const struct forward *forward = context;
+    const struct front *front = forward->front;
+    return server_table_serves(&front->servers, node_now(front->node), service, &forward->wish);
 }
 
 static bool forward_is_warm(void *context, const char *address)
@@ -203,13 +204,15 @@
         return open ? bound : NULL;
     }
     forward->wish.zone = forward->front->node->settings.zone;
+    forward->wish.regions[0] = &forward->route->regions;
+    forward->wish.regions[1] = forward->tenant == NULL ? NULL : &forward->tenant->regions;
     forward->wish.warm = forward_is_warm;
     forward->wish.context = forward->front;
     forward->wish.chain = forward->chain.count > 0 ? &forward->chain : NULL;
     forward->wish.cost = &forward->front->call_cost;
     struct server *server = forward_choose_in_part(forward);
     if (server == NULL) {
-        const struct route_part *part = route_choose_part(forward->route, forward_part_is_usable, forward->front);
+        const struct route_part *part = route_choose_part(forward->route, forward_part_is_usable, forward);
         forward->wish.service = part == NULL ? NULL : part->service;
         server = forward_choose_in_part(forward);
     }
@@ -223,15 +226,23 @@
     return place_may_wait(waited_ms, forward->limit_ms - now_ms);
 }
 
-/* Nothing that waits here would find a server: it is told so at once. */
-static bool forward_is_drained(const struct forward *forward)
+/* Each part of its route has servers, and all of them are barred to it: nothing would be found by waiting. */
+static bool forward_is_barred(const struct forward *forward)
 {
     const struct route *route = forward->route;
-    bool drained = route->part_count > 0;
+    bool barred = route->part_count > 0;
     for (uint32_t i = 0; i < route->part_count; i++) {
-        drained = drained && server_table_is_drained(&forward->front->servers, route->parts[i].service);
+        struct server_wish wish = forward->wish;
+        wish.service = route->parts[i].service;
+        barred = barred && server_table_bars(&forward->front->servers, &wish);
     }
-    return drained;
+    return barred;
+}
+
+static const char *forward_barred_reason(const struct forward *forward)
+{
+    bool regions = forward->route->regions.count > 0 || (forward->tenant != NULL && forward->tenant->regions.count > 0);
+    return regions ? "no server in the allowed regions" : "zones drained";
 }
 
 /* Ends for want of a server. */
@@ -261,8 +272,8 @@
     struct server *server = forward_choose(forward);
     if (server != NULL) {
         forward_send(forward, server);
-    } else if (forward_is_drained(forward) || forward_is_stranded(forward)) {
-        forward_end_unplaced(forward, "zones drained");
+    } else if (forward_is_barred(forward) || forward_is_stranded(forward)) {
+        forward_end_unplaced(forward, forward_barred_reason(forward));
     } else if (forward_may_queue(forward)) {
         forward_queue_join(forward);
     } else {
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -196,8 +196,35 @@
     return true;
 }
 
+/* What is kept goes to every member of the replicas' group. */
+static bool forward_may_store_at(const struct forward *forward, const char *region)
+{
+    bool route = route_regions_allow(&forward->route->regions, region);
+    return route && (forward->tenant == NULL || route_regions_allow(&forward->tenant->regions, region));
+}
+
+/* The caller's own region, which is this gateway's, has what was said anyhow. */
+static bool forward_may_store(const struct forward *forward)
+{
+    const struct node *node = forward->front->node;
+    const zone_place_t *places = node->settings.zones.items;
+    size_t count = node->settings.zones.count;
+    const char *own = zone_region(places, count, node->settings.zone);
+    bool may = true;
+    for (uint32_t i = 0; may && i < node->state.members.count; i++) {
+        const char *region = zone_region(places, count, node->state.members.places[i].zone);
+        bool same = own != NULL && region != NULL && strcmp(own, region) == 0;
+        may = same || forward_may_store_at(forward, region);
+    }
+    return may;
+}
+
 void forward_turn_begin(struct forward *forward)
 {
+    if (forward->turn.keep && !forward_may_store(forward)) {
+        forward_refuse(forward, FORWARD_NO_STATE, "no place to keep it in the allowed regions");
+        return;
+    }
     if (forward->turn.parent == NULL || forward_turn_fetch(forward)) {
         forward_turn_reserve(forward);
     }
--- a/src/proxy/front.c
+++ b/src/proxy/front.c
@@ -57,6 +57,8 @@
     front->servers.life_ended = front_on_life_ended;
     front->servers.context = front;
     front->servers.drained = &node->state.drained;
+    front->servers.places = node->settings.zones.items;
+    front->servers.place_count = node->settings.zones.count;
     struct http_handler handler = {
         .context = front,
         .request = front_on_request,
--- a/src/proxy/node_settings.c
+++ b/src/proxy/node_settings.c
@@ -24,8 +24,8 @@
 };
 
 static const struct yaml_field node_zone_fields[] = {
-    {.key = "name", .type = YAML_TEXT, .offset = offsetof(struct node_zone, name), .required = true},
-    {.key = "region", .type = YAML_TEXT, .offset = offsetof(struct node_zone, region)},
+    {.key = "name", .type = YAML_TEXT, .offset = offsetof(zone_place_t, name), .required = true},
+    {.key = "region", .type = YAML_TEXT, .offset = offsetof(zone_place_t, region)},
     {.key = NULL},
 };
 
@@ -60,7 +60,7 @@
      .type = YAML_LIST,
      .offset = offsetof(struct node_settings, zones),
      .fields = node_zone_fields,
-     .item_size = sizeof(struct node_zone)},
+     .item_size = sizeof(zone_place_t)},
     NODE_NUMBER(list_period_ms, 50, NODE_MOST_MS),
     {.key = "grace_s",
      .type = YAML_SECONDS,
--- a/src/proxy/node_settings.h
+++ b/src/proxy/node_settings.h
@@ -11,18 +11,13 @@
 
 #include "base/findings.h"
 #include "base/yaml.h"
+#include "core/zone_set.h"
 
 /** Where a state replica was reachable when the settings were written. */
 struct node_seed {
     char *address; /**< IP:PORT of its control address; the peer port is the same for all. */
 };
 
-/** A zone of the site. */
-struct node_zone {
-    char *name;   /**< Name. */
-    char *region; /**< Region it stands in, or empty. */
-};
-
 /** All settings. */
 struct node_settings {
     char *name;               /**< Machine's name, unique in the site. */
@@ -37,7 +32,7 @@
     char *metrics_address;    /**< IP:PORT of the metrics, or empty. */
     char *machine_list;       /**< IP:PORT of the platform's machine list. */
     struct yaml_list seeds;   /**< struct node_seed. */
-    struct yaml_list zones;   /**< struct node_zone; none: they are not told. */
+    struct yaml_list zones;   /**< zone_place_t; none: they are not told. */
     uint64_t quota_window_ms; /**< Window over which limits of tenants are judged; 0: none told. */
     uint64_t quota_overshoot; /**< Thousandths of a limit by which it may be missed. */
     uint64_t quota_slack;     /**< Requests by which it may be missed besides. */
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -2,7 +2,8 @@
  * @file site.h
  * A stand-in of the platform in the test's own process, and real site daemons
  * before it: machine list and servers (threads on loopback addresses, with the
- * failures that the platform's pages name), state replicas and gateways.
+ * failures that the platform's pages name), state replicas and gateways. Daemon
+ * N stands in zone z(N mod 3 + 1); z1 and z3 are in region r1, z2 in r2.
  */
 #ifndef BANKBANK_TESTS_SITE_H
 #define BANKBANK_TESTS_SITE_H
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -110,6 +110,10 @@
         fprintf(file, "data: \"%s/data-%d\"\ncontrol_address: \"%s:%d\"\n", site_folder, daemon, site_ip(daemon),
                 site_control_port);
     }
+    fprintf(file, "zones:\n");
+    for (int i = 0; i < SITE_STATES; i++) {
+        fprintf(file, "  - name: \"z%d\"\n    region: \"%s\"\n", i + 1, i == 1 ? "r2" : "r1");
+    }
     fprintf(file, "seeds:\n");
     for (int i = 0; i < SITE_STATES; i++) {
         fprintf(file, "  - address: \"%s:%d\"\n", site_ip(i), site_control_port);
--- a/tests/integration/test_zones.c
+++ b/tests/integration/test_zones.c
@@ -1,6 +1,7 @@
 /* Zones that operators drain: real daemons, servers in two zones. */
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "../unit/suite.h"
@@ -130,17 +131,35 @@
 }
 END_TEST
 
-static bool is_refused(void *context)
+static bool is_refused_for(const char *cause)
 {
     struct site_answer answer;
-    (void)context;
     site_call(0, "GET", "/safe/x", "", NULL, &answer);
-    bool refused = answer.status == 503 && strstr(buffer_text(&answer.body), "zones drained") != NULL &&
+    bool refused = answer.status == 503 && strstr(buffer_text(&answer.body), cause) != NULL &&
                    strstr(buffer_text(&answer.head), "Retry-After") != NULL;
     site_answer_close(&answer);
     return refused;
 }
 
+static bool is_refused(void *context)
+{
+    (void)context;
+    return is_refused_for("zones drained");
+}
+
+static bool is_refused_for_regions(void *context)
+{
+    (void)context;
+    return is_refused_for("no server in the allowed regions");
+}
+
+static bool is_known_everywhere(void *context)
+{
+    static const char told[] = "\"configuration_in_force\",\"version\":2";
+    (void)context;
+    return site_log_has(SITE_STATES, told) && site_log_has(SITE_STATES + 1, told);
+}
+
 /* What nothing can serve is refused at once, with a time to come back, and does not run. */
 START_TEST(a_service_whose_zones_are_all_drained_refuses_at_once)
 {
@@ -156,6 +175,62 @@
 }
 END_TEST
 
+START_TEST(an_unknown_zone_is_told_so)
+{
+    struct buffer reply = {0};
+    ck_assert_int_eq(site_order(0, "POST", "/api/drain/z9/start", NULL, &reply), 404);
+    ck_assert_ptr_nonnull(strstr(buffer_text(&reply), "unknown zone"));
+    buffer_close(&reply);
+    ck_assert_int_eq(site_order(0, "POST", "/api/drain/z1/begin", NULL, NULL), 404);
+    ck_assert_int_eq(site_order(0, "GET", "/api/drain/z1/start", NULL, NULL), 404);
+}
+END_TEST
+
+static void put_regions(int version, const char *field)
+{
+    char *text = site_configuration(version, field);
+    ck_assert_int_eq(site_order(0, "POST", "/api/config/replace", text, NULL), 200);
+    free(text);
+}
+
+/* A route's requests go to servers of the allowed regions alone, through gateways of any; none there: refused at once.
+ */
+START_TEST(a_route_keeps_to_its_regions)
+{
+    put_regions(2, ",\"allowed-regions\":[\"r2\"]");
+    site_wait(leaves_z1, NULL, "the other region is left");
+    expect_none_in_z1();
+    put_regions(3, ",\"allowed-regions\":[\"r1\"]");
+    must_order("z1", "start");
+    site_wait(is_refused_for_regions, NULL, "the refusal names the cause");
+    must_order("z1", "stop");
+    site_wait(uses_z1, NULL, "the zone is used again");
+}
+END_TEST
+
+/* What is said on a route that is kept would go to replicas in other regions: it is not taken. */
+START_TEST(a_conversation_is_not_kept_outside_its_regions)
+{
+    struct site_answer answer;
+    struct buffer text = {0};
+    char *whole = site_configuration(2, "");
+    const char *at = strstr(whole, "\"stateful\":true");
+    ck_assert_ptr_nonnull(at);
+    buffer_append(&text, whole, (size_t)(at - whole));
+    buffer_printf(&text, "\"allowed-regions\":[\"r1\"],%s", at);
+    ck_assert_int_eq(site_order(0, "POST", "/api/config/replace", buffer_text(&text), NULL), 200);
+    site_wait(is_known_everywhere, NULL, "the configuration is in force");
+    int before = site_runs(-1);
+    site_call(0, "POST", "/chat/x", "Bankbank-Program-Id: p1\r\n", "said", &answer);
+    ck_assert_int_eq(answer.status, 503);
+    ck_assert_ptr_nonnull(strstr(buffer_text(&answer.body), "allowed regions"));
+    ck_assert_int_eq(site_runs(-1), before);
+    site_answer_close(&answer);
+    buffer_close(&text);
+    free(whole);
+}
+END_TEST
+
 int main(int argc, char **argv)
 {
     site_build = argc > 1 ? argv[1] : "build";
@@ -165,6 +240,9 @@
     tcase_add_checked_fixture(tests, setup, site_stop);
     tcase_add_test(tests, a_drained_zone_gets_nothing_until_it_is_opened);
     tcase_add_test(tests, a_drain_outlives_every_process);
+    tcase_add_test(tests, an_unknown_zone_is_told_so);
+    tcase_add_test(tests, a_route_keeps_to_its_regions);
+    tcase_add_test(tests, a_conversation_is_not_kept_outside_its_regions);
     tcase_add_test(tests, a_service_whose_zones_are_all_drained_refuses_at_once);
     suite_add_tcase(suite, tests);
     return suite_run_in_process(suite);
--- a/tests/scripted/run_zones.c
+++ b/tests/scripted/run_zones.c
@@ -1,12 +1,11 @@
-/* Drained zones: an order in the replicated state, on its way to a gateway, and what the gateway makes of it.
- *   drain ZONE | open ZONE        an operator's order, applied at all replicas
- *   lose                          the replica is started again from its snapshot
- *   tell [stale] [old]            the gateway's watch is answered: by a replica out of touch, of an earlier version
- *   restart                       the gateway forgets all
- *   servers ID/ZONE[!]...         the list of servers; ! where one leaves
- *   choose                        the zones where eight requests in a row go
- *   refused                       whether no server is left for the drained zones alone
- *   bound ID                      where a stream that broke off there goes, on a route for one server and for two */
+/* Drained zones and allowed regions: an order in the replicated state, on its way to a gateway, and what the gateway
+ * makes of it. drain ZONE | open ZONE        an operator's order, applied at all replicas lose the replica is started
+ * again from its snapshot tell [stale] [old]            the gateway's watch is answered: by a replica out of touch, of
+ * an earlier version restart                       the gateway forgets all servers ID/ZONE[!]...         the list of
+ * servers; ! where one leaves choose                        the zones where eight requests in a row go allow
+ * [REGION...] [tenant REGION...]    regions that the route and the tenant allow refused                       whether
+ * all servers are barred bound ID                      where a stream that broke off there goes, on a route for one
+ * server and for two */
 #include <stdio.h>
 #include <string.h>
 
@@ -28,6 +27,10 @@
 static struct watch_state gateway;
 static struct server_table servers;
 static uint64_t now_ms = STEP_MS;
+static char zones[][NAME] = {"z1", "north", "z2", "south"};
+static zone_place_t places[2];
+static route_regions_t regions[SERVER_BINDS];
+static struct server_wish wish = {.service = "service", .zone = "z1", .regions = {&regions[0], &regions[1]}};
 
 static void print_zones(const zone_set_t *set)
 {
@@ -138,7 +141,6 @@
 
 static void choose(void)
 {
-    struct server_wish wish = {.service = "service", .zone = "z1"};
     int in_z1 = 0;
     int in_z2 = 0;
     for (int i = 0; i < CHOICES; i++) {
@@ -155,6 +157,21 @@
     script_print("%s%s%s\n", in_z1 > 0 ? "z1 " : "", in_z2 > 0 ? "z2 " : "", in_z1 + in_z2 == CHOICES ? "all" : "none");
 }
 
+static void allow(const script_command_t *command)
+{
+    int binding = 0;
+    char name[NAME];
+    memset(regions, 0, sizeof(regions)); /* the names live as long as the process */
+    for (int i = 1; i < command->count; i++) {
+        script_copy(command, i, name, sizeof(name));
+        if (script_is(command, i, "tenant")) {
+            binding = 1;
+        } else {
+            route_regions_add(&regions[binding], name);
+        }
+    }
+}
+
 static const char *way_word(resume_way_t way)
 {
     switch (way) {
@@ -185,7 +202,12 @@
 
 static void run(const script_command_t *command)
 {
+    for (size_t i = 0; i < sizeof(places) / sizeof(places[0]); i++) {
+        places[i] = (zone_place_t){zones[2 * i], zones[2 * i + 1]};
+    }
     servers.drained = &gateway.drained;
+    servers.places = places;
+    servers.place_count = sizeof(places) / sizeof(places[0]);
     if (script_is(command, 0, "drain") || script_is(command, 0, "open")) {
         order(command, script_is(command, 0, "drain"));
     } else if (script_is(command, 0, "lose")) {
@@ -199,7 +221,9 @@
     } else if (script_is(command, 0, "choose")) {
         choose();
     } else if (script_is(command, 0, "refused")) {
-        script_print("%s\n", server_table_is_drained(&servers, "service") ? "yes" : "no");
+        script_print("%s\n", server_table_bars(&servers, &wish) ? "yes" : "no");
+    } else if (script_is(command, 0, "allow")) {
+        allow(command);
     } else if (script_is(command, 0, "bound")) {
         bound(command);
     }
--- a/tests/unit/routing.c
+++ b/tests/unit/routing.c
@@ -142,7 +142,7 @@
     ck_assert_str_eq(server_table_choose(&servers, 1, &wish)->id, "a");
     take_servers(second, 2);
     ck_assert_ptr_null(server_table_choose(&servers, 1, &wish));
-    ck_assert(!server_table_serves(&servers, 1, "s"));
+    ck_assert(!server_table_serves(&servers, 1, "s", &(struct server_wish){0}));
 }
 END_TEST
 
