What callers have not read yet counts in the gateway's memory

Cause: an answer that is no stream was counted neither while it came from its server nor once it had been handed to the connection: a few callers that don't read could hold 8 MiB each outside of every share. Change: what is kept of answers counts with their requests, and what connections have not sent counts until it is taken or given up, over all connections. Streams were held back already; a server that ends one unread costs one further run, begun when the caller reads (a test keeps it so). Tried and dropped: to park a stream that breaks off while it is held back: libuv sees no break on a connection that is not read, so the case does not come up.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -422,3 +422,13 @@
     }
     return active;
 }
+
+size_t http_listener_unsent(const struct http_listener *listener)
+{
+    size_t unsent = 0;
+    for (const struct http_connection *connection = listener->connections; connection != NULL;
+         connection = connection->next) {
+        unsent += http_call_pending(&connection->call);
+    }
+    return unsent;
+}
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -123,4 +123,7 @@
 /** Bytes written and not yet taken by the client. */
 size_t http_call_pending(const struct http_call *call);
 
+/** Bytes of answers that clients have not taken, over all connections: those that are whole too. */
+size_t http_listener_unsent(const struct http_listener *listener);
+
 #endif
--- a/src/proxy/front_memory.c
+++ b/src/proxy/front_memory.c
@@ -5,11 +5,15 @@
 #include "proxy/node_metrics.h"
 
 /* Bytes of a request's texts: its body and the conversation before it, both of which are copied on their way to a
- * server; its answer, and what its caller has not taken. */
+ * server, and what is kept of its answer. */
 static size_t front_request_bytes(const struct forward *forward)
 {
     size_t prompt = forward->call->body.length + forward->turn.history.length;
-    return sizeof(*forward) + 2 * prompt + forward->turn.output.length + http_call_pending(forward->call);
+    size_t answer = forward->turn.output.length;
+    for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+        answer += forward->attempts[i].lines.length + forward->attempts[i].body.length;
+    }
+    return sizeof(*forward) + 2 * prompt + answer;
 }
 
 static size_t front_cache_most(const struct front *front)
@@ -32,7 +36,7 @@
 void front_memory_review(struct front *front)
 {
     size_t share = front->node->memory.requests;
-    front->requests_bytes = 0;
+    front->requests_bytes = http_listener_unsent(&front->callers); /* outlives its request */
     for (const struct forward *forward = front->forwards; forward != NULL; forward = forward->next) {
         front->requests_bytes += front_request_bytes(forward);
     }
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -21,7 +21,8 @@
     SITE_FURTHER = 30, /**< Daemons at most besides the first five, of which the three state replicas are the seeds. */
     SITE_SERVERS = 4,
     SITE_LIMIT_MS = 20000,
-    SITE_LONG_EVENTS = 12000
+    SITE_LONG_EVENTS = 12000,
+    SITE_LARGE_BYTES = 7 << 20
 };
 
 /** How a server answers. */
@@ -43,6 +44,7 @@
     SITE_SILENT,      /**< Runs and says nothing. */
     SITE_SLOW,        /**< Runs for a second, then answers. */
     SITE_LONG,        /**< Streams SITE_LONG_EVENTS events of more than a KiB each. */
+    SITE_LARGE,       /**< A whole answer of SITE_LARGE_BYTES. */
     SITE_UNFRAMED,    /**< A whole answer without a length, which ends with its connection. */
     SITE_RESET        /**< Part of an answer without a length, whose connection is reset. */
 };
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -125,7 +125,9 @@
     struct buffer out = {0};
     bool unframed = mode == SITE_UNFRAMED || mode == SITE_RESET;
     clock_sleep_us(mode == SITE_PACED ? SITE_PACE_US : 0);
-    const char *text = site_on_run == NULL ? "hello" : id;
+    static char large[SITE_LARGE_BYTES + 1];
+    memset(large, 'x', SITE_LARGE_BYTES);
+    const char *text = mode == SITE_LARGE ? large : site_on_run == NULL ? "hello" : id;
     buffer_printf(&out, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nBankbank-Request-Id: %s\r\n",
                   mode == SITE_CROSSED ? "another" : id);
     if (!unframed) {
