Replicas outside the group pass on what members tell: gateways are referred to them

Cause, from the baseline of the whole fleet: after all processes were killed whole lists of 10,000 servers (0.7 MB) reached the last gateways after more than 15 s, since 7 members told 123 gateways and 16 other replicas each, at 8 MiB a second; one changed configuration cost each member 163 documents; and changes of the list went out unpaced: 330 kB to 163 watchers at once filled a member's queues (58 MB of 19 MB), three members were killed for memory and all links were lost 16 s before traffic. Ruled out: a higher rate (four times the work at twice the size), compact records (a factor of two, once). Change: a member with more than 64 watchers refers them to the replicas outside the group that watch it, by rendezvous; a relay is as fresh as the member's word to it, and tells that age; whom it does not answer comes back. Large changes wait for the rate of whole lists; what is large waits for a frame of its own, so that the answer to a watch is in time, and a watcher that knows a list to be on its way bears a longer silence. A kept conversation is asked of a member, not of a relay. At full size not measured yet.

--- a/src/core/server_list.c
+++ b/src/core/server_list.c
@@ -100,6 +100,7 @@
     }
     list->gone[list->gone_count++] = (server_list_gone_t){list->change, text_copy(entry->id)};
     list->digest -= entry->hash;
+    list->bytes += strlen(entry->id);
     HASH_DEL(list->entries, entry);
     free(entry->record);
     free(entry);
@@ -134,6 +135,7 @@
     entry->length = record.length;
     entry->hash = XXH64(record.data, record.length, 0);
     entry->change = list->change;
+    list->bytes += record.length;
     list->digest += entry->hash;
     return true;
 }
@@ -173,7 +175,8 @@
 
 static void server_list_note_version(server_list_t *list)
 {
-    list->versions[list->change % SERVER_LIST_VERSIONS] = (server_list_version_t){list->digest, list->change};
+    list->versions[list->change % SERVER_LIST_VERSIONS] =
+        (server_list_version_t){list->digest, list->change, list->bytes};
 }
 
 bool server_list_put(server_list_t *list, struct view encoded)
@@ -251,26 +254,33 @@
     return true;
 }
 
-/* The change that led to a version; 0: it is not known any more. */
-static uint64_t server_list_change_of(const server_list_t *list, uint64_t digest)
+/* NULL: it is not known any more. */
+static const server_list_version_t *server_list_version(const server_list_t *list, uint64_t digest)
 {
     for (size_t i = 0; i < SERVER_LIST_VERSIONS && digest != SERVER_LIST_NONE; i++) {
         const server_list_version_t *version = &list->versions[i];
         if (version->digest == digest && version->change >= list->oldest_change) {
-            return version->change;
+            return version;
         }
     }
-    return 0;
+    return NULL;
 }
 
 bool server_list_knows(const server_list_t *list, uint64_t digest)
 {
-    return server_list_change_of(list, digest) != 0;
+    return server_list_version(list, digest) != NULL;
+}
+
+uint64_t server_list_changes_bytes(const server_list_t *list, uint64_t digest)
+{
+    const server_list_version_t *version = server_list_version(list, digest);
+    return version == NULL ? 0 : list->bytes - version->bytes;
 }
 
 bool server_list_changes_to(const server_list_t *list, uint64_t digest, server_list_changes_t *changes)
 {
-    return server_list_changes_since(list, server_list_change_of(list, digest), changes);
+    const server_list_version_t *version = server_list_version(list, digest);
+    return server_list_changes_since(list, version == NULL ? 0 : version->change, changes);
 }
 
 void server_list_changes_close(server_list_changes_t *changes)
--- a/src/core/server_list.h
+++ b/src/core/server_list.h
@@ -54,6 +54,7 @@
 typedef struct server_list_version_t {
     uint64_t digest; /**< Its digest. */
     uint64_t change; /**< The change that led to it. */
+    uint64_t bytes;  /**< Bytes of records and ids that changes up to it have told. */
 } server_list_version_t;
 
 /** The list; all zero: none was told yet. */
@@ -66,6 +67,7 @@
     server_list_version_t versions[SERVER_LIST_VERSIONS]; /**< The last ones, a ring by change. */
     server_list_gone_t gone[SERVER_LIST_GONE_MOST];       /**< Oldest first. */
     size_t gone_count;                                    /**< Number of those. */
+    uint64_t bytes;                                       /**< Bytes of records and ids told by all changes so far. */
     struct buffer whole;                                  /**< Encoded ServerList, one copy for all who ask. */
     uint64_t whole_change;                                /**< Change that it shows; 0: it is to be made. */
 } server_list_t;
@@ -94,6 +96,9 @@
 /** Whether changes to the version with a digest can be told. */
 bool server_list_knows(const server_list_t *list, uint64_t digest);
 
+/** The most that changes to the version with a digest take, in bytes; 0: it is not known any more. */
+uint64_t server_list_changes_bytes(const server_list_t *list, uint64_t digest);
+
 /** Fills what changed since the version with a digest; false: it is not known any more. */
 bool server_list_changes_to(const server_list_t *list, uint64_t digest, server_list_changes_t *changes);
 
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <xxhash.h>
+
 void watch_state_close(struct watch_state *state)
 {
     buffer_close(&state->document);
@@ -72,13 +74,32 @@
 static uint32_t watch_near(const struct watch_client *client)
 {
     for (uint32_t i = 0; i < client->candidate_count; i++) {
-        if (client->candidates[i].same_zone) {
+        if (client->candidates[i].same_zone && client->candidates[i].node != client->relay) {
             return client->candidates[i].node;
         }
     }
     return RAFT_NO_NODE;
 }
 
+uint32_t watch_client_member(const struct watch_client *client)
+{
+    uint32_t near = watch_near(client);
+    for (uint32_t i = 0; i < client->candidate_count && near == RAFT_NO_NODE; i++) {
+        near = client->candidates[i].node == client->relay ? RAFT_NO_NODE : client->candidates[i].node;
+    }
+    return near;
+}
+
+static bool watch_reaches_relay(const struct watch_client *client)
+{
+    for (uint32_t i = 0; i < client->candidate_count; i++) {
+        if (client->relay != RAFT_NO_NODE && client->candidates[i].node == client->relay) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* A replica of the own zone, when it was not tried for a while, else the others in turn. */
 static uint32_t watch_choose(struct watch_client *client, uint64_t now_ms)
 {
@@ -102,23 +123,38 @@
 static bool watch_should_return(const struct watch_client *client, uint64_t now_ms)
 {
     uint32_t near = watch_near(client);
-    return client->target != RAFT_NO_NODE && near != RAFT_NO_NODE && near != client->target && client->answered &&
-           now_ms >= client->near_tried_ms + WATCH_NEAR_PERIOD_MS;
+    return client->target != RAFT_NO_NODE && client->target != client->relay && near != RAFT_NO_NODE &&
+           near != client->target && client->answered && now_ms >= client->near_tried_ms + WATCH_NEAR_PERIOD_MS;
 }
 
 static void watch_leave_target(struct watch_client *client, uint64_t now_ms)
 {
     client->left = client->target;
+    if (client->target == client->relay) {
+        client->relay = RAFT_NO_NODE;
+        client->relay_left_ms = now_ms;
+    }
     client->target = RAFT_NO_NODE;
+    client->list_due = false;
     client->due_ms = now_ms + WATCH_RETRY_MS;
 }
 
+static uint64_t watch_patience_ms(const struct watch_client *client)
+{
+    return client->list_due ? WATCH_LIST_ANSWER_MS : WATCH_ANSWER_MS;
+}
+
 bool watch_client_tick(struct watch_client *client, uint64_t now_ms, const struct watch_state *state, Watch *watch)
 {
-    bool silent = client->target != RAFT_NO_NODE && !client->answered && now_ms >= client->sent_ms + WATCH_ANSWER_MS;
+    bool silent =
+        client->target != RAFT_NO_NODE && !client->answered && now_ms >= client->sent_ms + watch_patience_ms(client);
     if (silent) {
         watch_leave_target(client, now_ms);
     }
+    if (client->target != client->relay && watch_reaches_relay(client)) {
+        client->target = client->relay;
+        client->due_ms = now_ms;
+    }
     if (now_ms < client->due_ms) {
         return false;
     }
@@ -153,7 +189,7 @@
         watch_leave_target(client, now_ms);
         return;
     }
-    client->fresh_ms = client->sent_ms;
+    client->fresh_ms = client->sent_ms > update->age_ms ? client->sent_ms - update->age_ms : 1;
     client->leader = update->leader;
 }
 
@@ -161,11 +197,19 @@
                                           const WatchUpdate *update, struct watch_state *state)
 {
     struct watch_changes changes = {0};
+    uint32_t relay = client->relay;
     watch_note_answer(client, now_ms, from, update);
+    if (update->has_relay && update->relay.node != RAFT_NO_NODE && client->relay == RAFT_NO_NODE) {
+        client->relay = update->relay.node;
+    }
+    changes.relay = client->relay != relay;
     changes.document = update->fresh && watch_state_put_document(state, update->document_version, update->document);
     changes.drained = update->fresh && update->has_drained && zone_set_take(&state->drained, &update->drained);
     bool servers_told = update->servers_told || update->servers.length > 0; /* earlier versions tell the list alone */
     changes.servers = servers_told && watch_state_take_servers(state, update);
+    if (from == client->target) {
+        client->list_due = watch_servers_are_newer(state, update->servers_term, update->servers_number);
+    }
     if (update->has_members && update->members_index > state->members_index) {
         changes.members = raft_members_from_wire(&update->members, &state->members);
         state->members_index = update->members_index;
@@ -203,6 +247,8 @@
         return NULL;
     }
     entry->whole_ms = entry->node == node ? entry->whole_ms : 0;
+    entry->referred_ms = entry->node == node ? entry->referred_ms : 0;
+    entry->relays = watch->relays;
     entry->node = node;
     entry->heard_ms = now_ms;
     entry->document_version = watch->document_version;
@@ -214,6 +260,36 @@
     return entry;
 }
 
+static uint64_t watch_relay_rank(uint32_t watcher, uint32_t relay)
+{
+    uint64_t material = (uint64_t)watcher << 32 | relay;
+    return XXH64(&material, sizeof(material), 0);
+}
+
+uint32_t watch_server_refer(const struct watch_server *server, struct watch_entry *entry, uint64_t now_ms)
+{
+    uint32_t plain = 0;
+    uint32_t relay = RAFT_NO_NODE;
+    uint64_t highest = 0;
+    for (uint32_t i = 0; i < server->count; i++) {
+        const struct watch_entry *other = &server->entries[i];
+        bool recent = now_ms < other->heard_ms + WATCH_VALID_MS;
+        plain += recent && !other->relays ? 1 : 0;
+        bool ready = recent && other->relays && other->servers_digest != SERVER_LIST_NONE;
+        uint64_t rank = ready ? watch_relay_rank(entry->node, other->node) : 0;
+        if (rank > highest) {
+            relay = other->node;
+            highest = rank;
+        }
+    }
+    bool stayed = entry->referred_ms != 0 && now_ms >= entry->referred_ms + WATCH_REFERRED_MS;
+    if (entry->relays || plain <= server->refer_above || relay == RAFT_NO_NODE || stayed) {
+        return RAFT_NO_NODE;
+    }
+    entry->referred_ms = entry->referred_ms == 0 ? now_ms : entry->referred_ms;
+    return relay;
+}
+
 uint32_t watch_server_count(const struct watch_server *server, uint64_t now_ms)
 {
     uint32_t count = 0;
@@ -229,13 +305,16 @@
            (state->servers_term == entry->servers_term && state->servers_number > entry->servers_number);
 }
 
-/* Whole lists wait for their rate; changes do not. */
+/* Whole lists and large changes wait for their rate, and for a watcher that was referred to leave; small ones do not.
+ */
 static bool watch_may_tell_servers(const struct watch_server *server, const struct watch_entry *entry, uint64_t now_ms,
                                    const struct watch_state *state)
 {
-    bool known = server_list_knows(&state->servers, entry->servers_digest);
+    bool small = server_list_knows(&state->servers, entry->servers_digest) &&
+                 server_list_changes_bytes(&state->servers, entry->servers_digest) <= WATCH_SMALL_BYTES;
     bool underway = entry->whole_ms != 0 && now_ms < entry->whole_ms + WATCH_WHOLE_AGAIN_MS;
-    return known || (!underway && now_ms + WATCH_WHOLE_BURST_MS >= server->whole_due_ms);
+    bool referred = entry->referred_ms != 0 && now_ms < entry->referred_ms + WATCH_REFERRED_MS;
+    return small || (!underway && !referred && now_ms + WATCH_WHOLE_BURST_MS >= server->whole_due_ms);
 }
 
 bool watch_server_owes(const struct watch_server *server, const struct watch_entry *entry, uint64_t now_ms,
@@ -248,11 +327,11 @@
     return recent && (document || drained || servers || state->members_index > entry->members_index);
 }
 
-static void watch_charge_whole(struct watch_server *server, uint64_t now_ms, size_t bytes)
+static void watch_charge(struct watch_server *server, struct watch_entry *entry, uint64_t now_ms, size_t bytes)
 {
     uint64_t begin_ms = server->whole_due_ms > now_ms ? server->whole_due_ms : now_ms;
     server->whole_due_ms = begin_ms + (uint64_t)bytes * 1000 / WATCH_WHOLE_BYTES_A_S;
-    server->wholes++;
+    entry->whole_ms = now_ms;
 }
 
 static void watch_tell_servers(struct watch_server *server, struct watch_entry *entry, uint64_t now_ms,
@@ -266,10 +345,13 @@
         update->servers = buffer_view(&told->changes.records);
         update->servers_gone = told->changes.gone;
         update->servers_gone_count = (pb_size_t)told->changes.gone_count;
+        if (update->servers.length > WATCH_SMALL_BYTES) {
+            watch_charge(server, entry, now_ms, update->servers.length);
+        }
     } else {
         update->servers = server_list_whole(&state->servers);
-        watch_charge_whole(server, now_ms, update->servers.length);
-        entry->whole_ms = now_ms;
+        watch_charge(server, entry, now_ms, update->servers.length);
+        server->wholes++;
     }
     entry->servers_term = state->servers_term;
     entry->servers_number = state->servers_number;
@@ -292,7 +374,8 @@
     }
     update->servers_term = state->servers_term;
     update->servers_number = state->servers_number;
-    if (watch_entry_lacks_servers(entry, state) && watch_may_tell_servers(server, entry, now_ms, state)) {
+    if (!told->answers && watch_entry_lacks_servers(entry, state) &&
+        watch_may_tell_servers(server, entry, now_ms, state)) {
         watch_tell_servers(server, entry, now_ms, state, told);
     }
     update->members_index = state->members_index;
--- a/src/core/watch.h
+++ b/src/core/watch.h
@@ -10,11 +10,21 @@
  * one that is fresh: one that has just started, or lags, holds an older one
  * than was acknowledged, and cannot know it.
  *
+ * Members of the group are few, and what a change costs them grows with their
+ * watchers. Replicas outside the group have nothing else to do: they watch a
+ * member and pass on what it tells. A member with more than WATCH_REFER_ABOVE
+ * watchers refers them to the relays that watch it, each watcher to one of them
+ * by rendezvous. So a member tells its relays, and each relay its share of the
+ * gateways: 120 replicas of which 7 are members have 16 relays a member and 8
+ * gateways a relay of 864, instead of 140 watchers a member; with twice of
+ * both, 33 and 8. A relay is as fresh as the member's word to it is young, and
+ * tells that age. Whom it doesn't answer comes back to a member, and is told all
+ * by that one if it is still there WATCH_REFERRED_MS later.
+ *
  * Of the list of servers a watcher is told what changed (server_list.h). Whole
- * lists go out at WATCH_WHOLE_BYTES_A_S, so that a start, or many watchers that
- * come at once, never hold up what elects a leader or commits: 280 watchers of
- * 3,000 servers, 51 MB in all, have theirs in some two seconds from three
- * replicas (worked out; tests/unit/watchers.c shows the pace).
+ * lists, and changes of more than WATCH_SMALL_BYTES, go out at WATCH_WHOLE_BYTES_A_S, so that a start, or many watchers
+ * that come at once, never hold up what elects a leader or commits: 280 watchers of 3,000 servers, 51 MB in all, have
+ * theirs in some two seconds from three replicas (worked out; tests/unit/watchers.c shows the pace).
  */
 #ifndef BANKBANK_CORE_WATCH_H
 #define BANKBANK_CORE_WATCH_H
@@ -30,6 +40,10 @@
     WATCH_NEAR_PERIOD_MS = 4000,     /**< Pause before a replica of the own zone is tried again. */
     WATCH_ANSWER_MS = 200,           /**< Time without an answer before another replica is tried. */
     WATCH_RETRY_MS = 50,             /**< Pause before another replica is tried. */
+    WATCH_LIST_ANSWER_MS = 800,      /**< The same while a long list of servers is on its way, in front of answers. */
+    WATCH_REFER_ABOVE = 64,          /**< Watchers of a member, relays aside, above which they are referred: default. */
+    WATCH_REFERRED_MS = 1500,        /**< Time after which one that was referred and is still there is told all. */
+    WATCH_SMALL_BYTES = 16 << 10,    /**< Changes of the list of servers that are told at once. */
     WATCH_VALID_MS = 1500,           /**< Time changes are told after a watch. */
     WATCH_MAX_WATCHERS = 512,        /**< Daemons that watch one replica. */
     WATCH_WHOLE_BYTES_A_S = 8 << 20, /**< Bytes a second of whole lists of servers, to all watchers. */
@@ -55,6 +69,7 @@
     bool drained;  /**< The drained zones are newer. */
     bool servers;  /**< The list of servers is newer. */
     bool members;  /**< The members are newer. */
+    bool relay;    /**< It was referred to another replica, or is no more. */
 };
 
 /** Frees it. */
@@ -84,6 +99,9 @@
     uint64_t sent_ms;                                    /**< Its time. */
     bool answered;                                       /**< It was answered. */
     uint64_t due_ms;                                     /**< Next watch. */
+    bool list_due;                                       /**< The target has a newer list of servers to tell. */
+    uint32_t relay;                                      /**< Replica to which it was referred, or RAFT_NO_NODE. */
+    uint64_t relay_left_ms;                              /**< Time at which one did not answer; 0: never. */
     uint64_t fresh_ms;                                   /**< Send time of the last watch with a fresh answer. */
     uint32_t leader;                                     /**< Leader told last. */
     uint32_t watchers;                                   /**< Daemons that watch the target. */
@@ -99,6 +117,9 @@
 struct watch_changes watch_client_receive(struct watch_client *client, uint64_t now_ms, uint32_t from,
                                           const WatchUpdate *update, struct watch_state *state);
 
+/** A member of the group that may be asked, of the own zone if there is one; RAFT_NO_NODE: none is connected. */
+uint32_t watch_client_member(const struct watch_client *client);
+
 /** Whether a replica in touch with a quorum answered within `limit_ms`. */
 bool watch_client_is_fresh(const struct watch_client *client, uint64_t now_ms, uint64_t limit_ms);
 
@@ -112,6 +133,8 @@
     uint64_t servers_number;   /**< What it has. */
     uint64_t servers_digest;   /**< What it has. */
     uint64_t members_index;    /**< What it has. */
+    bool relays;               /**< It passes on what it is told. */
+    uint64_t referred_ms;      /**< Time at which it was first referred to a relay, 0: never. */
     uint64_t whole_ms;         /**< Time it was told a whole list of servers, 0: never. */
 };
 
@@ -119,6 +142,7 @@
 struct watch_server {
     struct watch_entry entries[WATCH_MAX_WATCHERS]; /**< Watchers. */
     uint32_t count;                                 /**< Number of those. */
+    uint32_t refer_above;                           /**< Watchers, relays aside, above which they are referred. */
     uint64_t whole_due_ms;                          /**< Time until which whole lists have used up their rate. */
     uint64_t wholes;                                /**< Whole lists told. */
 };
@@ -126,6 +150,9 @@
 /** Notes a watch; NULL: no room. */
 struct watch_entry *watch_server_note(struct watch_server *server, uint64_t now_ms, uint32_t node, const Watch *watch);
 
+/** The relay, of those that have a list of servers, that a watcher should watch instead, RAFT_NO_NODE: none. */
+uint32_t watch_server_refer(const struct watch_server *server, struct watch_entry *entry, uint64_t now_ms);
+
 /** Number of daemons that watched lately. */
 uint32_t watch_server_count(const struct watch_server *server, uint64_t now_ms);
 
@@ -137,6 +164,8 @@
 /** An update, and what it borrows. */
 typedef struct watch_told_t {
     WatchUpdate update;             /**< To be sent. */
+    bool answers;                   /**< To a watch: what is large waits for a frame of its own, so that this one is
+                                         there in time. */
     Member items[RAFT_MAX_MEMBERS]; /**< Members in it. */
     server_list_changes_t changes;  /**< Changes of the list of servers in it. */
 } watch_told_t;
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -301,6 +301,17 @@
     return count;
 }
 
+bool links_place(const struct links *links, uint32_t node, struct raft_member_place *place)
+{
+    const struct link *link = NULL;
+    HASH_FIND(hh, links->by_node, &node, sizeof(node), link);
+    if (link == NULL || !link->replica || link->closing) {
+        return false;
+    }
+    *place = link->place;
+    return true;
+}
+
 uint32_t links_least_level(const struct links *links, const uint32_t *nodes, uint32_t count)
 {
     uint32_t least = LINKS_LEVEL;
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -120,6 +120,9 @@
 /** Least level of log entries that one of the nodes that are connected told; LINKS_LEVEL where none is. */
 uint32_t links_least_level(const struct links *links, const uint32_t *nodes, uint32_t count);
 
+/** Where the replica of a node that is connected runs; false: it is not connected, or holds none. */
+bool links_place(const struct links *links, uint32_t node, struct raft_member_place *place);
+
 /** With a watcher: handles readiness of `subject`; call links_round() where `ended` is set by it. */
 void links_ready(struct links *links, void *subject, bool readable, bool writable);
 
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -183,7 +183,7 @@
         return forward_take_cached(forward, parent);
     }
     front->counters.cache_misses++;
-    uint32_t near = node->host != NULL ? node->id : node->watch.target;
+    uint32_t near = node->host != NULL ? node->id : watch_client_member(&node->watch);
     if (near == RAFT_NO_NODE) {
         forward_fetch_from_leader(forward);
         return true;
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -63,6 +63,7 @@
     struct links_watcher watcher;   /**< Binds links to the loop. */
     struct links links;             /**< Connections to other daemons. */
     struct control_client client;   /**< Requests to the leader. */
+    struct raft_member_place relay; /**< Where the replica is to which the watch was referred. */
     struct watch_client watch;      /**< The watch. */
     struct watch_state state;       /**< What is known of the site. */
     struct upstream_pool upstreams; /**< Connections to servers and to the machine list. */
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -43,6 +43,17 @@
     return sent;
 }
 
+/* A gateway's watch may be referred to a replica outside the group (core/watch.h). */
+static void node_take_referral(struct node *node, const WatchUpdate *update)
+{
+    if (node->watch.relay != RAFT_NO_NODE) {
+        raft_member_place_from_wire(&update->relay, &node->relay);
+    }
+    event_log("referred", "{s:I,s:s}", "relay", (json_int_t)node->watch.relay, "machine",
+              node->watch.relay == RAFT_NO_NODE ? "" : node->relay.name);
+    node_dial(node);
+}
+
 static void node_dispatch(struct node *node, uint32_t from, const Frame *frame)
 {
     switch (frame->which_payload) {
@@ -54,6 +65,9 @@
             event_log("configuration_told", "{s:I,s:I}", "version", (json_int_t)node->state.document_version, "from",
                       (json_int_t)from);
         }
+        if (changes.relay) {
+            node_take_referral(node, &frame->payload.watch_update);
+        }
         if (frame->payload.watch_update.fresh) {
             control_client_hint_leader(&node->client, node_now(node), STATE_CONFIG_GROUP,
                                        frame->payload.watch_update.leader);
@@ -230,6 +244,10 @@
             count = node_add_address(node, addresses, count, &address);
         }
     }
+    if (node->watch.relay != RAFT_NO_NODE) {
+        node_address(node->relay.ip, node->relay.port, &address);
+        count = node_add_address(node, addresses, count, &address);
+    }
     links_dial_only(&node->links, addresses, count);
 }
 
@@ -258,16 +276,19 @@
     struct raft_member_place places[LINKS_REPLICAS_MOST];
     struct watch_candidate candidates[RAFT_MAX_MEMBERS];
     uint32_t count = node_list_replicas(node, nodes, places);
+    uint32_t asked = 0;
     for (uint32_t i = 0; i < count; i++) {
         candidates[i].node = nodes[i];
         candidates[i].same_zone = text_equal(places[i].zone, node->settings.zone);
+        nodes[asked] = nodes[i];
+        asked += nodes[i] != node->watch.relay ? 1 : 0; /* a relay answers no requests */
     }
     if (node->host != NULL && node->host->running) {
-        nodes[count++] = node->id;
+        nodes[asked++] = node->id;
     } else {
         watch_client_set_candidates(&node->watch, candidates, count);
     }
-    control_client_set_replicas(&node->client, nodes, count);
+    control_client_set_replicas(&node->client, nodes, asked);
 }
 
 static void node_on_connected(void *context, uint32_t peer)
@@ -353,9 +374,14 @@
     }
     Frame frame = {0};
     frame.which_payload = Frame_watch_tag;
+    uint32_t relay = node->watch.relay;
     if (watch_client_tick(&node->watch, node_now(node), &node->state, &frame.payload.watch)) {
+        frame.payload.watch.relays = node->host != NULL && !node->host->running;
         node_send_frame(node, node->watch.target, &frame);
     }
+    if (node->watch.relay != relay) {
+        node_take_referral(node, &(const WatchUpdate){0}); /* the one that it had does not answer */
+    }
 }
 
 static void node_on_servers_read(void *context, struct view encoded)
--- a/src/proxy/node_metrics.c
+++ b/src/proxy/node_metrics.c
@@ -48,6 +48,8 @@
 void node_write_metrics(const struct node *node, struct buffer *out)
 {
     const struct upstream_counters *upstreams = &node->upstreams.counters;
+    bool relayed = node->watch.relay != RAFT_NO_NODE && node->watch.target == node->watch.relay;
+    metrics_write_gauge(out, "watches_relay", "Whether it watches a replica outside the group.", relayed ? 1 : 0);
     metrics_write_gauge(out, "state_fresh", "Whether a state replica in touch with a quorum answered lately.",
                         node_is_fresh(node) ? 1 : 0);
     metrics_write_gauge(out, "configuration_version", "Version of the configuration in force.",
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -19,6 +19,7 @@
 {
     struct state_host *host = memory_new(sizeof(*host));
     host->node = node;
+    host->watchers.refer_above = (uint32_t)node->settings.refer_above;
 
     uint32_t fresh = (uint32_t)(node->boot_id >> 32) | 1;
     if (!identity_load(node->settings.data, fresh, &host->identity)) {
@@ -280,6 +281,7 @@
 {
     struct node *node = host->node;
     if (!host->running) {
+        state_host_tell_owed(host); /* it may relay what it is told */
         return;
     }
     replica_flush(&host->replica, node_now(node));
--- a/src/proxy/state_host_daemons.c
+++ b/src/proxy/state_host_daemons.c
@@ -9,15 +9,33 @@
 #include "proxy/state_host_internal.h"
 
 enum {
-    HOST_LEVEL_ZONES = 1,  /* of log entries (LINKS_LEVEL): drained zones */
-    HOST_SMALL_ENTRY = 512 /* bytes; entries of turns, which are many, are not looked into */
+    HOST_RELAY_FRESH_MS = 1000, /* age of a member's word that a relay passes on as current */
+    HOST_LEVEL_ZONES = 1,       /* of log entries (LINKS_LEVEL): drained zones */
+    HOST_SMALL_ENTRY = 512      /* bytes; entries of turns, which are many, are not looked into */
 };
 
 /* ---- Watches ---------------------------------------------------------------------------------------- */
 
+/* A relay's word is that of the member which it watches, as old as the answer. */
 static bool host_is_fresh(const struct state_host *host, uint64_t now_ms)
 {
-    return host->running && replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, now_ms);
+    return host->running ? replica_is_fresh(&host->replica, STATE_CONFIG_GROUP, now_ms)
+                         : watch_client_is_fresh(&host->node->watch, now_ms, HOST_RELAY_FRESH_MS);
+}
+
+/* Members follow their leader: they are referred to nobody. */
+static void host_refer(struct state_host *host, struct watch_entry *entry, WatchUpdate *update)
+{
+    const struct raft_members *members = state_host_logged_members(host);
+    if (members == NULL || raft_member_position(members, entry->node) >= 0) {
+        return;
+    }
+    uint32_t relay = watch_server_refer(&host->watchers, entry, node_now(host->node));
+    struct raft_member_place place;
+    if (relay != RAFT_NO_NODE && links_place(&host->node->links, relay, &place)) {
+        update->has_relay = true;
+        update->relay = (Member){.node = relay, .ip = place.ip, .port = place.port};
+    }
 }
 
 static void host_tell_watcher(struct state_host *host, struct watch_entry *entry, uint64_t sequence)
@@ -28,7 +46,10 @@
     WatchUpdate *update = &told.update;
     update->sequence = sequence;
     update->fresh = host_is_fresh(host, now_ms);
-    update->leader = state_host_leader(host);
+    update->leader = host->running ? state_host_leader(host) : node->watch.leader;
+    update->age_ms = host->running ? 0 : (uint32_t)(now_ms - node->watch.fresh_ms);
+    told.answers = sequence != 0;
+    host_refer(host, entry, update);
     update->watchers = watch_server_count(&host->watchers, now_ms);
     watch_server_tell(&host->watchers, entry, now_ms, &node->state, &told);
     Frame frame = {.which_payload = Frame_watch_update_tag, .payload.watch_update = told.update};
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -94,6 +94,9 @@
 void site_start_daemon(int daemon);
 int site_end_daemon(int daemon, int signal_number);
 
+/** Daemons started from now on refer their watchers to replicas outside the group where they have more than that. */
+void site_refer_watchers(int above);
+
 /** Limits the memory that a daemon started from now on may hold, in MB; 0: no limit. */
 void site_limit_memory(int megabytes);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -39,6 +39,7 @@
 static int site_further_states;
 static bool site_formed;
 static int site_memory_mb;
+static int site_refer_above = -1;
 static bool site_kept;
 
 /* ---- Daemons ------------------------------------------------------------------------------------- */
@@ -102,6 +103,9 @@
     if (site_memory_mb > 0) {
         fprintf(file, "memory_mb: %d\n", site_memory_mb);
     }
+    if (site_refer_above >= 0) {
+        fprintf(file, "refer_above: %d\n", site_refer_above);
+    }
     fprintf(file, "metrics_address: \"%s:%d\"\n", site_ip(daemon), site_metrics_port);
     if (gateway) {
         fprintf(file, "caller_address: \"%s:%d\"\nready_address: \"%s:%d\"\n", site_ip(daemon), site_caller_port,
@@ -121,6 +125,11 @@
     fclose(file);
 }
 
+void site_refer_watchers(int above)
+{
+    site_refer_above = above;
+}
+
 void site_limit_memory(int megabytes)
 {
     site_memory_mb = megabytes;
