A server's machine, not its connection's kernel, tells a full queue from its end

Cause: the last mend asked the kernel on the open connection (TCP_INFO); on the platform that tells nothing true, so streams at servers that had gone never left them. Ruled out: that the system tells it knows nothing (its time-out is not 0). Change: after four dials without an answer the server's machine is dialled at a port where nothing listens (setting closed_port, 1): a machine that runs refuses at once, one without power or behind a cut says nothing, and then the server is gone.

--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -31,6 +31,7 @@
     bool lost = reach->lost;
     reach->lost = false;
     reach->cut_off = false;
+    reach->gone = false;
     reach->failures = 0;
     return lost ? REACH_REGAINED : REACH_AS_BEFORE;
 }
@@ -55,6 +56,24 @@
     return REACH_AS_BEFORE;
 }
 
+bool reach_ask_machine(reach_t *reach)
+{
+    bool asks = reach->cut_off && !reach->asking && !reach->gone;
+    reach->asking = reach->asking || asks;
+    return asks;
+}
+
+void reach_note_machine(reach_t *reach, bool answered)
+{
+    reach->asking = false;
+    reach->gone = reach->cut_off && !answered;
+}
+
+bool reach_is_gone(const reach_t *reach)
+{
+    return reach->gone;
+}
+
 void reach_note_answer(reach_t *reach, uint64_t after_ms)
 {
     int64_t sample_ms = after_ms < UINT32_MAX / 2 ? (int64_t)after_ms : UINT32_MAX / 2;
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -9,13 +9,16 @@
  * row is lost, until it takes one again: it gets no new work, and what may run on
  * a further server leaves it. That much also comes of lost packets and of a full
  * queue at a server that lives, so that it is dialled on at once: after four dials
- * it counts as cut off, and what may run on one server only leaves as well, once
- * the server's kernel is silent on the open connection too: that of a server with
- * a full queue, or of one that leaves, answers there. How long a silence is borne follows the times in which the server
- * answers, by the rule for retransmissions (RFC 6298), and dials to one that is merely slow become rare.
+ * it counts as cut off, and its machine is asked: dialled at a port where nothing
+ * listens, which a machine that runs refuses at once. One that has lost its power,
+ * or the way to it, says nothing, and then the server is gone: what may run on one
+ * server only leaves as well. A server with a full queue keeps that. How long a
+ * silence is borne follows the times in which the server answers, by the rule for
+ * retransmissions (RFC 6298), and dials to one that is merely slow become rare.
  *
  *   HEARD -> (silence) DIALLED -> (it answers) HEARD, asked half as often
  *                              -> (no answer, twice) LOST -> (no answer, twice more) CUT OFF
+ *   CUT OFF -> (its machine says nothing either) GONE
  *   LOST, CUT OFF -> (it answers, or its bytes come) HEARD
  */
 #ifndef BANKBANK_CORE_REACH_H
@@ -39,7 +42,9 @@
 typedef struct reach_t {
     bool dialling;       /**< A dial is under way. */
     bool lost;           /**< It took no connection lately. */
-    bool cut_off;        /**< And it is sure that it cannot be reached. */
+    bool cut_off;        /**< And it is sure that it takes none. */
+    bool asking;         /**< Its machine is being asked. */
+    bool gone;           /**< Its machine said nothing either. */
     uint32_t failures;   /**< Dials without an answer in a row. */
     uint32_t usual_ms;   /**< Usual time to the begin of an answer; 0: none came yet. */
     uint32_t spread_ms;  /**< Its mean deviation. */
@@ -51,7 +56,7 @@
 typedef enum reach_change_t {
     REACH_AS_BEFORE, /**< Nothing. */
     REACH_LOST,      /**< The server is lost from now on. */
-    REACH_CUT_OFF,   /**< It is sure that it cannot be reached. */
+    REACH_CUT_OFF,   /**< It is sure that it takes no connection. */
     REACH_REGAINED   /**< It can be reached again. */
 } reach_change_t;
 
@@ -64,6 +69,15 @@
 /** Notes a dial's outcome. */
 reach_change_t reach_note_outcome(reach_t *reach, uint64_t now_ms, bool answered);
 
+/** Whether to ask the machine of a server that is cut off now, which counts as asked. */
+bool reach_ask_machine(reach_t *reach);
+
+/** Notes whether the machine answered. */
+void reach_note_machine(reach_t *reach, bool answered);
+
+/** Whether the server can work on nothing any more, as far as this side can know. */
+bool reach_is_gone(const reach_t *reach);
+
 /** Notes that an answer began, after so long. */
 void reach_note_answer(reach_t *reach, uint64_t after_ms);
 
--- a/src/core/resume.h
+++ b/src/core/resume.h
@@ -8,9 +8,9 @@
  * ended, leaves or is out of reach, since then the former run ends soon or has
  * ended. One that gets nothing new is passed over only where the route has room for
  * a further server, since the former run may go on. A run whose server only takes no connections does not break off:
- * who decides that a server has ended, asks its kernel too. Where the route has no room for a further server and that
- * one does not take the run back, being full, it is waited for as requests wait for a place (place_wait.h), and the
- * stream ends if it stays full.
+ * who decides that a server has ended, asks its machine too (reach.h). Where the route has no room for a further server
+ * and that one does not take the run back, being full, it is waited for as requests wait for a place (place_wait.h),
+ * and the stream ends if it stays full.
  */
 #ifndef BANKBANK_CORE_RESUME_H
 #define BANKBANK_CORE_RESUME_H
--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -559,25 +559,6 @@
     return exchange->sent;
 }
 
-uint64_t upstream_kernel_silent_ms(const struct upstream_exchange *exchange)
-{
-    const int on = 1;
-    const int rest_s = UPSTREAM_ASK_KERNEL_S;
-    struct tcp_info info;
-    socklen_t length = sizeof(info);
-    uv_os_fd_t file = -1;
-    bool open =
-        exchange->connection != NULL && uv_fileno((const uv_handle_t *)&exchange->connection->socket, &file) == 0;
-    bool asked = open && setsockopt(file, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) == 0 &&
-                 setsockopt(file, IPPROTO_TCP, TCP_KEEPIDLE, &rest_s, sizeof(rest_s)) == 0 &&
-                 setsockopt(file, IPPROTO_TCP, TCP_KEEPINTVL, &rest_s, sizeof(rest_s)) == 0;
-    memset(&info, 0, sizeof(info));
-    if (!asked || getsockopt(file, IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
-        return UPSTREAM_KERNEL_UNKNOWN;
-    }
-    return info.tcpi_last_ack_recv;
-}
-
 uint32_t upstream_idle_count(const struct upstream_pool *pool, const char *address)
 {
     struct upstream_server *server = NULL;
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -31,14 +31,10 @@
     UPSTREAM_PROBE_MS = 50,        /**< The same for one that only asks whether the server can be reached. */
     UPSTREAM_REST_MS = 4000,       /**< Longest rest where the server names no time. */
     UPSTREAM_REST_MARGIN_MS = 700, /**< Retired this much before the time the server names. */
-    UPSTREAM_ASK_KERNEL_S = 1,     /**< Rest after which the other end's kernel is asked: the least that there is. */
     UPSTREAM_MAX_HEAD = 64 << 10,  /**< Largest head of an answer. */
     UPSTREAM_MAX_BODY = 64 << 20   /**< Largest body of an answer. */
 };
 
-/** The time for which the other end's kernel was silent is not known. */
-#define UPSTREAM_KERNEL_UNKNOWN UINT64_MAX
-
 /** How an exchange ended. */
 enum upstream_end {
     UPSTREAM_DONE,     /**< The whole answer came. */
@@ -141,11 +137,4 @@
 /** Whether bytes of the request may have left. */
 bool upstream_was_sent(const struct upstream_exchange *exchange);
 
-/**
- * Time, in ms, since the kernel at the other end was heard on the exchange's connection, whatever the program there
- * does: from the first call on it is asked after UPSTREAM_ASK_KERNEL_S of rest (keep-alive), so that a time above that
- * and a way there and back means that nobody answers. UPSTREAM_KERNEL_UNKNOWN: the system does not tell.
- */
-uint64_t upstream_kernel_silent_ms(const struct upstream_exchange *exchange);
-
 #endif
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -19,20 +19,19 @@
 #include "proxy/front.h"
 
 enum {
-    FORWARD_MAX_PARALLEL = 2,        /**< Servers asked at the same time. */
-    FORWARD_HEDGE_MS = 150,          /**< Time without an answer before a second server is asked, at least. */
-    FORWARD_MAX_SENDS = 8,           /**< Servers asked, those that refuse included. */
-    FORWARD_MAX_ANSWER = 8 << 20,    /**< Largest answer that is not streamed. */
-    FORWARD_STATE_PERCENT = 40,      /**< Part of a caller's time left that the state replicas may take, at most. */
-    FORWARD_STATE_MS = 1500,         /**< Time the state replicas may take to reserve or to fetch. */
-    FORWARD_NEAR_MS = 120,           /**< Time a near replica may take before the leader is asked. */
-    FORWARD_MAX_PENDING = 64 << 10,  /**< Bytes of a stream kept for a caller that reads slowly. */
-    FORWARD_LEAST_MS = 30,           /**< Least time left to ask a server. */
-    FORWARD_KERNEL_SILENT_MS = 1200, /**< Silence of a server's kernel, asked after a second, that tells its end. */
-    FORWARD_ENDED_SILENT_MS = 2000,  /**< Silence at a server that has started again that ends a call, at least. */
-    FORWARD_START_MS = 1500,         /**< Time a request waits for a gateway that has just started, at most. */
-    FORWARD_START_SHARE = 2,         /**< Part of the caller's time it waits, at most: one in so many. */
-    FORWARD_MAX_WAITING = 256        /**< Requests that wait for that. */
+    FORWARD_MAX_PARALLEL = 2,       /**< Servers asked at the same time. */
+    FORWARD_HEDGE_MS = 150,         /**< Time without an answer before a second server is asked, at least. */
+    FORWARD_MAX_SENDS = 8,          /**< Servers asked, those that refuse included. */
+    FORWARD_MAX_ANSWER = 8 << 20,   /**< Largest answer that is not streamed. */
+    FORWARD_STATE_PERCENT = 40,     /**< Part of a caller's time left that the state replicas may take, at most. */
+    FORWARD_STATE_MS = 1500,        /**< Time the state replicas may take to reserve or to fetch. */
+    FORWARD_NEAR_MS = 120,          /**< Time a near replica may take before the leader is asked. */
+    FORWARD_MAX_PENDING = 64 << 10, /**< Bytes of a stream kept for a caller that reads slowly. */
+    FORWARD_LEAST_MS = 30,          /**< Least time left to ask a server. */
+    FORWARD_ENDED_SILENT_MS = 2000, /**< Silence at a server that has started again that ends a call, at least. */
+    FORWARD_START_MS = 1500,        /**< Time a request waits for a gateway that has just started, at most. */
+    FORWARD_START_SHARE = 2,        /**< Part of the caller's time it waits, at most: one in so many. */
+    FORWARD_MAX_WAITING = 256       /**< Requests that wait for that. */
 };
 
 /** Phase of a request. */
@@ -142,7 +141,7 @@
 void forward_caller_gone(struct forward *forward);
 
 /** forward_resume.c: a server cannot be reached: what may go on elsewhere does. To be called again while it is cut off:
- * what its route binds to it leaves once the server's kernel is silent too. */
+ * what its route binds to it leaves once the server's machine is silent too. */
 void forward_server_lost(struct front *front, const struct server *server);
 
 /** forward_resume.c: ends what is silent at servers that have started again, as at one that crashed. */
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -96,13 +96,10 @@
     return true;
 }
 
-/* Whether it is sure that a server works on nothing any more. One that leaves works on; one that takes no connection
- * may have a full queue of them, and then its kernel answers on those that are open. */
-static bool forward_has_ended(const struct forward_attempt *attempt)
+/* Whether it is sure that a server works on nothing any more: one that leaves works on. */
+static bool forward_has_ended(const struct server *server)
 {
-    const struct server *server = attempt->server;
-    bool known = !server->listed || server->misplaced || server->vacant;
-    return known || (server->reach.cut_off && upstream_kernel_silent_ms(attempt->exchange) >= FORWARD_KERNEL_SILENT_MS);
+    return !server->listed || server->misplaced || server->vacant || reach_is_gone(&server->reach);
 }
 
 /* What has no whole answer yet and may run again; where no further server is allowed, only what is sure to be gone
@@ -112,7 +109,7 @@
     const struct forward *forward = attempt->forward;
     bool resumable = forward->route->resumable && !forward->turn.keep;
     return forward->route->kind == ROUTE_SAFE ||
-           (resumable && (forward_has_room(forward) || forward_has_ended(attempt)));
+           (resumable && (forward_has_room(forward) || forward_has_ended(attempt->server)));
 }
 
 /* What was not sent yet has not run; what may not run again waits on, since its answer may still come. */
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -33,6 +33,7 @@
 int site_metrics_port;
 static int site_peer_port;
 static int site_list_port;
+int site_closed_port;
 static char site_folder[64];
 static pid_t site_processes[SITE_DAEMONS];
 static int site_further; /* daemons besides the first ones: state replicas, then gateways */
@@ -103,6 +104,7 @@
     if (site_memory_mb > 0) {
         fprintf(file, "memory_mb: %d\n", site_memory_mb);
     }
+    fprintf(file, "closed_port: %d\n", site_closed_port);
     if (site_refer_above >= 0) {
         fprintf(file, "refer_above: %d\n", site_refer_above);
     }
@@ -393,6 +395,7 @@
     site_ready_port = ports_take();
     site_metrics_port = ports_take();
     site_peer_port = ports_take();
+    site_closed_port = ports_take();
     site_servers_start(&site_list_port);
 }
 
--- a/tests/scripted/run_reach.c
+++ b/tests/scripted/run_reach.c
@@ -3,7 +3,9 @@
  *   due MS [busy]                 whether it is dialled now; `busy`: it has requests under way
  *   answer MS                     an answer began after so long
  *   dial                          a dial begins
- *   answers MS | silent MS        the dial's outcome, and what it changes */
+ *   answers MS | silent MS        the dial's outcome, and what it changes
+ *   ask                           whether its machine is asked now
+ *   machine answers | machine silent    what came of that; tells whether the server is gone */
 #include "core/reach.h"
 #include "script.h"
 
@@ -34,6 +36,11 @@
         reach_note_answer(&reach, at_ms);
     } else if (script_is(command, 0, "dial")) {
         reach_note_dial(&reach);
+    } else if (script_is(command, 0, "ask")) {
+        script_print(reach_ask_machine(&reach) ? "yes\n" : "no\n");
+    } else if (script_is(command, 0, "machine")) {
+        reach_note_machine(&reach, script_is(command, 1, "answers"));
+        script_print(reach_is_gone(&reach) ? "gone\n" : "lives\n");
     } else {
         script_print("%s", change_word(reach_note_outcome(&reach, at_ms, script_is(command, 0, "answers"))));
     }
