--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -375,8 +375,8 @@
     node->links.epoll = -1;
     int status = EXIT_FAILURE;
     if (node_open(node)) {
-        event_log("start", "{s:I,s:b,s:b,s:b}", "id", (json_int_t)node->id, "replica", node->host != NULL, "gateway",
-                  node->front != NULL, "bootstrap", node->settings.bootstrap);
+        event_log("start", "{s:I,s:i,s:b,s:b,s:b}", "id", (json_int_t)node->id, "level", LINKS_LEVEL, "replica",
+                  node->host != NULL, "gateway", node->front != NULL, "bootstrap", node->settings.bootstrap);
         uv_run(&node->loop, UV_RUN_DEFAULT);
         node_on_settle(&node->settle);
         event_log("stop", "{s:b}", "asked", node->draining);
