Two versions side by side, tested: new orders are refused by what doesn't know them, new settings are not read by it

Cause, found by the new test (a site of replaced machine by machine under load, half back and forward again): an order to drain a zone that a newer replica passed to an older leader was logged as a plain proposal; older replicas passed the entry over, newer ones applied it, and their states differed from then on. Change: it is proposed by a request of its own kind, which an older leader refuses; a newer leader takes it once all members that are connected tell its level. New settings (zones and their regions, bounds of servers that start) stand in BANKBANK_FURTHER, in the file's form: the older version refuses unknown keys in the file and doesn't read the environment.

--- a/src/proxy/control_api.c
+++ b/src/proxy/control_api.c
@@ -164,7 +164,11 @@
     entry.which_command = Entry_zone_drain_tag;
     entry.command.zone_drain.zone = item->name;
     entry.command.zone_drain.drained = drained;
-    node_propose(node, &entry, node_now(node) + CONTROL_CALL_MS, control_on_changed, item);
+    struct buffer body = {0};
+    message_encode(&body, Entry_fields, &entry);
+    node_submit(node, REQUEST_PROPOSE_NEW, buffer_view(&body), node_now(node) + CONTROL_CALL_MS, control_on_changed,
+                item);
+    buffer_close(&body);
 }
 
 static void control_get_retire(struct control_call *item)
--- a/src/proxy/node_settings.c
+++ b/src/proxy/node_settings.c
@@ -1,6 +1,7 @@
 #include "proxy/node_settings.h"
 
 #include <stddef.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -153,6 +154,10 @@
 {
     node_settings_defaults(settings);
     yaml_read_file(path, node_settings_fields, settings, findings);
+    const char *further = getenv(NODE_SETTINGS_FURTHER);
+    if (further != NULL) {
+        yaml_read_text(NODE_SETTINGS_FURTHER, further, node_settings_fields, settings, findings);
+    }
     node_settings_check(settings, path, findings);
 }
 
--- a/src/proxy/node_settings.h
+++ b/src/proxy/node_settings.h
@@ -48,7 +48,15 @@
     char *log_level;          /**< error, warn, info or debug. */
 };
 
-/** Reads and checks the file; faults go to `findings`. */
+/**
+ * Variable of the environment that holds further settings, in the form of the
+ * file. A file with a key that a version does not know is refused by it, so
+ * that a misspelt key is found; settings that a fleet of two versions needs stand
+ * here as long as the older one is in service.
+ */
+#define NODE_SETTINGS_FURTHER "BANKBANK_FURTHER"
+
+/** Reads and checks the file and what the environment adds; faults go to `findings`. */
 void node_settings_load(struct node_settings *settings, const char *path, struct findings *findings);
 
 /** Frees the settings. */
--- a/src/proxy/state_host_daemons.c
+++ b/src/proxy/state_host_daemons.c
@@ -10,8 +10,6 @@
 
 enum {
     HOST_RELAY_FRESH_MS = 1000, /* age of a member's word that a relay passes on as current */
-    HOST_LEVEL_ZONES = 1,       /* of log entries (LINKS_LEVEL): drained zones */
-    HOST_SMALL_ENTRY = 512      /* bytes; entries of turns, which are many, are not looked into */
 };
 
 /* ---- Watches ---------------------------------------------------------------------------------------- */
@@ -222,25 +220,11 @@
 
 /* ---- Levels ------------------------------------------------------------------------------------------ */
 
-static bool host_proposes(const Frame *frame, int tag)
-{
-    const Request *request = &frame->payload.request;
-    Entry entry = {0};
-    bool proposal = frame->which_payload == Frame_request_tag && request->kind == REQUEST_PROPOSE;
-    if (!proposal || request->body.length > HOST_SMALL_ENTRY || !message_decode(request->body, Entry_fields, &entry)) {
-        return false;
-    }
-    bool is = entry.which_command == tag;
-    message_free(Entry_fields, &entry);
-    return is;
-}
-
 /* A member of an earlier version would pass such an entry over, and then lead without it. */
-static bool host_is_too_new(const struct state_host *host, const Frame *frame)
+static bool host_knows_all_levels(const struct state_host *host)
 {
     const struct raft_members *members = state_host_logged_members(host);
-    return state_host_leads(host) && host_proposes(frame, Entry_zone_drain_tag) &&
-           links_least_level(&host->node->links, members->nodes, members->count) < HOST_LEVEL_ZONES;
+    return links_least_level(&host->node->links, members->nodes, members->count) >= LINKS_LEVEL;
 }
 
 static void host_answer_too_new(struct state_host *host, uint32_t from, const Request *request)
@@ -261,10 +245,27 @@
     return frame->which_payload == Frame_request_tag && (kind == REQUEST_QUOTA || kind == REQUEST_SLOW_START);
 }
 
-void state_host_receive(struct state_host *host, uint32_t from, const Frame *frame)
+static bool host_is_new_proposal(const Frame *frame)
 {
-    if (host->running && host_is_too_new(host, frame)) {
+    return frame->which_payload == Frame_request_tag && frame->payload.request.kind == REQUEST_PROPOSE_NEW;
+}
+
+/* A replica that does not lead answers so, whatever is proposed. */
+static void host_handle_new_proposal(struct state_host *host, uint32_t from, const Frame *frame)
+{
+    Frame plain = *frame;
+    plain.payload.request.kind = REQUEST_PROPOSE;
+    if (state_host_leads(host) && !host_knows_all_levels(host)) {
         host_answer_too_new(host, from, &frame->payload.request);
+    } else {
+        replica_receive(&host->replica, node_now(host->node), from, &plain);
+    }
+}
+
+void state_host_receive(struct state_host *host, uint32_t from, const Frame *frame)
+{
+    if (host->running && host_is_new_proposal(frame)) {
+        host_handle_new_proposal(host, from, frame);
     } else if (host->running && host_is_ask(frame)) {
         host_handle_ask(host, from, &frame->payload.request);
     } else if (frame->which_payload == Frame_load_report_tag) {
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -98,6 +98,9 @@
 /** Daemons started from now on refer their watchers to replicas outside the group where they have more than that. */
 void site_refer_watchers(int above);
 
+/** A daemon runs the program of another build from its next start on; NULL: of site_build. */
+void site_set_build(int daemon, const char *build);
+
 /** Limits the memory that a daemon started from now on may hold, in MB; 0: no limit. */
 void site_limit_memory(int megabytes);
 
--- /dev/null
+++ b/tests/unit/site_settings.c
@@ -0,0 +1,74 @@
+/* Settings of a site's daemon: the file, and what the environment adds. */
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "proxy/node_settings.h"
+#include "suite.h"
+
+static struct node_settings settings;
+static struct findings findings;
+
+static const char FILE_TEXT[] = "name: \"m1\"\nip: \"10.0.0.1\"\npeer_port: 7380\ndata: \"/d\"\n"
+                                "seeds:\n  - address: \"10.0.0.2:8144\"\n";
+
+static void load(const char *further)
+{
+    char path[] = "/tmp/bankbank-settings-XXXXXX";
+    int file = mkstemp(path);
+    ck_assert_int_ge(file, 0);
+    ck_assert_int_eq(write(file, FILE_TEXT, strlen(FILE_TEXT)), (ssize_t)strlen(FILE_TEXT));
+    close(file);
+    unsetenv(NODE_SETTINGS_FURTHER);
+    if (further != NULL) {
+        setenv(NODE_SETTINGS_FURTHER, further, 1);
+    }
+    node_settings_load(&settings, path, &findings);
+    unlink(path);
+}
+
+static void teardown(void)
+{
+    node_settings_close(&settings);
+    findings_close(&findings);
+}
+
+START_TEST(the_file_alone_is_whole)
+{
+    load(NULL);
+    ck_assert_uint_eq(findings.count, 0);
+    ck_assert_uint_eq(settings.zones.count, 0);
+}
+END_TEST
+
+START_TEST(the_environment_adds_settings)
+{
+    load("start_overshoot: 1.5\nstart_slack: 5\nzones:\n  - name: \"a\"\n    region: \"north\"\n  - name: \"b\"\n");
+    ck_assert_uint_eq(findings.count, 0);
+    ck_assert_uint_eq(settings.start_overshoot, 1500);
+    ck_assert_uint_eq(settings.start_slack, 5);
+    ck_assert_uint_eq(settings.zones.count, 2);
+    ck_assert_str_eq(zone_region(settings.zones.items, 2, "a"), "north");
+    ck_assert_ptr_null(zone_region(settings.zones.items, 2, "b"));
+}
+END_TEST
+
+START_TEST(a_fault_there_is_told_with_its_place)
+{
+    load("start_slak: 5\n");
+    ck_assert_uint_eq(findings.count, 1);
+    ck_assert_ptr_nonnull(strstr(findings.items[0].place, NODE_SETTINGS_FURTHER));
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("site settings");
+    TCase *tests = tcase_create("settings");
+    tcase_add_checked_fixture(tests, NULL, teardown);
+    tcase_add_test(tests, the_file_alone_is_whole);
+    tcase_add_test(tests, the_environment_adds_settings);
+    tcase_add_test(tests, a_fault_there_is_told_with_its_place);
+    suite_add_tcase(suite, tests);
+    return suite_run(suite);
+}
