--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -132,7 +132,6 @@
     client->left = client->target;
     if (client->target == client->relay) {
         client->relay = RAFT_NO_NODE;
-        client->relay_left_ms = now_ms;
     }
     client->target = RAFT_NO_NODE;
     client->list_due = false;
@@ -246,8 +245,9 @@
     if (entry == NULL) {
         return NULL;
     }
+    bool stayed = entry->node == node && now_ms < entry->heard_ms + WATCH_VALID_MS;
     entry->whole_ms = entry->node == node ? entry->whole_ms : 0;
-    entry->referred_ms = entry->node == node ? entry->referred_ms : 0;
+    entry->referred_ms = stayed ? entry->referred_ms : 0; /* one that was away and comes back is referred again */
     entry->relays = watch->relays;
     entry->node = node;
     entry->heard_ms = now_ms;
--- a/src/core/watch.h
+++ b/src/core/watch.h
@@ -101,7 +101,6 @@
     uint64_t due_ms;                                     /**< Next watch. */
     bool list_due;                                       /**< The target has a newer list of servers to tell. */
     uint32_t relay;                                      /**< Replica to which it was referred, or RAFT_NO_NODE. */
-    uint64_t relay_left_ms;                              /**< Time at which one did not answer; 0: never. */
     uint64_t fresh_ms;                                   /**< Send time of the last watch with a fresh answer. */
     uint32_t leader;                                     /**< Leader told last. */
     uint32_t watchers;                                   /**< Daemons that watch the target. */
