--- a/src/proxy/state_host_join.c
+++ b/src/proxy/state_host_join.c
@@ -42,13 +42,21 @@
     members->places[position] = *place;
 }
 
+/* A machine that was told of a group without it belongs outside of that one, whatever seeds its settings name by now.
+ */
+static bool host_stands_outside(const struct state_host *host)
+{
+    const struct raft_members *members = &host->node->state.members;
+    return members->count > 0 && raft_member_position(members, host->identity.node) < 0;
+}
+
 /* At the first start of the site its seeds, once each knows the others, begin
  * the same group: the members in the order of their ids. */
 void state_host_try_bootstrap(struct state_host *host)
 {
     struct node *node = host->node;
     const struct raft_member_place *own = &node->links.config.place;
-    if (!node->settings.bootstrap || !host_is_seed_address(node, own->ip)) {
+    if (!node->settings.bootstrap || !host_is_seed_address(node, own->ip) || host_stands_outside(host)) {
         return;
     }
     uint32_t nodes[LINKS_REPLICAS_MOST];
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -101,6 +101,9 @@
 /** A daemon runs the program of another build from its next start on; NULL: of site_build. */
 void site_set_build(int daemon, const char *build);
 
+/** Names other daemons (SITE_STATES of them) as seeds in all settings, and tells the daemons that they have changed. */
+void site_change_seeds(const int *daemons);
+
 /** Limits the memory that a daemon started from now on may hold, in MB; 0: no limit. */
 void site_limit_memory(int megabytes);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -41,6 +41,7 @@
 static bool site_formed;
 static int site_memory_mb;
 static int site_refer_above = -1;
+static int site_seeds[SITE_STATES] = {0, 1, 2};
 static const char *site_builds[SITE_FIRST_DAEMONS + SITE_FURTHER]; /* NULL: site_build */
 static bool site_kept;
 
@@ -115,7 +116,7 @@
     }
     fprintf(file, "seeds:\n");
     for (int i = 0; i < SITE_STATES; i++) {
-        fprintf(file, "  - address: \"%s:%d\"\n", site_ip(i), site_control_port);
+        fprintf(file, "  - address: \"%s:%d\"\n", site_ip(site_seeds[i]), site_control_port);
     }
     fclose(file);
 }
@@ -164,6 +165,17 @@
     site_builds[daemon] = build;
 }
 
+void site_change_seeds(const int *daemons)
+{
+    memcpy(site_seeds, daemons, sizeof(site_seeds));
+    for (int daemon = 0; daemon < site_daemons(); daemon++) {
+        char settings[128];
+        snprintf(settings, sizeof(settings), "%s/settings-%d.yaml", site_folder, daemon);
+        site_write_settings(daemon, settings);
+        kill(site_processes[daemon], SIGHUP);
+    }
+}
+
 void site_start_daemon(int daemon)
 {
     char settings[128];
--- a/tests/integration/test_many.c
+++ b/tests/integration/test_many.c
@@ -104,6 +104,39 @@
 }
 END_TEST
 
+static bool all_have_reloaded(void *context)
+{
+    bool all = true;
+    (void)context;
+    for (int daemon = 0; daemon < DAEMONS; daemon++) {
+        all = all && site_log_has(daemon, "\"event\":\"reload\",\"asked\":true");
+    }
+    return all;
+}
+
+/* Machines outside the group that become the seeds, at their first start still, begin no group of their own. */
+START_TEST(new_seeds_outside_the_group_begin_no_other)
+{
+    int seeds[SITE_STATES] = {0};
+    int count = 0;
+    for (int daemon = 0; daemon < DAEMONS && count < SITE_STATES; daemon++) {
+        if (is_state(daemon) && site_metric(daemon, "replica_running") == 0) {
+            seeds[count++] = daemon;
+        }
+    }
+    ck_assert_int_eq(count, SITE_STATES);
+    site_change_seeds(seeds);
+    site_wait(all_have_reloaded, NULL, "all know the new seeds");
+    clock_sleep_us(2 * SETTLE_MS * 1000); /* they know each other by then */
+    for (int i = 0; i < SITE_STATES; i++) {
+        ck_assert(!site_log_has(seeds[i], "\"bootstrap\",\"members\""));
+    }
+    site_wait(group_is_whole, NULL, "the group is as it was");
+    site_wait(turn_is_served, (void *)(uintptr_t) "first", "a turn goes on from what was said before");
+    site_change_seeds((const int[]){0, 1, 2});
+}
+END_TEST
+
 /* Each seed loses its disk in its turn: other machines hold everything then, and seeds hold nothing. Gateways that
  * start know the seeds alone, and so does the group until it can tell which of its members are committed. */
 START_TEST(a_site_is_found_by_seeds_that_hold_nothing)
@@ -148,6 +181,7 @@
     tcase_set_timeout(tests, 120);
     tcase_add_unchecked_fixture(tests, start_many, site_stop);
     tcase_add_test(tests, as_many_become_members_as_are_needed);
+    tcase_add_test(tests, new_seeds_outside_the_group_begin_no_other);
     tcase_add_test(tests, a_site_is_found_by_seeds_that_hold_nothing);
     tcase_add_test(tests, a_lost_disk_is_replaced_while_no_seed_leads);
     suite_add_tcase(suite, tests);
