A silent replica is left though its watcher asks again; pacing tested at N and 2N

Found by a test of what had none (the longer silence that is borne while a list is on its way): the silence was counted from the last watch, which goes out each 500 ms, so that the 800 ms were never reached and a replica that stood still with a list to tell was watched for good. Change: it is counted from the first watch that was not answered.

--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -130,6 +130,7 @@
 static void watch_leave_target(struct watch_client *client, uint64_t now_ms)
 {
     client->left = client->target;
+    client->asked = RAFT_NO_NODE;
     if (client->target == client->relay) {
         client->relay = RAFT_NO_NODE;
     }
@@ -146,7 +147,7 @@
 bool watch_client_tick(struct watch_client *client, uint64_t now_ms, const struct watch_state *state, Watch *watch)
 {
     bool silent =
-        client->target != RAFT_NO_NODE && !client->answered && now_ms >= client->sent_ms + watch_patience_ms(client);
+        client->target != RAFT_NO_NODE && !client->answered && now_ms >= client->asked_ms + watch_patience_ms(client);
     if (silent) {
         watch_leave_target(client, now_ms);
     }
@@ -164,6 +165,8 @@
         return false;
     }
     client->due_ms = now_ms + WATCH_PERIOD_MS;
+    client->asked_ms = client->answered || client->asked != client->target ? now_ms : client->asked_ms;
+    client->asked = client->target;
     client->sent_ms = now_ms;
     client->answered = false;
     memset(watch, 0, sizeof(*watch));
--- a/src/core/watch.h
+++ b/src/core/watch.h
@@ -98,6 +98,8 @@
     uint64_t sequence;                                   /**< Number of the last watch. */
     uint64_t sent_ms;                                    /**< Its time. */
     bool answered;                                       /**< It was answered. */
+    uint32_t asked;                                      /**< Replica that was sent the last watch, or RAFT_NO_NODE. */
+    uint64_t asked_ms;                                   /**< Time of the first watch since the target's last answer. */
     uint64_t due_ms;                                     /**< Next watch. */
     bool list_due;                                       /**< The target has a newer list of servers to tell. */
     uint32_t relay;                                      /**< Replica to which it was referred, or RAFT_NO_NODE. */
--- a/tests/unit/watchers.c
+++ b/tests/unit/watchers.c
@@ -29,6 +29,7 @@
 static size_t step_most_bytes;
 static uint32_t lost_of_100;
 static uint64_t random_state;
+static int watcher_count; /* those of the watchers that watch */
 
 static uint32_t draw(uint32_t below)
 {
@@ -151,7 +152,7 @@
 static void step(void)
 {
     size_t before = sent_bytes;
-    for (int i = 0; i < WATCHERS; i++) {
+    for (int i = 0; i < watcher_count; i++) {
         Watch watch;
         if (!watch_client_tick(&clients[i], now_ms, &watchers[i], &watch)) {
             continue;
@@ -186,7 +187,7 @@
 
 static void check_all_have(int leader)
 {
-    for (int i = 0; i < WATCHERS; i++) {
+    for (int i = 0; i < watcher_count; i++) {
         ck_assert_uint_eq(watchers[i].servers.digest, replicas[leader].servers.digest);
         ck_assert_uint_eq(HASH_COUNT(watchers[i].servers.entries), HASH_COUNT(replicas[leader].servers.entries));
         ck_assert_uint_eq(watchers[i].servers_term, replicas[leader].servers_term);
@@ -212,6 +213,7 @@
     sent_bytes = 0;
     lost_of_100 = 0;
     random_state = 1;
+    watcher_count = WATCHERS;
     for (int i = 0; i < WATCHERS; i++) {
         struct watch_candidate candidates[REPLICAS];
         for (uint32_t r = 0; r < REPLICAS; r++) {
@@ -289,6 +291,51 @@
 }
 END_TEST
 
+/* Changes of half the list are paced as whole lists are: what goes out at once does not grow with the watchers. */
+START_TEST(a_large_change_is_paced_whoever_watches)
+{
+    static const int counts[] = {WATCHERS / 2, WATCHERS};
+    size_t whole;
+    watcher_count = counts[_i];
+    start();
+    for (int i = 0; i < SERVERS / 2; i++) {
+        servers[i].incarnation++;
+    }
+    read_servers(0);
+    follow_leader(0);
+    whole = server_list_whole(&replicas[0].servers).length;
+    run_for(SETTLE_MS);
+    check_all_have(0);
+    size_t most = (size_t)WATCH_WHOLE_BYTES_A_S * (WATCH_WHOLE_BURST_MS + STEP_MS) / 1000 + 2 * whole;
+    ck_assert_uint_le(step_most_bytes, REPLICAS * most + (size_t)watcher_count * FRAME_BYTES);
+}
+END_TEST
+
+/* A watcher that lacks the whole list has its answer before it, and bears a longer silence while it is on its way. */
+START_TEST(an_answer_does_not_wait_behind_a_list)
+{
+    Watch watch;
+    watch_told_t told = {.answers = true};
+    read_servers(0);
+    ck_assert(watch_client_tick(&clients[0], now_ms, &watchers[0], &watch));
+    struct watch_entry *entry = watch_server_note(&watched[0], now_ms, 1, &watch);
+    told.update.sequence = watch.sequence;
+    told.update.fresh = true;
+    watch_server_tell(&watched[0], entry, now_ms, &replicas[0], &told);
+    ck_assert_uint_eq(told.update.servers.length, 0);
+    ck_assert(watch_server_owes(&watched[0], entry, now_ms, &replicas[0], true));
+    watch_client_receive(&clients[0], now_ms, clients[0].target, &told.update, &watchers[0]);
+    uint32_t target = clients[0].target;
+    now_ms += WATCH_PERIOD_MS;
+    ck_assert(watch_client_tick(&clients[0], now_ms, &watchers[0], &watch));
+    watch_client_tick(&clients[0], now_ms + WATCH_LIST_ANSWER_MS - 1, &watchers[0], &watch);
+    ck_assert_uint_eq(clients[0].target, target);
+    watch_client_tick(&clients[0], now_ms + WATCH_LIST_ANSWER_MS, &watchers[0], &watch);
+    ck_assert_uint_ne(clients[0].target, target);
+    watch_told_close(&told);
+}
+END_TEST
+
 START_TEST(a_new_leader_with_the_same_list_tells_nothing_anew)
 {
     start();
@@ -495,6 +542,8 @@
     tcase_add_test(tests, a_start_is_paced_and_tells_each_list_once);
     tcase_add_test(tests, one_changed_server_costs_each_watcher_one_record);
     tcase_add_test(tests, a_tenth_that_is_replaced_costs_a_tenth);
+    tcase_add_loop_test(tests, a_large_change_is_paced_whoever_watches, 0, 2);
+    tcase_add_test(tests, an_answer_does_not_wait_behind_a_list);
     tcase_add_test(tests, a_new_leader_with_the_same_list_tells_nothing_anew);
     tcase_add_test(tests, a_watcher_that_follows_another_replica_is_told_changes);
     tcase_add_loop_test(tests, whatever_is_lost_all_have_the_list_in_the_end, 0, 4);
