Tests: a suite that fails keeps its sites' logs and data, and says where

Cause: failures that came once (memory, restart, resume, lives, site) could not be traced, since each site's folder was removed at its stop; only the soak kept its own. Change: folders are removed at the program's end if it succeeds; else it prints them. The soak's own way to keep them goes.

--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -85,12 +85,9 @@
 int site_state_daemon(int state);
 int site_gateway_daemon(int gateway);
 
-/** Ends all; fails if a daemon does not stop cleanly. */
+/** Ends all; fails if a daemon does not stop cleanly. Logs and data stay where the program fails, and it says where. */
 void site_stop(void);
 
-/** Keeps the folder with logs and data at the stop; returns its path. */
-const char *site_keep_folder(void);
-
 /** Starts and ends a daemon: states first, then gateways. */
 void site_start_daemon(int daemon);
 int site_end_daemon(int daemon, int signal_number);
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -23,7 +23,10 @@
     SITE_HEAD_START_US = 700 * 1000,
     SITE_STEP_US = 10000,
     SITE_LOG_STEP = 1 << 16,
-    SITE_FULL_BYTES = 4096
+    SITE_FULL_BYTES = 4096,
+    SITE_FOLDERS = 128, /* sites that one program starts, at most */
+    SITE_FOLDER_BYTES = 64,
+    SITE_COMMAND = 128
 };
 
 const char *site_build = "build";
@@ -35,7 +38,10 @@
 static int site_list_port;
 int site_closed_port;
 bool site_hides_closed_port;
-static char site_folder[64];
+static char site_folder[SITE_FOLDER_BYTES];                /* of the site that runs */
+static char site_folders[SITE_FOLDERS][SITE_FOLDER_BYTES]; /* of all sites of this program so far */
+static int site_folder_count;
+static pid_t site_folders_of; /* process that made them */
 static pid_t site_processes[SITE_DAEMONS];
 static int site_further; /* daemons besides the first ones: state replicas, then gateways */
 static int site_further_states;
@@ -44,7 +50,6 @@
 static int site_refer_above = -1;
 static int site_seeds[SITE_STATES] = {0, 1, 2};
 static const char *site_builds[SITE_FIRST_DAEMONS + SITE_FURTHER]; /* NULL: site_build */
-static bool site_kept;
 
 /* ---- Daemons ------------------------------------------------------------------------------------- */
 
@@ -412,11 +417,35 @@
     return ready;
 }
 
-static void site_prepare(void)
+/* A suite that fails leaves logs and data, and says where. */
+static void site_leave_folders(int status, void *unused)
 {
-    signal(SIGPIPE, SIG_IGN);
+    (void)unused;
+    for (int i = 0; i < site_folder_count && getpid() == site_folders_of; i++) {
+        char command[SITE_COMMAND];
+        snprintf(command, sizeof(command), status == 0 ? "rm -rf %s" : "echo logs and data: %s", site_folders[i]);
+        if (system(command) != 0) {
+            printf("not carried out: %s\n", command);
+        }
+    }
+}
+
+static void site_make_folder(void)
+{
+    if (site_folder_count == 0) {
+        ck_assert_int_eq(on_exit(site_leave_folders, NULL), 0);
+        site_folders_of = getpid();
+    }
+    ck_assert_int_lt(site_folder_count, SITE_FOLDERS);
     snprintf(site_folder, sizeof(site_folder), "/tmp/bankbank-site-XXXXXX");
     ck_assert_ptr_nonnull(mkdtemp(site_folder));
+    memcpy(site_folders[site_folder_count++], site_folder, sizeof(site_folder));
+}
+
+static void site_prepare(void)
+{
+    signal(SIGPIPE, SIG_IGN);
+    site_make_folder();
     site_formed = false;
     site_further = 0;
     site_further_states = 0;
@@ -481,7 +510,6 @@
 
 void site_stop(void)
 {
-    char command[128];
     for (int i = SITE_DAEMONS - 1; i >= 0; i--) {
         if (site_processes[i] != 0) {
             kill(site_processes[i], SIGTERM);
@@ -494,12 +522,4 @@
             ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == 0, "daemon %d ended with %d", i, status);
         }
     }
-    snprintf(command, sizeof(command), "rm -rf %s", site_folder);
-    ck_assert_int_eq(site_kept ? 0 : system(command), 0);
-}
-
-const char *site_keep_folder(void)
-{
-    site_kept = true;
-    return site_folder;
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -54,9 +54,6 @@
            (unsigned long long)seed, faults_count(), (unsigned long long)sum.calls, (unsigned long long)sum.kept,
            (unsigned long long)sum.served, (unsigned long long)sum.refused, (unsigned long long)sum.turns,
            (unsigned long long)sum.configurations, count_snapshots(), violations);
-    if (violations > 0) {
-        printf("logs and data: %s\n", site_keep_folder());
-    }
     site_stop();
     ck_assert_int_eq(violations, 0);
 }
