Log: a replica tells that it waited for its disk

Cause: a refusal beside a slow disk could not be told from one of the product: 'stalled' says only that the process did not run (frozen, starved or its disk).

--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -29,9 +29,9 @@
 };
 
 /* Events that change what a daemon can do for any request. */
-static const char *const explain_context[] = {"stalled",   "state_lost",    "state_regained", "leader_changed",
-                                              "peer_lost", "disk_blocked",  "disk_failed",    "stop_begins",
-                                              "start",     "lines_left_out"};
+static const char *const explain_context[] = {"stalled",     "state_lost",   "state_regained", "leader_changed",
+                                              "peer_lost",   "disk_blocked", "disk_slow",      "disk_failed",
+                                              "stop_begins", "start",        "lines_left_out"};
 
 static const char *explain_text(const json_t *object, const char *key)
 {
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -53,6 +53,7 @@
     bool serves_control;                /**< It has a control address. */
     uint64_t join_due_ms;               /**< Next request to join. */
     bool disk_blocked;                  /**< The disk takes nothing now. */
+    uint64_t disk_wait_ms;              /**< Time spent in waits for the disk. */
     bool joining;                       /**< One is under way. */
     uint64_t led_ms;                    /**< Last time a leader was known. */
     uint64_t dialled_index;             /**< Log entry of the members that are dialled, and 1. */
--- a/src/proxy/state_host_disk.c
+++ b/src/proxy/state_host_disk.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/event_log.h"
 #include "base/process_memory.h"
 #include "proxy/state_host_internal.h"
@@ -11,7 +12,8 @@
 
 enum {
     STATE_HOST_SNAPSHOT_ENTRIES = 16384,
-    STATE_HOST_SNAPSHOT_SPREAD = 4096 /* replicas take their snapshots apart from each other */
+    STATE_HOST_SNAPSHOT_SPREAD = 4096,                   /* replicas take their snapshots apart from each other */
+    STATE_HOST_SLOW_DISK_MS = STATE_HOST_ELECTION_MS / 2 /* a wait that may cost the replica its leadership */
 };
 
 /* ---- The replica's effects --------------------------------------------------------------- */
@@ -34,10 +36,24 @@
     }
 }
 
+/* The replica does nothing else while it waits for its disk: what is refused or late beside it came of that. */
+static void host_note_disk_wait(struct state_host *host, const char *what, uint64_t begun_ms, uint64_t bytes)
+{
+    uint64_t took_ms = clock_monotonic_ms() - begun_ms;
+    host->disk_wait_ms += took_ms;
+    if (took_ms >= STATE_HOST_SLOW_DISK_MS) {
+        event_log("disk_slow", "{s:s,s:I,s:I,s:b}", "what", what, "took_ms", (json_int_t)took_ms, "bytes",
+                  (json_int_t)bytes, "leads", state_host_leads(host));
+    }
+}
+
 static enum replica_sync host_on_sync(void *context)
 {
     struct state_host *host = context;
+    uint64_t begun_ms = clock_monotonic_ms();
+    uint64_t bytes = host->log.pending.length;
     bool synced = log_store_sync(&host->log);
+    host_note_disk_wait(host, "log", begun_ms, bytes);
     uv_update_time(&host->node->loop);
     if ((!synced && host->log.failed) || host->texts.failed) {
         host_disk_failed(host);
@@ -61,6 +77,7 @@
 {
     struct state_host *host = context;
     const snapshot_stored_t *stored = &host->log.groups[group].stored;
+    uint64_t begun_ms = clock_monotonic_ms();
     bool texts_synced = history_store_sync(&host->texts);
     bool saved = texts_synced && log_store_snapshot_commit(&host->log, group, reset_log);
     if (!texts_synced) {
@@ -69,6 +86,7 @@
     if (host->log.failed || host->texts.failed) {
         host_disk_failed(host);
     }
+    host_note_disk_wait(host, "snapshot", begun_ms, stored->state_length);
     event_log("snapshot", "{s:I,s:I,s:b,s:b,s:I,s:I}", "index", (json_int_t)stored->snapshot.index, "bytes",
               (json_int_t)stored->state_length, "saved", saved, "received", reset_log, "log_bytes",
               (json_int_t)host->replica.groups[group].raft.log.bytes, "resident_bytes",
