An order whose outcome is not learnt is answered 504, not 503

Callers (operators) saw: a configuration was answered 503, which says that it is not carried out, and came into force later. Cause: the order stood in the leader's log (RESULT_TIMEOUT: proposed, outcome not learnt), and the API answered 503 for all that was no success. Shown by the line order, 'outcome not learnt', beside the version in force. Ruled out: that another replica proposes it again (it was sent once, to the leader). Change: 504 there; 503 only for what certainly was not proposed (RESULT_UNAVAILABLE, told as such in the log). Reads as before.

--- a/src/proxy/control_api.c
+++ b/src/proxy/control_api.c
@@ -13,7 +13,8 @@
     CONTROL_INVALID = 400,
     CONTROL_UNKNOWN = 404,
     CONTROL_TOO_FEW = 409,
-    CONTROL_UNSURE = 503
+    CONTROL_UNSURE = 503,         /* a read that may be old, or an order that was not and will not be carried out */
+    CONTROL_UNKNOWN_OUTCOME = 504 /* an order that may come into force yet: 503 would promise that it does not */
 };
 
 /* A call under way; `call` becomes NULL when the operator has left. */
@@ -60,9 +61,10 @@
     case RESULT_NOT_FOUND: control_finish(item, CONTROL_UNKNOWN, view_of(NULL, 0), "unknown machine"); break;
     case RESULT_LIMIT: control_finish(item, CONTROL_TOO_FEW, view_of(NULL, 0), "too few or too many"); break;
     case RESULT_UNAVAILABLE:
-        control_finish(item, CONTROL_UNSURE, view_of(NULL, 0), "replicas of an earlier version");
+        control_finish(item, CONTROL_UNSURE, view_of(NULL, 0),
+                       "not proposed: no leader, or replicas of an earlier version");
         break;
-    default: control_finish(item, CONTROL_UNSURE, view_of(NULL, 0), "outcome not learnt"); break;
+    default: control_finish(item, CONTROL_UNKNOWN_OUTCOME, view_of(NULL, 0), "outcome not learnt"); break;
     }
 }
 
