A script that fails: all replicas stand still for longer than an election timeout, and the leader loses its office

The driver gets 'still': a process that does not run, whose timers are due before what has come to it is read, as in an event loop.

--- a/tests/scripted/run_election.c
+++ b/tests/scripted/run_election.c
@@ -5,6 +5,8 @@
  *   kill NODE          ends a replica; connections to it end
  *   dark NODE          the same, but nobody is told
  *   light NODE         starts it again
+ *   still NODE MS      a process does not run for so long (a wait for its disk, a machine that is starved): what comes
+ *                      to it waits, and its timers are due before that is read; "all": all at once
  *   alone              all but the leader go dark; from now on it is "kept", and "other" one of the others
  *   reset NODE NODE    the connection of two replicas ends and is made anew
  *   leader             tells who leads in which term, and who follows whom
@@ -34,6 +36,7 @@
 
 static struct raft group[MAX_NODES + 1];
 static bool alive[MAX_NODES + 1];
+static uint64_t still_until_ms[MAX_NODES + 1];
 static uint32_t ids[MAX_NODES + 1];
 static uint32_t node_count;
 static uint32_t kept;
@@ -104,30 +107,63 @@
     free(letter);
 }
 
+static bool is_still(uint32_t node)
+{
+    return now_ms < still_until_ms[node];
+}
+
+static void receive(const letter_t *letter)
+{
+    RaftMessage message = {0};
+    bool arrives = alive[letter->from] && alive[letter->to];
+    if (arrives && message_decode(buffer_view(&letter->data), RaftMessage_fields, &message)) {
+        raft_receive(&group[letter->to], now_ms, letter->from, &message);
+        message_free(RaftMessage_fields, &message);
+    }
+}
+
 static void deliver(void)
 {
-    while (letters != NULL && letters->due_ms <= now_ms) {
-        letter_t *letter = letters;
-        letters = letter->next;
-        RaftMessage message = {0};
-        bool arrives = alive[letter->from] && alive[letter->to];
-        if (arrives && message_decode(buffer_view(&letter->data), RaftMessage_fields, &message)) {
-            raft_receive(&group[letter->to], now_ms, letter->from, &message);
-            message_free(RaftMessage_fields, &message);
+    letter_t **place = &letters;
+    while (*place != NULL && (*place)->due_ms <= now_ms) {
+        letter_t *letter = *place;
+        if (is_still(letter->to)) {
+            place = &letter->next;
+            continue;
         }
+        *place = letter->next;
+        receive(letter);
         letter_free(letter);
     }
 }
 
+static void tick(uint32_t node)
+{
+    raft_tick(&group[node], now_ms);
+    raft_flush(&group[node], now_ms);
+    raft_synced(&group[node], now_ms);
+}
+
+/* Those that run again: an event loop has its timers before what has come. */
+static void wake(void)
+{
+    for (uint32_t node = 1; node <= node_count; node++) {
+        bool wakes = alive[node] && still_until_ms[node] != 0 && !is_still(node);
+        still_until_ms[node] = is_still(node) ? still_until_ms[node] : 0;
+        if (wakes) {
+            tick(node);
+        }
+    }
+}
+
 static void step(void)
 {
     now_ms += STEP_MS;
+    wake();
     deliver();
     for (uint32_t node = 1; node <= node_count; node++) {
-        if (alive[node]) {
-            raft_tick(&group[node], now_ms);
-            raft_flush(&group[node], now_ms);
-            raft_synced(&group[node], now_ms);
+        if (alive[node] && !is_still(node)) {
+            tick(node);
         }
     }
 }
@@ -215,6 +251,7 @@
             .role_changed = on_role,
         };
         alive[node] = true;
+        still_until_ms[node] = 0;
         raft_init(&group[node], &config, &io, &members);
         raft_start(&group[node], now_ms);
     }
@@ -312,6 +349,15 @@
     return (uint32_t)script_number(command, position, 1);
 }
 
+static void stand_still(const script_command_t *command)
+{
+    for (uint32_t node = 1; node <= node_count; node++) {
+        if (script_is(command, 1, "all") || node == node_of(command, 1)) {
+            still_until_ms[node] = now_ms + script_number(command, 2, 0);
+        }
+    }
+}
+
 static void leave_leader_alone(void)
 {
     kept = leader();
@@ -331,6 +377,8 @@
         for (uint64_t end_ms = now_ms + script_number(command, 1, 0); now_ms < end_ms;) {
             step();
         }
+    } else if (script_is(command, 0, "still")) {
+        stand_still(command);
     } else if (script_is(command, 0, "dark")) {
         alive[node] = false;
     } else if (script_is(command, 0, "alone")) {
