A leader keeps its office over a standstill of its own process

Callers saw: beside a slow disk, orders and turns refused for longer than the disk stood still. Cause: after a standstill an event loop has its timers before it reads. A leader that had waited for its disk for longer than an election timeout judged the others by what it had not read, after asking nothing that they could have answered, and stepped down; a follower asked for votes before it read its leader's messages. Shown by three replicas with disk_slow and stalled at the same milliseconds, and leader_changed at the leader in the millisecond of its own 'stalled' (417 ms). Ruled out: a slow disk on one replica only (test_slow_disk: refuses nothing), the processor (gateways of the site have no 'stalled'). Change: silence seen on the first tick after a standstill is excused until others could speak, once: a leader for one more election timeout, a follower for one more heartbeat period. 'stalled' tells how much of it was a wait for the disk. Why it holds: only the judgement waits; votes, commits, reads and leases need a quorum's word as before.

--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -373,14 +373,33 @@
     raft_compact(raft, keep_after);
 }
 
-static void raft_tick_leader(struct raft *raft, uint64_t now_ms)
+/* Whether this process did not run for longer than a heartbeat period: what came meanwhile is not read yet, and a
+ * leader has asked nothing that could have been answered. */
+static bool raft_stood_still(struct raft *raft, uint64_t now_ms)
+{
+    bool still = raft->ticked_ms != 0 && now_ms > raft->ticked_ms + raft->config.heartbeat_ms;
+    raft->ticked_ms = now_ms;
+    return still;
+}
+
+static bool raft_steps_down(struct raft *raft, uint64_t now_ms, bool stood_still)
+{
+    if (raft_heard_from_quorum(raft, now_ms)) {
+        return false;
+    }
+    bool excused = stood_still && raft_quorum_spoke_since(raft, raft->excused_ms + 1);
+    raft->excused_ms = excused ? now_ms : raft->excused_ms;
+    return !excused;
+}
+
+static void raft_tick_leader(struct raft *raft, uint64_t now_ms, bool stood_still)
 {
     if (raft->transfer_target != RAFT_NO_NODE && now_ms >= raft->transfer_deadline_ms) {
         raft->transfer_target = RAFT_NO_NODE;
     }
     if (now_ms >= raft->quorum_checked_ms + raft->config.election_timeout_ms) {
         raft->quorum_checked_ms = now_ms;
-        if (!raft_heard_from_quorum(raft, now_ms)) {
+        if (raft_steps_down(raft, now_ms, stood_still)) {
             raft_become_follower(raft, now_ms, raft->term, RAFT_NO_NODE);
             return;
         }
@@ -392,14 +411,21 @@
 
 void raft_tick(struct raft *raft, uint64_t now_ms)
 {
+    bool stood_still = raft_stood_still(raft, now_ms);
     if (raft->role == RAFT_LEADER) {
-        raft_tick_leader(raft, now_ms);
+        raft_tick_leader(raft, now_ms, stood_still);
         return;
     }
     bool may_campaign = raft_is_voter(&raft->members, raft->config.node);
-    if (may_campaign && now_ms >= raft->election_deadline_ms) {
-        raft_campaign(raft, now_ms, true, false);
+    if (!may_campaign || now_ms < raft->election_deadline_ms) {
+        return;
+    }
+    if (stood_still && raft->excused_ms == 0) {
+        raft->excused_ms = now_ms;
+        raft->election_deadline_ms = now_ms + raft->config.heartbeat_ms;
+        return;
     }
+    raft_campaign(raft, now_ms, true, false);
 }
 
 /* A vote request within an election timeout of a live leader is ignored, so
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -7,7 +7,8 @@
  * clock or random source; election jitter is a hash of seed, node and term.
  *
  * Extensions over the basic algorithm: pre-vote, check-quorum (a leader that
- * does not hear from a quorum within an election timeout steps down),
+ * does not hear from a quorum within an election timeout steps down; silence that is
+ * seen at the end of a standstill of the own process is excused until others could speak),
  * linearizable reads by heartbeat rounds, leader transfer, learners,
  * one-at-a-time membership change, and chunked snapshot installation.
  *
@@ -170,33 +171,35 @@
 
 /** One replica of one group. */
 struct raft {
-    struct raft_config config;                              /**< Fixed settings. */
-    struct raft_io io;                                      /**< Effects. */
-    enum raft_role role;                                    /**< Current role. */
-    uint64_t term;                                          /**< Current term. */
-    uint32_t vote;                                          /**< Candidate voted for in `term`. */
-    uint32_t leader;                                        /**< Known leader of `term`, or RAFT_NO_NODE. */
-    struct raft_log log;                                    /**< Entries in memory. */
-    uint64_t commit;                                        /**< Highest committed entry. */
-    uint64_t applied;                                       /**< Highest applied entry. */
-    uint64_t synced;                                        /**< Highest own entry known to be synced. */
-    struct raft_members members;                            /**< Latest members, committed or not. */
-    uint64_t members_index;                                 /**< Entry that set them. */
-    struct raft_members previous_members;                   /**< Members before that entry. */
-    uint64_t previous_members_index;                        /**< Entry that set those. */
-    struct raft_members base_members;                       /**< Members at the last compacted entry. */
-    uint64_t election_deadline_ms;                          /**< Follower: time to campaign. */
-    uint64_t last_leader_contact_ms;                        /**< Time the leader was last heard. */
-    uint64_t current_ms;                                    /**< Follower: when it had applied all that its settled
-                                                                 leader told as committed; 0: not yet. */
-    uint64_t heartbeat_due_ms;                              /**< Leader: next heartbeat. */
-    uint64_t quorum_checked_ms;                             /**< Leader: start of the current check-quorum window. */
-    uint64_t elections;                                     /**< Campaigns started, part of the jitter. */
-    bool votes[RAFT_MAX_MEMBERS];                           /**< Candidate: grants by member position. */
-    struct raft_progress progress[RAFT_MAX_MEMBERS];        /**< Leader: by member position. */
-    bool send_due;                                          /**< Leader: members may lack entries; raft_flush(). */
-    bool round_due;                                         /**< Leader: reads wait for a round; raft_flush(). */
-    uint64_t round;                                         /**< Leader: heartbeat round number. */
+    struct raft_config config;                       /**< Fixed settings. */
+    struct raft_io io;                               /**< Effects. */
+    enum raft_role role;                             /**< Current role. */
+    uint64_t term;                                   /**< Current term. */
+    uint32_t vote;                                   /**< Candidate voted for in `term`. */
+    uint32_t leader;                                 /**< Known leader of `term`, or RAFT_NO_NODE. */
+    struct raft_log log;                             /**< Entries in memory. */
+    uint64_t commit;                                 /**< Highest committed entry. */
+    uint64_t applied;                                /**< Highest applied entry. */
+    uint64_t synced;                                 /**< Highest own entry known to be synced. */
+    struct raft_members members;                     /**< Latest members, committed or not. */
+    uint64_t members_index;                          /**< Entry that set them. */
+    struct raft_members previous_members;            /**< Members before that entry. */
+    uint64_t previous_members_index;                 /**< Entry that set those. */
+    struct raft_members base_members;                /**< Members at the last compacted entry. */
+    uint64_t election_deadline_ms;                   /**< Follower: time to campaign. */
+    uint64_t last_leader_contact_ms;                 /**< Time the leader was last heard. */
+    uint64_t current_ms;                             /**< Follower: when it had applied all that its settled
+                                                          leader told as committed; 0: not yet. */
+    uint64_t heartbeat_due_ms;                       /**< Leader: next heartbeat. */
+    uint64_t quorum_checked_ms;                      /**< Leader: start of the current check-quorum window. */
+    uint64_t ticked_ms;                              /**< Last tick, 0: none yet. */
+    uint64_t excused_ms;                             /**< When silence was last excused, 0: never since a contact. */
+    uint64_t elections;                              /**< Campaigns started, part of the jitter. */
+    bool votes[RAFT_MAX_MEMBERS];                    /**< Candidate: grants by member position. */
+    struct raft_progress progress[RAFT_MAX_MEMBERS]; /**< Leader: by member position. */
+    bool send_due;                                   /**< Leader: members may lack entries; raft_flush(). */
+    bool round_due;                                  /**< Leader: reads wait for a round; raft_flush(). */
+    uint64_t round;                                  /**< Leader: heartbeat round number. */
     struct raft_pending_read reads[RAFT_MAX_PENDING_READS]; /**< Reads that wait. */
     size_t read_count;                                      /**< Number of waiting reads. */
     uint32_t transfer_target;                               /**< Leader transfer in progress, or RAFT_NO_NODE. */
@@ -301,6 +304,9 @@
 /** Whether a leader heard of a quorum of voters within an election timeout. */
 bool raft_heard_from_quorum(const struct raft *raft, uint64_t now_ms);
 
+/** Whether a leader heard of a quorum of voters since a time. */
+bool raft_quorum_spoke_since(const struct raft *raft, uint64_t since_ms);
+
 /**
  * Whether everything that was committed an election timeout ago is applied here: a leader that has committed in its
  * own term and hears a quorum; a follower that had, within that time, applied all that such a leader told it. A replica
--- a/src/core/raft_election.c
+++ b/src/core/raft_election.c
@@ -15,6 +15,7 @@
 
 void raft_reset_election_timer(struct raft *raft, uint64_t now_ms)
 {
+    raft->excused_ms = 0;
     raft->election_deadline_ms = now_ms + raft->config.election_timeout_ms + raft_election_jitter(raft);
 }
 
@@ -66,6 +67,7 @@
     raft->role = RAFT_LEADER;
     raft->leader = raft->config.node;
     raft->quorum_checked_ms = now_ms;
+    raft->excused_ms = 0;
     raft->transfer_target = RAFT_NO_NODE;
     raft->round = 0;
     for (int i = 0; i < RAFT_MAX_MEMBERS; i++) {
--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -106,16 +106,23 @@
     return false;
 }
 
-bool raft_heard_from_quorum(const struct raft *raft, uint64_t now_ms)
+bool raft_quorum_spoke_since(const struct raft *raft, uint64_t since_ms)
 {
     uint32_t heard = 0;
     for (uint32_t i = 0; i < raft->members.count; i++) {
-        bool self = raft->progress[i].node == raft->config.node;
-        heard += (self || raft_hears_member(raft, i, now_ms)) && !raft->members.learners[i] ? 1 : 0;
+        const struct raft_progress *progress = &raft->progress[i];
+        bool spoke = progress->node == raft->config.node || progress->last_heard_ms >= since_ms;
+        heard += spoke && !raft->members.learners[i] ? 1 : 0;
     }
     return heard > raft_voter_count(&raft->members) / 2;
 }
 
+bool raft_heard_from_quorum(const struct raft *raft, uint64_t now_ms)
+{
+    uint64_t timeout_ms = raft->config.election_timeout_ms;
+    return raft_quorum_spoke_since(raft, now_ms > timeout_ms ? now_ms - timeout_ms : 0);
+}
+
 /* An entry of the leader's own term is committed: only then does its commit index cover all that others committed. */
 static bool raft_commit_is_settled(const struct raft *raft, uint64_t commit)
 {
--- a/src/net/peer_watch.c
+++ b/src/net/peer_watch.c
@@ -16,7 +16,8 @@
     static const int quiet_s = PEER_WATCH_QUIET_MS / PEER_WATCH_S;
     return peer_watch_set(file, IPPROTO_TCP, TCP_USER_TIMEOUT, PEER_WATCH_SILENT_MS) &&
            peer_watch_set(file, IPPROTO_TCP, TCP_KEEPINTVL, quiet_s) &&
-           peer_watch_set(file, IPPROTO_TCP, TCP_KEEPIDLE, quiet_s) && peer_watch_set(file, SOL_SOCKET, SO_KEEPALIVE, 1);
+           peer_watch_set(file, IPPROTO_TCP, TCP_KEEPIDLE, quiet_s) &&
+           peer_watch_set(file, SOL_SOCKET, SO_KEEPALIVE, 1);
 }
 
 void peer_watch_end(int file)
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -122,11 +122,14 @@
 static void node_report_stall(struct node *node)
 {
     uint64_t gap_ms = node_now(node) - node->ticked_ms;
+    uint64_t disk_wait_ms = node->host == NULL ? 0 : node->host->disk_wait_ms;
     if (node->ticked_ms != 0 && gap_ms >= NODE_STALL_MS) {
-        event_log("stalled", "{s:I}", "gap_ms", (json_int_t)gap_ms);
+        event_log("stalled", "{s:I,s:I}", "gap_ms", (json_int_t)gap_ms, "disk_ms",
+                  (json_int_t)(disk_wait_ms - node->ticked_disk_ms));
         node->woke_ms = node_now(node);
     }
     node->ticked_ms = node_now(node);
+    node->ticked_disk_ms = disk_wait_ms;
 }
 
 static void node_on_tick(uv_timer_t *timer)
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -75,6 +75,7 @@
     struct http_listener ready;     /**< Readiness question. */
     struct http_listener metrics;   /**< Metrics. */
     uint64_t ticked_ms;             /**< Last tick. */
+    uint64_t ticked_disk_ms;        /**< Time a replica had waited for its disk until the last tick. */
     uint64_t woke_ms;               /**< End of the last stall: what began before says nothing of others. */
     uint64_t heard_ms;              /**< Last frame of another daemon. */
     node_work_t work;               /**< What it worked on, as told last. */
