A gateway that stood still reads what replicas sent before it counts as cut off

Callers saw: after a standstill of a gateway's process of 0.7 s or longer, the turns that lay unread were refused 503 and their connections closed, though the replicas had spoken all the time. Cause: silence was judged by the clock at the end of the standstill, before the replicas' bytes were read; the excuse for standstills covered dials only, and began with the first tick, after the callers' requests. Shown by requests with the outcome 'state replicas unreachable' in the millisecond of 'stalled', and one before it. Ruled out: the time given (5 s), the replicas (they ran). Change: node_has_just_woken(): the tick is late, or was a moment ago; used for replicas, dials and open connections alike.

--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -20,7 +20,6 @@
     FRONT_CACHE_BYTES = 8 << 20, /**< Turns kept near, where the memory is not told. */
     FRONT_CONNECTIONS = 24,      /**< Connections of this gateway to one server. */
     FRONT_REVIEW_MS = 50,        /**< Period of looking for servers that fail. */
-    FRONT_WOKE_MS = 200,         /**< Time after a stall of its own for which dials without an answer say nothing. */
     FRONT_WITHDRAWN_MS = 1000    /**< Time that the leader's word to withdraw holds. */
 };
 
--- a/src/proxy/front_reach.c
+++ b/src/proxy/front_reach.c
@@ -45,15 +45,9 @@
     }
 }
 
-/* Where this process stood still lately, silence says nothing. */
-static bool front_is_excused(const struct front *front)
-{
-    return node_now(front->node) < front->node->woke_ms + FRONT_WOKE_MS;
-}
-
 void front_note_silent_open(struct front *front, struct server *server)
 {
-    if (!front_is_excused(front)) {
+    if (!node_has_just_woken(front->node)) {
         front_tell_reach(front, server, reach_note_silent_open(&server->reach));
     }
 }
@@ -62,7 +56,7 @@
 {
     struct front *front = context;
     uint64_t now_ms = node_now(front->node);
-    bool taken = answered || front_is_excused(front);
+    bool taken = answered || node_has_just_woken(front->node);
     struct server *server = front->servers.servers;
     while (server != NULL) {
         struct server *next = server->hh.next; /* a server that is not listed ends with its last request */
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -19,7 +19,6 @@
 enum {
     NODE_EXIT_SETTINGS = 2,
     NODE_SETTINGS_CHECK_MS = 1000,
-    NODE_STALL_MS = 400,  /* a gap between ticks that is told */
     NODE_LEAVE_MS = 2200, /* time after which the platform sends no new connections */
     NODE_STOP_MARGIN_MS = 400,
     NODE_MAX_HEAD = 16 << 10,
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -24,6 +24,8 @@
 enum {
     NODE_TICK_MS = 20,             /**< Period of the clock tick. */
     NODE_ISOLATED_MS = 700,        /**< Silence of all replicas after which a gateway counts as cut off. */
+    NODE_STALL_MS = 400,           /**< A gap between ticks that is a standstill of this process. */
+    NODE_WOKE_MS = 200,            /**< Time after a standstill of its own for which others' silence says nothing. */
     NODE_FRESH_MS = 1500,          /**< Time without a fresh replica before a gateway helps itself. */
     NODE_OWN_LIST_PERIOD_MS = 1000 /**< Pause between readings of the list by a gateway cut off. */
 };
@@ -142,6 +144,9 @@
 /** Whether no state replica can be reached, not even one out of touch with the others. */
 bool node_is_isolated(const struct node *node);
 
+/** Whether this process stood still until a moment ago: others' silence says nothing then. */
+bool node_has_just_woken(const struct node *node);
+
 /** Ends the daemon. */
 void node_stop(struct node *node);
 
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -358,9 +358,19 @@
     return node->host != NULL ? 0 : node_now(node) - node->watch.fresh_ms;
 }
 
+/* The end of a standstill shows in the tick, and before it in that the tick is late: callers' requests may be read
+ * first. */
+bool node_has_just_woken(const struct node *node)
+{
+    uint64_t now_ms = node_now(node);
+    return now_ms < node->woke_ms + NODE_WOKE_MS || now_ms >= node->ticked_ms + NODE_STALL_MS;
+}
+
+/* What the replicas have sent meanwhile is read before their silence is judged. */
 bool node_is_isolated(const struct node *node)
 {
-    return node->host == NULL && node_now(node) >= node->heard_ms + NODE_ISOLATED_MS;
+    bool silent = node_now(node) >= node->heard_ms + NODE_ISOLATED_MS;
+    return node->host == NULL && silent && !node_has_just_woken(node);
 }
 
 /* A replica watches its leader, for the list of servers; a gateway, or a machine that holds nothing yet and has to
