A gateway refuses for want of memory by what is held now

Callers saw: 503 'memory full' from a gateway with one request under way; large histories make it likely: the share was reached by what began within 50 ms, however little was under way at once. Cause: requests that begin were added to the sum, and those that ended stood in it until the next look. Shown by memory_full with 12,643,920 of 12,582,900 bytes and one caller, and 0 bytes 21 ms later. Ruled out: answers that callers had not read (they had), bodies that arrive (counted apart), the disk (a file system in memory). Change: where the sum reaches the share it is added up anew before anybody is refused.

--- a/src/proxy/front_memory.c
+++ b/src/proxy/front_memory.c
@@ -33,13 +33,18 @@
               (json_int_t)front->counters.memory_refusals);
 }
 
-void front_memory_review(struct front *front)
+static void front_add_up(struct front *front)
 {
-    size_t share = front->node->memory.requests;
     front->requests_bytes = http_listener_unsent(&front->callers); /* outlives its request */
     for (const struct forward *forward = front->forwards; forward != NULL; forward = forward->next) {
         front->requests_bytes += front_request_bytes(forward);
     }
+}
+
+void front_memory_review(struct front *front)
+{
+    size_t share = front->node->memory.requests;
+    front_add_up(front);
     /* Full until a quarter of the share is free again: one line for each time. */
     if (front->memory_full && front->requests_bytes < share - share / 4) {
         front_report_full(front, false);
@@ -51,8 +56,9 @@
 {
     size_t share = front->node->memory.requests;
     front->requests_bytes += front_request_bytes(forward);
-    if (share > 0 && front->requests_bytes > share) {
-        front_report_full(front, true);
+    if (share > 0 && front->requests_bytes > share && !front->memory_full) {
+        front_add_up(front); /* what has ended since the last look still stood in the sum */
+        front_report_full(front, front->requests_bytes > share);
     }
     front->counters.memory_refusals += front->memory_full ? 1 : 0;
     return !front->memory_full;
--- a/src/proxy/front_memory.h
+++ b/src/proxy/front_memory.h
@@ -2,7 +2,8 @@
  * @file front_memory.h
  * What a gateway's requests and cached turns hold, against their shares of
  * the memory (core/memory_budget.h). A request counts with its body from its
- * begin on; what it comes to hold besides is added up each FRONT_REVIEW_MS.
+ * begin on; what it comes to hold besides is added up each FRONT_REVIEW_MS, and
+ * before a request is refused: until then those that have ended are in the sum.
  * Bodies that still arrive are bounded where they are read
  * (http_limits.max_arriving_bytes).
  */
