A test that fails: an entry whose sync failed counts after the restart, and a loss of power takes it

The test's disk reports a sync's error once and counts the file's pages as clean from then, as Linux does.

--- a/tests/unit/power_loss.c
+++ b/tests/unit/power_loss.c
@@ -28,6 +28,7 @@
     ino_t inode;
     int pin; /* keeps the number from being given to another file */
     bool folder;
+    bool dropped; /* a sync of it failed: the kernel counts its pages as clean, and later syncs report nothing */
     struct buffer content;
     size_t name_count;
     char names[NAMES_MOST][PATH];
@@ -39,6 +40,7 @@
 static size_t kept_count;
 static bool killed;           /* the process ended: nothing is synced any more, and what it wrote stays */
 static bool killed_in_folder; /* it ends where it would sync a folder next */
+static bool sync_fails;       /* the next sync reports an error, once */
 static int syncs_left;        /* it ends in the sync behind so many; -1: in none */
 static int kill_error;        /* what the sync reports then */
 static char root[64];
@@ -99,9 +101,15 @@
         item->pin = dup(file);
         item->folder = S_ISDIR(info.st_mode);
     }
+    if (sync_fails) {
+        sync_fails = false;
+        item->dropped = true;
+        errno = EIO;
+        return -1;
+    }
     if (item->folder) {
         keep_names(item);
-    } else {
+    } else if (!item->dropped) {
         keep_content(item);
     }
     return 0;
@@ -334,6 +342,31 @@
 }
 END_TEST
 
+/*
+ * A sync that failed. The kernel drops what it could not write and counts those pages as clean: it reports the error
+ * once, and reads them back as if they stood on the disk. The process ends, and its successor reads the entry, syncs
+ * the file without an error, and counts it. After a loss of power it is not there: last_index 1 where 2 was counted.
+ */
+START_TEST(an_entry_read_back_after_a_failed_sync_outlives_a_loss_of_power)
+{
+    start();
+    append(1);
+    ck_assert(log_store_sync(&store));
+    append(2);
+    sync_fails = true;
+    ck_assert(!log_store_sync(&store));
+    ck_assert(store.failed);
+    log_store_close(&store);
+    start();
+    uint64_t counted = seen.last_index;
+    log_store_close(&store);
+    lose_power();
+    start();
+    ck_assert_uint_eq(seen.last_index, counted);
+    log_store_close(&store);
+}
+END_TEST
+
 START_TEST(a_vote_read_back_outlives_a_loss_of_power)
 {
     start();
@@ -542,6 +575,7 @@
     tcase_set_timeout(tests, 60);
     tcase_add_test(tests, synced_records_outlive_a_loss_of_power);
     tcase_add_test(tests, an_entry_read_back_outlives_a_loss_of_power);
+    tcase_add_test(tests, an_entry_read_back_after_a_failed_sync_outlives_a_loss_of_power);
     tcase_add_test(tests, a_vote_read_back_outlives_a_loss_of_power);
     tcase_add_test(tests, a_vote_outlives_a_segment_that_was_only_begun);
     tcase_add_test(tests, a_snapshot_read_back_outlives_a_loss_of_power);
