A start writes the last segment of its log anew before it counts what it read back

What would be seen: something acknowledged is lost by a loss of power that follows a failed sync and a restart. Cause: after a failed sync the kernel counts as clean the pages that it could not write. The next process read them back, its sync of the same file reported nothing, and the entry counted. Change: the last segment is copied to a new file, synced and renamed; only exact names are segments, so that a copy left by a kill is none. On a full disk the sync of the old file has to do, as before.

--- a/src/store/log_store.c
+++ b/src/store/log_store.c
@@ -99,10 +99,26 @@
 
 /* ---- Segments ------------------------------------------------------------------ */
 
+static void log_segment_name(uint64_t number, char name[LOG_NAME_MAX])
+{
+    snprintf(name, LOG_NAME_MAX, "log-%010" PRIu64, number);
+}
+
+/* False: no segment has that name. */
+static bool log_segment_number(const char *name, uint64_t *number)
+{
+    char exact[LOG_NAME_MAX];
+    if (sscanf(name, "log-%" SCNu64, number) != 1) {
+        return false;
+    }
+    log_segment_name(*number, exact);
+    return strcmp(name, exact) == 0;
+}
+
 static char *log_segment_path(const struct log_store *store, uint64_t number)
 {
     char name[LOG_NAME_MAX];
-    snprintf(name, sizeof(name), "log-%010" PRIu64, number);
+    log_segment_name(number, name);
     return file_path(store->folder, name);
 }
 
@@ -432,7 +448,7 @@
     }
     for (struct dirent *item = readdir(folder); item != NULL; item = readdir(folder)) {
         uint64_t number = 0;
-        if (sscanf(item->d_name, "log-%" SCNu64, &number) == 1) {
+        if (log_segment_number(item->d_name, &number)) {
             log_store_add_segment(store, number);
         }
     }
@@ -443,15 +459,39 @@
     return true;
 }
 
+/* A file of its own, with what was read: its pages are new to the kernel, so that its sync writes all of them. */
+static bool log_store_rewrite_last(struct log_store *store)
+{
+    char name[LOG_NAME_MAX];
+    struct buffer content = {0};
+    log_segment_name(store->segments[store->segment_count - 1].number, name);
+    char *path = file_path(store->folder, name);
+    bool written = file_read_all(path, &content) && file_replace(store->folder, name, buffer_view(&content));
+    buffer_close(&content);
+    free(path);
+    return written;
+}
+
 /* A process that is killed leaves bytes and names that no sync covered, and the next one reads them. They last before
- * anything of them counts. Older segments were synced before the last one was begun. */
+ * anything of them counts. One whose sync failed leaves more: the kernel may count as clean what it could not write,
+ * and no later sync of that file tells. Older segments were synced before the last one was begun. On a full disk there
+ * is no room for a second file: the sync of the first has to do. */
 static bool log_store_settle(struct log_store *store)
 {
-    if (fdatasync(store->file) != 0 || !file_sync_folder(store->folder)) {
-        log_store_fail(store, "cannot sync what was read back", store->folder);
-        return false;
+    if (log_store_rewrite_last(store)) {
+        return true;
     }
-    return true;
+    char *path = log_segment_path(store, store->segments[store->segment_count - 1].number);
+    int file = log_disk_is_full() ? open(path, O_RDONLY | O_CLOEXEC) : -1;
+    bool synced = file >= 0 && fdatasync(file) == 0 && file_sync_folder(store->folder);
+    if (!synced) {
+        log_store_fail(store, "cannot sync what was read back", path);
+    }
+    if (file >= 0) {
+        close(file);
+    }
+    free(path);
+    return synced;
 }
 
 /* The process before may have ended between the file of the last segment and its head. */
@@ -491,7 +531,7 @@
         }
     }
     if (store->segment_count > 0) {
-        return log_store_open_last(store, false) && log_store_settle(store) && log_store_complete_head(store);
+        return log_store_settle(store) && log_store_open_last(store, false) && log_store_complete_head(store);
     }
     return log_store_begin_segment(store, 1) && log_store_sync(store);
 }
@@ -509,7 +549,7 @@
         uint64_t number = 0;
         char *path = file_path(folder, item->d_name);
         uint64_t bytes = stat(path, &status) == 0 ? (uint64_t)status.st_size : 0;
-        if (sscanf(item->d_name, "log-%" SCNu64, &number) == 1) {
+        if (log_segment_number(item->d_name, &number)) {
             *log_bytes += bytes;
         } else if (sscanf(item->d_name, "snapshot-%" SCNu64, &number) == 1) {
             *snapshot_bytes += bytes;
--- a/src/store/log_store.h
+++ b/src/store/log_store.h
@@ -18,7 +18,8 @@
  * cannot be told from one that was torn. A bad record with a later write behind it
  * means that acknowledged data is damaged: opening fails and names the place.
  * All that is read back is synced before it counts: the process before may not
- * have come to it.
+ * have come to it. The last segment is written into a new file for that, since the
+ * sync of one whose sync has failed before tells nothing.
  */
 #ifndef BANKBANK_STORE_LOG_STORE_H
 #define BANKBANK_STORE_LOG_STORE_H
