A leader takes all reads that wait for a round, not 256

Cause: gateways that start at once ask the leader's word on their first configuration; from the 257th on they were answered as by no leader, and asked again after a pause (listed: 280 gateways, 864 in the whole fleet). Shown by election.script: 256 of 300 and of 600 reads taken. Ruled out: a larger constant, which ends at the next size. Change: waiting reads stand in an array that grows: each has its request in memory already, and all share one round.

--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -140,6 +140,7 @@
 void raft_close(struct raft *raft)
 {
     raft_log_close(&raft->log);
+    free(raft->reads);
     for (int i = 0; i < RAFT_MAX_MEMBERS; i++) {
         buffer_close(&raft->progress[i].snapshot_bytes);
     }
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -31,7 +31,6 @@
     RAFT_MAX_MEMBERS = 16,             /**< Voters and learners of one group. */
     RAFT_NAME_MAX = 48,                /**< Bytes of a member's machine name, NUL included. */
     RAFT_ZONE_MAX = 32,                /**< Bytes of a member's zone, NUL included. */
-    RAFT_MAX_PENDING_READS = 256,      /**< Reads that wait for a round. */
     RAFT_MAX_INFLIGHT_ENTRIES = 512,   /**< Entries sent to a follower beyond its acknowledgement. */
     RAFT_MAX_INFLIGHT_BYTES = 1 << 20, /**< Entry bytes sent to a follower beyond its acknowledgement. */
     RAFT_MAX_BATCH_BYTES = 256 << 10,  /**< Entry bytes of one append message. */
@@ -200,13 +199,14 @@
     bool send_due;                                   /**< Leader: members may lack entries; raft_flush(). */
     bool round_due;                                  /**< Leader: reads wait for a round; raft_flush(). */
     uint64_t round;                                  /**< Leader: heartbeat round number. */
-    struct raft_pending_read reads[RAFT_MAX_PENDING_READS]; /**< Reads that wait. */
-    size_t read_count;                                      /**< Number of waiting reads. */
-    uint32_t transfer_target;                               /**< Leader transfer in progress, or RAFT_NO_NODE. */
-    uint64_t transfer_deadline_ms;                          /**< Time the transfer is given up. */
-    struct raft_snapshot snapshot;                          /**< The one stored here. */
-    struct raft_snapshot incoming;                          /**< Follower: the one that is being received. */
-    uint64_t incoming_offset;                               /**< Bytes of it taken so far. */
+    struct raft_pending_read *reads;                 /**< Reads that wait: each has its caller's request. */
+    size_t read_room;                                /**< Places in `reads`. */
+    size_t read_count;                               /**< Number of waiting reads. */
+    uint32_t transfer_target;                        /**< Leader transfer in progress, or RAFT_NO_NODE. */
+    uint64_t transfer_deadline_ms;                   /**< Time the transfer is given up. */
+    struct raft_snapshot snapshot;                   /**< The one stored here. */
+    struct raft_snapshot incoming;                   /**< Follower: the one that is being received. */
+    uint64_t incoming_offset;                        /**< Bytes of it taken so far. */
 };
 
 /** Starts an empty replica as a follower. `members` are the bootstrap members. */
--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -4,7 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { RAFT_MAX_BATCH_ENTRIES = 256 };
+enum {
+    RAFT_MAX_BATCH_ENTRIES = 256,
+    RAFT_READS_FIRST = 64 /* places for reads at first */
+};
 
 /* ---- Leader: sending ---------------------------------------------------- */
 
@@ -201,9 +204,13 @@
 bool raft_read(struct raft *raft, uint64_t read_id)
 {
     bool settled = raft->role == RAFT_LEADER && raft_commit_is_settled(raft, raft->commit);
-    if (!settled || raft->read_count == RAFT_MAX_PENDING_READS) {
+    if (!settled) {
         return false;
     }
+    if (raft->read_count == raft->read_room) {
+        raft->read_room = 2 * raft->read_room + RAFT_READS_FIRST;
+        raft->reads = memory_resize(raft->reads, raft->read_room * sizeof(*raft->reads));
+    }
     raft->round_due = true;
     struct raft_pending_read read = {.id = read_id, .round = raft->round + 1, .index = raft->commit};
     raft->reads[raft->read_count++] = read;
