Four probes at least on a silent stream's connection

Cause, found in reading: turning keep-alive on has the kernel count the rest from then, so that the first probe came with the first ask behind it: three probes in 1.2 s, where the reason says four.

--- a/src/net/peer_watch.c
+++ b/src/net/peer_watch.c
@@ -11,13 +11,20 @@
     return setsockopt(file, level, option, &value, sizeof(value)) == 0;
 }
 
+/* Setting the rest anew makes the kernel count it from when the peer was heard last: it is over already. */
+void peer_watch_ask(int file)
+{
+    peer_watch_set(file, IPPROTO_TCP, TCP_KEEPIDLE, PEER_WATCH_QUIET_MS / PEER_WATCH_S);
+}
+
 bool peer_watch_begin(int file)
 {
     static const int quiet_s = PEER_WATCH_QUIET_MS / PEER_WATCH_S;
-    return peer_watch_set(file, IPPROTO_TCP, TCP_USER_TIMEOUT, PEER_WATCH_SILENT_MS) &&
-           peer_watch_set(file, IPPROTO_TCP, TCP_KEEPINTVL, quiet_s) &&
-           peer_watch_set(file, IPPROTO_TCP, TCP_KEEPIDLE, quiet_s) &&
-           peer_watch_set(file, SOL_SOCKET, SO_KEEPALIVE, 1);
+    bool watched = peer_watch_set(file, IPPROTO_TCP, TCP_USER_TIMEOUT, PEER_WATCH_SILENT_MS) &&
+                   peer_watch_set(file, IPPROTO_TCP, TCP_KEEPINTVL, quiet_s) &&
+                   peer_watch_set(file, SOL_SOCKET, SO_KEEPALIVE, 1);
+    peer_watch_ask(file); /* the option alone counts the rest from now */
+    return watched;
 }
 
 void peer_watch_end(int file)
@@ -25,9 +32,3 @@
     peer_watch_set(file, SOL_SOCKET, SO_KEEPALIVE, 0);
     peer_watch_set(file, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
 }
-
-/* Setting the rest anew makes the kernel count it from when the peer was heard last: it is over already. */
-void peer_watch_ask(int file)
-{
-    peer_watch_set(file, IPPROTO_TCP, TCP_KEEPIDLE, PEER_WATCH_QUIET_MS / PEER_WATCH_S);
-}
--- a/src/net/peer_watch.h
+++ b/src/net/peer_watch.h
@@ -11,7 +11,7 @@
  *
  * Linux counts the rest before the first probe, and the pause between two, in whole
  * seconds: one lost packet would then decide. peer_watch_ask() has the next probe
- * sent at once. Asked again each PEER_WATCH_AGAIN_MS, four of them must stay
+ * sent at once. Asked each PEER_WATCH_AGAIN_MS, four of them at least must stay
  * unanswered: with one packet in ten lost each way, once in 700.
  */
 #ifndef BANKBANK_NET_PEER_WATCH_H
@@ -22,16 +22,17 @@
 enum {
     PEER_WATCH_QUIET_MS = 1000, /**< Silence after which a peer is asked: the least that Linux takes. */
     PEER_WATCH_AGAIN_MS = 50,   /**< Pause between two asks, at most. */
-    PEER_WATCH_SILENT_MS = PEER_WATCH_QUIET_MS + 4 * PEER_WATCH_AGAIN_MS /**< Silence that ends the connection. */
+    PEER_WATCH_SILENT_MS = PEER_WATCH_QUIET_MS + 5 * PEER_WATCH_AGAIN_MS /**< Silence that ends the connection; the
+                                                                              first ask may be one pause late. */
 };
 
-/** Begins to watch a connected socket. False: the system can't. */
+/** Begins to watch a connected socket that was silent for PEER_WATCH_QUIET_MS, and asks. False: the system can't. */
 bool peer_watch_begin(int file);
 
 /** Ends that. */
 void peer_watch_end(int file);
 
-/** Has the next probe sent at once; without effect until the peer was silent for PEER_WATCH_QUIET_MS. */
+/** Has the next probe sent at once. */
 void peer_watch_ask(int file);
 
 #endif
