Upstream: what comes on connections stands in a file of its own

Nothing else changes; attempts, slow_readers, unanswered, leaving_stream, resume and unit ahead: none failed.

--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -1,4 +1,4 @@
-#include "net/upstream.h"
+#include "net/upstream_internal.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -10,37 +10,7 @@
 
 #include "net/peer_watch.h"
 
-enum {
-    UPSTREAM_SWEEP_MS = PEER_WATCH_AGAIN_MS,
-    UPSTREAM_READ_BYTES = 1 << 16,
-    UPSTREAM_FIRST_FINAL = 200,
-    UPSTREAM_MS_PER_S = 1000
-};
-
-/* CONNECTING -> ACTIVE (an exchange is under way) <-> IDLE -> CLOSED. */
-enum upstream_state { UPSTREAM_CONNECTING, UPSTREAM_ACTIVE, UPSTREAM_IDLE, UPSTREAM_CLOSED };
-
-struct upstream_connection {
-    uv_tcp_t socket;
-    uv_connect_t connect;
-    struct upstream_pool *pool;
-    struct upstream_server *server;
-    struct upstream_exchange *exchange; /* the one it serves */
-    enum upstream_state state;
-    struct http_reader reader;
-    uint64_t since_ms; /* start of connecting or of the rest */
-    uint64_t rest_ms;  /* longest rest */
-    bool written;      /* the request has left whole */
-    bool once;         /* closes after the current answer */
-    bool probe;        /* asks whether the server can be reached */
-    bool watched;      /* its peer's machine is watched */
-    uint64_t heard_ms; /* something came, or the request went out */
-    struct upstream_connection *next_idle;
-    struct upstream_connection *previous;
-    struct upstream_connection *next;
-};
-
-static char upstream_read_space[UPSTREAM_READ_BYTES];
+enum { UPSTREAM_SWEEP_MS = PEER_WATCH_AGAIN_MS };
 
 /* ---- Closing --------------------------------------------------------------------- */
 
@@ -63,7 +33,7 @@
     connection->next_idle = NULL;
 }
 
-static void upstream_connection_close(struct upstream_connection *connection)
+void upstream_connection_close(struct upstream_connection *connection)
 {
     if (connection->state == UPSTREAM_CLOSED) {
         return;
@@ -84,7 +54,7 @@
     uv_close((uv_handle_t *)&connection->socket, upstream_on_closed);
 }
 
-static void upstream_finish(struct upstream_pool *pool, struct upstream_exchange *exchange, enum upstream_end end)
+void upstream_finish(struct upstream_pool *pool, struct upstream_exchange *exchange, enum upstream_end end)
 {
     const struct upstream_events *events = exchange->events;
     void *owner = exchange->owner;
@@ -96,8 +66,6 @@
     events->end(owner, end);
 }
 
-static void upstream_serve_waiting(struct upstream_pool *pool, struct upstream_server *server);
-
 static void upstream_tell_probed(struct upstream_connection *connection, bool answered)
 {
     struct upstream_pool *pool = connection->pool;
@@ -107,8 +75,7 @@
     }
 }
 
-/* The connection failed: so does its exchange, as `sent_end` if its request may have left. */
-static void upstream_connection_end(struct upstream_connection *connection, enum upstream_end sent_end)
+void upstream_connection_end(struct upstream_connection *connection, enum upstream_end sent_end)
 {
     struct upstream_pool *pool = connection->pool;
     struct upstream_server *server = connection->server;
@@ -122,11 +89,19 @@
     upstream_serve_waiting(pool, server);
 }
 
-static void upstream_connection_fail(struct upstream_connection *connection)
+void upstream_connection_fail(struct upstream_connection *connection)
 {
     upstream_connection_end(connection, UPSTREAM_BROKEN);
 }
 
+void upstream_rest(struct upstream_connection *connection)
+{
+    connection->state = UPSTREAM_IDLE;
+    connection->since_ms = uv_now(connection->pool->loop);
+    connection->next_idle = connection->server->idle;
+    connection->server->idle = connection;
+}
+
 /* ---- Whether the peer's machine runs ------------------------------------------------- */
 
 /* What came meanwhile and was not read is an answer as well: the kernel asks nothing then. */
@@ -145,7 +120,7 @@
     }
 }
 
-static void upstream_heard(struct upstream_connection *connection)
+void upstream_heard(struct upstream_connection *connection)
 {
     uv_os_fd_t file;
     connection->heard_ms = uv_now(connection->pool->loop);
@@ -155,154 +130,6 @@
     }
 }
 
-/* ---- Answers ------------------------------------------------------------------------ */
-
-static uint64_t upstream_rest_time(const struct http_reader *answer)
-{
-    struct view value = http_reader_header(answer, "Keep-Alive");
-    static const char key[] = "timeout=";
-    const uint8_t *at = value.length == 0 ? NULL : memmem(value.data, value.length, key, sizeof(key) - 1);
-    if (at == NULL) {
-        return UPSTREAM_REST_MS;
-    }
-    uint64_t seconds = 0;
-    const uint8_t *end = value.data + value.length;
-    for (at += sizeof(key) - 1; at < end && *at >= '0' && *at <= '9' && seconds < 3600; at++) {
-        seconds = seconds * 10 + (uint64_t)(*at - '0');
-    }
-    uint64_t told_ms = seconds * UPSTREAM_MS_PER_S;
-    return told_ms > UPSTREAM_REST_MARGIN_MS ? told_ms - UPSTREAM_REST_MARGIN_MS : 0;
-}
-
-static bool upstream_on_head(void *context, struct http_reader *reader)
-{
-    struct upstream_connection *connection = context;
-    struct upstream_exchange *exchange = connection->exchange;
-    if (reader->status < UPSTREAM_FIRST_FINAL) {
-        return true;
-    }
-    exchange->final = true;
-    connection->rest_ms = upstream_rest_time(reader);
-    connection->once = !reader->keep_alive || reader->until_close;
-    exchange->events->head(exchange->owner, reader);
-    return connection->exchange != NULL;
-}
-
-static bool upstream_on_body(void *context, struct http_reader *reader, struct view part)
-{
-    struct upstream_connection *connection = context;
-    (void)reader;
-    connection->exchange->events->body(connection->exchange->owner, part);
-    return connection->exchange != NULL;
-}
-
-static bool upstream_on_complete(void *context, struct http_reader *reader)
-{
-    (void)context;
-    (void)reader;
-    return true;
-}
-
-static void upstream_rest(struct upstream_connection *connection)
-{
-    connection->state = UPSTREAM_IDLE;
-    connection->since_ms = uv_now(connection->pool->loop);
-    connection->next_idle = connection->server->idle;
-    connection->server->idle = connection;
-}
-
-/* The answer is whole: the connection rests, or serves the next exchange. */
-static void upstream_complete(struct upstream_connection *connection, bool bytes_left)
-{
-    struct upstream_pool *pool = connection->pool;
-    struct upstream_server *server = connection->server;
-    struct upstream_exchange *exchange = connection->exchange;
-    connection->exchange = NULL;
-    exchange->connection = NULL;
-    pool->counters.stray_bytes += bytes_left ? 1 : 0;
-    bool reusable = !bytes_left && !connection->once && connection->written && connection->rest_ms > 0;
-    if (reusable) {
-        upstream_rest(connection);
-        http_reader_reset(&connection->reader);
-    } else {
-        upstream_connection_close(connection);
-    }
-    upstream_finish(pool, exchange, UPSTREAM_DONE);
-    upstream_serve_waiting(pool, server);
-}
-
-static void upstream_feed(struct upstream_connection *connection, const uint8_t *data, size_t length)
-{
-    size_t used = 0;
-    while (used < length && connection->state == UPSTREAM_ACTIVE) {
-        used += http_reader_feed(&connection->reader, data + used, length - used);
-        if (connection->state != UPSTREAM_ACTIVE || connection->exchange == NULL) {
-            return; /* cancelled from within */
-        }
-        if (connection->reader.fault != HTTP_FAULT_NONE) {
-            upstream_connection_fail(connection);
-            return;
-        }
-        if (connection->reader.complete && !connection->exchange->final) {
-            http_reader_reset(&connection->reader); /* 1xx: the answer is still due */
-        } else if (connection->reader.complete) {
-            upstream_complete(connection, used < length);
-            return;
-        }
-    }
-}
-
-/* libuv tells the end of a connection where the kernel tells a hang-up, which a reset is too. */
-static bool upstream_ended_in_order(const struct upstream_connection *connection)
-{
-    uv_os_fd_t file;
-    char byte;
-    return uv_fileno((const uv_handle_t *)&connection->socket, &file) == 0 &&
-           recv(file, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
-static void upstream_ended(struct upstream_connection *connection, ssize_t reason)
-{
-    if (connection->state == UPSTREAM_ACTIVE && reason == UV_EOF && upstream_ended_in_order(connection)) {
-        http_reader_end(&connection->reader);
-        if (connection->exchange == NULL) {
-            return;
-        }
-        if (connection->reader.complete && connection->exchange->final) {
-            connection->once = true;
-            upstream_complete(connection, false);
-            return;
-        }
-    }
-    upstream_connection_end(connection, reason == UV_ETIMEDOUT ? UPSTREAM_SILENT : UPSTREAM_BROKEN);
-}
-
-static void upstream_on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
-{
-    (void)handle;
-    (void)suggested;
-    *out = uv_buf_init(upstream_read_space, sizeof(upstream_read_space));
-}
-
-static void upstream_on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *space)
-{
-    struct upstream_connection *connection = stream->data;
-    if (got == 0) {
-        return;
-    }
-    if (got < 0) {
-        upstream_ended(connection, got);
-        return;
-    }
-    upstream_heard(connection);
-    if (connection->state == UPSTREAM_IDLE) {
-        connection->pool->counters.stray_bytes++;
-        upstream_connection_fail(connection);
-        return;
-    }
-    upstream_feed(connection, (const uint8_t *)space->base, (size_t)got);
-}
-
 /* ---- Requests ------------------------------------------------------------------------- */
 
 struct upstream_write {
@@ -424,15 +251,7 @@
     connection->exchange = exchange;
     connection->state = UPSTREAM_CONNECTING;
     connection->since_ms = uv_now(pool->loop);
-    connection->reader.type = HTTP_RESPONSE;
-    connection->reader.max_head_bytes = UPSTREAM_MAX_HEAD;
-    connection->reader.max_body_bytes = UPSTREAM_MAX_BODY;
-    connection->reader.events = (struct http_reader_events){
-        .context = connection,
-        .head = upstream_on_head,
-        .body = upstream_on_body,
-        .complete = upstream_on_complete,
-    };
+    upstream_answer_open(connection);
     connection->next = pool->all;
     if (connection->next != NULL) {
         connection->next->previous = connection;
@@ -512,7 +331,7 @@
 }
 
 /* What is not to be sent any more leaves the connection to the next one. */
-static void upstream_serve_waiting(struct upstream_pool *pool, struct upstream_server *server)
+void upstream_serve_waiting(struct upstream_pool *pool, struct upstream_server *server)
 {
     const struct upstream_exchange *unsent = NULL;
     do {
--- /dev/null
+++ b/src/net/upstream_answer.c
@@ -0,0 +1,160 @@
+/* What comes on connections to servers: answers, their ends, bytes that belong to none. */
+#include "net/upstream_internal.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+enum { UPSTREAM_READ_BYTES = 1 << 16, UPSTREAM_FIRST_FINAL = 200, UPSTREAM_MS_PER_S = 1000 };
+
+static char upstream_read_space[UPSTREAM_READ_BYTES];
+
+static uint64_t upstream_rest_time(const struct http_reader *answer)
+{
+    struct view value = http_reader_header(answer, "Keep-Alive");
+    static const char key[] = "timeout=";
+    const uint8_t *at = value.length == 0 ? NULL : memmem(value.data, value.length, key, sizeof(key) - 1);
+    if (at == NULL) {
+        return UPSTREAM_REST_MS;
+    }
+    uint64_t seconds = 0;
+    const uint8_t *end = value.data + value.length;
+    for (at += sizeof(key) - 1; at < end && *at >= '0' && *at <= '9' && seconds < 3600; at++) {
+        seconds = seconds * 10 + (uint64_t)(*at - '0');
+    }
+    uint64_t told_ms = seconds * UPSTREAM_MS_PER_S;
+    return told_ms > UPSTREAM_REST_MARGIN_MS ? told_ms - UPSTREAM_REST_MARGIN_MS : 0;
+}
+
+static bool upstream_on_head(void *context, struct http_reader *reader)
+{
+    struct upstream_connection *connection = context;
+    struct upstream_exchange *exchange = connection->exchange;
+    if (reader->status < UPSTREAM_FIRST_FINAL) {
+        return true;
+    }
+    exchange->final = true;
+    connection->rest_ms = upstream_rest_time(reader);
+    connection->once = !reader->keep_alive || reader->until_close;
+    exchange->events->head(exchange->owner, reader);
+    return connection->exchange != NULL;
+}
+
+static bool upstream_on_body(void *context, struct http_reader *reader, struct view part)
+{
+    struct upstream_connection *connection = context;
+    (void)reader;
+    connection->exchange->events->body(connection->exchange->owner, part);
+    return connection->exchange != NULL;
+}
+
+static bool upstream_on_complete(void *context, struct http_reader *reader)
+{
+    (void)context;
+    (void)reader;
+    return true;
+}
+
+/* The answer is whole: the connection rests, or serves the next exchange. */
+static void upstream_complete(struct upstream_connection *connection, bool bytes_left)
+{
+    struct upstream_pool *pool = connection->pool;
+    struct upstream_server *server = connection->server;
+    struct upstream_exchange *exchange = connection->exchange;
+    connection->exchange = NULL;
+    exchange->connection = NULL;
+    pool->counters.stray_bytes += bytes_left ? 1 : 0;
+    bool reusable = !bytes_left && !connection->once && connection->written && connection->rest_ms > 0;
+    if (reusable) {
+        upstream_rest(connection);
+        http_reader_reset(&connection->reader);
+    } else {
+        upstream_connection_close(connection);
+    }
+    upstream_finish(pool, exchange, UPSTREAM_DONE);
+    upstream_serve_waiting(pool, server);
+}
+
+static void upstream_feed(struct upstream_connection *connection, const uint8_t *data, size_t length)
+{
+    size_t used = 0;
+    while (used < length && connection->state == UPSTREAM_ACTIVE) {
+        used += http_reader_feed(&connection->reader, data + used, length - used);
+        if (connection->state != UPSTREAM_ACTIVE || connection->exchange == NULL) {
+            return; /* cancelled from within */
+        }
+        if (connection->reader.fault != HTTP_FAULT_NONE) {
+            upstream_connection_fail(connection);
+            return;
+        }
+        if (connection->reader.complete && !connection->exchange->final) {
+            http_reader_reset(&connection->reader); /* 1xx: the answer is still due */
+        } else if (connection->reader.complete) {
+            upstream_complete(connection, used < length);
+            return;
+        }
+    }
+}
+
+/* libuv tells the end of a connection where the kernel tells a hang-up, which a reset is too. */
+static bool upstream_ended_in_order(const struct upstream_connection *connection)
+{
+    uv_os_fd_t file;
+    char byte;
+    return uv_fileno((const uv_handle_t *)&connection->socket, &file) == 0 &&
+           recv(file, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static void upstream_ended(struct upstream_connection *connection, ssize_t reason)
+{
+    if (connection->state == UPSTREAM_ACTIVE && reason == UV_EOF && upstream_ended_in_order(connection)) {
+        http_reader_end(&connection->reader);
+        if (connection->exchange == NULL) {
+            return;
+        }
+        if (connection->reader.complete && connection->exchange->final) {
+            connection->once = true;
+            upstream_complete(connection, false);
+            return;
+        }
+    }
+    upstream_connection_end(connection, reason == UV_ETIMEDOUT ? UPSTREAM_SILENT : UPSTREAM_BROKEN);
+}
+
+void upstream_on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
+{
+    (void)handle;
+    (void)suggested;
+    *out = uv_buf_init(upstream_read_space, sizeof(upstream_read_space));
+}
+
+void upstream_on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *space)
+{
+    struct upstream_connection *connection = stream->data;
+    if (got == 0) {
+        return;
+    }
+    if (got < 0) {
+        upstream_ended(connection, got);
+        return;
+    }
+    upstream_heard(connection);
+    if (connection->state == UPSTREAM_IDLE) {
+        connection->pool->counters.stray_bytes++;
+        upstream_connection_fail(connection);
+        return;
+    }
+    upstream_feed(connection, (const uint8_t *)space->base, (size_t)got);
+}
+
+void upstream_answer_open(struct upstream_connection *connection)
+{
+    connection->reader.type = HTTP_RESPONSE;
+    connection->reader.max_head_bytes = UPSTREAM_MAX_HEAD;
+    connection->reader.max_body_bytes = UPSTREAM_MAX_BODY;
+    connection->reader.events = (struct http_reader_events){
+        .context = connection,
+        .head = upstream_on_head,
+        .body = upstream_on_body,
+        .complete = upstream_on_complete,
+    };
+}
