A long request that a live server leaves unread does not count as a silent machine

What callers would have seen: a stream with a long prompt at a server that reads it slowly ends after 1.25 s, is sent again there up to four times and breaks off; with a full queue of connections it would run on two servers. Cause: TCP_USER_TIMEOUT ends a connection whose peer has no room, though the peer's kernel says so all the time. Change: the watch begins once all that was written has been sent (SIOCOUTQNSD), acknowledged or not.

--- a/src/net/peer_watch.c
+++ b/src/net/peer_watch.c
@@ -1,7 +1,9 @@
 #include "net/peer_watch.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 enum { PEER_WATCH_S = 1000 /* ms */ };
@@ -17,6 +19,13 @@
     peer_watch_set(file, IPPROTO_TCP, TCP_KEEPIDLE, PEER_WATCH_QUIET_MS / PEER_WATCH_S);
 }
 
+/* A system that cannot tell keeps nothing back: it counts as sent. */
+bool peer_watch_may_begin(int file)
+{
+    int unsent = 0;
+    return ioctl(file, SIOCOUTQNSD, &unsent) != 0 || unsent == 0;
+}
+
 bool peer_watch_begin(int file)
 {
     static const int quiet_s = PEER_WATCH_QUIET_MS / PEER_WATCH_S;
--- a/src/net/peer_watch.h
+++ b/src/net/peer_watch.h
@@ -13,6 +13,10 @@
  * seconds: one lost packet would then decide. peer_watch_ask() has the next probe
  * sent at once. Asked each PEER_WATCH_AGAIN_MS, four of them at least must stay
  * unanswered: with one packet in ten lost each way, once in 700.
+ *
+ * While bytes wait for room at the peer, its answers count for nothing: the kernel
+ * ends the connection whether the peer says that it has no room or says nothing.
+ * Such a connection is not to be watched (peer_watch_may_begin()).
  */
 #ifndef BANKBANK_NET_PEER_WATCH_H
 #define BANKBANK_NET_PEER_WATCH_H
@@ -26,6 +30,9 @@
                                                                               first ask may be one pause late. */
 };
 
+/** Whether all that was written has been sent, acknowledged or not. */
+bool peer_watch_may_begin(int file);
+
 /** Begins to watch a connected socket that was silent for PEER_WATCH_QUIET_MS, and asks. False: the system can't. */
 bool peer_watch_begin(int file);
 
--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -115,7 +115,7 @@
     }
     if (connection->watched) {
         peer_watch_ask(file);
-    } else {
+    } else if (connection->written && peer_watch_may_begin(file)) {
         connection->watched = peer_watch_begin(file);
     }
 }
