An order that a leader of an earlier version does not know is refused 503

Cause: the mend of orders whose outcome is not learnt answered 504 to every result without a case of its own; a leader of an earlier version answers RESULT_INVALID, and has taken nothing.

--- a/src/proxy/control_api.c
+++ b/src/proxy/control_api.c
@@ -60,11 +60,11 @@
     case RESULT_OK: control_finish(item, CONTROL_OK, view_of(NULL, 0), "committed"); break;
     case RESULT_NOT_FOUND: control_finish(item, CONTROL_UNKNOWN, view_of(NULL, 0), "unknown machine"); break;
     case RESULT_LIMIT: control_finish(item, CONTROL_TOO_FEW, view_of(NULL, 0), "too few or too many"); break;
-    case RESULT_UNAVAILABLE:
+    case RESULT_TIMEOUT: control_finish(item, CONTROL_UNKNOWN_OUTCOME, view_of(NULL, 0), "outcome not learnt"); break;
+    default:
         control_finish(item, CONTROL_UNSURE, view_of(NULL, 0),
-                       "not proposed: no leader, or replicas of an earlier version");
+                       "not taken: no leader, or replicas of an earlier version");
         break;
-    default: control_finish(item, CONTROL_UNKNOWN_OUTCOME, view_of(NULL, 0), "outcome not learnt"); break;
     }
 }
 
