Tests: unit ahead listens at a port of the kernel's choice

Cause: the port stood in the test (39471), and both runs reached it in the same second; it lies in the kernel's range for connections too, so that any connection could have had it.

--- a/tests/unit/ahead.c
+++ b/tests/unit/ahead.c
@@ -82,7 +82,7 @@
     struct address address;
     struct sockaddr_in at;
     int length = sizeof(at);
-    ck_assert(address_parse("127.0.0.1:39471", &address));
+    ck_assert(address_parse("127.0.0.1:0", &address));
     uv_loop_init(&loop);
     ck_assert_int_eq(http_listener_start(&listener, &loop, &address, &handler, &limits), 0);
     uv_tcp_getsockname(&listener.socket, (struct sockaddr *)&at, &length);
