Ledger: an attempt aborted as not run cannot finish

An abort "not run" of an attempt that follows a lost one releases the reservation but left the attempt current. A late finish of it was accepted and charged its tokens, although a retry or a sibling may have reserved them.

Change: such an attempt is fenced and no longer current, as it is already when no earlier attempt was lost: a late finish or begin gets RESULT_STALE_ATTEMPT. A finish or abort without an attempt id matches no call.

--- a/src/core/ledger_calls.c
+++ b/src/core/ledger_calls.c
@@ -316,6 +316,12 @@
 
 /* ---- Finish and abort ------------------------------------------------------ */
 
+/* False for every attempt if the call has none (ledger_keep_for_retry()). */
+static bool ledger_is_current_attempt(const struct ledger_call *call, const char *attempt)
+{
+    return call->attempt[0] != '\0' && text_equal(call->attempt, attempt);
+}
+
 static struct ledger_call *ledger_find_attempt(struct ledger_program *program, uint32_t number, const char *attempt,
                                                EntryResult *result)
 {
@@ -324,7 +330,7 @@
         ledger_fail(result, RESULT_NOT_FOUND, "no such call");
         return NULL;
     }
-    if (!text_equal(call->attempt, attempt)) {
+    if (!ledger_is_current_attempt(call, attempt)) {
         ledger_fail(result, RESULT_STALE_ATTEMPT, "another attempt took the call over");
         return NULL;
     }
@@ -399,19 +405,20 @@
     program->call_count--;
 }
 
-/* Makes ledger_begin_call() refuse a late begin of an attempt that was aborted before it began. */
-static void ledger_fence_attempt(struct ledger_program *program, const CallAbort *abort_entry)
+/* Makes ledger_begin_call() refuse a late begin of an aborted attempt. */
+static void ledger_fence_attempt(struct ledger_program *program, const char *attempt)
 {
-    if (program != NULL && abort_entry->outcome == ABORT_NOT_RUN) {
-        snprintf(program->aborted_attempt, sizeof(program->aborted_attempt), "%s", text_or_empty(abort_entry->attempt));
-    }
+    snprintf(program->aborted_attempt, sizeof(program->aborted_attempt), "%s", text_or_empty(attempt));
 }
 
-/* Marks the current attempt as lost and keeps the call, since one of its attempts may have run. */
-static void ledger_keep_for_retry(struct ledger_program *program, const CallAbort *abort_entry)
+/* Marks the current attempt as lost and keeps the call, since one of its attempts may have run. An attempt that did not
+ * run releases its reservation and is no longer current: a late finish of it would be charged beyond the budget. */
+static void ledger_keep_for_retry(struct ledger_program *program, struct ledger_call *call, AbortOutcome outcome)
 {
-    if (abort_entry->outcome == ABORT_NOT_RUN) {
+    if (outcome == ABORT_NOT_RUN) {
         ledger_settle(program, 0);
+        ledger_fence_attempt(program, call->attempt);
+        call->attempt[0] = '\0';
     }
     program->running.expires_ms = LEDGER_EXPIRES_LOST_MS;
 }
@@ -420,22 +427,24 @@
 {
     struct ledger_program *program = ledger_find(ledger, abort_entry->program);
     struct ledger_call *call = program == NULL ? NULL : ledger_running_call(program);
-    bool running = call != NULL && text_equal(call->attempt, abort_entry->attempt);
+    bool running = call != NULL && ledger_is_current_attempt(call, abort_entry->attempt);
     if (!running) {
-        ledger_fence_attempt(program, abort_entry);
+        if (program != NULL && abort_entry->outcome == ABORT_NOT_RUN) {
+            ledger_fence_attempt(program, abort_entry->attempt);
+        }
         return;
     }
     bool may_have_run = abort_entry->outcome == ABORT_UNKNOWN || program->running.after_loss;
     bool can_be_retried = !program->single_call || call->idempotency_key != NULL;
     ledger_touch(ledger, program);
     if (may_have_run && call->repeatable && can_be_retried) {
-        ledger_keep_for_retry(program, abort_entry);
+        ledger_keep_for_retry(program, call, abort_entry->outcome);
         return;
     }
     if (may_have_run) {
         ledger_mark_unknown(program, call);
     } else {
-        snprintf(program->aborted_attempt, sizeof(program->aborted_attempt), "%s", call->attempt);
+        ledger_fence_attempt(program, call->attempt);
         ledger_remove_last_call(ledger, program);
     }
     if (program->single_call) {
--- a/tests/unit/ledger.c
+++ b/tests/unit/ledger.c
@@ -235,6 +235,28 @@
 }
 END_TEST
 
+/* The reservation of an attempt that did not run is released, so a late finish of it would exceed the budget. */
+START_TEST(an_attempt_aborted_as_not_run_cannot_finish)
+{
+    create("p1-a", NULL, 70);
+    ck_assert_int_eq(begin("p1-a", 1, 1), RESULT_OK);
+    Entry retry = begin_entry("p1-a", 1, 2);
+    ck_assert_int_eq(apply(&retry, true), RESULT_OK);
+    ck_assert_int_eq(abort_call("p1-a", 1, 2, ABORT_NOT_RUN), RESULT_OK);
+    ck_assert_int_eq(finish("p1-a", 1, 2), RESULT_STALE_ATTEMPT);
+    ck_assert_int_eq(begin("p1-a", 1, 2), RESULT_STALE_ATTEMPT);
+    Entry unnamed = {0};
+    unnamed.which_command = Entry_call_finish_tag;
+    unnamed.command.call_finish.program = (char *)(uintptr_t) "p1-a";
+    unnamed.command.call_finish.call = 1;
+    ck_assert_int_eq(apply(&unnamed, false), RESULT_STALE_ATTEMPT);
+    ck_assert_uint_eq(ledger_find(&ledger, "p1-a")->spent, 30);
+    ck_assert_int_eq(begin("p1-a", 1, 3), RESULT_OK);
+    ck_assert_int_eq(finish("p1-a", 1, 3), RESULT_OK);
+    ck_assert_uint_eq(ledger_find(&ledger, "p1-a")->spent, 60);
+}
+END_TEST
+
 START_TEST(a_single_call_program_is_retried_by_its_key)
 {
     Entry entry = begin_entry("s1-a", 1, 1);
@@ -442,6 +464,7 @@
     tcase_add_test(tests, a_lost_call_without_budget_for_another_attempt_is_unknown);
     tcase_add_test(tests, a_call_with_an_unknown_outcome_runs_again_only_if_repeatable);
     tcase_add_test(tests, an_abort_after_a_lost_attempt_does_not_clear_the_loss);
+    tcase_add_test(tests, an_attempt_aborted_as_not_run_cannot_finish);
     tcase_add_test(tests, a_single_call_program_is_retried_by_its_key);
     tcase_add_test(tests, a_lost_call_may_be_abandoned);
     tcase_add_test(tests, a_timed_out_attempt_is_replaced);
