--- a/src/proxy/node_settings.c
+++ b/src/proxy/node_settings.c
@@ -18,6 +18,7 @@
     NODE_MAX_START_OVERSHOOT = 100000, /* thousandths */
     NODE_MAX_SLACK = 1000000,
     NODE_MAX_WATCHERS = 100000,
+    NODE_MAX_ZONES = 1000,
     NODE_MAX_PORT = 65535
 };
 
@@ -87,6 +88,7 @@
      .maximum = NODE_MAX_START_OVERSHOOT},
     NODE_NUMBER(start_slack, 0, NODE_MAX_SLACK),
     NODE_NUMBER(memory_mb, 0, NODE_MAX_MEMORY_MB),
+    NODE_NUMBER(tolerated_zones, 0, NODE_MAX_ZONES),
     NODE_NUMBER(log_lines_per_s, 0, 100000),
     NODE_TEXT(log_level),
     {.key = NULL},
@@ -148,14 +150,21 @@
     }
 }
 
+static void node_settings_read_environment(struct node_settings *settings, const char *variable,
+                                           struct findings *findings)
+{
+    const char *text = getenv(variable);
+    if (text != NULL) {
+        yaml_read_text(variable, text, node_settings_fields, settings, findings);
+    }
+}
+
 void node_settings_load(struct node_settings *settings, const char *path, struct findings *findings)
 {
     node_settings_defaults(settings);
     yaml_read_file(path, node_settings_fields, settings, findings);
-    const char *environment = getenv(NODE_SETTINGS_ENV);
-    if (environment != NULL) {
-        yaml_read_text(NODE_SETTINGS_ENV, environment, node_settings_fields, settings, findings);
-    }
+    node_settings_read_environment(settings, NODE_SETTINGS_ENV, findings);
+    node_settings_read_environment(settings, NODE_SETTINGS_ENV_2, findings);
     node_settings_check(settings, path, findings);
 }
 
--- a/src/proxy/node_settings.h
+++ b/src/proxy/node_settings.h
@@ -41,18 +41,20 @@
     uint64_t list_period_ms;  /**< Fetch period of the machine list. */
     uint64_t grace_ms;        /**< Time limit of a graceful stop. */
     uint64_t memory_mb;       /**< Memory that the process may use (core/memory_budget.h); 0: fixed defaults. */
+    uint64_t tolerated_zones; /**< Zones that may be lost at once; 0: zones are not treated as failure domains. */
     uint64_t log_lines_per_s; /**< Limit for each kind of log line. */
     char *log_level;          /**< error, warn, info or debug. */
 };
 
 /**
- * Environment variable with additional settings, in the format of the file.
+ * Environment variables with additional settings, in the format of the file.
  * Unknown keys are errors, so during a rolling upgrade settings that the older
- * version does not know are passed here.
+ * version does not know are passed in a variable that it does not read.
  */
 #define NODE_SETTINGS_ENV "BANKBANK_FURTHER"
+#define NODE_SETTINGS_ENV_2 "BANKBANK_FURTHER_2"
 
-/** Reads the file, then NODE_SETTINGS_ENV; errors are added to `findings`. */
+/** Reads the file, then the variables; errors are added to `findings`. */
 void node_settings_load(struct node_settings *settings, const char *path, struct findings *findings);
 
 void node_settings_close(struct node_settings *settings);
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -107,6 +107,9 @@
 /** Writes SITE_REPLICAS new seeds to all settings files, and sends SIGHUP to all daemons. */
 void site_change_seeds(const int *daemons);
 
+/** Number of zones that may be lost at once; for daemons started afterwards. The default is 0. */
+void site_set_tolerated_zones(int zones);
+
 /** Memory limit of daemons started afterwards; 0: none. */
 void site_limit_memory(int megabytes);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -50,6 +50,7 @@
 static int site_extra_replicas;
 static bool site_bootstrapped;
 static int site_memory_mb;
+static int site_tolerated_zones;
 static int site_refer_above = -1;
 static int site_seeds[SITE_REPLICAS] = {0, 1, 2};
 static const char *site_builds[SITE_BASE_DAEMONS + SITE_MAX_EXTRA_DAEMONS]; /* NULL: site_build */
@@ -134,6 +135,11 @@
     site_refer_above = above;
 }
 
+void site_set_tolerated_zones(int zones)
+{
+    site_tolerated_zones = zones;
+}
+
 void site_limit_memory(int megabytes)
 {
     site_memory_mb = megabytes;
@@ -166,6 +172,9 @@
         buffer_printf(&text, "  - name: \"z%d\"\n    region: \"%s\"\n", i + 1, i == 1 ? "r2" : "r1");
     }
     setenv("BANKBANK_FURTHER", buffer_text(&text), 1);
+    buffer_clear(&text);
+    buffer_printf(&text, "tolerated_zones: %d\n", site_tolerated_zones);
+    setenv("BANKBANK_FURTHER_2", buffer_text(&text), 1);
     buffer_close(&text);
 }
 
--- a/tests/unit/node_settings.c
+++ b/tests/unit/node_settings.c
@@ -53,6 +53,18 @@
 }
 END_TEST
 
+/* A running older version rejects keys that it does not know in the variables that it reads. */
+START_TEST(the_second_variable_adds_settings)
+{
+    setenv(NODE_SETTINGS_ENV_2, "tolerated_zones: 1", 1);
+    load("start_slack: 5\n");
+    unsetenv(NODE_SETTINGS_ENV_2);
+    ck_assert_uint_eq(findings.count, 0);
+    ck_assert_uint_eq(settings.start_slack, 5);
+    ck_assert_uint_eq(settings.tolerated_zones, 1);
+}
+END_TEST
+
 START_TEST(an_error_in_the_environment_names_the_variable)
 {
     load("start_slak: 5\n");
@@ -68,6 +80,7 @@
     tcase_add_checked_fixture(tests, NULL, teardown);
     tcase_add_test(tests, the_file_alone_is_valid);
     tcase_add_test(tests, the_environment_adds_settings);
+    tcase_add_test(tests, the_second_variable_adds_settings);
     tcase_add_test(tests, an_error_in_the_environment_names_the_variable);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
