Log: quota_refused is the event, not the budget of a request line

Cause: forward_log_quota_refused() passed the event's name as the budget and "request" as the event, so each 429 wrote a second line "request" without an outcome, which scripts/what-binds printed as an empty row.

Change: the event is quota_refused again, as docs/OPERATIONS.md says.

--- a/src/proxy/forward_quota.c
+++ b/src/proxy/forward_quota.c
@@ -109,10 +109,10 @@
 static void forward_log_quota_refused(const struct forward *forward)
 {
     const struct route_tenant *tenant = forward->tenant;
-    event_log_with_budget("quota_refused", "request", "{s:s,s:s,s:b,s:f,s:f,s:I,s:I}", "id", text_or_empty(forward->id),
-                          "tenant", tenant->name, "begins", forward->quota.starts_program, "rate_per_s",
-                          tenant->rate_per_s, "burst", tenant->burst, "configuration",
-                          (json_int_t)forward->table->version, "retry_ms", (json_int_t)forward->quota.retry_after_ms);
+    event_log("quota_refused", "{s:s,s:s,s:b,s:f,s:f,s:I,s:I}", "id", text_or_empty(forward->id), "tenant",
+              tenant->name, "begins", forward->quota.starts_program, "rate_per_s", tenant->rate_per_s, "burst",
+              tenant->burst, "configuration", (json_int_t)forward->table->version, "retry_ms",
+              (json_int_t)forward->quota.retry_after_ms);
 }
 
 static uint32_t *forward_share_tokens(const struct forward *forward, QuotaShare *share)
--- a/tests/integration/test_tenants.c
+++ b/tests/integration/test_tenants.c
@@ -159,6 +159,14 @@
 }
 END_TEST
 
+/* The event had been logged as "request" without an outcome. */
+static bool refusal_is_logged(void *context)
+{
+    (void)context;
+    return site_log_has(SITE_REPLICAS, "\"event\":\"quota_refused\"") ||
+           site_log_has(SITE_REPLICAS + 1, "\"event\":\"quota_refused\"");
+}
+
 /* Both gateways together serve no more than the burst and the rate. */
 START_TEST(a_limit_holds_across_gateways)
 {
@@ -188,6 +196,7 @@
     uint64_t took_ms = clock_monotonic_ms() - begin_ms;
     ck_assert_int_eq(served + refused, REQUESTS);
     ck_assert_int_ge(refused, 1);
+    site_wait(refusal_is_logged, NULL, "the refusal is logged");
     ck_assert_uint_le((uint64_t)served, BURST + RATE_PER_S * (took_ms + 1000) / 1000);
     expect_status_on_all_gateways("key-a", "/once/x", 200);
 }
