Soak: zones that are cut off from the quorum

Cause: the soak ran its daemons without tolerated zones, and no fault took the quorum from one zone while its own replicas and gateways went on. Its servers were all in z1, so that no gateway chose between zones.

Change: the daemons tolerate the loss of one zone. A new fault suspends the state replicas of all zones but that of a random gateway for 2 to 4 s, with a slow server, so that requests are at a server when the cut is detected. It is injected among the other faults, where a replica that restarts may restore the quorum, and in a round of its own after the planned operations. One server of each service is in z2. The wait before the planned round and at the end covers this longest fault, so that the checks which need a time without faults keep it. site_zone() returns the zone of a daemon.

--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -84,6 +84,9 @@
 int site_replica_daemon(int replica);
 int site_gateway_daemon(int gateway);
 
+/** Number of the zone of a daemon: 1 to SITE_REPLICAS. */
+int site_zone(int daemon);
+
 /** Makes sites started after this call store their data on disk. The default is a tmpfs, if it has enough space, so
  * that other load on the machine does not delay syncs. */
 void site_store_on_disk(void);
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -84,6 +84,11 @@
     return gateway < SITE_GATEWAYS ? SITE_REPLICAS + gateway : SITE_REPLICAS + site_extra_replicas + gateway;
 }
 
+int site_zone(int daemon)
+{
+    return daemon % SITE_REPLICAS + 1;
+}
+
 static bool site_is_gateway(int daemon)
 {
     return (daemon >= SITE_REPLICAS && daemon < SITE_BASE_DAEMONS) || daemon >= SITE_BASE_DAEMONS + site_extra_replicas;
@@ -110,7 +115,7 @@
     FILE *file = fopen(path, "w");
     ck_assert_ptr_nonnull(file);
     fprintf(file, "name: \"machine-%d\"\nzone: \"z%d\"\nip: \"%s\"\npeer_port: %d\nbootstrap: %s\n", daemon,
-            daemon % SITE_REPLICAS + 1, site_ip(daemon), site_peer_port, site_bootstrapped ? "false" : "true");
+            site_zone(daemon), site_ip(daemon), site_peer_port, site_bootstrapped ? "false" : "true");
     fprintf(file, "machine_list: \"127.0.0.1:%d\"\nlist_period_ms: 100\ngrace_s: 6\n", site_list_port);
     if (site_memory_mb > 0) {
         fprintf(file, "memory_mb: %d\n", site_memory_mb);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -16,6 +16,9 @@
     FAULT_MIN_MS = 50,
     STARVE_MIN_MS = 1000,
     STARVE_EXTRA_MS = 2000,
+    CUT_OFF_MIN_MS = 2000, /* of which gateways need up to 800 to detect the cut */
+    CUT_OFF_EXTRA_MS = 2000,
+    LONGEST_FAULT_MS = CUT_OFF_MIN_MS + CUT_OFF_EXTRA_MS,
     OUTAGE_EARLY_EXTRA_MS = 300, /* maximum random addition to FAULT_MIN_MS before an early restart */
     START_KILL_EXTRA_MS = 400,   /* maximum random addition to FAULT_MIN_MS / 2 before a restart is killed */
     KILLED_STARTS_LIMIT = 3,     /* exclusive limit of the restarts killed in a row */
@@ -23,7 +26,8 @@
     SERVER_FAULT_ONE_IN = 3, /* in run_mixed(), on average one fault in this many comes with a server fault */
     MIXED_ROUND_MS = 5000,
     OUTAGE_ROUND_MS = 4000,
-    PLANNED_ROUND_MS = 4000
+    PLANNED_ROUND_MS = 4000,
+    CUT_OFF_ROUND_MS = LONGEST_FAULT_MS
 };
 
 typedef enum fault_t {
@@ -33,6 +37,7 @@
     FAULT_STOP,
     FAULT_RELOAD,
     FAULT_KILL_REPLICAS,
+    FAULT_CUT_OFF,
     FAULT_REMOVE_DATA,
     FAULT_FULL_DISK,
     FAULT_SERVER,
@@ -137,13 +142,8 @@
 
 /* ---- Servers ---------------------------------------------------------------- */
 
-static void fail_server(uint64_t *seed)
+static void set_server_mode(int server, enum site_mode mode, uint64_t for_ms)
 {
-    static const enum site_mode modes[] = {SITE_REFUSE, SITE_CUT,          SITE_CUT_MIDWAY, SITE_SLOW,
-                                           SITE_STALL,  SITE_CUT_IN_EVENT, SITE_PAUSED};
-    int server = (int)random_below(seed, SITE_SERVERS);
-    enum site_mode mode = modes[random_below(seed, sizeof(modes) / sizeof(modes[0]))];
-    uint64_t for_ms = random_duration_ms(seed);
     if (server_until_ms[server] == 0) {
         log_fault("fail server", server);
         fault_log_begin(FAULT_LOG_SERVERS, FAULT_LOG_SERVER_FAULT);
@@ -152,6 +152,15 @@
     }
 }
 
+static void fail_server(uint64_t *seed)
+{
+    static const enum site_mode modes[] = {SITE_REFUSE, SITE_CUT,          SITE_CUT_MIDWAY, SITE_SLOW,
+                                           SITE_STALL,  SITE_CUT_IN_EVENT, SITE_PAUSED};
+    int server = (int)random_below(seed, SITE_SERVERS);
+    enum site_mode mode = modes[random_below(seed, sizeof(modes) / sizeof(modes[0]))];
+    set_server_mode(server, mode, random_duration_ms(seed));
+}
+
 static void fail_proxy(uint64_t *seed)
 {
     int server = (int)random_below(seed, SITE_SERVERS);
@@ -202,6 +211,24 @@
     }
 }
 
+/* ---- Zones ------------------------------------------------------------------ */
+
+/* Suspends the state replicas of all zones but that of a random gateway, which is then cut off from the quorum.
+ * Gateways in other zones also lose the quorum, but a replica of another zone still answers them.
+ * A slow server keeps requests in flight while the cut is detected. */
+static void cut_off_zone(uint64_t *seed)
+{
+    int zone = site_zone(site_gateway_daemon((int)random_below(seed, (uint32_t)daemons_gateways())));
+    uint64_t for_ms = CUT_OFF_MIN_MS + random_below(seed, CUT_OFF_EXTRA_MS);
+    log_fault("cut off zone", zone);
+    set_server_mode((int)random_below(seed, SITE_SERVERS), SITE_SLOW, for_ms);
+    for (int i = 0; i < daemons_replicas(); i++) {
+        if (site_zone(site_replica_daemon(i)) != zone) {
+            daemons_pause(site_replica_daemon(i), for_ms);
+        }
+    }
+}
+
 /* ---- Schedule ------------------------------------------------------------------- */
 
 static void inject_fault(uint64_t *seed)
@@ -214,6 +241,7 @@
     case FAULT_STOP:
     case FAULT_RELOAD: inject_daemon_fault(seed, fault); break;
     case FAULT_KILL_REPLICAS: kill_replicas(seed); break;
+    case FAULT_CUT_OFF: cut_off_zone(seed); break;
     case FAULT_REMOVE_DATA: remove_data(seed); break;
     case FAULT_FULL_DISK: fill_disk(seed); break;
     case FAULT_SERVER: fail_server(seed); break;
@@ -280,7 +308,7 @@
 /* Runs planned operations alone: other faults first get time to end. Slow servers keep requests in flight. */
 static void run_planned(uint64_t *seed)
 {
-    poll_for(can_continue(end_ms) ? FAULT_EXTRA_MS : 0);
+    poll_for(can_continue(end_ms) ? LONGEST_FAULT_MS : 0);
     site_set_mode(-1, SITE_PACED);
     uint64_t until_ms = now_ms() + PLANNED_ROUND_MS;
     while (can_continue(until_ms)) {
@@ -290,6 +318,19 @@
     site_set_mode(-1, SITE_NORMAL);
 }
 
+/* Call after run_planned(), when the replicas run: one that restarts during the cut would restore the quorum. */
+static void run_cut_off(uint64_t *seed)
+{
+    uint64_t until_ms = now_ms() + CUT_OFF_ROUND_MS;
+    if (can_continue(until_ms)) {
+        cut_off_zone(seed);
+    }
+    while (can_continue(until_ms)) {
+        poll_for(random_below(seed, MAX_FAULT_GAP_MS));
+        fail_server(seed);
+    }
+}
+
 void faults_run(uint64_t seed, uint64_t duration_ms)
 {
     uint64_t server_seed = ~seed;
@@ -300,6 +341,7 @@
         run_outage(&seed);
         run_mixed(&seed, &server_seed);
         run_planned(&seed);
+        run_cut_off(&seed);
     }
 }
 
@@ -321,7 +363,7 @@
 {
     oracle_expectation_t expectation = {0};
     oracle_expect("health-check", &expectation);
-    poll_for(STARVE_MIN_MS + STARVE_EXTRA_MS);
+    poll_for(LONGEST_FAULT_MS);
     site_wait(site_is_healthy, NULL, "all daemons are healthy and requests are served");
 }
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -20,13 +20,26 @@
 #include "fault_log.h"
 #include "oracle.h"
 
-enum { MEMORY_LIMIT_MB = 64 /* of each daemon */, FINISH_TIMEOUT_S = 150 /* for recovery and the final checks */ };
+enum {
+    MEMORY_LIMIT_MB = 64, /* of each daemon */
+    TOLERATED_ZONES = 1,
+    FINISH_TIMEOUT_S = 150 /* for recovery and the final checks */
+};
 
 static uint64_t seconds;
 static uint64_t seed;
 static int replicas = SITE_REPLICAS;
 static int gateways = SITE_GATEWAYS;
 
+/* Moves one server of each service to zone z2, which has a gateway too, so that the gateways in z1 and z2 choose
+ * between their own zone and another one. Call before the callers start. */
+static void spread_servers(void)
+{
+    for (int i = 1; i < SITE_SERVERS; i += 2) {
+        site_set_zone(i, "z2");
+    }
+}
+
 /* Counts only since the last start of each replica. */
 static double count_snapshots(void)
 {
@@ -40,11 +53,13 @@
 START_TEST(invariants_hold_under_faults)
 {
     site_limit_memory(MEMORY_LIMIT_MB);
+    site_set_tolerated_zones(TOLERATED_ZONES);
     site_store_on_disk(); /* to test fsync(); callers retry if it is slow */
     site_start_sized(replicas, gateways);
     daemons_init(replicas, gateways);
     site_echo_ids(oracle_record_run);
     site_use_proxies();
+    spread_servers();
     callers_start(seed);
     faults_run(seed, seconds * 1000);
     faults_end();
