Gateway: detect a cut from the quorum, refuse at once, leave the rotation

Cause: a gateway whose zone is cut off from the other zones stays ready, since the replicas of its own zone still send it frames. Its turns wait for reservations and commits that cannot succeed.

Change, only with tolerated_zones above 0 (the setting exists already): - core/quorum_contact: in contact, in doubt, cut off, from the replies of the leader and the frames of replicas in other zones; scripted test. - Gateway (frontend_contact.c): probes while in doubt; while cut off it is not ready, closes connections after responses, refuses new and waiting turns and calls without a leased token as not run, with Retry-After, and aborts stored turns whose commit it cannot learn. Log lines cut_off, cut_off_ends; four metrics. Idle gateways report every 200 ms, or at the leader's interval if that is longer. - A leader replies to load reports only if it heard from a quorum within 250 ms.

Responses that have already begun do not close their connection.

Not run: the other integration tests, the soak test, simulated schedules, sanitizers.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -382,6 +382,11 @@
     listener->draining = true;
 }
 
+void http_listener_shed(struct http_listener *listener, bool sheds)
+{
+    listener->sheds = sheds;
+}
+
 void http_listener_stop_accepting(struct http_listener *listener)
 {
     if (listener->listening) {
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -76,6 +76,7 @@
     struct http_handler handler;
     struct http_limits limits;
     bool draining;  /**< Connections are closed after their response. */
+    bool sheds;     /**< The same, until further notice (http_listener_shed()). */
     bool listening; /**< The socket is open. */
     struct http_connection *connections;
     size_t reserved_bytes; /**< Memory reserved for bodies being received. */
@@ -95,6 +96,10 @@
 /** From now on, connections are closed after their response. */
 void http_listener_drain(struct http_listener *listener);
 
+/** Whether connections are closed after their response from now on. Responses that have already begun, and draining,
+ * are not affected. */
+void http_listener_shed(struct http_listener *listener, bool sheds);
+
 /** Number of connections with an incomplete or unanswered request, unread bytes or unsent bytes of a response. */
 uint32_t http_listener_active_count(const struct http_listener *listener);
 
--- a/src/net/http_response.c
+++ b/src/net/http_response.c
@@ -112,7 +112,8 @@
 static void http_write_status(const struct http_call *call, int status, struct view headers, struct buffer *out)
 {
     struct http_connection *connection = call->connection;
-    connection->close_after = connection->close_after || connection->listener->draining;
+    const struct http_listener *listener = connection->listener;
+    connection->close_after = connection->close_after || listener->draining || listener->sheds;
     buffer_printf(out, "HTTP/1.1 %d %s\r\n", status, http_status_text(status));
     buffer_append(out, headers.data, headers.length);
     if (connection->close_after) {
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -136,9 +136,10 @@
     struct buffer body = {0};
     buffer_printf(&headers, "X-Run-State: %s\r\n", run_state);
     buffer_append_text(&headers, status == FORWARD_UNAUTHORIZED ? "WWW-Authenticate: Bearer\r\n" : "");
-    if (retry_after && forward->quota.retry_after_ms > 0) {
+    uint64_t retry_after_ms = forward->retry_after_ms > 0 ? forward->retry_after_ms : forward->quota.retry_after_ms;
+    if (retry_after && retry_after_ms > 0) {
         buffer_printf(&headers, "%s: %.3f\r\n", dialect->headers[DIALECT_RETRY_AFTER],
-                      (double)forward->quota.retry_after_ms / FORWARD_MS_PER_S);
+                      (double)retry_after_ms / FORWARD_MS_PER_S);
     } else if (retry_after) {
         buffer_printf(&headers, "%s: %s\r\n", dialect->headers[DIALECT_RETRY_AFTER], forward_retry_after(forward));
     }
@@ -336,6 +337,8 @@
     if (forward->turn.program == NULL) {
         forward_quota_begin(forward);
         forward_continue(forward);
+    } else if (frontend_is_cut_off(frontend)) {
+        forward_refuse_cut_off(forward);
     } else if (node_is_isolated(frontend->node)) {
         /* Makes the caller reconnect, maybe to a gateway that reaches the state replicas. */
         http_call_close_after(call);
@@ -350,7 +353,10 @@
 {
     const struct forward_turn *turn = &forward->turn;
     bool pending = forward->quota.request_number != 0 || turn->proposal != NULL || turn->fetch != NULL;
-    if (!pending && forward_quota_after_reservation(forward)) {
+    bool place = !pending && !forward->quota.needs_leader && forward_quota_after_reservation(forward);
+    if (forward->quota.needs_leader) {
+        forward_refuse_cut_off(forward);
+    } else if (place) {
         forward_place(forward);
     }
 }
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -91,6 +91,7 @@
     uint64_t request_number; /**< Token request (core/quota_lease.h) whose reply it waits for; 0: none. */
     uint64_t token_taken_ms; /**< Loop time; 0: no token taken. */
     uint64_t retry_after_ms; /**< Set when refused over the limit. */
+    bool needs_leader;       /**< No token was leased while the gateway was cut off: to be refused. */
 };
 
 struct forward {
@@ -120,6 +121,7 @@
     struct forward_stream stream;
     const char *reason;       /**< Outcome, for the log. */
     int response_status;      /**< Status sent to the caller; 0: none. */
+    uint64_t retry_after_ms;  /**< Set when refused as the gateway is cut off; 0: chosen by its progress. */
     struct forward *previous; /**< In frontend.forwards. */
     struct forward *next;     /**< In frontend.forwards. */
 };
@@ -178,6 +180,16 @@
 /** Ends the request as not run; 429 and 503 carry a Retry-After time. Fails it if the response has begun. */
 void forward_refuse(struct forward *forward, int status, const char *reason);
 
+/** frontend_contact.c: whether it has not run and waits for the quorum: for its reservation, its conversation or a rate
+ * limit token. */
+bool forward_waits_for_quorum(const struct forward *forward);
+
+/** frontend_contact.c: refuses a request that has certainly not run, since the gateway is cut off from the quorum. */
+void forward_refuse_cut_off(struct forward *forward);
+
+/** frontend_contact.c: ends a stored turn whose commit the gateway cannot learn, since it is cut off. */
+void forward_abort_uncommitted(struct forward *forward);
+
 /** Ends the request after a complete streamed response. */
 void forward_complete(struct forward *forward);
 
@@ -209,7 +221,8 @@
 /** forward_quota.c: takes the token that forward_quota_begin() left; false: as forward_quota_take(). */
 bool forward_quota_after_reservation(struct forward *forward);
 
-/** forward_quota.c: takes a token; false: it waits for the reply to the next token request. */
+/** forward_quota.c: takes a token; false: it waits for the reply to the next token request, or is to be refused
+ * (forward_quota.needs_leader). */
 bool forward_quota_take(struct forward *forward);
 
 /** forward_quota.c: returns its token if it made no attempt. */
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -270,6 +270,9 @@
     }
     if (!forward_quota_is_fresh(forward) && !forward_quota_take(forward)) {
         forward->phase = FORWARD_PREPARING;
+        if (forward->quota.needs_leader) {
+            forward_refuse_cut_off(forward);
+        }
         return;
     }
     struct server *server = forward_choose_server(forward);
--- a/src/proxy/forward_quota.c
+++ b/src/proxy/forward_quota.c
@@ -74,6 +74,11 @@
     if (!forward_is_rate_limited(forward)) {
         return true;
     }
+    bool leased = use == QUOTA_USE_REQUEST && quota_leases_has(&frontend->tenant_leases, now_ms, forward->tenant->hash);
+    if (!leased && frontend_is_cut_off(frontend)) {
+        forward->quota.needs_leader = true;
+        return false;
+    }
     if (quota_leases_take(&frontend->tenant_leases, now_ms, forward->tenant->hash, use)) {
         forward_quota_record_taken(forward);
         return true;
@@ -89,11 +94,10 @@
            node_now(forward->frontend->node) < expires_ms;
 }
 
-/* Requests refused together must not be retried together. Linear congruential generator with Knuth's MMIX constants. */
+/* Requests refused together must not be retried together. */
 static uint64_t forward_add_jitter(struct frontend *frontend, uint64_t retry_ms)
 {
-    frontend->jitter_state = frontend->jitter_state * 6364136223846793005ULL + 1442695040888963407ULL;
-    return retry_ms + (frontend->jitter_state >> 32) % (retry_ms / FORWARD_RETRY_JITTER_DIVISOR + 1);
+    return retry_ms + frontend_random(frontend) % (retry_ms / FORWARD_RETRY_JITTER_DIVISOR + 1);
 }
 
 static QuotaShare *forward_find_share(const QuotaGrant *grant, uint64_t tenant)
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -305,6 +305,10 @@
         forward_complete(forward);
         return;
     }
+    if (frontend_is_cut_off(forward->frontend)) {
+        forward_abort_uncommitted(forward);
+        return;
+    }
     Entry entry = {0};
     forward->phase = FORWARD_COMMITTING;
     turn->proposed_ms = node_now(node);
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -149,6 +149,13 @@
     return frontend->table != NULL && frontend->servers_known;
 }
 
+/* Linear congruential generator with Knuth's MMIX constants. */
+uint32_t frontend_random(struct frontend *frontend)
+{
+    frontend->jitter_state = frontend->jitter_state * 6364136223846793005ULL + 1442695040888963407ULL;
+    return (uint32_t)(frontend->jitter_state >> 32);
+}
+
 static bool frontend_is_withdrawn(const struct frontend *frontend)
 {
     return node_now(frontend->node) < frontend->withdrawn_until_ms;
@@ -156,7 +163,8 @@
 
 bool frontend_is_ready(const struct frontend *frontend)
 {
-    return frontend_is_configured(frontend) && !node_is_isolated(frontend->node) && !frontend_is_withdrawn(frontend);
+    return frontend_is_configured(frontend) && !node_is_isolated(frontend->node) && !frontend_is_withdrawn(frontend) &&
+           !frontend_is_cut_off(frontend);
 }
 
 bool frontend_is_busy(const struct frontend *frontend)
@@ -180,13 +188,16 @@
 }
 
 /* The interval set by the leader, but at least LOAD_MIN_REPORT_MS, and at most PRESENCE_REPORT_MS: a gateway without
- * reports counts as silent. An idle gateway reports every PRESENCE_REPORT_MS. */
-static uint32_t frontend_report_interval_ms(const struct frontend *frontend)
+ * reports counts as silent. An idle gateway reports every PRESENCE_REPORT_MS or, if it has to detect a cut soon, at
+ * least every QUORUM_CONTACT_IDLE_REPORT_MS unless the leader's interval is longer. */
+uint32_t frontend_report_interval_ms(const struct frontend *frontend)
 {
     bool idle = frontend->active == 0 && !frontend->last_report_had_loads;
-    uint32_t interval_ms =
-        frontend->report_interval_ms > LOAD_MIN_REPORT_MS ? frontend->report_interval_ms : LOAD_MIN_REPORT_MS;
-    return idle || interval_ms > PRESENCE_REPORT_MS ? PRESENCE_REPORT_MS : interval_ms;
+    uint32_t idle_ms =
+        frontend->node->settings.tolerated_zones > 0 ? QUORUM_CONTACT_IDLE_REPORT_MS : PRESENCE_REPORT_MS;
+    uint32_t min_ms = idle ? idle_ms : LOAD_MIN_REPORT_MS;
+    uint32_t interval_ms = frontend->report_interval_ms > min_ms ? frontend->report_interval_ms : min_ms;
+    return interval_ms > PRESENCE_REPORT_MS ? PRESENCE_REPORT_MS : interval_ms;
 }
 
 /* Reports the load to the leader; also serves as the heartbeat. */
@@ -228,6 +239,7 @@
 {
     uint64_t now_ms = node_now(frontend->node);
     frontend->report_interval_ms = totals->report_ms;
+    frontend_record_leader_reply(frontend);
     if (totals->loads_ms > 0) {
         server_table_set_other_loads(&frontend->servers, now_ms, totals);
     }
@@ -280,6 +292,7 @@
 void frontend_tick(struct frontend *frontend)
 {
     frontend_confirm_configuration(frontend);
+    frontend_contact_tick(frontend);
     quota_leases_expire(&frontend->tenant_leases, node_now(frontend->node));
     quota_leases_expire(&frontend->start_leases, node_now(frontend->node));
     if (frontend->queued > 0) {
@@ -335,6 +348,7 @@
     metrics_write_gauge(out, "requests_queued", "Requests that wait for a place at a server.", frontend->queued);
     metrics_write_gauge(out, "withdrawn", "Whether callers are left to other zones.",
                         frontend_is_withdrawn(frontend) ? 1 : 0);
+    frontend_contact_write_metrics(frontend, out);
     frontend_memory_write_metrics(frontend, out);
     metrics_write_gauge(out, "zones_drained", "Zones whose servers get nothing new.",
                         frontend->node->state.drained.count);
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -7,6 +7,7 @@
 #define BANKBANK_PROXY_FRONTEND_H
 
 #include "core/program_set.h"
+#include "core/quorum_contact.h"
 #include "core/quota_lease.h"
 #include "core/retry.h"
 #include "core/route_table.h"
@@ -46,6 +47,9 @@
     uint64_t cache_hits;   /**< Conversations found in frontend.cache. */
     uint64_t cache_misses; /**< Conversations to fetch from a state replica. */
     uint64_t memory_refusals;
+    uint64_t cuts;             /**< Times that the gateway was cut off from the quorum. */
+    uint64_t cut_off_refusals; /**< Requests refused for that. */
+    uint64_t contact_probes;   /**< Of replicas in other zones. */
 };
 
 struct forward;
@@ -76,15 +80,18 @@
     bool last_report_had_loads;
     uint64_t withdrawn_until_ms; /**< Not ready until then, so that other zones serve callers (presence.h). */
     bool withdrawal_logged;
-    prefix_cost_t call_cost;      /**< Average cost of a request to a model server, in input tokens. */
-    quota_leases_t tenant_leases; /**< Rate limit tokens of tenants. */
-    quota_leases_t start_leases;  /**< Start tokens: for servers that have just started (core/slow_start.h). */
-    bool start_request_pending;   /**< For start tokens. */
-    uint64_t start_requested_ms;  /**< Of the last request. */
-    program_set_t programs;       /**< Recently seen, of tenants with a rate limit. */
-    uint64_t quota_requests;      /**< Token requests for tenants sent so far; also the number of the last one. */
-    uint64_t jitter_state;        /**< Random generator for the jitter of Retry-After. */
-    struct retry_budget retries;  /**< Limits hedged attempts. */
+    quorum_contact_t contact;         /**< Unused without the setting tolerated_zones. */
+    uint32_t contact_rotation;        /**< Position of the next replica to probe. */
+    uint64_t cut_off_refusals_before; /**< counters.cut_off_refusals when the last cut was detected. */
+    prefix_cost_t call_cost;          /**< Average cost of a request to a model server, in input tokens. */
+    quota_leases_t tenant_leases;     /**< Rate limit tokens of tenants. */
+    quota_leases_t start_leases;      /**< Start tokens: for servers that have just started (core/slow_start.h). */
+    bool start_request_pending;       /**< For start tokens. */
+    uint64_t start_requested_ms;      /**< Of the last request. */
+    program_set_t programs;           /**< Recently seen, of tenants with a rate limit. */
+    uint64_t quota_requests;          /**< Token requests for tenants sent so far; also the number of the last one. */
+    uint64_t jitter_state;            /**< Random generator for the jitter of Retry-After. */
+    struct retry_budget retries;      /**< Limits hedged attempts. */
     struct frontend_counters counters;
     struct histogram first_event_time; /**< Since the request was received, for streams. */
     struct histogram response_time;    /**< Since the request was received, to the end of the response. */
@@ -129,7 +136,13 @@
 /** Whether it has a configuration and a server list. */
 bool frontend_is_configured(const struct frontend *frontend);
 
-/** Whether it is configured, and neither isolated from the state replicas nor withdrawn. */
+/** For the jitter of Retry-After. */
+uint32_t frontend_random(struct frontend *frontend);
+
+/** Interval of the load reports. */
+uint32_t frontend_report_interval_ms(const struct frontend *frontend);
+
+/** Whether it is configured, and neither isolated or cut off from the state replicas nor withdrawn. */
 bool frontend_is_ready(const struct frontend *frontend);
 
 /** Whether requests are active or connections are busy. */
@@ -158,6 +171,25 @@
 /** frontend_reach.c: probes a server that has been silent for too long. */
 void frontend_probe_if_silent(struct frontend *frontend, struct server *server);
 
+/** frontend_contact.c: whether the gateway is cut off from the quorum of the state replicas; never without the setting
+ * tolerated_zones. */
+bool frontend_is_cut_off(const struct frontend *frontend);
+
+/** frontend_contact.c: any frame arrived from another daemon. */
+void frontend_record_frame(struct frontend *frontend, uint32_t from);
+
+/** frontend_contact.c: a leader replied to a load report. */
+void frontend_record_leader_reply(struct frontend *frontend);
+
+/** frontend_contact.c: detects the begin of a cut, and probes replicas in other zones while in doubt. */
+void frontend_contact_tick(struct frontend *frontend);
+
+/** frontend_contact.c: Retry-After time while cut off, with a random part. */
+uint64_t frontend_cut_off_retry_ms(struct frontend *frontend);
+
+/** frontend_contact.c. */
+void frontend_contact_write_metrics(const struct frontend *frontend, struct buffer *out);
+
 void frontend_write_metrics(const struct frontend *frontend, struct buffer *out);
 
 #endif
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -94,6 +94,9 @@
     struct node *node = context;
     node->last_received_ms = node_now(node);
     control_client_record_received(&node->client, node_now(node), from);
+    if (node->frontend != NULL) {
+        frontend_record_frame(node->frontend, from);
+    }
     node_dispatch(node, from, frame);
 }
 
--- a/src/proxy/state_host_daemons.c
+++ b/src/proxy/state_host_daemons.c
@@ -4,6 +4,7 @@
 
 #include "base/event_log.h"
 #include "base/message.h"
+#include "core/quorum_contact.h"
 #include "core/slow_start.h"
 #include "proxy/node_metrics.h"
 #include "proxy/state_host_internal.h"
@@ -93,6 +94,15 @@
 
 /* ---- Load reports ----------------------------------------------------------------------------------- */
 
+/* Gateways take the reply as proof that a quorum is reachable, if zones may be lost. A leader that has lost its quorum
+ * leads on for an election timeout, and the gateways of its zone would wait that much longer. */
+static bool host_may_answer_reports(const struct state_host *host, uint64_t now_ms)
+{
+    const struct raft *raft = &host->replica.groups[STATE_CONFIG_GROUP].raft;
+    uint64_t since_ms = now_ms > QUORUM_CONTACT_LEADER_MS ? now_ms - QUORUM_CONTACT_LEADER_MS : 0;
+    return host->node->settings.tolerated_zones == 0 || raft_quorum_active_since(raft, since_ms);
+}
+
 /* Replies with the load of the other gateways and the number of silent ones. */
 static void host_handle_load_report(struct state_host *host, uint32_t from, const LoadReport *report)
 {
@@ -104,9 +114,12 @@
     frame.which_payload = Frame_load_totals_tag;
     load_table_report(&host->loads, now_ms, from, report);
     load_table_expire(&host->loads, now_ms);
-    load_table_answer(&host->loads, now_ms, from, &frame.payload.load_totals);
     presence_record_report(&host->presence, now_ms, report);
     presence_expire(&host->presence, now_ms);
+    if (!host_may_answer_reports(host, now_ms)) {
+        return;
+    }
+    load_table_answer(&host->loads, now_ms, from, &frame.payload.load_totals);
     presence_count(&host->presence, now_ms, report->zone, &frame.payload.load_totals);
     node_send_frame(host->node, from, &frame);
     free(frame.payload.load_totals.loads);
