--- a/src/core/reach.c
+++ b/src/core/reach.c
@@ -15,7 +15,7 @@
     if (reach->confirmed_unreachable) {
         return now_ms >= reach->probed_ms + REACH_RETRY_MS;
     }
-    if (reach->failures > 0) {
+    if (reach->failures > 0 || reach->suspected) {
         return true;
     }
     return busy && now_ms >= last_activity_ms + reach_silence_limit_ms(reach);
@@ -32,6 +32,7 @@
     reach->unreachable = false;
     reach->confirmed_unreachable = false;
     reach->peer_silent = false;
+    reach->suspected = false;
     reach->failures = 0;
     return was_unreachable ? REACH_RECOVERED : REACH_UNCHANGED;
 }
@@ -63,6 +64,11 @@
     return reach->confirmed_unreachable && !was_silent ? REACH_DEAD : REACH_UNCHANGED;
 }
 
+void reach_record_connect_timeout(reach_t *reach)
+{
+    reach->suspected = true;
+}
+
 bool reach_is_dead(const reach_t *reach)
 {
     return reach->confirmed_unreachable && reach->peer_silent;
--- a/src/core/reach.h
+++ b/src/core/reach.h
@@ -49,6 +49,7 @@
     bool unreachable;           /**< The last REACH_UNREACHABLE_PROBES probes or more failed. */
     bool confirmed_unreachable; /**< The last REACH_CONFIRMED_PROBES probes or more failed. */
     bool peer_silent;           /**< Its kernel did not respond on an open connection. */
+    bool suspected;             /**< A connection attempt timed out since it last answered: it is probed. */
     uint32_t failures;          /**< Consecutive failed probes. */
     uint32_t mean_ms;           /**< Mean time until a response starts; 0: no response yet. */
     uint32_t deviation_ms;      /**< Mean deviation of that time. */
@@ -80,6 +81,10 @@
 /** Records that the server's kernel did not respond on an open connection. */
 reach_change_t reach_record_peer_silent(reach_t *reach);
 
+/** Records that a connection attempt other than a probe timed out: the server is probed at once, even without in-flight
+ * requests. */
+void reach_record_connect_timeout(reach_t *reach);
+
 /** Whether the server is confirmed unreachable and `peer_silent`: it is assumed to run no request any more. */
 bool reach_is_dead(const reach_t *reach);
 
--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -75,6 +75,14 @@
     }
 }
 
+static enum upstream_result upstream_unsent_result(const struct upstream_exchange *exchange)
+{
+    if (exchange->refused) {
+        return UPSTREAM_REFUSED;
+    }
+    return exchange->connect_timed_out ? UPSTREAM_CONNECT_TIMEOUT : UPSTREAM_NOT_SENT;
+}
+
 void upstream_connection_end(struct upstream_connection *connection, enum upstream_result sent_result)
 {
     struct upstream_pool *pool = connection->pool;
@@ -83,8 +91,7 @@
     upstream_connection_close(connection);
     upstream_report_probe(connection, false);
     if (exchange != NULL) {
-        enum upstream_result not_sent = exchange->refused ? UPSTREAM_REFUSED : UPSTREAM_NOT_SENT;
-        upstream_finish(pool, exchange, exchange->sent ? sent_result : not_sent);
+        upstream_finish(pool, exchange, exchange->sent ? sent_result : upstream_unsent_result(exchange));
     }
     upstream_assign_waiting(pool, server);
 }
@@ -474,6 +481,10 @@
             connection->state == UPSTREAM_IDLE && now_ms >= connection->state_since_ms + connection->idle_timeout_ms;
         if (connect_timed_out || idle_expired) {
             pool->counters.connect_failures += connect_timed_out ? 1 : 0;
+            /* An attempt that failed locally, with state_since_ms 0, was never sent and says nothing of the server. */
+            if (connection->exchange != NULL && connection->state_since_ms != 0) {
+                connection->exchange->connect_timed_out = connect_timed_out;
+            }
             upstream_connection_fail(connection);
             next = pool->all == NULL ? NULL : next;
             /* The callback may have closed other connections: restart from the first. */
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -36,11 +36,12 @@
 };
 
 enum upstream_result {
-    UPSTREAM_DONE,        /**< The complete response was received. */
-    UPSTREAM_NOT_SENT,    /**< No byte of the request was sent: it was not executed. */
-    UPSTREAM_REFUSED,     /**< Not sent, and the connection was refused: no server listens at the address. */
-    UPSTREAM_BROKEN,      /**< It was sent, without a complete response: it may have been executed. */
-    UPSTREAM_PEER_TIMEOUT /**< Like UPSTREAM_BROKEN, and the server's machine is unreachable (peer_keepalive.h). */
+    UPSTREAM_DONE,            /**< The complete response was received. */
+    UPSTREAM_NOT_SENT,        /**< No byte of the request was sent: it was not executed. */
+    UPSTREAM_REFUSED,         /**< Not sent, and the connection was refused: no server listens at the address. */
+    UPSTREAM_CONNECT_TIMEOUT, /**< Not sent, and nothing answered the connection attempt for UPSTREAM_CONNECT_MS. */
+    UPSTREAM_BROKEN,          /**< It was sent, without a complete response: it may have been executed. */
+    UPSTREAM_PEER_TIMEOUT     /**< Like UPSTREAM_BROKEN, and the server's machine is unreachable (peer_keepalive.h). */
 };
 
 /** Callbacks of an exchange. They may cancel it, except `write`; `end` is called once, unless it was cancelled. */
@@ -68,6 +69,7 @@
     bool reused;                    /**< Sent on a connection that was idle. */
     bool sent;                      /**< Bytes of the request may have been sent. */
     bool refused;                   /**< The address refused the connection. */
+    bool connect_timed_out;         /**< Nothing answered the connection attempt. */
     bool final;                     /**< The head of the final response was received. */
     bool keepalive;                 /**< The server's machine is probed while nothing arrives. */
     uint64_t waiting_since_ms;      /**< Start of the wait for a connection. */
--- a/tests/scripted/run_reach.c
+++ b/tests/scripted/run_reach.c
@@ -5,6 +5,7 @@
  *   probe                         a probe starts
  *   connected MS | failed MS      the probe ends at this time; prints the state change
  *   peer-silent                   the machine does not respond on an open connection; prints the state change
+ *   connect-timeout               a connection attempt for a request timed out
  *   dead                          prints whether the server is dead */
 #include "core/reach.h"
 #include "script.h"
@@ -40,6 +41,8 @@
         reach_record_probe_start(&reach);
     } else if (script_is(command, 0, "peer-silent")) {
         script_print("%s", change_text(reach_record_peer_silent(&reach)));
+    } else if (script_is(command, 0, "connect-timeout")) {
+        reach_record_connect_timeout(&reach);
     } else if (script_is(command, 0, "dead")) {
         script_print(reach_is_dead(&reach) ? "yes\n" : "no\n");
     } else {
