Server choice: servers of a zone that a gateway cannot reach are second choice

Cause: when a zone is cut off, each gateway finds out for each server there separately that it cannot be reached.

Change: a zone other than the gateway's own is unreachable from a failure on that leaves two of its listed servers failed (unreachable, or a connection attempt timed out), until any of its servers sends data or answers a probe. Its servers count as unreachable in the choice. If no other server is eligible and reachable, the choice is repeated without regard to zones, also for start tokens, so that no service is starved. Each server points to its zone: the choice reads a flag and compares no names. Only if tolerated_zones is above 0. Log lines zone_unreachable, zone_reachable; gauge zones_unreachable; design note.

--- a/src/core/server_choice.c
+++ b/src/core/server_choice.c
@@ -39,9 +39,10 @@
     return !server_is_out_of_rotation(server) && now_ms >= server->full_until_ms;
 }
 
-static bool server_is_reachable(const struct server *server)
+static bool server_is_reachable(const struct server *server, const struct server_criteria *criteria)
 {
-    return !server->reach.unreachable;
+    bool zone_unreachable = !criteria->ignore_zone_reach && zone_reach_is_unreachable(&server->zone_reach);
+    return !server->reach.unreachable && !zone_unreachable;
 }
 
 static bool server_was_tried(const struct server *server, const struct server_criteria *criteria)
@@ -135,7 +136,7 @@
 static bool server_is_eligible_and_reachable(const struct server *server, const struct server_criteria *criteria,
                                              uint64_t now_ms)
 {
-    return server_is_reachable(server) && server_is_eligible(server, criteria, now_ms);
+    return server_is_reachable(server, criteria) && server_is_eligible(server, criteria, now_ms);
 }
 
 static bool server_is_eligible_in_zone(const struct server *server, const struct server_criteria *criteria,
@@ -224,11 +225,12 @@
 }
 
 /* Whether a program leaves its home is decided by comparing all zones: the zone's servers may fail as the home does. */
-struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria)
+static struct server *server_choose_reachable(struct server_table *table, uint64_t now_ms,
+                                              const struct server_criteria *criteria)
 {
     struct server *least_loaded = server_least_loaded(table, now_ms, criteria, server_is_eligible_and_reachable);
     if (least_loaded == NULL) {
-        return server_least_loaded(table, now_ms, criteria, server_is_eligible);
+        return NULL;
     }
     struct server *home = server_usable_home(table, now_ms, criteria);
     if (home != NULL && !server_should_leave_home(table, home, least_loaded, now_ms)) {
@@ -239,15 +241,37 @@
     return use_nearby ? nearby : least_loaded;
 }
 
-struct server *server_table_choose_starting(struct server_table *table, uint64_t now_ms,
-                                            const struct server_criteria *criteria)
+static bool server_table_has_unreachable_zone(const struct server_table *table)
+{
+    return table->zone_reach != NULL && zone_reach_count_unreachable(table->zone_reach) > 0;
+}
+
+static struct server_criteria server_criteria_for_all_zones(const struct server_criteria *criteria)
+{
+    struct server_criteria all_zones = *criteria;
+    all_zones.ignore_zone_reach = true;
+    return all_zones;
+}
+
+struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria)
+{
+    struct server *chosen = server_choose_reachable(table, now_ms, criteria);
+    if (chosen == NULL && server_table_has_unreachable_zone(table)) {
+        struct server_criteria all_zones = server_criteria_for_all_zones(criteria);
+        chosen = server_choose_reachable(table, now_ms, &all_zones);
+    }
+    return chosen != NULL ? chosen : server_least_loaded(table, now_ms, criteria, server_is_eligible);
+}
+
+static struct server *server_choose_starting_reachable(struct server_table *table, uint64_t now_ms,
+                                                       const struct server_criteria *criteria)
 {
     struct server *chosen = NULL;
     uint64_t highest = 0;
     table->rotation++;
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
         bool eligible = text_equal(server->service, criteria->service) && server_is_starting(server, now_ms) &&
-                        server_is_reachable(server) && server_accepts_requests(server, now_ms) &&
+                        server_is_reachable(server, criteria) && server_accepts_requests(server, now_ms) &&
                         !server_was_tried(server, criteria) && server_region_is_allowed(server, criteria);
         uint64_t rank = eligible ? server_hash_rank(server, table->rotation) : 0;
         if (eligible && (chosen == NULL || rank > highest)) {
@@ -257,3 +281,16 @@
     }
     return chosen;
 }
+
+/* Repeated without regard to zones: a service whose only servers have just started in an unreachable zone would
+ * otherwise never get a token, and no request without one. */
+struct server *server_table_choose_starting(struct server_table *table, uint64_t now_ms,
+                                            const struct server_criteria *criteria)
+{
+    struct server *chosen = server_choose_starting_reachable(table, now_ms, criteria);
+    if (chosen == NULL && server_table_has_unreachable_zone(table)) {
+        struct server_criteria all_zones = server_criteria_for_all_zones(criteria);
+        chosen = server_choose_starting_reachable(table, now_ms, &all_zones);
+    }
+    return chosen;
+}
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -56,10 +56,18 @@
 static void server_remove(struct server_table *table, struct server *server)
 {
     HASH_DEL(table->servers, server);
+    zone_reach_drop_failure(&server->zone_reach);
     server_record_ended(table, server);
     server_free(server);
 }
 
+/* A server that has left the list is no evidence that its zone is unreachable: it may have ended. */
+static void server_unlist(struct server *server)
+{
+    server->listed = false;
+    zone_reach_drop_failure(&server->zone_reach);
+}
+
 void server_table_close(struct server_table *table)
 {
     while (table->servers != NULL) {
@@ -110,6 +118,7 @@
     server->zone = text_copy(record->zone);
     server->region = zone_region(table->zones, table->zone_count, server->zone);
     server->zone_drained = table->drained != NULL && zone_set_has(table->drained, server->zone);
+    zone_reach_assign(table->zone_reach, &server->zone_reach, server->zone);
     HASH_ADD_KEYPTR(hh, table->servers, server->id, strlen(server->id), server);
     return server;
 }
@@ -120,7 +129,9 @@
     struct server *next;
     HASH_ITER(hh, table->servers, server, next)
     {
-        server->listed = server->listed && server->in_update;
+        if (!server->in_update) {
+            server_unlist(server);
+        }
         if (!server->listed && server->in_flight == 0) {
             server_remove(table, server);
         }
@@ -132,7 +143,7 @@
 {
     HASH_DEL(table->servers, server);
     server->replaced = true;
-    server->listed = false;
+    server_unlist(server);
     server_drop_deferred(server);
     server_record_ended(table, server);
     if (table->on_replaced != NULL) {
@@ -245,7 +256,7 @@
         if (server == NULL) {
             continue;
         }
-        server->listed = false;
+        server_unlist(server);
         server_drop_deferred(server);
         if (server->in_flight == 0) {
             server_remove(table, server);
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -32,6 +32,10 @@
  * SERVER_HOME_MAX_QUEUE requests. Leaving early amplifies an overload: programs
  * that move are processed again, which lengthens the queues that make others move.
  *
+ * A server in an unreachable zone (zone_reach.h) counts as unreachable in the choice. If no other server is eligible
+ * and reachable, the choice is repeated without regard to zones, so that a service whose servers are all in unreachable
+ * zones is served as if these were reachable.
+ *
  * With `zone_first`, the least loaded server of the gateway's zone is chosen
  * while it has room: a request does not wait there, so another zone offers it
  * nothing but a cached prompt. A fixed cost of other zones would at some loads keep
@@ -54,6 +58,7 @@
 #include "core/prefix_table.h"
 #include "core/reach.h"
 #include "core/route_table.h"
+#include "core/zone_reach.h"
 #include "core/zone_set.h"
 
 /* Constants named ..._REQUESTS are numbers of in-flight requests. A cost counts as that many additional ones. */
@@ -105,6 +110,7 @@
     health_t health;
     prefix_table_t prefixes;
     reach_t reach;
+    zone_reach_server_t zone_reach;
     bool logged_failing; /**< It was last logged as failing. */
     uint64_t hash;       /**< Of `incarnation`. */
     UT_hash_handle hh;   /**< By id. */
@@ -123,6 +129,7 @@
     const zone_info_t *zones;             /**< Owned by the caller. */
     size_t zone_count;
     const zone_set_t *drained; /**< Drained zones, owned by the caller; NULL: none. */
+    zone_reach_t *zone_reach;  /**< Owned by the caller, set before the first list; NULL: no zone is unreachable. */
     uint64_t loads_until_ms;   /**< When the loads of other gateways expire. */
 };
 
@@ -135,7 +142,8 @@
     const prefix_chain_t *chain;                              /**< Shared parts of the prompt, or NULL. */
     const prefix_cost_t *cost;                                /**< Average cost of a request; required with `chain`. */
     const char *home;                                         /**< Incarnation that is the program's home, or NULL. */
-    uint64_t affinity_key;                                    /**< Hash of the request's affinity key; 0: none. */
+    bool ignore_zone_reach; /**< Set by the selection when no server outside unreachable zones is left. */
+    uint64_t affinity_key;  /**< Hash of the request's affinity key; 0: none. */
     /** Whether there is a token for a server that has just started; NULL: no slow start for the service. */
     bool (*has_start_token)(void *context, const struct server *server);
     const struct server *tried[SERVER_MAX_TRIED]; /**< Servers already tried, which are excluded. */
--- a/src/proxy/forward_response.c
+++ b/src/proxy/forward_response.c
@@ -250,13 +250,21 @@
     return failed ? HEALTH_FAILED : HEALTH_SERVED;
 }
 
+static bool forward_was_not_sent(enum upstream_result result)
+{
+    return result == UPSTREAM_NOT_SENT || result == UPSTREAM_REFUSED || result == UPSTREAM_CONNECT_TIMEOUT;
+}
+
 static void forward_on_end(void *owner, enum upstream_result result)
 {
     struct forward_attempt *attempt = owner;
     struct node *node = attempt->forward->frontend->node;
     attempt->exchange = NULL;
-    if (result == UPSTREAM_NOT_SENT || result == UPSTREAM_REFUSED) {
+    if (forward_was_not_sent(result)) {
         attempt->server->not_listening = result == UPSTREAM_REFUSED;
+        if (result == UPSTREAM_CONNECT_TIMEOUT) {
+            frontend_record_connect_timeout(attempt->forward->frontend, attempt->server);
+        }
         forward_attempt_not_run(attempt, forward_unsent_reason(attempt));
         return;
     }
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -59,6 +59,8 @@
     frontend->servers.drained = &node->state.drained;
     frontend->servers.zones = node->settings.zones.items;
     frontend->servers.zone_count = node->settings.zones.count;
+    frontend->zone_reach.own_zone = node->settings.zone;
+    frontend->servers.zone_reach = node->settings.tolerated_zones > 0 ? &frontend->zone_reach : NULL;
     struct http_handler handler = {
         .context = frontend,
         .request = frontend_on_request,
@@ -81,6 +83,7 @@
     http_listener_close(&frontend->callers);
     frontend_configuration_close(frontend);
     server_table_close(&frontend->servers);
+    zone_reach_close(&frontend->zone_reach);
     turn_store_close(&frontend->cache);
     quota_leases_close(&frontend->tenant_leases);
     quota_leases_close(&frontend->start_leases);
@@ -263,6 +266,7 @@
         forward_log_starting(frontend, server);
         frontend_probe_if_silent(frontend, server);
     }
+    frontend_log_zone_changes(frontend); /* a new list may have ended an unreachable state */
 }
 
 void frontend_before_wait(struct frontend *frontend)
@@ -342,6 +346,8 @@
     frontend_memory_write_metrics(frontend, out);
     metrics_write_gauge(out, "zones_drained", "Zones whose servers get nothing new.",
                         frontend->node->state.drained.count);
+    metrics_write_gauge(out, "zones_unreachable", "Zones whose servers are avoided because two or more failed there.",
+                        zone_reach_count_unreachable(&frontend->zone_reach));
     metrics_write_gauge(out, "servers_known", "Servers known.", HASH_COUNT(frontend->servers.servers));
     histogram_write(&frontend->first_event_time, "first_event_seconds", "Time to the first event of a stream.", out);
     histogram_write(&frontend->response_time, "answer_seconds", "Time to the end of an answer.", out);
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -62,6 +62,7 @@
     uint64_t confirm_sent_ms;        /**< Of the last request. */
     uint64_t confirm_due_ms;         /**< Earliest time of the next request. */
     struct server_table servers;
+    zone_reach_t zone_reach; /**< Zones of `servers`; not used if no zone may be lost. */
     bool servers_known;      /**< A server list was applied, maybe an empty one. */
     uint64_t servers_change; /**< Last applied change of node->state.servers; 0: the applied list has another source. */
     struct turn_store cache; /**< Recent turns. */
@@ -157,6 +158,12 @@
 /** frontend_reach.c: the kernel of the server's machine does not respond on an open connection. */
 void frontend_record_unresponsive(struct frontend *frontend, struct server *server);
 
+/** frontend_reach.c: nothing answered a connection attempt for a request to a server. */
+void frontend_record_connect_timeout(struct frontend *frontend, struct server *server);
+
+/** frontend_reach.c: logs the zones that have become unreachable or reachable since the last call. */
+void frontend_log_zone_changes(struct frontend *frontend);
+
 /** frontend_reach.c: probes a server that has been silent for too long. */
 void frontend_probe_if_silent(struct frontend *frontend, struct server *server);
 
--- a/src/proxy/frontend_reach.c
+++ b/src/proxy/frontend_reach.c
@@ -1,4 +1,4 @@
-/* Probes silent servers to detect unreachable ones (core/reach.h). */
+/* Probes silent servers to detect unreachable ones (core/reach.h), and unreachable zones (core/zone_reach.h). */
 #include <string.h>
 
 #include "base/event_log.h"
@@ -10,11 +10,40 @@
               (int)server->in_flight, "silent_ms", (json_int_t)(node_now(frontend->node) - server->last_activity_ms));
 }
 
+void frontend_log_zone_changes(struct frontend *frontend)
+{
+    uint64_t now_ms = node_now(frontend->node);
+    for (zone_reach_zone_t *zone = frontend->zone_reach.zones; zone != NULL; zone = zone->hh.next) {
+        if (zone->unreachable != zone->logged_unreachable) {
+            zone->logged_unreachable = zone->unreachable;
+            event_log(zone->unreachable ? "zone_unreachable" : "zone_reachable", "{s:s,s:i,s:I}", "zone", zone->name,
+                      "servers", (int)zone->failed_servers, "duration_ms", (json_int_t)(now_ms - zone->since_ms));
+        }
+    }
+}
+
+static void frontend_handle_zone_change(struct frontend *frontend, zone_reach_change_t change)
+{
+    if (change != ZONE_REACH_UNCHANGED) {
+        frontend_log_zone_changes(frontend);
+    }
+}
+
+static void frontend_record_zone_failure(struct frontend *frontend, struct server *server)
+{
+    if (server->listed) {
+        frontend_handle_zone_change(frontend, zone_reach_record_failure(&server->zone_reach, node_now(frontend->node)));
+    }
+}
+
 static void frontend_handle_reach_change(struct frontend *frontend, struct server *server, reach_change_t change)
 {
     switch (change) {
     case REACH_UNCHANGED: break;
-    case REACH_UNREACHABLE: frontend_log_reach(frontend, server, "server_lost"); break;
+    case REACH_UNREACHABLE:
+        frontend_log_reach(frontend, server, "server_lost");
+        frontend_record_zone_failure(frontend, server); /* before its requests choose another server */
+        break;
     case REACH_CONFIRMED_UNREACHABLE: frontend_log_reach(frontend, server, "server_cut_off"); break;
     case REACH_DEAD: frontend_log_reach(frontend, server, "server_gone"); break;
     case REACH_RECOVERED:
@@ -31,6 +60,7 @@
 void frontend_record_received(struct frontend *frontend, struct server *server)
 {
     frontend_handle_reach_change(frontend, server, reach_record_received(&server->reach));
+    frontend_handle_zone_change(frontend, zone_reach_record_received(&server->zone_reach));
     server_record_received(server, node_now(frontend->node));
 }
 
@@ -53,6 +83,23 @@
     }
 }
 
+/* Only for servers of a zone that counts: others are served as without unreachable zones. */
+void frontend_record_connect_timeout(struct frontend *frontend, struct server *server)
+{
+    if (server->zone_reach.zone != NULL && !node_recently_stalled(frontend->node)) {
+        reach_record_connect_timeout(&server->reach);
+        frontend_record_zone_failure(frontend, server);
+        frontend_probe_if_silent(frontend, server);
+    }
+}
+
+static void frontend_record_zone_probe(struct frontend *frontend, struct server *server, bool answered)
+{
+    zone_reach_server_t *zone_reach = &server->zone_reach;
+    frontend_handle_zone_change(frontend, answered ? zone_reach_record_received(zone_reach)
+                                                   : zone_reach_drop_failure(zone_reach));
+}
+
 static void frontend_on_probed(void *context, const char *address, bool answered)
 {
     struct frontend *frontend = context;
@@ -63,6 +110,9 @@
         struct server *next = server->hh.next; /* an unlisted server is freed when its last request ends */
         if (server->reach.probing && strcmp(server->address, address) == 0) {
             reach_change_t change = reach_record_outcome(&server->reach, now_ms, reachable);
+            if (reachable) {
+                frontend_record_zone_probe(frontend, server, answered);
+            }
             frontend_probe_if_silent(frontend, server); /* not at the next review: a stream may wait for the result */
             frontend_handle_reach_change(frontend, server, change);
         }
