Zone reach: integration test of connection attempts that time out

Cause: servers that are silent for 150 ms are probed before a connection attempt times out, so that the test passed although the gateway ignored the timeouts.

Change: a case whose servers respond after a second, which postpones the probes.

--- a/tests/integration/test_zone_reach.c
+++ b/tests/integration/test_zone_reach.c
@@ -113,6 +113,42 @@
 }
 END_TEST
 
+static void *send_stream(void *context)
+{
+    struct site_response response;
+    (void)context;
+    site_call(0, "POST", "/open/x", "", "body", &response);
+    site_response_close(&response);
+    return NULL;
+}
+
+static bool both_servers_ran_a_stream(void *context)
+{
+    send_stream(context);
+    return site_run_count(0) > 0 && site_run_count(1) > 0;
+}
+
+/* Guards against connection attempts that time out but do not count. The servers respond after a second, so that they
+ * may be silent for longer than a connection attempt takes, and are not probed for their silence meanwhile. More
+ * concurrent requests than kept connections need new ones. */
+START_TEST(connection_attempts_that_time_out_count)
+{
+    pthread_t callers[REQUESTS];
+    site_set_mode(-1, SITE_SLOW);
+    site_wait(both_servers_ran_a_stream, NULL, "both servers respond slowly");
+    set_not_accepting(true);
+    for (int i = 0; i < REQUESTS; i++) {
+        ck_assert_int_eq(pthread_create(&callers[i], NULL, send_stream, NULL), 0);
+    }
+    for (int i = 0; i < REQUESTS; i++) {
+        pthread_join(callers[i], NULL);
+    }
+    ck_assert(site_log_has(GATEWAY, "\"event\":\"zone_unreachable\",\"zone\":\"z3\",\"servers\":2"));
+    set_not_accepting(false);
+    site_wait(zone_is_reachable, NULL, "the zone is reachable again");
+}
+END_TEST
+
 START_TEST(without_the_setting_other_servers_of_the_zone_are_used)
 {
     set_not_accepting(true);
@@ -135,6 +171,7 @@
     tcase_set_timeout(tolerated, 90);
     tcase_add_checked_fixture(tolerated, start_tolerated, stop);
     tcase_add_test(tolerated, servers_of_an_unreachable_zone_are_avoided);
+    tcase_add_test(tolerated, connection_attempts_that_time_out_count);
     suite_add_tcase(suite, tolerated);
     TCase *unchanged = tcase_create("no zone may be lost");
     tcase_set_timeout(unchanged, 90);
