Server choice: full servers of the zone are left out of the comparison

Cause: the least loaded server of the zone was searched first and then asked for room. A full server that has the prompt cached can have the least load while another server of the zone has a free slot; all zones were then compared.

Change: only servers with room are compared (one filter for the search). The filters of the search get the table.

--- a/src/core/server_choice.c
+++ b/src/core/server_choice.c
@@ -124,32 +124,40 @@
     return ((requests << SERVER_LOAD_FRACTION_BITS) + cache_miss_cost) / server_slots(server);
 }
 
+typedef bool (*server_filter_t)(const struct server_table *table, const struct server *server,
+                                const struct server_criteria *criteria, uint64_t now_ms);
+
 /* Ignores reachability: an unreachable server is better than none. */
-static bool server_is_eligible(const struct server *server, const struct server_criteria *criteria, uint64_t now_ms)
+static bool server_is_eligible(const struct server_table *table, const struct server *server,
+                               const struct server_criteria *criteria, uint64_t now_ms)
 {
+    (void)table;
     bool eligible = text_equal(server->service, criteria->service) && server_accepts_requests(server, now_ms) &&
                     !server_was_tried(server, criteria) && server_region_is_allowed(server, criteria);
     bool needs_token = eligible && criteria->has_start_token != NULL && server_is_starting(server, now_ms);
     return eligible && (!needs_token || criteria->has_start_token(criteria->context, server));
 }
 
-static bool server_is_eligible_and_reachable(const struct server *server, const struct server_criteria *criteria,
-                                             uint64_t now_ms)
+static bool server_is_eligible_and_reachable(const struct server_table *table, const struct server *server,
+                                             const struct server_criteria *criteria, uint64_t now_ms)
 {
-    return server_is_reachable(server, criteria) && server_is_eligible(server, criteria, now_ms);
+    return server_is_reachable(server, criteria) && server_is_eligible(table, server, criteria, now_ms);
 }
 
-static bool server_is_eligible_in_zone(const struct server *server, const struct server_criteria *criteria,
-                                       uint64_t now_ms)
+/* Full servers are left out, not only compared: one that has the prompt cached may have the least load although another
+ * server of the zone has a free slot. */
+static bool server_has_room_in_zone(const struct server_table *table, const struct server *server,
+                                    const struct server_criteria *criteria, uint64_t now_ms)
 {
-    return text_equal(server->zone, criteria->zone) && server_is_eligible_and_reachable(server, criteria, now_ms);
+    return text_equal(server->zone, criteria->zone) &&
+           server_is_eligible_and_reachable(table, server, criteria, now_ms) &&
+           server_occupied_slots(table, server, criteria, now_ms) < server_slots(server);
 }
 
 /* Rendezvous hashing: all gateways prefer the same server for the same prompt parts or the same affinity key, and
  * assume that it has the data cached. */
-static const struct server *
-server_preferred(const struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria,
-                 bool (*eligible)(const struct server *, const struct server_criteria *, uint64_t))
+static const struct server *server_preferred(const struct server_table *table, uint64_t now_ms,
+                                             const struct server_criteria *criteria, server_filter_t filter)
 {
     const struct server *preferred = NULL;
     uint64_t highest = 0;
@@ -160,7 +168,7 @@
     }
     for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
         uint64_t rank = server_hash_rank(server, key);
-        if (eligible(server, criteria, now_ms) && (preferred == NULL || rank > highest)) {
+        if (filter(table, server, criteria, now_ms) && (preferred == NULL || rank > highest)) {
             preferred = server;
             highest = rank;
         }
@@ -168,17 +176,17 @@
     return preferred;
 }
 
-static struct server *
-server_least_loaded(struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria,
-                    bool (*eligible)(const struct server *, const struct server_criteria *, uint64_t))
+/* Among the servers that pass the filter; NULL: none does. */
+static struct server *server_least_loaded(struct server_table *table, uint64_t now_ms,
+                                          const struct server_criteria *criteria, server_filter_t filter)
 {
     struct server *least_loaded = NULL;
     uint64_t least_load = 0;
     uint64_t highest_rank = 0;
-    const struct server *preferred = server_preferred(table, now_ms, criteria, eligible);
+    const struct server *preferred = server_preferred(table, now_ms, criteria, filter);
     table->rotation++;
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        if (!eligible(server, criteria, now_ms)) {
+        if (!filter(table, server, criteria, now_ms)) {
             continue;
         }
         uint64_t load = server_load(table, server, criteria, now_ms, server == preferred);
@@ -192,15 +200,6 @@
     return least_loaded;
 }
 
-/* The least loaded server of the gateway's zone if it has room, otherwise NULL. */
-static struct server *server_with_room_in_zone(struct server_table *table, uint64_t now_ms,
-                                               const struct server_criteria *criteria)
-{
-    struct server *server = server_least_loaded(table, now_ms, criteria, server_is_eligible_in_zone);
-    bool has_room = server != NULL && server_occupied_slots(table, server, criteria, now_ms) < server_slots(server);
-    return has_room ? server : NULL;
-}
-
 /* True only if the other server has much less load or only the home fails: processing a prompt again delays all
  * requests on the new server. */
 static bool server_should_leave_home(const struct server_table *table, const struct server *home,
@@ -221,7 +220,7 @@
                                          const struct server_criteria *criteria)
 {
     struct server *home = server_table_find_incarnation(table, criteria->home);
-    return home != NULL && server_is_eligible_and_reachable(home, criteria, now_ms) ? home : NULL;
+    return home != NULL && server_is_eligible_and_reachable(table, home, criteria, now_ms) ? home : NULL;
 }
 
 /* Whether a program leaves its home is decided by comparing all zones: the zone's servers may fail as the home does. */
@@ -236,7 +235,8 @@
     if (home != NULL && !server_should_leave_home(table, home, least_loaded, now_ms)) {
         return home;
     }
-    struct server *nearby = criteria->zone_first ? server_with_room_in_zone(table, now_ms, criteria) : NULL;
+    struct server *nearby =
+        criteria->zone_first ? server_least_loaded(table, now_ms, criteria, server_has_room_in_zone) : NULL;
     bool use_nearby = nearby != NULL && (home == NULL || server_should_leave_home(table, home, nearby, now_ms));
     return use_nearby ? nearby : least_loaded;
 }
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -36,8 +36,8 @@
  * and reachable, the choice is repeated without regard to zones, so that a service whose servers are all in unreachable
  * zones is served as if these were reachable.
  *
- * With `zone_first`, the least loaded server of the gateway's zone is chosen
- * while it has room: a request does not wait there, so another zone offers it
+ * With `zone_first`, the least loaded of those servers of the gateway's zone that
+ * have room is chosen: a request does not wait there, so another zone offers it
  * nothing but a cached prompt. A fixed cost of other zones would at some loads keep
  * requests in a full zone and at others send them away from free slots.
  *
