Membership: voters are spread over zones

Traced: in the first cut the leader replaces the zone's two voters by members of the other zones, one of which then has three of five voters; five healthy voters need no change when the zone returns. Ruled out: the detection of the cut; in the second one the gateways of the cut-off zone were in contact again after 0.6 s, since the quorum was theirs.

Change, with tolerated_zones above 0 and enough zones: at most two of five voters in a zone; a returning zone is admitted and promoted, and a voter of the zone that has too many is demoted.

--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -7,6 +7,12 @@
  * remain, and an unreachable learner only after MEMBERSHIP_LEARNER_REMOVAL_MS. A
  * member is healthy if it is reachable, not replaced by another node, and not on
  * a machine being retired.
+ *
+ * If zones may be lost, no zone gets so many voters that its loss takes the quorum:
+ * after a lost zone's voters were replaced by members of the other zones, one of
+ * these would otherwise hold a majority. The group then has fewer voters until the
+ * zone returns; one of its members is promoted, and a voter of a zone that has too
+ * many is demoted. This needs members in 2 * tolerated_zones + 1 zones.
  */
 #ifndef BANKBANK_CORE_MEMBERSHIP_H
 #define BANKBANK_CORE_MEMBERSHIP_H
@@ -45,9 +51,11 @@
     struct raft_member_location location; /**< MEMBER_ADD_LEARNER only. */
 };
 
-/** `statuses` is indexed by member position; `joins` may contain unused entries. */
+/** `statuses` is indexed by member position; `joins` may contain unused entries; `tolerated_zones`: zones that may be
+ * lost at once, 0: the voters are not limited by zone. */
 struct membership_change membership_plan(const struct raft_members *members, const struct membership_status *statuses,
-                                         const struct membership_join *joins, size_t join_count, uint64_t now_ms);
+                                         const struct membership_join *joins, size_t join_count, uint64_t now_ms,
+                                         uint32_t tolerated_zones);
 
 /** Whether at least MEMBERSHIP_VOTERS healthy members would remain on other machines. */
 bool membership_may_retire(const struct raft_members *members, const struct membership_status *statuses,
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -76,6 +76,7 @@
     size_t snapshot_log_bytes;          /**< Log size of all groups at which snapshots are due; 0: REPLICA_LOG_BYTES. */
     size_t max_log_bytes;               /**< Log size in memory at which a group refuses entries; 0: no limit. */
     size_t max_state_bytes;             /**< Memory of turns and budgets at which new turns are refused; 0: no limit. */
+    uint32_t tolerated_zones;           /**< Zones that may be lost at once, see membership_plan(). */
     bool auto_membership;               /**< Members join by themselves and are replaced when unreachable. */
     bool monotonic_timestamps;          /**< Entries get timestamps of a monotonic clock, not the wall clock. */
 };
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -292,8 +292,8 @@
         }
         struct membership_status statuses[RAFT_MAX_MEMBERS];
         replica_describe_members(replica, raft, statuses);
-        struct membership_change change =
-            membership_plan(&raft->members, statuses, replica->joins, REPLICA_MAX_JOINS, replica->now_ms);
+        struct membership_change change = membership_plan(&raft->members, statuses, replica->joins, REPLICA_MAX_JOINS,
+                                                          replica->now_ms, replica->config.tolerated_zones);
         if (change.needed) {
             replica_propose_membership_change(replica, group, &change);
         }
--- a/src/proxy/state_host_disk.c
+++ b/src/proxy/state_host_disk.c
@@ -130,6 +130,14 @@
     return opened;
 }
 
+/* 0 if the site has too few zones to spread the voters over. */
+static uint32_t host_tolerated_zones(const struct state_host *host)
+{
+    const struct node_settings *settings = &host->node->settings;
+    bool enough = settings->zones.count >= 2 * settings->tolerated_zones + 1;
+    return enough ? (uint32_t)settings->tolerated_zones : 0;
+}
+
 bool state_host_open_replica(struct state_host *host)
 {
     const memory_budget_t *memory = &host->node->memory;
@@ -146,6 +154,7 @@
         .snapshot_log_bytes = memory->log,
         .max_log_bytes = memory->log_max,
         .max_state_bytes = memory->state,
+        .tolerated_zones = host_tolerated_zones(host),
         .auto_membership = true,
         .monotonic_timestamps = true,
     };
--- a/tests/unit/membership.c
+++ b/tests/unit/membership.c
@@ -8,6 +8,7 @@
 static struct raft_members members;
 static struct membership_status statuses[RAFT_MAX_MEMBERS];
 static struct membership_join joins[3];
+static uint32_t tolerated_zones;
 
 static void add_member(uint32_t node, bool learner)
 {
@@ -23,6 +24,7 @@
     memset(&members, 0, sizeof(members));
     memset(statuses, 0, sizeof(statuses));
     memset(joins, 0, sizeof(joins));
+    tolerated_zones = 0;
     add_member(1, false);
     add_member(2, false);
     add_member(3, false);
@@ -30,7 +32,7 @@
 
 static void expect_change(MemberAction action, uint32_t node)
 {
-    struct membership_change change = membership_plan(&members, statuses, joins, 3, 10000);
+    struct membership_change change = membership_plan(&members, statuses, joins, 3, 10000, tolerated_zones);
     ck_assert(change.needed);
     ck_assert_int_eq(change.action, action);
     ck_assert_uint_eq(change.node, node);
@@ -38,7 +40,7 @@
 
 static void expect_no_change(void)
 {
-    ck_assert(!membership_plan(&members, statuses, joins, 3, 10000).needed);
+    ck_assert(!membership_plan(&members, statuses, joins, 3, 10000, tolerated_zones).needed);
 }
 
 START_TEST(healthy_group_needs_no_change)
@@ -192,6 +194,74 @@
 }
 END_TEST
 
+/* Five voters, two each in zones a and b, one in c, and a learner each in b and c. */
+static void setup_three_zones(void)
+{
+    static const char *const zones[] = {"a", "a", "b", "b", "c", "b", "c"};
+    members.count = 0;
+    for (uint32_t i = 0; i < 7; i++) {
+        add_member(i + 1, i >= 5);
+        snprintf(members.locations[i].zone, RAFT_ZONE_MAX, "%s", zones[i]);
+    }
+    tolerated_zones = 1;
+}
+
+static void lose_zone_a(void)
+{
+    statuses[0].silent_ms = MEMBERSHIP_UNREACHABLE_MS;
+    statuses[1].silent_ms = MEMBERSHIP_UNREACHABLE_MS;
+}
+
+/* Seen in a trace: after zone a was cut off, zone b got three of five voters. Its loss later took the quorum,
+ * although zone a had returned. */
+START_TEST(no_zone_gets_a_majority_after_another_was_lost)
+{
+    setup_three_zones();
+    expect_no_change();
+    lose_zone_a();
+    expect_change(MEMBER_PROMOTE, 7); /* in zone c, not node 6 in zone b */
+    members.learners[6] = false;
+    expect_change(MEMBER_REMOVE, 1);
+    tolerated_zones = 0;
+    expect_change(MEMBER_PROMOTE, 6);
+}
+END_TEST
+
+START_TEST(voters_are_spread_again_when_the_zone_returns)
+{
+    setup_three_zones();
+    for (uint32_t i = 0; i < 7; i++) {
+        members.learners[i] = i < 2; /* the voters are 3, 4 and 6 in zone b, 5 and 7 in zone c */
+    }
+    statuses[2].is_leader = true;
+    expect_change(MEMBER_PROMOTE, 1);
+    statuses[0].caught_up = false;
+    statuses[1].caught_up = false;
+    expect_no_change();
+    members.learners[0] = false;
+    expect_change(MEMBER_DEMOTE, 4); /* in zone b, and not the leader; node 1, which has not caught up, stays */
+    members.learners[3] = true;
+    expect_no_change();
+}
+END_TEST
+
+START_TEST(a_zone_without_members_joins_although_the_others_have_all_spares)
+{
+    setup_three_zones();
+    for (uint32_t i = 0; i < 2; i++) {
+        snprintf(members.locations[i].zone, RAFT_ZONE_MAX, "c");
+    }
+    joins[0].node = 9;
+    joins[0].requested_ms = 9500;
+    snprintf(joins[0].location.zone, RAFT_ZONE_MAX, "c");
+    expect_no_change(); /* zone c has three of five voters, but zone b has its two */
+    snprintf(joins[0].location.zone, RAFT_ZONE_MAX, "a");
+    expect_change(MEMBER_ADD_LEARNER, 9);
+    tolerated_zones = 0;
+    expect_no_change();
+}
+END_TEST
+
 START_TEST(retirement_requires_enough_remaining_members)
 {
     ck_assert(!membership_may_retire(&members, statuses, "store-1"));
@@ -219,6 +289,9 @@
     tcase_add_test(tests, membership_is_limited_to_voters_and_spares);
     tcase_add_test(tests, unhealthy_voter_is_replaced_by_spare_and_joining_machine);
     tcase_add_test(tests, zones_with_fewest_members_are_preferred);
+    tcase_add_test(tests, no_zone_gets_a_majority_after_another_was_lost);
+    tcase_add_test(tests, voters_are_spread_again_when_the_zone_returns);
+    tcase_add_test(tests, a_zone_without_members_joins_although_the_others_have_all_spares);
     tcase_add_test(tests, retirement_requires_enough_remaining_members);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
