Zone reach, zone-first: findings of the review

Change: failing servers have no room; a server that has not failed is probed in each unreachable zone every 200 ms; requests are queued while reachable servers pause; servers in unreachable zones do not count as idle; the end of a pause only restarts the server's silence.

--- a/src/core/server_choice.c
+++ b/src/core/server_choice.c
@@ -145,13 +145,15 @@
 }
 
 /* Full servers are left out, not only compared: one that has the prompt cached may have the least load although another
- * server of the zone has a free slot. */
+ * server of the zone has a free slot. Failing ones are left out too: the penalty for failures is limited, so that a
+ * server with many slots would have room whatever its failures. */
 static bool server_has_room_in_zone(const struct server_table *table, const struct server *server,
                                     const struct server_criteria *criteria, uint64_t now_ms)
 {
     return text_equal(server->zone, criteria->zone) &&
            server_is_eligible_and_reachable(table, server, criteria, now_ms) &&
-           server_occupied_slots(table, server, criteria, now_ms) < server_slots(server);
+           server_occupied_slots(table, server, criteria, now_ms) < server_slots(server) &&
+           !health_is_bad(server_failure_share(table, server, now_ms));
 }
 
 /* Rendezvous hashing: all gateways prefer the same server for the same prompt parts or the same affinity key, and
@@ -253,14 +255,40 @@
     return all_zones;
 }
 
+/* Whether a reachable server has only refused a request within SERVER_FULL_PAUSE_MS. */
+static bool server_table_has_paused(const struct server_table *table, uint64_t now_ms,
+                                    const struct server_criteria *criteria)
+{
+    for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        if (text_equal(server->service, criteria->service) && !server_is_out_of_rotation(server) &&
+            now_ms < server->full_until_ms && server_is_reachable(server, criteria) &&
+            server_region_is_allowed(server, criteria)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* While reachable servers only pause, the request is queued: sent to an unreachable zone it may be lost. */
+static struct server *server_choose_in_unreachable_zones(struct server_table *table, uint64_t now_ms,
+                                                         const struct server_criteria *criteria)
+{
+    struct server_criteria all_zones = server_criteria_for_all_zones(criteria);
+    if (server_table_has_paused(table, now_ms, criteria)) {
+        return NULL;
+    }
+    struct server *chosen = server_choose_reachable(table, now_ms, &all_zones);
+    return chosen != NULL ? chosen : server_least_loaded(table, now_ms, criteria, server_is_eligible);
+}
+
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria)
 {
     struct server *chosen = server_choose_reachable(table, now_ms, criteria);
-    if (chosen == NULL && server_table_has_unreachable_zone(table)) {
-        struct server_criteria all_zones = server_criteria_for_all_zones(criteria);
-        chosen = server_choose_reachable(table, now_ms, &all_zones);
+    if (chosen != NULL) {
+        return chosen;
     }
-    return chosen != NULL ? chosen : server_least_loaded(table, now_ms, criteria, server_is_eligible);
+    return server_table_has_unreachable_zone(table) ? server_choose_in_unreachable_zones(table, now_ms, criteria)
+                                                    : server_least_loaded(table, now_ms, criteria, server_is_eligible);
 }
 
 static struct server *server_choose_starting_reachable(struct server_table *table, uint64_t now_ms,
--- a/src/core/zone_reach.h
+++ b/src/core/zone_reach.h
@@ -34,7 +34,8 @@
     bool unreachable;
     bool logged_unreachable; /**< It was last logged as unreachable; kept by the caller. */
     uint64_t since_ms;       /**< When it last became unreachable. */
-    UT_hash_handle hh;       /**< By name. */
+    uint64_t probe_due_ms; /**< Earliest time of the next probe of a server that has not failed; kept by the caller. */
+    UT_hash_handle hh;     /**< By name. */
 } zone_reach_zone_t;
 
 /** All zero: no zones, and no own zone. */
--- a/src/proxy/forward_response.c
+++ b/src/proxy/forward_response.c
@@ -160,6 +160,13 @@
     }
 }
 
+/* While reading was paused, the server's silence proved nothing; that it ends proves no contact either. */
+static void forward_restart_silence(struct forward_attempt *attempt)
+{
+    attempt->last_received_ms = node_now(attempt->forward->frontend->node);
+    attempt->server->last_activity_ms = attempt->last_received_ms;
+}
+
 void forward_caller_drained(struct forward *forward)
 {
     if (!forward->stream.paused) {
@@ -169,7 +176,7 @@
     for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
         struct forward_attempt *attempt = &forward->attempts[i];
         if (attempt->streaming && attempt->exchange != NULL) {
-            forward_record_received(attempt);
+            forward_restart_silence(attempt);
             upstream_pause(attempt->exchange, false);
         }
     }
--- a/src/proxy/forward_slow_start.c
+++ b/src/proxy/forward_slow_start.c
@@ -55,7 +55,8 @@
 {
     struct frontend *frontend = forward->frontend;
     uint64_t now_ms = node_now(frontend->node);
-    bool has_idle_server = chosen != NULL && !server_is_busy(&frontend->servers, chosen, now_ms);
+    bool has_idle_server = chosen != NULL && !server_is_busy(&frontend->servers, chosen, now_ms) &&
+                           !zone_reach_is_unreachable(&chosen->zone_reach);
     if (forward->criteria.has_start_token == NULL || has_idle_server) {
         return;
     }
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -278,6 +278,7 @@
         forward_log_starting(frontend, server);
         frontend_probe_if_silent(frontend, server);
     }
+    frontend_probe_zones(frontend);
     frontend_log_zone_changes(frontend); /* a new list may have ended an unreachable state */
 }
 
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -180,6 +180,9 @@
 /** frontend_reach.c: probes a server that has been silent for too long. */
 void frontend_probe_if_silent(struct frontend *frontend, struct server *server);
 
+/** frontend_reach.c: probes a server that has not failed in each unreachable zone, if that is due. */
+void frontend_probe_zones(struct frontend *frontend);
+
 /** frontend_contact.c: whether the gateway is cut off from the quorum of the state replicas; never without the setting
  * tolerated_zones. */
 bool frontend_is_cut_off(const struct frontend *frontend);
--- a/src/proxy/frontend_reach.c
+++ b/src/proxy/frontend_reach.c
@@ -64,18 +64,48 @@
     server_record_received(server, node_now(frontend->node));
 }
 
-void frontend_probe_if_silent(struct frontend *frontend, struct server *server)
+static void frontend_probe(struct frontend *frontend, struct server *server)
 {
     struct address address;
-    bool due =
-        reach_probe_is_due(&server->reach, node_now(frontend->node), server->in_flight > 0, server->last_activity_ms);
-    if (due && server->listed && address_parse(server->address, &address)) {
+    if (server->listed && address_parse(server->address, &address)) {
         reach_record_probe_start(&server->reach);
         frontend->counters.probes++;
         upstream_probe(&frontend->node->upstreams, &address);
     }
 }
 
+void frontend_probe_if_silent(struct frontend *frontend, struct server *server)
+{
+    if (reach_probe_is_due(&server->reach, node_now(frontend->node), server->in_flight > 0, server->last_activity_ms)) {
+        frontend_probe(frontend, server);
+    }
+}
+
+/* A server of the zone that has not failed is probed every REACH_RETRY_MS: while the zone is avoided, no other traffic
+ * can show that only the failed servers are unreachable. */
+static void frontend_probe_zone(struct frontend *frontend, zone_reach_zone_t *zone)
+{
+    uint64_t now_ms = node_now(frontend->node);
+    if (!zone->unreachable || now_ms < zone->probe_due_ms) {
+        return;
+    }
+    zone->probe_due_ms = now_ms + REACH_RETRY_MS;
+    for (struct server *server = frontend->servers.servers; server != NULL; server = server->hh.next) {
+        bool is_candidate = server->zone_reach.zone == zone && !server->zone_reach.failed && server->listed;
+        if (is_candidate && !server->draining && !server->reach.probing) {
+            frontend_probe(frontend, server);
+            return;
+        }
+    }
+}
+
+void frontend_probe_zones(struct frontend *frontend)
+{
+    for (zone_reach_zone_t *zone = frontend->zone_reach.zones; zone != NULL; zone = zone->hh.next) {
+        frontend_probe_zone(frontend, zone);
+    }
+}
+
 void frontend_record_unresponsive(struct frontend *frontend, struct server *server)
 {
     if (!node_recently_stalled(frontend->node)) {
--- a/tests/scripted/run_zone_reach.c
+++ b/tests/scripted/run_zone_reach.c
@@ -5,6 +5,7 @@
  *   lost ID MS               the server has become unreachable itself
  *   received ID              the server sent data, or a probe of it succeeded
  *   stalled ID               a probe of the server ended while the gateway stalled
+ *   refused ID               the server has just refused a request; it is skipped for a moment
  *   busy ID | idle ID        a request of the gateway begins or ends at the server
  *   unreachable              prints the unreachable zones
  *   limit [token ID]         starts are limited; the gateway holds a token for the server
@@ -140,6 +141,8 @@
         print_change(server, zone_reach_record_received(&server->zone_reach));
     } else if (script_is(command, 0, "stalled")) {
         print_change(server, zone_reach_drop_failure(&server->zone_reach));
+    } else if (script_is(command, 0, "refused")) {
+        server_record_refused(&servers, server, NOW_MS);
     } else if (script_is(command, 0, "busy")) {
         server_begin_request(server, NOW_MS);
     } else if (script_is(command, 0, "idle")) {
