--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -287,6 +287,10 @@
         }
         return;
     }
+    if (forward->turn.persistent && !forward_was_sent(forward) && frontend_is_cut_off(forward->frontend)) {
+        forward_refuse_cut_off(forward); /* reserved before the cut; its commit would not succeed */
+        return;
+    }
     struct server *server = forward_choose_server(forward);
     if (server != NULL) {
         forward_send(forward, server);
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -246,7 +246,8 @@
     if (totals->loads_ms > 0) {
         server_table_set_other_loads(&frontend->servers, now_ms, totals);
     }
-    frontend->withdrawn_until_ms = presence_should_withdraw(totals) ? now_ms + FRONTEND_WITHDRAWAL_MS : 0;
+    bool withdraws = presence_should_withdraw(totals) && !frontend_has_just_returned(frontend);
+    frontend->withdrawn_until_ms = withdraws ? now_ms + FRONTEND_WITHDRAWAL_MS : 0;
     frontend_log_withdrawal(frontend, totals);
 }
 
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -85,6 +85,7 @@
     bool withdrawal_logged;
     quorum_contact_t contact;         /**< Unused without the setting tolerated_zones. */
     uint32_t contact_rotation;        /**< Position of the next replica to probe. */
+    uint64_t cut_off_ended_ms;        /**< When the last cut ended; 0: never. */
     uint64_t cut_off_refusals_before; /**< counters.cut_off_refusals when the last cut was detected. */
     prefix_cost_t call_cost;          /**< Average cost of a request to a model server, in input tokens. */
     quota_leases_t tenant_leases;     /**< Rate limit tokens of tenants. */
@@ -187,6 +188,10 @@
  * tolerated_zones. */
 bool frontend_is_cut_off(const struct frontend *frontend);
 
+/** frontend_contact.c: whether a cut has ended so recently that the leader may still count the zone's gateways as
+ * silent. */
+bool frontend_has_just_returned(const struct frontend *frontend);
+
 /** frontend_contact.c: any frame arrived from another daemon. */
 void frontend_record_frame(struct frontend *frontend, uint32_t from);
 
--- a/src/proxy/frontend_contact.c
+++ b/src/proxy/frontend_contact.c
@@ -2,6 +2,7 @@
  * off, and ends the requests that cannot be served then. Only with the setting tolerated_zones. */
 #include "base/event_log.h"
 #include "base/message.h"
+#include "core/presence.h"
 #include "proxy/forward.h"
 #include "proxy/frontend.h"
 #include "proxy/node_metrics.h"
@@ -46,15 +47,17 @@
     return count;
 }
 
-/* Fills `nodes` with the connected replicas in other zones, at most LINKS_MAX_REPLICAS; returns their number. */
+/* Fills `nodes` with the connected group members in other zones, at most LINKS_MAX_REPLICAS; returns their number.
+ * Replicas outside the group are left out: their replies name a leader that may have failed. */
 static uint32_t frontend_list_remote(const struct frontend *frontend, uint32_t *nodes)
 {
     struct raft_member_location locations[LINKS_MAX_REPLICAS];
     uint32_t connected = links_list_replicas(&frontend->node->links, nodes, locations, LINKS_MAX_REPLICAS);
     uint32_t count = 0;
     for (uint32_t i = 0; i < connected; i++) {
+        bool is_member = raft_member_position(&frontend->node->state.members, nodes[i]) >= 0;
         nodes[count] = nodes[i];
-        count += frontend_is_remote(frontend, &locations[i]) ? 1 : 0;
+        count += is_member && frontend_is_remote(frontend, &locations[i]) ? 1 : 0;
     }
     return count;
 }
@@ -144,6 +147,7 @@
 static void frontend_end_cut(struct frontend *frontend)
 {
     http_listener_shed(&frontend->callers, false);
+    frontend->cut_off_ended_ms = node_now(frontend->node);
     event_log("cut_off_ends", "{s:I,s:I}", "duration_ms",
               (json_int_t)(node_now(frontend->node) - frontend->contact.cut_off_ms), "refused",
               (json_int_t)(frontend->counters.cut_off_refusals - frontend->cut_off_refusals_before));
@@ -162,6 +166,12 @@
     }
 }
 
+bool frontend_has_just_returned(const struct frontend *frontend)
+{
+    return frontend->cut_off_ended_ms != 0 &&
+           node_now(frontend->node) < frontend->cut_off_ended_ms + PRESENCE_SILENT_MS;
+}
+
 void frontend_record_frame(struct frontend *frontend, uint32_t from)
 {
     struct raft_member_location location;
@@ -181,7 +191,13 @@
     }
 }
 
-/* A stopping gateway sends no probes: it would wait for their replies. */
+/* A gateway that stops would wait for the replies of probes; while it still serves, an election must not look like a
+ * cut. */
+static bool frontend_may_probe(const struct frontend *frontend)
+{
+    return !frontend->node->draining || frontend->callers.listening || frontend->active > 0;
+}
+
 void frontend_contact_tick(struct frontend *frontend)
 {
     struct node *node = frontend->node;
@@ -194,7 +210,7 @@
     }
     uint32_t remote_connected = frontend_list_remote(frontend, nodes);
     frontend_update_contact(frontend, remote_connected);
-    if (quorum_contact_probe_is_due(&frontend->contact, node_now(node)) && !node->draining) {
+    if (frontend_may_probe(frontend) && quorum_contact_probe_is_due(&frontend->contact, node_now(node))) {
         frontend_probe_replicas(frontend, nodes, remote_connected);
     }
 }
