Zones: names, shared rules and pages of contact, reach, room and spread

Cause: the code for cut-off zones had names that state something else than they do ("shed" for connections that are closed after their response, a predicate "is due" that takes the probe, the same word for a state and a change), rules written twice, and pages with statements that the code does not bear out.

No expectation is changed.

--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -8,11 +8,13 @@
  * member is healthy if it is reachable, not replaced by another node, and not on
  * a machine being retired.
  *
- * If zones may be lost, no zone gets so many voters that its loss takes the quorum:
- * after a lost zone's voters were replaced by members of the other zones, one of
- * these would otherwise hold a majority. The group then has fewer voters until the
- * zone returns; one of its members is promoted, and a voter of a zone that has too
- * many is demoted. This needs members in 2 * tolerated_zones + 1 zones.
+ * Spread of voters: if zones may be lost, no zone gets so many voters that the loss
+ * of as many zones takes the quorum. Otherwise, after a lost zone's voters were
+ * replaced by members of the other zones, one of these could hold a majority. The
+ * group then has fewer voters until a member of the lost zone or of a further one
+ * is promoted. If a zone has too many voters, one of them is demoted after a
+ * learner of another zone was promoted. This needs members in
+ * 2 * tolerated_zones + 1 zones.
  */
 #ifndef BANKBANK_CORE_MEMBERSHIP_H
 #define BANKBANK_CORE_MEMBERSHIP_H
--- a/src/core/server_choice.c
+++ b/src/core/server_choice.c
@@ -127,13 +127,19 @@
 typedef bool (*server_filter_t)(const struct server_table *table, const struct server *server,
                                 const struct server_criteria *criteria, uint64_t now_ms);
 
+/* All criteria but reachability and the start token. */
+static bool server_meets_criteria(const struct server *server, const struct server_criteria *criteria, uint64_t now_ms)
+{
+    return text_equal(server->service, criteria->service) && server_accepts_requests(server, now_ms) &&
+           !server_was_tried(server, criteria) && server_region_is_allowed(server, criteria);
+}
+
 /* Ignores reachability: an unreachable server is better than none. */
 static bool server_is_eligible(const struct server_table *table, const struct server *server,
                                const struct server_criteria *criteria, uint64_t now_ms)
 {
     (void)table;
-    bool eligible = text_equal(server->service, criteria->service) && server_accepts_requests(server, now_ms) &&
-                    !server_was_tried(server, criteria) && server_region_is_allowed(server, criteria);
+    bool eligible = server_meets_criteria(server, criteria, now_ms);
     bool needs_token = eligible && criteria->has_start_token != NULL && server_is_starting(server, now_ms);
     return eligible && (!needs_token || criteria->has_start_token(criteria->context, server));
 }
@@ -144,9 +150,10 @@
     return server_is_reachable(server, criteria) && server_is_eligible(table, server, criteria, now_ms);
 }
 
-/* Full servers are left out, not only compared: one that has the prompt cached may have the least load although another
- * server of the zone has a free slot. Failing ones are left out too: the penalty for failures is limited, so that a
- * server with many slots would have room whatever its failures. */
+/* Whether it is in the gateway's zone and has room (server_table.h). Full servers are left out, not only compared: one
+ * that has the prompt cached may have the least load although another server of the zone has a free slot. Failing ones
+ * are left out too: the penalty for failures is limited, so that a server with many slots would have room whatever its
+ * failures. */
 static bool server_has_room_in_zone(const struct server_table *table, const struct server *server,
                                     const struct server_criteria *criteria, uint64_t now_ms)
 {
@@ -225,7 +232,8 @@
     return home != NULL && server_is_eligible_and_reachable(table, home, criteria, now_ms) ? home : NULL;
 }
 
-/* Whether a program leaves its home is decided by comparing all zones: the zone's servers may fail as the home does. */
+/* Whether a program leaves its home is decided by comparing all zones: the servers of the gateway's zone may fail as
+ * the home does. */
 static struct server *server_choose_reachable(struct server_table *table, uint64_t now_ms,
                                               const struct server_criteria *criteria)
 {
@@ -237,10 +245,10 @@
     if (home != NULL && !server_should_leave_home(table, home, least_loaded, now_ms)) {
         return home;
     }
-    struct server *nearby =
+    struct server *in_zone =
         criteria->zone_first ? server_least_loaded(table, now_ms, criteria, server_has_room_in_zone) : NULL;
-    bool use_nearby = nearby != NULL && (home == NULL || server_should_leave_home(table, home, nearby, now_ms));
-    return use_nearby ? nearby : least_loaded;
+    bool prefer_zone = in_zone != NULL && (home == NULL || server_should_leave_home(table, home, in_zone, now_ms));
+    return prefer_zone ? in_zone : least_loaded;
 }
 
 static bool server_table_has_unreachable_zone(const struct server_table *table)
@@ -255,7 +263,8 @@
     return all_zones;
 }
 
-/* Whether a reachable server has only refused a request within SERVER_FULL_PAUSE_MS. */
+/* Whether a reachable server of the service is skipped only because it refused a request within SERVER_FULL_PAUSE_MS.
+ */
 static bool server_table_has_paused(const struct server_table *table, uint64_t now_ms,
                                     const struct server_criteria *criteria)
 {
@@ -269,26 +278,18 @@
     return false;
 }
 
-/* While reachable servers only pause, the request is queued: sent to an unreachable zone it may be lost. */
-static struct server *server_choose_in_unreachable_zones(struct server_table *table, uint64_t now_ms,
-                                                         const struct server_criteria *criteria)
-{
-    struct server_criteria all_zones = server_criteria_for_all_zones(criteria);
-    if (server_table_has_paused(table, now_ms, criteria)) {
-        return NULL;
-    }
-    struct server *chosen = server_choose_reachable(table, now_ms, &all_zones);
-    return chosen != NULL ? chosen : server_least_loaded(table, now_ms, criteria, server_is_eligible);
-}
-
+/* While a reachable server only pauses, the request is queued: sent to an unreachable zone it may be lost. */
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria)
 {
     struct server *chosen = server_choose_reachable(table, now_ms, criteria);
-    if (chosen != NULL) {
-        return chosen;
+    if (chosen == NULL && server_table_has_unreachable_zone(table)) {
+        struct server_criteria all_zones = server_criteria_for_all_zones(criteria);
+        if (server_table_has_paused(table, now_ms, criteria)) {
+            return NULL;
+        }
+        chosen = server_choose_reachable(table, now_ms, &all_zones);
     }
-    return server_table_has_unreachable_zone(table) ? server_choose_in_unreachable_zones(table, now_ms, criteria)
-                                                    : server_least_loaded(table, now_ms, criteria, server_is_eligible);
+    return chosen != NULL ? chosen : server_least_loaded(table, now_ms, criteria, server_is_eligible);
 }
 
 static struct server *server_choose_starting_reachable(struct server_table *table, uint64_t now_ms,
@@ -298,9 +299,8 @@
     uint64_t highest = 0;
     table->rotation++;
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        bool eligible = text_equal(server->service, criteria->service) && server_is_starting(server, now_ms) &&
-                        server_is_reachable(server, criteria) && server_accepts_requests(server, now_ms) &&
-                        !server_was_tried(server, criteria) && server_region_is_allowed(server, criteria);
+        bool eligible = server_is_starting(server, now_ms) && server_is_reachable(server, criteria) &&
+                        server_meets_criteria(server, criteria, now_ms);
         uint64_t rank = eligible ? server_hash_rank(server, table->rotation) : 0;
         if (eligible && (chosen == NULL || rank > highest)) {
             chosen = server;
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -32,14 +32,18 @@
  * SERVER_HOME_MAX_QUEUE requests. Leaving early amplifies an overload: programs
  * that move are processed again, which lengthens the queues that make others move.
  *
- * A server in an unreachable zone (zone_reach.h) counts as unreachable in the choice. If no other server is eligible
- * and reachable, the choice is repeated without regard to zones, so that a service whose servers are all in unreachable
+ * A server in an unreachable zone (zone_reach.h) counts as unreachable in the
+ * choice. If no other server is eligible and reachable, the choice is repeated
+ * without regard to zones, so that a service whose servers are all in unreachable
  * zones is served as if these were reachable.
  *
  * With `zone_first`, the least loaded of those servers of the gateway's zone that
  * have room is chosen: a request does not wait there, so another zone offers it
  * nothing but a cached prompt. A fixed cost of other zones would at some loads keep
- * requests in a full zone and at others send them away from free slots.
+ * requests in a full zone and at others send them away from free slots. A server
+ * has room if its in-flight requests of all gateways, its failure penalty and the
+ * amount counted for a recent start are together below its slots, and it is not
+ * failing.
  *
  * Requests with the same affinity key go to one server, which then processes them
  * faster, unless it is much busier than others: rendezvous hashing with bounded
@@ -142,7 +146,7 @@
     const prefix_chain_t *chain;                              /**< Shared parts of the prompt, or NULL. */
     const prefix_cost_t *cost;                                /**< Average cost of a request; required with `chain`. */
     const char *home;                                         /**< Incarnation that is the program's home, or NULL. */
-    bool ignore_zone_reach; /**< Set by the selection when no server outside unreachable zones is left. */
+    bool ignore_zone_reach; /**< Set only by the selection, when it is repeated without regard to unreachable zones. */
     uint64_t affinity_key;  /**< Hash of the request's affinity key; 0: none. */
     /** Whether there is a token for a server that has just started; NULL: no slow start for the service. */
     bool (*has_start_token)(void *context, const struct server *server);
--- a/src/core/zone_reach.h
+++ b/src/core/zone_reach.h
@@ -3,18 +3,18 @@
  * Zones that a gateway cannot reach, derived from the failures of single servers.
  * No I/O; callers pass the time.
  *
- * When a zone is cut off, every server there has to fail before it is avoided. A
- * zone is therefore unreachable once ZONE_REACH_FAILED_SERVERS of its servers are
- * unreachable (reach.h) or had a connection attempt time out. Any data or
- * successful probe from any server of the zone ends this; a later failure begins
- * it again while enough servers count as failed.
+ * When a zone is cut off, each of its servers would otherwise have to fail before
+ * it is avoided. A zone is therefore unreachable once ZONE_REACH_FAILED_SERVERS of
+ * its servers are unreachable (reach.h) or had a connection attempt time out. Any
+ * data or successful probe from any server of the zone ends this; a later failure
+ * begins it again while enough servers count as failed.
  *
  *   reachable -> (failure, and enough servers have failed) unreachable
  *   unreachable -> (data or a successful probe from any server) reachable
  *   unreachable -> (too few failed servers are left on the list) reachable
  *
- * Each server holds a pointer to its zone, so that the selection of a server
- * compares no names.
+ * Each server holds a pointer to its zone, so that the selection of a server looks
+ * up no zone by name.
  */
 #ifndef BANKBANK_CORE_ZONE_REACH_H
 #define BANKBANK_CORE_ZONE_REACH_H
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -382,9 +382,9 @@
     listener->draining = true;
 }
 
-void http_listener_shed(struct http_listener *listener, bool sheds)
+void http_listener_set_close_after(struct http_listener *listener, bool close_after)
 {
-    listener->sheds = sheds;
+    listener->close_after = close_after;
 }
 
 void http_listener_stop_accepting(struct http_listener *listener)
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -75,9 +75,9 @@
     uv_loop_t *loop;
     struct http_handler handler;
     struct http_limits limits;
-    bool draining;  /**< Connections are closed after their response. */
-    bool sheds;     /**< The same, until further notice (http_listener_shed()). */
-    bool listening; /**< The socket is open. */
+    bool draining;    /**< Connections are closed after their response; never reset. */
+    bool close_after; /**< The same, and may be reset (http_listener_set_close_after()). */
+    bool listening;   /**< The socket is open. */
     struct http_connection *connections;
     size_t reserved_bytes; /**< Memory reserved for bodies being received. */
     struct http_listener_counters counters;
@@ -96,9 +96,9 @@
 /** From now on, connections are closed after their response. */
 void http_listener_drain(struct http_listener *listener);
 
-/** Whether connections are closed after their response from now on. Responses that have already begun, and draining,
- * are not affected. */
-void http_listener_shed(struct http_listener *listener, bool sheds);
+/** Sets whether connections are closed after their response. Has no effect on responses that have already begun, or
+ * while the listener drains. */
+void http_listener_set_close_after(struct http_listener *listener, bool close_after);
 
 /** Number of connections with an incomplete or unanswered request, unread bytes or unsent bytes of a response. */
 uint32_t http_listener_active_count(const struct http_listener *listener);
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -349,10 +349,15 @@
     }
 }
 
-void forward_continue(struct forward *forward)
+bool forward_has_pending_requests(const struct forward *forward)
 {
     const struct forward_turn *turn = &forward->turn;
-    bool pending = forward->quota.request_number != 0 || turn->proposal != NULL || turn->fetch != NULL;
+    return forward->quota.request_number != 0 || turn->proposal != NULL || turn->fetch != NULL;
+}
+
+void forward_continue(struct forward *forward)
+{
+    bool pending = forward_has_pending_requests(forward);
     bool place = !pending && !forward->quota.needs_leader && forward_quota_after_reservation(forward);
     if (forward->quota.needs_leader) {
         forward_refuse_cut_off(forward);
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -91,7 +91,7 @@
     uint64_t request_number; /**< Token request (core/quota_lease.h) whose reply it waits for; 0: none. */
     uint64_t token_taken_ms; /**< Loop time; 0: no token taken. */
     uint64_t retry_after_ms; /**< Set when refused over the limit. */
-    bool needs_leader;       /**< No token was leased while the gateway was cut off: to be refused. */
+    bool needs_leader;       /**< It has no token and the gateway is cut off from the leader: to be refused. */
 };
 
 struct forward {
@@ -121,7 +121,7 @@
     struct forward_stream stream;
     const char *reason;       /**< Outcome, for the log. */
     int response_status;      /**< Status sent to the caller; 0: none. */
-    uint64_t retry_after_ms;  /**< Set when refused as the gateway is cut off; 0: chosen by its progress. */
+    uint64_t retry_after_ms;  /**< Set when refused because the gateway is cut off; 0: chosen by other rules. */
     struct forward *previous; /**< In frontend.forwards. */
     struct forward *next;     /**< In frontend.forwards. */
 };
@@ -180,14 +180,16 @@
 /** Ends the request as not run; 429 and 503 carry a Retry-After time. Fails it if the response has begun. */
 void forward_refuse(struct forward *forward, int status, const char *reason);
 
-/** frontend_contact.c: whether it has not run and waits for the quorum: for its reservation, its conversation or a rate
- * limit token. */
+/** Whether requests to state replicas are pending: for its reservation, its conversation or a rate limit token. */
+bool forward_has_pending_requests(const struct forward *forward);
+
+/** frontend_contact.c: whether it has not run and waits for the quorum. */
 bool forward_waits_for_quorum(const struct forward *forward);
 
-/** frontend_contact.c: refuses a request that has certainly not run, since the gateway is cut off from the quorum. */
+/** frontend_contact.c: refuses a request that has certainly not run, because the gateway is cut off. */
 void forward_refuse_cut_off(struct forward *forward);
 
-/** frontend_contact.c: ends a stored turn whose commit the gateway cannot learn, since it is cut off. */
+/** frontend_contact.c: aborts a stored turn, because the gateway is cut off and cannot learn whether it commits. */
 void forward_abort_uncommitted(struct forward *forward);
 
 /** Ends the request after a complete streamed response. */
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -191,8 +191,8 @@
 }
 
 /* The interval set by the leader, but at least LOAD_MIN_REPORT_MS, and at most PRESENCE_REPORT_MS: a gateway without
- * reports counts as silent. An idle gateway reports every PRESENCE_REPORT_MS or, if it has to detect a cut soon, at
- * least every QUORUM_CONTACT_IDLE_REPORT_MS unless the leader's interval is longer. */
+ * reports counts as silent. An idle gateway reports every PRESENCE_REPORT_MS. If zones may be lost, it uses the
+ * leader's interval, but at least QUORUM_CONTACT_IDLE_REPORT_MS, so that it detects a cut sooner. */
 uint32_t frontend_report_interval_ms(const struct frontend *frontend)
 {
     bool idle = frontend->active == 0 && !frontend->last_report_had_loads;
@@ -246,7 +246,7 @@
     if (totals->loads_ms > 0) {
         server_table_set_other_loads(&frontend->servers, now_ms, totals);
     }
-    bool withdraws = presence_should_withdraw(totals) && !frontend_has_just_returned(frontend);
+    bool withdraws = presence_should_withdraw(totals) && !frontend_was_recently_cut_off(frontend);
     frontend->withdrawn_until_ms = withdraws ? now_ms + FRONTEND_WITHDRAWAL_MS : 0;
     frontend_log_withdrawal(frontend, totals);
 }
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -34,7 +34,7 @@
     uint64_t caller_disconnects; /**< Before the response was complete. */
     uint64_t sends;              /**< Attempts at servers. */
     uint64_t remote_sends;       /**< Requests written to servers in another zone. */
-    uint64_t remote_bytes;       /**< Of these requests, with their heads. */
+    uint64_t remote_bytes;       /**< Bytes of these requests, heads included. */
     uint64_t server_refusals;    /**< Attempts that a server refused without running them. */
     uint64_t mismatched;         /**< Responses dropped for another request's id, or successes without an id. */
     uint64_t key_refusals;       /**< Requests without a known API key. */
@@ -50,8 +50,8 @@
     uint64_t cache_misses; /**< Conversations to fetch from a state replica. */
     uint64_t memory_refusals;
     uint64_t cuts;             /**< Times that the gateway was cut off from the quorum. */
-    uint64_t cut_off_refusals; /**< Requests refused for that. */
-    uint64_t contact_probes;   /**< Of replicas in other zones. */
+    uint64_t cut_off_refusals; /**< Requests refused because the gateway was cut off. */
+    uint64_t contact_probes;   /**< Probes of replicas in other zones while in doubt. */
 };
 
 struct forward;
@@ -66,7 +66,7 @@
     uint64_t confirm_sent_ms;        /**< Of the last request. */
     uint64_t confirm_due_ms;         /**< Earliest time of the next request. */
     struct server_table servers;
-    zone_reach_t zone_reach; /**< Zones of `servers`; not used if no zone may be lost. */
+    zone_reach_t zone_reach; /**< Zones of `servers`; unused without the setting tolerated_zones. */
     bool servers_known;      /**< A server list was applied, maybe an empty one. */
     uint64_t servers_change; /**< Last applied change of node->state.servers; 0: the applied list has another source. */
     struct turn_store cache; /**< Recent turns. */
@@ -146,7 +146,7 @@
 /** Interval of the load reports. */
 uint32_t frontend_report_interval_ms(const struct frontend *frontend);
 
-/** Whether it is configured, and neither isolated or cut off from the state replicas nor withdrawn. */
+/** Whether it is configured, and neither isolated from the state replicas, cut off from their quorum nor withdrawn. */
 bool frontend_is_ready(const struct frontend *frontend);
 
 /** Whether requests are active or connections are busy. */
@@ -190,7 +190,7 @@
 
 /** frontend_contact.c: whether a cut has ended so recently that the leader may still count the zone's gateways as
  * silent. */
-bool frontend_has_just_returned(const struct frontend *frontend);
+bool frontend_was_recently_cut_off(const struct frontend *frontend);
 
 /** frontend_contact.c: any frame arrived from another daemon. */
 void frontend_record_frame(struct frontend *frontend, uint32_t from);
@@ -198,13 +198,13 @@
 /** frontend_contact.c: a leader replied to a load report. */
 void frontend_record_leader_reply(struct frontend *frontend);
 
-/** frontend_contact.c: detects the begin of a cut, and probes replicas in other zones while in doubt. */
+/** frontend_contact.c: detects that the gateway is cut off, and probes replicas in other zones while in doubt. */
 void frontend_contact_tick(struct frontend *frontend);
 
 /** frontend_contact.c: Retry-After time while cut off, with a random part. */
 uint64_t frontend_cut_off_retry_ms(struct frontend *frontend);
 
-/** frontend_contact.c. */
+/** frontend_contact.c: part of frontend_write_metrics(). */
 void frontend_contact_write_metrics(const struct frontend *frontend, struct buffer *out);
 
 void frontend_write_metrics(const struct frontend *frontend, struct buffer *out);
--- a/src/proxy/frontend_contact.c
+++ b/src/proxy/frontend_contact.c
@@ -1,5 +1,5 @@
-/* Contact of the gateway with the quorum of the state replicas (core/quorum_contact.h): detects that its zone is cut
- * off, and ends the requests that cannot be served then. Only with the setting tolerated_zones. */
+/* Contact of the gateway with the quorum of the state replicas (core/quorum_contact.h): detects that the gateway is cut
+ * off, and ends the requests that it cannot serve then. Only with the setting tolerated_zones. */
 #include "base/event_log.h"
 #include "base/message.h"
 #include "core/presence.h"
@@ -9,7 +9,7 @@
 
 enum { FORWARD_UNAVAILABLE = 503, FORWARD_TIMEOUT = 504 };
 
-/* No turn with this id exists: the probed replica responds that it does not have it. */
+/* No turn has this id: the probed replica replies that it does not have it. */
 static char frontend_probe_turn[] = "-";
 
 static bool frontend_watches_contact(const struct frontend *frontend)
@@ -69,7 +69,7 @@
     struct buffer body = {0};
     TurnQuery query = {.turn = frontend_probe_turn};
     message_encode(&body, TurnQuery_fields, &query);
-    for (uint32_t i = 0; i < count && i < QUORUM_CONTACT_PROBES; i++) {
+    for (uint32_t i = 0; i < count && i < QUORUM_CONTACT_PROBED_REPLICAS; i++) {
         uint32_t replica = nodes[frontend->contact_rotation++ % count];
         frontend->counters.contact_probes++;
         node_submit_to_replica(node, replica, REQUEST_TURNS_HELD, buffer_view(&body),
@@ -82,7 +82,7 @@
 
 bool forward_waits_for_quorum(const struct forward *forward)
 {
-    bool waits = forward->turn.proposal != NULL || forward->turn.fetch != NULL || forward->quota.request_number != 0;
+    bool waits = forward_has_pending_requests(forward);
     return waits && forward->phase == FORWARD_PREPARING && !forward_was_sent(forward);
 }
 
@@ -114,8 +114,8 @@
     return forward;
 }
 
-/* Each search begins anew: the end of a request may start the next one of its connection, which changes the list. It
- * ends as no request begins to wait while cut off. */
+/* Each search starts at the head of the list, because the end of a request may start the next one of its connection,
+ * which changes the list. The loop terminates because no request begins to wait or to commit while cut off. */
 static uint64_t frontend_end_all(struct frontend *frontend, bool (*matches)(const struct forward *),
                                  void (*end)(struct forward *))
 {
@@ -136,7 +136,7 @@
     uint64_t silent_ms = frontend->contact.cut_off_ms - frontend->contact.leader_ms;
     frontend->counters.cuts++;
     frontend->cut_off_refusals_before = frontend->counters.cut_off_refusals;
-    http_listener_shed(&frontend->callers, true);
+    http_listener_set_close_after(&frontend->callers, true);
     uint64_t refused = frontend_end_all(frontend, forward_waits_for_quorum, forward_refuse_cut_off);
     uint64_t aborted = frontend_end_all(frontend, forward_is_committing, forward_abort_uncommitted);
     event_log("cut_off", "{s:I,s:i,s:i,s:I,s:I}", "silent_ms", (json_int_t)silent_ms, "remote_members",
@@ -146,7 +146,7 @@
 
 static void frontend_end_cut(struct frontend *frontend)
 {
-    http_listener_shed(&frontend->callers, false);
+    http_listener_set_close_after(&frontend->callers, false);
     frontend->cut_off_ended_ms = node_now(frontend->node);
     event_log("cut_off_ends", "{s:I,s:I}", "duration_ms",
               (json_int_t)(node_now(frontend->node) - frontend->contact.cut_off_ms), "refused",
@@ -161,12 +161,12 @@
                             remote_members, remote_connected);
     switch (change) {
     case QUORUM_CONTACT_UNCHANGED: break;
-    case QUORUM_CONTACT_CUT_OFF: frontend_begin_cut(frontend, remote_members, remote_connected); break;
+    case QUORUM_CONTACT_LOST: frontend_begin_cut(frontend, remote_members, remote_connected); break;
     case QUORUM_CONTACT_RESTORED: frontend_end_cut(frontend); break;
     }
 }
 
-bool frontend_has_just_returned(const struct frontend *frontend)
+bool frontend_was_recently_cut_off(const struct frontend *frontend)
 {
     return frontend->cut_off_ended_ms != 0 &&
            node_now(frontend->node) < frontend->cut_off_ended_ms + PRESENCE_SILENT_MS;
@@ -206,11 +206,11 @@
         return;
     }
     if (node_recently_stalled(node)) {
-        quorum_contact_restart(&frontend->contact, node_now(node));
+        quorum_contact_reset(&frontend->contact, node_now(node));
     }
     uint32_t remote_connected = frontend_list_remote(frontend, nodes);
     frontend_update_contact(frontend, remote_connected);
-    if (frontend_may_probe(frontend) && quorum_contact_probe_is_due(&frontend->contact, node_now(node))) {
+    if (frontend_may_probe(frontend) && quorum_contact_take_probe(&frontend->contact, node_now(node))) {
         frontend_probe_replicas(frontend, nodes, remote_connected);
     }
 }
@@ -221,8 +221,8 @@
     metrics_write_gauge(out, "cut_off", "Whether the gateway is cut off from the quorum of the state replicas.",
                         frontend_is_cut_off(frontend) ? 1 : 0);
     metrics_write_counter(out, "cut_off_total", "Times that the gateway was cut off.", counters->cuts);
-    metrics_write_counter(out, "cut_off_refusals_total", "Requests refused since the gateway was cut off.",
+    metrics_write_counter(out, "cut_off_refusals_total", "Requests refused because the gateway was cut off.",
                           counters->cut_off_refusals);
-    metrics_write_counter(out, "contact_probes_total", "Probes of replicas in other zones for the contact.",
+    metrics_write_counter(out, "contact_probes_total", "Probes of replicas in other zones while no leader replied.",
                           counters->contact_probes);
 }
--- a/src/proxy/state_host_daemons.c
+++ b/src/proxy/state_host_daemons.c
@@ -94,12 +94,12 @@
 
 /* ---- Load reports ----------------------------------------------------------------------------------- */
 
-/* Gateways take the reply as proof that a quorum is reachable, if zones may be lost. A leader that has lost its quorum
- * leads on for an election timeout, and the gateways of its zone would wait that much longer. */
-static bool host_may_answer_reports(const struct state_host *host, uint64_t now_ms)
+/* If zones may be lost, gateways take the reply as proof that the quorum is reachable. A leader that has lost its
+ * quorum steps down only after an election timeout; its replies until then would delay the detection of the cut. */
+static bool host_may_reply_to_reports(const struct state_host *host, uint64_t now_ms)
 {
     const struct raft *raft = &host->replica.groups[STATE_CONFIG_GROUP].raft;
-    uint64_t since_ms = now_ms > QUORUM_CONTACT_LEADER_MS ? now_ms - QUORUM_CONTACT_LEADER_MS : 0;
+    uint64_t since_ms = now_ms > QUORUM_CONTACT_LEADER_QUORUM_MS ? now_ms - QUORUM_CONTACT_LEADER_QUORUM_MS : 0;
     return host->node->settings.tolerated_zones == 0 || raft_quorum_active_since(raft, since_ms);
 }
 
@@ -116,7 +116,7 @@
     load_table_expire(&host->loads, now_ms);
     presence_record_report(&host->presence, now_ms, report);
     presence_expire(&host->presence, now_ms);
-    if (!host_may_answer_reports(host, now_ms)) {
+    if (!host_may_reply_to_reports(host, now_ms)) {
         return;
     }
     load_table_answer(&host->loads, now_ms, from, &frame.payload.load_totals);
--- a/tests/scripted/run_quorum_contact.c
+++ b/tests/scripted/run_quorum_contact.c
@@ -3,7 +3,7 @@
  * election, a lost packet or a stall of their own for a cut. Commands:
  *   leader MS                              a leader replies to a load report
  *   remote MS                              a frame of a replica in another zone arrives
- *   restart MS                             the state is reset after a stall
+ *   reset MS                               the state is reset after a stall
  *   tick MS INTERVAL MEMBERS CONNECTED     prints the change; MEMBERS, CONNECTED: replicas in other zones
  *   run FROM TO INTERVAL MEMBERS CONNECTED ticks every 20 ms, takes probes; prints changes, the state, probes taken
  *   retry MS                               prints the Retry-After time
@@ -20,7 +20,7 @@
     switch (contact.state) {
     case QUORUM_CONTACT_IN_CONTACT: return "in contact";
     case QUORUM_CONTACT_IN_DOUBT: return "in doubt";
-    case QUORUM_CONTACT_IS_CUT_OFF: return "cut off";
+    case QUORUM_CONTACT_CUT_OFF: return "cut off";
     }
     return "";
 }
@@ -29,7 +29,7 @@
 {
     switch (change) {
     case QUORUM_CONTACT_UNCHANGED: return "unchanged";
-    case QUORUM_CONTACT_CUT_OFF: return "cut off";
+    case QUORUM_CONTACT_LOST: return "cut off";
     case QUORUM_CONTACT_RESTORED: return "restored";
     }
     return "";
@@ -51,7 +51,7 @@
         if (change != QUORUM_CONTACT_UNCHANGED) {
             script_print("%s at %llu\n", change_name(change), (unsigned long long)now_ms);
         }
-        probes += quorum_contact_probe_is_due(&contact, now_ms) ? 1 : 0;
+        probes += quorum_contact_take_probe(&contact, now_ms) ? 1 : 0;
     }
     script_print("%s, %d probes\n", state_name(), probes);
 }
@@ -64,8 +64,8 @@
         script_print("%s\n", state_name());
     } else if (script_is(command, 0, "remote")) {
         quorum_contact_record_remote(&contact, now_ms);
-    } else if (script_is(command, 0, "restart")) {
-        quorum_contact_restart(&contact, now_ms);
+    } else if (script_is(command, 0, "reset")) {
+        quorum_contact_reset(&contact, now_ms);
         script_print("%s\n", state_name());
     } else if (script_is(command, 0, "tick")) {
         script_print("%s\n", change_name(tick(command, now_ms, 2)));
--- a/tests/scripted/run_zone_first.c
+++ b/tests/scripted/run_zone_first.c
@@ -37,8 +37,9 @@
     UNSHARED_TOKENS = 500, /* of a prompt */
     OUTPUT_TOKENS = 100,
     IDLE_MS = 4000, /* lifetime of an idle connection */
-    TEN = 10,
-    HUNDRED = 100
+    LOADS_MS = 100, /* interval of the leader's lists of loads; their lifetime has a higher minimum */
+    ROUNDING = 10,  /* of printed percentages, so that the output does not depend on ties */
+    PERCENT = 100
 };
 
 typedef struct request_t {
@@ -190,7 +191,7 @@
 {
     for (int i = 0; i < GATEWAYS; i++) {
         ServerLoad loads[SERVER_FIXTURE_MAX];
-        LoadTotals totals = {.loads = loads, .loads_ms = HUNDRED};
+        LoadTotals totals = {.loads = loads, .loads_ms = LOADS_MS};
         for (const struct server *server = gateways[i].servers; server != NULL; server = server->hh.next) {
             uint32_t others = total_in_flight(server->id) - server->in_flight;
             loads[totals.loads_count++] = (ServerLoad){.server = server->hash, .calls = others};
@@ -255,7 +256,7 @@
 static uint32_t run_steady(uint64_t percent, uint64_t count, uint64_t *queue)
 {
     prefix_cost_t cost = {0};
-    uint64_t wanted = ZONES * servers_per_zone * slots * percent / HUNDRED;
+    uint64_t wanted = ZONES * servers_per_zone * slots * percent / PERCENT;
     uint32_t crossed = 0;
     *queue = 0;
     prefix_cost_record(&cost, UNSHARED_TOKENS, OUTPUT_TOKENS);
@@ -292,10 +293,11 @@
         start_servers(servers_per_zone, slots);
         crossed[i] = run_steady(percent, count, &queue[i]);
     }
-    uint64_t ratio = crossed[0] == 0 ? HUNDRED : (uint64_t)crossed[1] * HUNDRED / crossed[0];
+    uint64_t ratio = crossed[0] == 0 ? PERCENT : (uint64_t)crossed[1] * PERCENT / crossed[0];
     script_print("crossed %llu %% or more, with the preference %llu %% or less of these, queues %s\n",
-                 (unsigned long long)(crossed[0] * HUNDRED / count / TEN * TEN),
-                 (unsigned long long)((ratio / TEN + 1) * TEN), queue[1] <= queue[0] ? "not longer" : "longer");
+                 (unsigned long long)(crossed[0] * PERCENT / count / ROUNDING * ROUNDING),
+                 (unsigned long long)((ratio / ROUNDING + 1) * ROUNDING),
+                 queue[1] <= queue[0] ? "not longer" : "longer");
 }
 
 static void run(const script_command_t *command)
