Contact with the quorum: no cut before the first contact after a start

Change: a gateway is in doubt only after a leader has replied since its start. A committed reservation or turn counts as such a reply: a gateway may serve turns before its first load report is answered (two cases of integration_test_cut_off_zone showed it). Ruled out: to require a frame of a replica of the own zone as well; it was tried together with this change and is not needed for it.

--- a/src/core/quorum_contact.c
+++ b/src/core/quorum_contact.c
@@ -14,7 +14,9 @@
 
 void quorum_contact_reset(quorum_contact_t *contact, uint64_t now_ms)
 {
-    quorum_contact_record_leader(contact, now_ms);
+    if (contact->started) {
+        quorum_contact_record_leader(contact, now_ms);
+    }
 }
 
 static uint64_t quorum_contact_max(uint64_t a, uint64_t b)
@@ -57,11 +59,10 @@
 quorum_contact_change_t quorum_contact_tick(quorum_contact_t *contact, uint64_t now_ms, uint32_t interval_ms,
                                             uint32_t remote_members, uint32_t remote_connected)
 {
-    if (!contact->started) {
-        quorum_contact_reset(contact, now_ms);
+    if (contact->started) {
+        quorum_contact_update_doubt(contact, now_ms, interval_ms);
+        quorum_contact_update_cut_off(contact, now_ms, interval_ms, remote_members, remote_connected);
     }
-    quorum_contact_update_doubt(contact, now_ms, interval_ms);
-    quorum_contact_update_cut_off(contact, now_ms, interval_ms, remote_members, remote_connected);
     bool cut_off = quorum_contact_is_cut_off(contact);
     if (cut_off == contact->reported_cut_off) {
         return QUORUM_CONTACT_UNCHANGED;
--- a/src/core/quorum_contact.h
+++ b/src/core/quorum_contact.h
@@ -49,7 +49,7 @@
 
 /** Zero-initialize it. */
 typedef struct quorum_contact_t {
-    bool started; /**< There was a tick or a reply. */
+    bool started; /**< A leader has replied since the start of this process: before that, there is no doubt. */
     quorum_contact_state_t state;
     bool reported_cut_off; /**< The last change returned by quorum_contact_tick() was QUORUM_CONTACT_LOST. */
     uint64_t leader_ms;    /**< Last reply of a leader, the start or the last reset. */
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -67,6 +67,7 @@
     }
     histogram_record(&forward->frontend->reserve_time, node_now(forward->frontend->node) - forward->turn.proposed_ms);
     if (code == RESULT_OK) {
+        frontend_record_leader_reply(forward->frontend); /* an entry was committed */
         forward_continue(forward);
     } else if (code == RESULT_BUDGET) {
         forward->frontend->counters.budget_refusals++;
@@ -288,6 +289,7 @@
     }
     histogram_record(&forward->frontend->commit_time, node_now(forward->frontend->node) - forward->turn.proposed_ms);
     if (code == RESULT_OK) {
+        frontend_record_leader_reply(forward->frontend);
         forward->turn.settled = true;
         forward_cache_turn(forward);
         forward_complete(forward);
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -195,7 +195,7 @@
 /** frontend_contact.c: any frame arrived from another daemon. */
 void frontend_record_frame(struct frontend *frontend, uint32_t from);
 
-/** frontend_contact.c: a leader replied to a load report. */
+/** frontend_contact.c: a leader with a quorum replied to a load report, or committed an entry. */
 void frontend_record_leader_reply(struct frontend *frontend);
 
 /** frontend_contact.c: detects that the gateway is cut off, and probes replicas in other zones while in doubt. */
