Membership: never fewer voters for the spread over zones

Change: if no zone below its limit has a member that may vote, another zone gets the missing voter, as without the setting. The voters are still spread once a member of the lost zone may vote.

--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -110,16 +110,12 @@
     return voters < target || (voters == target && membership_any_zone_is_over(group));
 }
 
-/* Prefers the zone with the fewest voters. */
-static struct membership_change membership_plan_promote(const struct membership_group *group)
+/* Prefers the zone with the fewest voters. `limit`: only zones with fewer voters than this. */
+static struct membership_change membership_promote_below(const struct membership_group *group, uint32_t limit)
 {
     const struct raft_members *members = group->members;
     struct membership_change change = {0};
     uint32_t fewest = 0;
-    uint32_t limit = membership_zone_limit(group);
-    if (!membership_needs_voter(group)) {
-        return change;
-    }
     for (uint32_t i = 0; i < members->count; i++) {
         const struct membership_status *status = &group->statuses[i];
         if (!members->learners[i] || !membership_is_healthy(status) || !status->caught_up) {
@@ -134,6 +130,19 @@
     return change;
 }
 
+/* While no zone below its limit has a member that may vote, another one gets the missing voter: a group of four would
+ * lose its quorum for good with two disks. The voters are spread when the lost zone returns. */
+static struct membership_change membership_plan_promote(const struct membership_group *group)
+{
+    struct membership_change change = {0};
+    if (!membership_needs_voter(group)) {
+        return change;
+    }
+    change = membership_promote_below(group, membership_zone_limit(group));
+    bool is_missing = membership_count_healthy(group, NULL, true) < membership_target_voters(group);
+    return change.needed || !is_missing ? change : membership_promote_below(group, RAFT_MAX_MEMBERS);
+}
+
 static bool membership_may_remove(const struct membership_group *group, uint32_t position)
 {
     const struct membership_status *status = &group->statuses[position];
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -8,13 +8,11 @@
  * MEMBERSHIP_LEARNER_REMOVAL_MS. A member is healthy if it is reachable, not
  * replaced by another node, and not on a machine being retired.
  *
- * Spread of voters: if zones may be lost, no zone gets so many voters that the loss
- * of as many zones takes the quorum. Otherwise, after a lost zone's voters were
- * replaced by members of the other zones, one of these could hold a majority. The
- * group then has fewer voters until a member of the lost zone or of a further one
- * is promoted. If a zone has too many voters, one of them is demoted after a
- * learner of another zone was promoted. This needs members in
- * 2 * tolerated_zones + 1 zones.
+ * If zones may be lost, no zone should have so many voters that its loss takes the
+ * quorum: after a lost zone's voters were replaced by members of the other zones,
+ * one of these has a majority. When the zone returns, one of its members is
+ * promoted, and a voter of the zone that has too many is demoted. The group never
+ * has fewer voters for it. This needs members in 2 * tolerated_zones + 1 zones.
  */
 #ifndef BANKBANK_CORE_MEMBERSHIP_H
 #define BANKBANK_CORE_MEMBERSHIP_H
