Log: the software version of the servers that run a request, and the stream that it resumes

Change: struct server keeps the version; a record that names another one is another incarnation. The request line has the version of the last server and the request that the caller resumes; stream_resumed has the version of the server that broke off, and stream_resent is new and names the server and the version that continue.

--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -16,20 +16,21 @@
     return XXH64(text, strlen(text), 0);
 }
 
-/* By id and start time or, if that is unknown, by id, address and service. */
+/* By id and start time or, if that is unknown, by id, address, service and version. */
 static uint64_t server_incarnation_hash(const char *id, uint64_t started_unix_ms, const char *address,
-                                        const char *service)
+                                        const char *service, const char *version)
 {
-    uint64_t key[4] = {server_text_hash(text_or_empty(id)), started_unix_ms,
+    uint64_t key[5] = {server_text_hash(text_or_empty(id)), started_unix_ms,
                        started_unix_ms != 0 ? 0 : server_text_hash(text_or_empty(address)),
-                       started_unix_ms != 0 ? 0 : server_text_hash(text_or_empty(service))};
+                       started_unix_ms != 0 ? 0 : server_text_hash(text_or_empty(service)),
+                       started_unix_ms != 0 ? 0 : server_text_hash(text_or_empty(version))};
     return XXH64(key, sizeof(key), 0);
 }
 
 static void server_record_ended(struct server_table *table, const struct server *server)
 {
     table->ended[table->ended_total++ % SERVER_ENDED_MAX] =
-        server_incarnation_hash(server->id, server->started_unix_ms, server->address, server->service);
+        server_incarnation_hash(server->id, server->started_unix_ms, server->address, server->service, server->version);
 }
 
 static void server_drop_deferred(struct server *server)
@@ -50,6 +51,7 @@
     free(server->service);
     free(server->address);
     free(server->zone);
+    free(server->version);
     free(server);
 }
 
@@ -77,7 +79,8 @@
 
 static bool server_incarnation_has_ended(const struct server_table *table, const ServerRecord *record)
 {
-    uint64_t hash = server_incarnation_hash(record->id, record->born, record->address, record->service);
+    uint64_t hash =
+        server_incarnation_hash(record->id, record->born, record->address, record->service, record->version);
     uint32_t count = table->ended_total < SERVER_ENDED_MAX ? table->ended_total : SERVER_ENDED_MAX;
     for (uint32_t i = 0; i < count; i++) {
         if (table->ended[i] == hash) {
@@ -87,10 +90,17 @@
     return false;
 }
 
+/* Software changes only with a start. An entry without a version tells nothing about it. */
+static bool server_may_run_version(const struct server *server, const char *version)
+{
+    return server->version[0] == '\0' || text_or_empty(version)[0] == '\0' || text_equal(server->version, version);
+}
+
 static bool server_is_same_incarnation(const struct server *server, const ServerRecord *record)
 {
     bool same_start = server->started_unix_ms == record->born || server->started_unix_ms == 0 || record->born == 0;
-    return same_start && text_equal(server->address, record->address) && text_equal(server->service, record->service);
+    return same_start && server_may_run_version(server, record->version) &&
+           text_equal(server->address, record->address) && text_equal(server->service, record->service);
 }
 
 /* Without a start time the name is the plain id, as in earlier versions. */
@@ -116,6 +126,7 @@
     server->service = text_copy(record->service);
     server->address = text_copy(record->address);
     server->zone = text_copy(record->zone);
+    server->version = text_copy(text_or_empty(record->version));
     server->region = zone_region(table->zones, table->zone_count, server->zone);
     server->zone_drained = table->drained != NULL && zone_set_has(table->drained, server->zone);
     zone_reach_assign(table->zone_reach, &server->zone_reach, server->zone);
@@ -172,18 +183,28 @@
         .service = text_copy(record->service),
         .address = text_copy(record->address),
         .zone = text_copy(record->zone),
+        .version = text_copy(record->version),
         .slots = record->slots,
         .draining = record->draining,
         .born = record->born,
     };
 }
 
+static void server_set_version(struct server *server, const ServerRecord *record)
+{
+    if (server->version[0] == '\0' && text_or_empty(record->version)[0] != '\0') {
+        free(server->version);
+        server->version = text_copy(record->version);
+    }
+}
+
 static void server_apply_record(struct server *server, const ServerRecord *record)
 {
     if (server->started_unix_ms == 0 && record->born != 0) {
         server->started_unix_ms = record->born;
         server_set_incarnation(server);
     }
+    server_set_version(server, record);
     server_drop_deferred(server);
     server->listed = true;
     server->in_update = true;
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -5,9 +5,9 @@
  *
  * Incarnations: a server that restarts under its id has lost all of its state. A
  * `struct server` is one incarnation, identified by id and start time. A different
- * address or service also means a different incarnation; a start time that becomes
- * known later does not. A replaced incarnation is kept until its requests have
- * ended.
+ * address, service or software version also means a different incarnation; a start
+ * time or a version that becomes known later does not. A replaced incarnation is
+ * kept until its requests have ended.
  *
  * Start times do not order incarnations, because clocks may be set back, and a
  * list may be older than the previous one. A record of an incarnation that has
@@ -98,6 +98,7 @@
     char *service;
     char *address; /**< IP:PORT. */
     char *zone;
+    char *version;      /**< Of its software; empty: unknown. */
     const char *region; /**< Of the zone, owned by the caller; NULL: unknown. */
     uint32_t slots;     /**< Requests it processes concurrently; 0: unknown. */
     bool draining;      /**< The list has reported that it is leaving; never reset. */
--- a/src/proxy/dialect.h
+++ b/src/proxy/dialect.h
@@ -31,6 +31,8 @@
     DIALECT_PROMPT_PARTS,         /**< Ids and token counts; all but the last part are shared with other prompts. */
     DIALECT_AFFINITY_KEY,         /**< Requests with equal keys prefer one server; may also be a cookie of this name. */
     DIALECT_PARENT_TURN,          /**< Turn that this one continues. */
+    DIALECT_RESUMES,              /**< Id of the caller's request that brought the first event of a stream, which this
+                                     request resumes after an event. */
     DIALECT_PRIORITY,             /**< Priority at a server, set by the daemon. */
     DIALECT_RETRY_AFTER,          /**< In seconds. */
     DIALECT_AUTHORIZATION,        /**< A caller's API key. */
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -86,10 +86,11 @@
     bool completed = strcmp(forward->reason, FORWARD_COMPLETED) == 0;
     event_log_with_budget(
         completed ? "request" : "request_not_served", "request",
-        "{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:I}", "id",
+        "{s:s,s:s,s:s,s:s,s:i,s:s,s:s,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:I}", "id",
         text_or_empty(forward->id), "tenant", forward->tenant == NULL ? "" : forward->tenant->name, "route",
         forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome", forward->reason, "status",
-        forward->response_status, "server", text_or_empty(forward->last_server), "total_ms",
+        forward->response_status, "server", text_or_empty(forward->last_server), "version",
+        text_or_empty(forward->last_version), "resumes", text_or_empty(forward->resumes), "total_ms",
         (json_int_t)(node_now(node) - begun_ms), "first_ms", (json_int_t)first_ms, "sends", (int)forward->sends, "runs",
         (int)forward->possible_runs, "hedged", forward->hedged, "events", (json_int_t)stream->event_count,
         "configuration", (json_int_t)(forward->table == NULL ? 0 : forward->table->version), "servers",
@@ -111,6 +112,8 @@
     route_table_release(forward->table);
     free(forward->id);
     free(forward->last_server);
+    free(forward->last_version);
+    free(forward->resumes);
     free(forward->bound_incarnation);
     forward->timer.data = forward;
     uv_close((uv_handle_t *)&forward->timer, forward_on_timer_closed);
@@ -255,6 +258,7 @@
     uv_timer_init(&frontend->node->loop, &forward->timer);
     forward->timer.data = forward;
     forward->id = forward_header_text(forward, DIALECT_REQUEST_ID);
+    forward->resumes = forward_header_text(forward, DIALECT_RESUMES);
     return forward;
 }
 
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -114,6 +114,8 @@
     struct forward_attempt attempts[FORWARD_MAX_PARALLEL];
     bool hedged;             /**< Sent to a second server because the first was slow. */
     char *last_server;       /**< Of the last attempt, for the log; NULL: none. */
+    char *last_version;      /**< Software version of that server, for the log; NULL: none. */
+    char *resumes;           /**< DIALECT_RESUMES, or NULL. */
     uint32_t sends;          /**< Attempts so far. */
     uint32_t possible_runs;  /**< Failed attempts in which a server may have run it. */
     char *bound_incarnation; /**< Incarnation of the only server that may resume it; NULL: any server may. */
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -186,6 +186,12 @@
     attempt->start_token_expires_ms = forward_take_start_token(forward, server);
     free(forward->last_server);
     forward->last_server = text_copy(server->id);
+    free(forward->last_version);
+    forward->last_version = text_copy(server->version);
+    if (forward->stream.resumes > 0) {
+        event_log("stream_resent", "{s:s,s:s,s:s,s:I}", "id", text_or_empty(forward->id), "server", server->id,
+                  "version", server->version, "last_event", (json_int_t)forward->stream.last_event);
+    }
     server_criteria_add_tried(&forward->criteria, server);
     prefix_table_record(&server->prefixes, node_now(frontend->node), &forward->chain);
     address_parse(server->address, &address);
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -84,9 +84,9 @@
     if (target == RESUME_NONE) {
         return false;
     }
-    event_log("stream_resumed", "{s:s,s:s,s:s,s:s,s:I,s:i,s:I}", "id", text_or_empty(forward->id), "server", server->id,
-              "reason", reason, "way", forward_resume_target_name(target), "last_event",
-              (json_int_t)forward->stream.last_event, "resumes", (int)forward->stream.resumes, "left_ms",
+    event_log("stream_resumed", "{s:s,s:s,s:s,s:s,s:s,s:I,s:i,s:I}", "id", text_or_empty(forward->id), "server",
+              server->id, "version", server->version, "reason", reason, "way", forward_resume_target_name(target),
+              "last_event", (json_int_t)forward->stream.last_event, "resumes", (int)forward->stream.resumes, "left_ms",
               (json_int_t)stream.left_ms);
     forward->stream.resumes++;
     forward->frontend->counters.resumes++;
