--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -146,6 +146,12 @@
 /** Replaces a server by an instance in another zone (a string constant); initially all servers are in z1. */
 void site_set_zone(int server, const char *zone);
 
+/** Replaces a server by an instance that runs another software version (a string constant); initially all run v1. */
+void site_set_version(int server, const char *version);
+
+/** Makes the text of events end with @ and the version of the server that sent them. */
+void site_show_versions(void);
+
 /** Drops all packets to a server and to the closed port, so that the kernel does not respond either, as on a machine
  * without power. For one server at a time. */
 void site_set_powered_off(int server, bool powered_off);
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -29,6 +29,7 @@
     SITE_CHUNK_DELAY_US = 80000,
     SITE_SEND_TIMEOUT_US = 200000, /* after which an unread response is aborted */
     SITE_COLD_REMAINING_MS = 3000,
+    SITE_VERSION_BYTES = 16,   /* of the version in an event's text, including @ and NUL */
     SITE_MAX_NUMBER_BYTES = 24 /* of a number in a header, including NUL */
 };
 
@@ -39,7 +40,8 @@
     struct proxy *proxy; /* may be NULL */
     enum site_mode mode;
     bool draining;
-    const char *zone; /* NULL: z1 */
+    const char *zone;    /* NULL: z1 */
+    const char *version; /* of its software; NULL: v1 */
     bool starting;
     int instance; /* number of replacements */
     int runs;
@@ -57,6 +59,7 @@
 static char *site_last_request_head;
 static int site_cancellations;
 static void (*site_on_run)(const site_run_t *run);
+static bool site_events_have_version;
 
 struct site_connection {
     int fd;
@@ -81,8 +84,13 @@
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 }
 
-/* Sends the events with ids above `last`. */
-static void site_write_events(int fd, const char *id, enum site_mode mode, int last)
+static const char *site_version(const struct site_server *server)
+{
+    return server->version == NULL ? "v1" : server->version;
+}
+
+/* Sends the events with ids above `last`; `suffix` ends their text. */
+static void site_write_events(int fd, const char *id, enum site_mode mode, int last, const char *suffix)
 {
     struct buffer out = {0};
     buffer_printf(&out,
@@ -95,9 +103,9 @@
     for (int i = last + 1; i <= events; i++) {
         char event[SITE_EVENT_PADDING_BYTES + 64];
         const char *text = site_on_run == NULL ? "piece" : id;
-        int length = mode == SITE_NO_EVENT_IDS
-                         ? snprintf(event, sizeof(event), "data: %s-%d\n\n", text, i)
-                         : snprintf(event, sizeof(event), "id: %d\ndata: %s-%d%*s\n\n", i, text, i, padding, "");
+        int length = mode == SITE_NO_EVENT_IDS ? snprintf(event, sizeof(event), "data: %s-%d%s\n\n", text, i, suffix)
+                                               : snprintf(event, sizeof(event), "id: %d\ndata: %s-%d%s%*s\n\n", i, text,
+                                                          i, suffix, padding, "");
         if (mode == SITE_CUT_IN_EVENT && i == 2 && last == 0) {
             event[--length] = '\0';
             event[--length] = '\0';
@@ -192,6 +200,10 @@
     run.server = (int)(server - site_servers);
     pthread_mutex_lock(&site_lock);
     run.instance = server->instance;
+    char suffix[SITE_VERSION_BYTES] = "";
+    if (site_events_have_version) {
+        snprintf(suffix, sizeof(suffix), "@%s", site_version(server));
+    }
     enum site_mode mode = server->mode;
     bool executes = mode != SITE_REFUSE && mode != SITE_MISDIRECTED;
     server->runs += executes ? 1 : 0;
@@ -233,7 +245,7 @@
         /* fall through */
     default:
         if (stream) {
-            site_write_events(fd, id, mode, last);
+            site_write_events(fd, id, mode, last, suffix);
         } else {
             site_write_text(fd, id, mode);
         }
@@ -322,9 +334,9 @@
         site_write_start_time(out);
         buffer_printf(out,
                       "\"id\":\"%s\",\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
-                      "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\",\"cold-remaining-ms\":%d,\"unknown\":[1]}",
+                      "\"version\":\"%s\",\"slots\":4,\"state\":\"%s\",\"cold-remaining-ms\":%d,\"unknown\":[1]}",
                       id, i < 2 ? "engine" : "plain", site_servers[i].listed_port,
-                      site_servers[i].zone == NULL ? "z1" : site_servers[i].zone,
+                      site_servers[i].zone == NULL ? "z1" : site_servers[i].zone, site_version(&site_servers[i]),
                       site_servers[i].draining ? "draining" : "ready",
                       site_servers[i].starting ? SITE_COLD_REMAINING_MS : 0);
     }
@@ -514,6 +526,19 @@
     site_replace_server(server);
 }
 
+void site_set_version(int server, const char *version)
+{
+    pthread_mutex_lock(&site_lock);
+    site_servers[server].version = version;
+    pthread_mutex_unlock(&site_lock);
+    site_replace_server(server);
+}
+
+void site_show_versions(void)
+{
+    site_events_have_version = true;
+}
+
 void site_set_draining(int server, bool draining)
 {
     pthread_mutex_lock(&site_lock);
