Streams: an interrupted stream is resumed only at its software version

Callers saw one response with events of two software versions of a service: after its server had lost power, was draining or broke off three times, a stream was resumed at any server with capacity. What two versions write does not fit together, and servers do not check it. Cause: the choice of a server looked at load, cache and reachability, never at the version; a class of fault where a retry assumes that all back ends of a service are interchangeable. Change: the version of the server of the first event is a criterion of every later choice for that stream. Without another server of it, the stream continues at its own server or ends at once. If all servers of the version drain, one of them still takes it, until a second before the end of server_drain_ms (new, set from drain-ms of the platform). If the server's successor under its id runs another version, it is unknown which one ran the stream, which then ends.

--- a/src/core/server_choice.c
+++ b/src/core/server_choice.c
@@ -34,9 +34,44 @@
     return excluded;
 }
 
-static bool server_accepts_requests(const struct server *server, uint64_t now_ms)
+static bool server_version_is_allowed(const struct server *server, const struct server_criteria *criteria)
 {
-    return !server_is_out_of_rotation(server) && now_ms >= server->full_until_ms;
+    return criteria->version == NULL || text_equal(server->version, criteria->version);
+}
+
+/* A server that is draining but still serves. */
+static bool server_continues_streams(const struct server *server, const struct server_criteria *criteria,
+                                     uint64_t now_ms)
+{
+    bool serves = server->listed && server->draining && !server->address_reused && !server->not_listening &&
+                  !reach_is_dead(&server->reach);
+    return serves && criteria->version != NULL &&
+           now_ms + SERVER_DRAIN_MARGIN_MS < server->draining_ms + criteria->drain_ms;
+}
+
+bool server_may_receive(const struct server *server, const struct server_criteria *criteria, uint64_t now_ms)
+{
+    bool serves = !server_is_leaving(server) || server_continues_streams(server, criteria, now_ms);
+    return serves && !server->zone_drained && server_version_is_allowed(server, criteria);
+}
+
+static bool server_accepts_requests(const struct server *server, const struct server_criteria *criteria,
+                                    uint64_t now_ms)
+{
+    bool in_rotation = !server_is_out_of_rotation(server) || criteria->allow_draining;
+    return in_rotation && server_may_receive(server, criteria, now_ms) && now_ms >= server->full_until_ms;
+}
+
+bool server_table_has_version(const struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria,
+                              const struct server *except)
+{
+    for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        if (server != except && text_equal(server->service, criteria->service) && !reach_is_dead(&server->reach) &&
+            server_may_receive(server, criteria, now_ms) && server_region_is_allowed(server, criteria)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 static bool server_is_reachable(const struct server *server, const struct server_criteria *criteria)
@@ -65,8 +100,10 @@
 bool server_table_has_available(const struct server_table *table, uint64_t now_ms, const char *service,
                                 const struct server_criteria *criteria)
 {
+    struct server_criteria any = *criteria;
+    any.allow_draining = criteria->version != NULL;
     for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
-        if (text_equal(server->service, service) && server_accepts_requests(server, now_ms) &&
+        if (text_equal(server->service, service) && server_accepts_requests(server, &any, now_ms) &&
             server_region_is_allowed(server, criteria)) {
             return true;
         }
@@ -130,7 +167,7 @@
 /* All criteria but reachability and the start token. */
 static bool server_meets_criteria(const struct server *server, const struct server_criteria *criteria, uint64_t now_ms)
 {
-    return text_equal(server->service, criteria->service) && server_accepts_requests(server, now_ms) &&
+    return text_equal(server->service, criteria->service) && server_accepts_requests(server, criteria, now_ms) &&
            !server_was_tried(server, criteria) && server_region_is_allowed(server, criteria);
 }
 
@@ -270,8 +307,8 @@
 {
     for (const struct server *server = table->servers; server != NULL; server = server->hh.next) {
         if (text_equal(server->service, criteria->service) && !server_is_out_of_rotation(server) &&
-            now_ms < server->full_until_ms && server_is_reachable(server, criteria) &&
-            server_region_is_allowed(server, criteria)) {
+            server_version_is_allowed(server, criteria) && now_ms < server->full_until_ms &&
+            server_is_reachable(server, criteria) && server_region_is_allowed(server, criteria)) {
             return true;
         }
     }
@@ -279,7 +316,8 @@
 }
 
 /* While a reachable server only pauses, the request is queued: sent to an unreachable zone it may be lost. */
-struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria)
+static struct server *server_choose_in_rotation(struct server_table *table, uint64_t now_ms,
+                                                const struct server_criteria *criteria)
 {
     struct server *chosen = server_choose_reachable(table, now_ms, criteria);
     if (chosen == NULL && server_table_has_unreachable_zone(table)) {
@@ -292,6 +330,17 @@
     return chosen != NULL ? chosen : server_least_loaded(table, now_ms, criteria, server_is_eligible);
 }
 
+struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria)
+{
+    struct server *chosen = server_choose_in_rotation(table, now_ms, criteria);
+    if (chosen == NULL && criteria->version != NULL) {
+        struct server_criteria with_draining = *criteria;
+        with_draining.allow_draining = true;
+        chosen = server_choose_in_rotation(table, now_ms, &with_draining);
+    }
+    return chosen;
+}
+
 static struct server *server_choose_starting_reachable(struct server_table *table, uint64_t now_ms,
                                                        const struct server_criteria *criteria)
 {
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -213,7 +213,7 @@
     server->starting = record->cold_ms > 0;
 }
 
-static struct server *server_find(const struct server_table *table, const char *id)
+struct server *server_table_find(const struct server_table *table, const char *id)
 {
     struct server *server = NULL;
     HASH_FIND_STR(table->servers, text_or_empty(id), server);
@@ -222,7 +222,7 @@
 
 static void server_put_record(struct server_table *table, const ServerRecord *record)
 {
-    struct server *server = server_find(table, record->id);
+    struct server *server = server_table_find(table, record->id);
     if (server == NULL) {
         server = server_add(table, record);
     } else if (!server_is_same_incarnation(server, record)) {
@@ -273,7 +273,7 @@
                                 const ServerList *changed)
 {
     for (size_t i = 0; i < removed_count; i++) {
-        struct server *server = server_find(table, removed[i]);
+        struct server *server = server_table_find(table, removed[i]);
         if (server == NULL) {
             continue;
         }
@@ -288,6 +288,14 @@
     }
 }
 
+void server_table_record_drains(struct server_table *table, uint64_t now_ms)
+{
+    for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
+        bool begins = server->draining && server->draining_ms == 0;
+        server->draining_ms = begins ? now_ms : server->draining_ms;
+    }
+}
+
 void server_table_zones_changed(struct server_table *table, uint64_t now_ms)
 {
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
@@ -348,7 +356,7 @@
  * one known here. */
 struct server *server_table_find_incarnation(const struct server_table *table, const char *incarnation)
 {
-    struct server *server = server_find(table, incarnation);
+    struct server *server = server_table_find(table, incarnation);
     const char *start = strrchr(text_or_empty(incarnation), '@');
     if (server != NULL) {
         return server->has_predecessor && server->started_unix_ms != 0 ? NULL : server;
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -26,6 +26,13 @@
  * with a delay. A server that becomes reachable again, or whose zone is opened
  * again, therefore counts as just started for SERVER_RETURNED_MS.
  *
+ * Software versions: what servers of different versions write does not fit
+ * together, so a stream that one version began may be continued only by servers of
+ * that version (server_criteria.version). If none of them is in rotation, a draining
+ * one takes it, until SERVER_DRAIN_MARGIN_MS before the end of
+ * server_criteria.drain_ms: otherwise a rolling release would end all interrupted
+ * streams of the old version.
+ *
  * Home: the server that has a program's conversation cached. A program leaves it
  * only when queueing there costs more than processing the conversation again
  * elsewhere, which delays the other requests there: about as much as a queue of
@@ -82,8 +89,9 @@
     SERVER_AFFINITY_MISS_REQUESTS = 3, /**< Cost of a server that is not preferred for the affinity key. */
     SERVER_LOADS_VALID_MS = 700,       /**< Minimum lifetime of the loads of other gateways. */
     SERVER_ENDED_MAX = 512,            /**< Ended incarnations that are remembered. */
-    SERVER_RETURNED_MS = 2500, /**< Covers the delay until the list reports a start: lag, two reads, delivery. */
-    SERVER_DEFER_MS = 15000    /**< Longer than the platform's list lags behind. */
+    SERVER_RETURNED_MS = 2500,     /**< Covers the delay until the list reports a start: lag, two reads, delivery. */
+    SERVER_DRAIN_MARGIN_MS = 1000, /**< Covers the delay until the list reports a drain, and the way of a request. */
+    SERVER_DEFER_MS = 15000        /**< Longer than the platform's list lags behind. */
 };
 
 /** One incarnation of a server. */
@@ -98,10 +106,11 @@
     char *service;
     char *address; /**< IP:PORT. */
     char *zone;
-    char *version;      /**< Of its software; empty: unknown. */
-    const char *region; /**< Of the zone, owned by the caller; NULL: unknown. */
-    uint32_t slots;     /**< Requests it processes concurrently; 0: unknown. */
-    bool draining;      /**< The list has reported that it is leaving; never reset. */
+    char *version;        /**< Of its software; empty: unknown. */
+    const char *region;   /**< Of the zone, owned by the caller; NULL: unknown. */
+    uint32_t slots;       /**< Requests it processes concurrently; 0: unknown. */
+    bool draining;        /**< The list has reported that it is leaving; never reset. */
+    uint64_t draining_ms; /**< When server_table_record_drains() first saw that; 0: not yet. */
     bool zone_drained;
     bool starting;             /**< The list reports that it has just started. */
     uint64_t returned_ms;      /**< When it last became reachable again or its zone was opened; 0: never. */
@@ -147,9 +156,12 @@
     const char *zone;                                         /**< The gateway's zone. */
     bool zone_first;                                          /**< The gateway's zone is preferred while it has room. */
     const route_regions_t *region_rules[SERVER_REGION_RULES]; /**< All of them must allow the region; NULL: any. */
-    const prefix_chain_t *chain;                              /**< Shared parts of the prompt, or NULL. */
-    const prefix_cost_t *cost;                                /**< Average cost of a request; required with `chain`. */
-    const char *home;                                         /**< Incarnation that is the program's home, or NULL. */
+    const char *version;                                      /**< Of the servers' software; NULL: any. */
+    uint64_t drain_ms;           /**< With `version`: time for which draining servers are second choice. */
+    bool allow_draining;         /**< Set only by the selection, when it is repeated with draining servers. */
+    const prefix_chain_t *chain; /**< Shared parts of the prompt, or NULL. */
+    const prefix_cost_t *cost;   /**< Average cost of a request; required with `chain`. */
+    const char *home;            /**< Incarnation that is the program's home, or NULL. */
     bool ignore_zone_reach; /**< Set only by the selection, when it is repeated without regard to unreachable zones. */
     uint64_t affinity_key;  /**< Hash of the request's affinity key; 0: none. */
     /** Whether there is a token for a server that has just started; NULL: no slow start for the service. */
@@ -170,6 +182,12 @@
 void server_table_apply_changes(struct server_table *table, char *const *removed, size_t removed_count,
                                 const ServerList *changed);
 
+/** Records since when servers drain. Must be called after each list. */
+void server_table_record_drains(struct server_table *table, uint64_t now_ms);
+
+/** The current incarnation of a server, or NULL. */
+struct server *server_table_find(const struct server_table *table, const char *id);
+
 /** Must be called after the drained zones have changed. */
 void server_table_zones_changed(struct server_table *table, uint64_t now_ms);
 
@@ -211,6 +229,14 @@
 bool server_table_has_available(const struct server_table *table, uint64_t now_ms, const char *service,
                                 const struct server_criteria *criteria);
 
+/** Whether a server may receive a request now: it is in rotation, or draining and the only choice of its version. */
+bool server_may_receive(const struct server *server, const struct server_criteria *criteria, uint64_t now_ms);
+
+/** Whether the service has a server of the criteria's version, other than `except` (or NULL), that is not dead and may
+ * receive the request, now or once it has capacity. */
+bool server_table_has_version(const struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria,
+                              const struct server *except);
+
 /** Excludes a server from further choices; a repeated one is stored once. */
 void server_criteria_add_tried(struct server_criteria *criteria, const struct server *server);
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -113,6 +113,7 @@
     free(forward->id);
     free(forward->last_server);
     free(forward->last_version);
+    free(forward->stream.version);
     free(forward->resumes);
     free(forward->bound_incarnation);
     forward->timer.data = forward;
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -78,6 +78,8 @@
     struct event_stream events;
     uint64_t event_count;      /**< Relayed events with data. */
     uint64_t last_event;       /**< Id of the last event. */
+    char *version;             /**< Software version that began it: of the server of the first event; NULL: none yet. */
+    bool version_unknown;      /**< That server restarted at about that time, maybe with another version. */
     bool has_unnumbered_event; /**< Some event has no numeric id, so no server can resume after it. */
     uint32_t resumes;          /**< Times resumed. */
     uint64_t first_event_ms;   /**< Loop time; 0: none yet. */
@@ -151,6 +153,18 @@
 /** forward_resume.c: ends the attempts at restarted servers that were not sent or are idle. */
 void forward_end_idle_after_restart(struct frontend *frontend);
 
+/** forward_version.c: events were relayed from the attempt's server: the stream stays at that server's version. */
+void forward_pin_version(struct forward_attempt *attempt);
+
+/** forward_version.c: the attempt's server has been replaced by another incarnation, maybe before it ran the stream. */
+void forward_check_replaced_version(struct forward_attempt *attempt);
+
+/** forward_version.c: whether no server may run the request for the sake of its stream's version. */
+bool forward_lacks_version(const struct forward *forward);
+
+/** forward_version.c: whether the stream may be resumed at another server of its version. */
+bool forward_has_other_of_version(const struct forward_attempt *attempt);
+
 /** forward_queue.c. */
 void forward_queue_add(struct forward *forward);
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -151,7 +151,7 @@
     uint64_t deadline_ms = attempt->forward->deadline_ms;
     bool token_expired = attempt->start_token_expires_ms != 0 && now_ms >= attempt->start_token_expires_ms;
     if (now_ms + FORWARD_MIN_REMAINING_MS >= deadline_ms || token_expired ||
-        server_is_out_of_rotation(attempt->server)) {
+        !server_may_receive(attempt->server, &attempt->forward->criteria, now_ms)) {
         return false;
     }
     attempt->sent_ms = node_now(attempt->forward->frontend->node);
@@ -300,6 +300,8 @@
     struct server *server = forward_choose_server(forward);
     if (server != NULL) {
         forward_send(forward, server);
+    } else if (forward_lacks_version(forward)) {
+        forward_end_unplaced(forward, "no server of the stream's software version");
     } else if (forward_all_servers_excluded(forward) || forward_bound_server_drained(forward)) {
         forward_end_unplaced(forward, forward_exclusion_reason(forward));
     } else if (forward_may_queue(forward)) {
--- a/src/proxy/forward_response.c
+++ b/src/proxy/forward_response.c
@@ -195,6 +195,7 @@
             forward_attempt_outcome_unknown(attempt, "events out of order");
             return;
         }
+        forward_pin_version(attempt);
         /* An event without a numeric id makes the stream not resumable. */
         upstream_set_keepalive(attempt->exchange, forward_is_resumable(forward));
         forward_pause_for_caller(attempt);
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -11,7 +11,8 @@
 
 bool forward_is_resumable(const struct forward *forward)
 {
-    return forward->route->resumable && !forward->turn.persistent && !forward->stream.has_unnumbered_event;
+    return forward->route->resumable && !forward->turn.persistent && !forward->stream.has_unnumbered_event &&
+           !forward->stream.version_unknown;
 }
 
 static resume_stream_t forward_describe_stream(const struct forward_attempt *attempt)
@@ -75,12 +76,26 @@
     return server != NULL && server->zone_drained;
 }
 
+/* Without another server of its version, a stream continues at its server, which may be draining, or ends. */
+static resume_target_t forward_limit_to_version(const struct forward_attempt *attempt, resume_target_t target)
+{
+    const struct forward *forward = attempt->forward;
+    if (target != RESUME_OTHER || forward->criteria.version == NULL || forward_has_other_of_version(attempt)) {
+        return target;
+    }
+    const struct server *server = attempt->server;
+    uint64_t now_ms = node_now(forward->frontend->node);
+    bool serves = !server->not_listening && !reach_is_dead(&server->reach) &&
+                  server_may_receive(server, &forward->criteria, now_ms);
+    return serves ? RESUME_SAME : RESUME_NONE;
+}
+
 bool forward_resume(struct forward_attempt *attempt, const char *reason)
 {
     struct forward *forward = attempt->forward;
     struct server *server = attempt->server;
     const resume_stream_t stream = forward_describe_stream(attempt);
-    resume_target_t target = resume_decide(&stream);
+    resume_target_t target = forward_limit_to_version(attempt, resume_decide(&stream));
     if (target == RESUME_NONE) {
         return false;
     }
@@ -176,7 +191,11 @@
         next = forward->next;
         for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
             struct forward_attempt *attempt = &forward->attempts[i];
-            if (attempt->forward != NULL && forward_is_idle_after_restart(forward, attempt)) {
+            if (attempt->forward == NULL) {
+                continue;
+            }
+            forward_check_replaced_version(attempt);
+            if (forward_is_idle_after_restart(forward, attempt)) {
                 forward_end_idle_attempt(attempt);
                 break;
             }
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -98,6 +98,11 @@
 
 /* ---- Servers ------------------------------------------------------------------------- */
 
+static void frontend_servers_changed(struct frontend *frontend)
+{
+    server_table_record_drains(&frontend->servers, node_now(frontend->node));
+}
+
 void frontend_apply_server_list(struct frontend *frontend, struct view encoded)
 {
     ServerList list = {0};
@@ -105,6 +110,7 @@
         return;
     }
     server_table_update(&frontend->servers, &list);
+    frontend_servers_changed(frontend);
     frontend->servers_known = true;
     frontend->servers_change = 0;
     message_free(ServerList_fields, &list);
@@ -121,6 +127,7 @@
                    message_decode(buffer_view(&changes.records), ServerList_fields, &changed);
     if (applied) {
         server_table_apply_changes(&frontend->servers, changes.removed, changes.removed_count, &changed);
+        frontend_servers_changed(frontend);
         message_free(ServerList_fields, &changed);
     }
     server_list_changes_close(&changes);
--- a/src/proxy/node_settings.c
+++ b/src/proxy/node_settings.c
@@ -89,6 +89,7 @@
     NODE_NUMBER(start_slack, 0, NODE_MAX_SLACK),
     NODE_NUMBER(memory_mb, 0, NODE_MAX_MEMORY_MB),
     NODE_NUMBER(tolerated_zones, 0, NODE_MAX_ZONES),
+    NODE_NUMBER(server_drain_ms, 0, NODE_MAX_DURATION_MS),
     NODE_NUMBER(log_lines_per_s, 0, 100000),
     NODE_TEXT(log_level),
     {.key = NULL},
@@ -165,6 +166,7 @@
     yaml_read_file(path, node_settings_fields, settings, findings);
     node_settings_read_environment(settings, NODE_SETTINGS_ENV, findings);
     node_settings_read_environment(settings, NODE_SETTINGS_ENV_2, findings);
+    node_settings_read_environment(settings, NODE_SETTINGS_ENV_3, findings);
     node_settings_check(settings, path, findings);
 }
 
--- a/src/proxy/node_settings.h
+++ b/src/proxy/node_settings.h
@@ -42,6 +42,8 @@
     uint64_t grace_ms;        /**< Time limit of a graceful stop. */
     uint64_t memory_mb;       /**< Memory that the process may use (core/memory_budget.h); 0: fixed defaults. */
     uint64_t tolerated_zones; /**< Zones that may be lost at once; 0: zones are not treated as failure domains. */
+    uint64_t
+        server_drain_ms; /**< Time for which a draining server may get requests that resume its version's streams. */
     uint64_t log_lines_per_s; /**< Limit for each kind of log line. */
     char *log_level;          /**< error, warn, info or debug. */
 };
@@ -53,6 +55,7 @@
  */
 #define NODE_SETTINGS_ENV "BANKBANK_FURTHER"
 #define NODE_SETTINGS_ENV_2 "BANKBANK_FURTHER_2"
+#define NODE_SETTINGS_ENV_3 "BANKBANK_FURTHER_3"
 
 /** Reads the file, then the variables; errors are added to `findings`. */
 void node_settings_load(struct node_settings *settings, const char *path, struct findings *findings);
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -21,6 +21,7 @@
     SITE_MAX_EXTRA_DAEMONS = 30, /**< In addition to SITE_REPLICAS replicas (the seeds) and SITE_GATEWAYS gateways. */
     SITE_SERVERS = 4,
     SITE_TIMEOUT_MS = 20000,
+    SITE_SERVER_DRAIN_MS = 60000, /**< Default of site_set_server_drain_ms(): longer than any test case. */
     SITE_LONG_EVENTS = 12000,
     SITE_LARGE_BYTES = 7 << 20
 };
@@ -113,6 +114,9 @@
 /** Number of zones that may be lost at once; for daemons started afterwards. The default is 0. */
 void site_set_tolerated_zones(int zones);
 
+/** Time for which a draining server may get requests that resume streams; for daemons started afterwards. */
+void site_set_server_drain_ms(int drain_ms);
+
 /** Memory limit of daemons started afterwards; 0: none. */
 void site_limit_memory(int megabytes);
 
--- a/tests/integration/test_stream_versions.c
+++ b/tests/integration/test_stream_versions.c
@@ -113,8 +113,10 @@
     site_set_mode(-1, SITE_NORMAL);
 }
 
+/* Also ends what a failed case has left behind. */
 static void start_two_versions(void)
 {
+    site_set_draining(0, false);
     site_start();
     site_set_version(1, "v2");
     site_set_mode(-1, SITE_STALL);
