Streams: a caller resumes a stream only at the software version that began it

Cause: the gateway that gets the second request knows neither which server began the stream nor its version; only the first gateway did. Class: a decision that must hold over several requests rested on the memory of one process. Change: while servers of several versions serve a service, a gateway records at the state replicas which version runs each resumable stream, at the time the request is sent (StreamBegin, an entry of level 2); the first event waits for the commit, at most 250 ms. A request that resumes a stream reads the record at the leader and goes to servers of that service and version only, or is refused at once as not run. It works because the record is committed before the caller can have an event to resume after, and a missing record is refused, not guessed, where versions are mixed. The stand-in's servers refuse requests for another instance (421), as the protocol says.

--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -2,8 +2,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <pb.h>
-
 #include "base/message.h"
 #include "core/replica_internal.h"
 
@@ -113,6 +111,28 @@
     replica_reply_message(replica, group, waiter, RetireState_fields, &answer);
 }
 
+static void replica_answer_stream(struct replica *replica, uint32_t group, const struct replica_waiter *waiter,
+                                  struct view body)
+{
+    StreamQuery query = {0};
+    if (!message_decode(body, StreamQuery_fields, &query)) {
+        replica_reply(replica, group, waiter, RESULT_INVALID, view_of(NULL, 0));
+        return;
+    }
+    const stream_origins_t *origins = &replica->groups[group].machine.site.stream_origins;
+    const stream_version_t *version = stream_origins_find(origins, query.stream);
+    StreamState state = {.found = version != NULL};
+    if (version != NULL) {
+        state.service = version->service;
+        state.version = version->version;
+    }
+    for (pb_size_t i = 0; i < query.services_count; i++) {
+        state.others_recorded = state.others_recorded || stream_origins_has_service(origins, query.services[i]);
+    }
+    message_free(StreamQuery_fields, &query);
+    replica_reply_message(replica, group, waiter, StreamState_fields, &state);
+}
+
 bool replica_answer_site_read(struct replica *replica, uint32_t group, const struct replica_waiter *waiter)
 {
     struct view body = view_of(waiter->body, waiter->length);
@@ -121,6 +141,7 @@
     case REQUEST_TURNS:
     case REQUEST_TURNS_HELD: replica_answer_turns(replica, group, waiter, body); return true;
     case REQUEST_RETIRE: replica_answer_retire(replica, group, waiter, body); return true;
+    case REQUEST_STREAM: replica_answer_stream(replica, group, waiter, body); return true;
     default: return false;
     }
 }
@@ -208,12 +229,6 @@
     message_free(JoinRequest_fields, &join);
 }
 
-/* An encoded Entry has a single field, whose tag is the first byte, so it need not be decoded. */
-static bool replica_entry_is(struct view entry, int tag)
-{
-    return entry.length > 0 && entry.data[0] == ((tag << 3) | PB_WT_STRING);
-}
-
 /* Refuses a proposal at a memory limit; false: refused. A turn that begins is refused at a lower limit and with
  * RESULT_LIMIT, which its caller gets at once, since nothing has run yet. Other proposals finish work in progress:
  * their senders retry. */
@@ -222,7 +237,7 @@
 {
     const struct replica_group *state = &replica->groups[group];
     const struct replica_config *config = &replica->config;
-    bool begins_turn = replica_entry_is(request->body, Entry_turn_begin_tag);
+    bool begins_turn = state_machine_entry_command(request->body) == Entry_turn_begin_tag;
     bool log_full =
         raft_log_is_full(&state->raft) || (begins_turn && state->raft.log.bytes >= replica_turn_log_limit(replica));
     bool state_full =
@@ -242,7 +257,7 @@
     struct raft *raft = &replica->groups[group].raft;
     const struct site_state *site = &replica->groups[group].machine.site;
     Entry entry = {0};
-    bool relevant = raft_is_leader(raft) && replica_entry_is(request->body, Entry_retire_start_tag);
+    bool relevant = raft_is_leader(raft) && state_machine_entry_command(request->body) == Entry_retire_start_tag;
     if (!relevant || !message_decode(request->body, Entry_fields, &entry)) {
         return true;
     }
--- a/src/core/site_state.c
+++ b/src/core/site_state.c
@@ -19,6 +19,7 @@
     }
     free(state->retiring_machines);
     zone_set_close(&state->drained);
+    stream_origins_close(&state->stream_origins);
     memset(state, 0, sizeof(*state));
 }
 
@@ -100,6 +101,14 @@
     state->last_sweep_ms = state->time_ms;
     turn_store_expire(&state->turns, state->time_ms);
     budget_table_expire(&state->budgets, state->time_ms);
+    stream_origins_expire(&state->stream_origins, state->time_ms);
+}
+
+static void site_begin_stream(struct site_state *state, const StreamBegin *begin, EntryResult *result)
+{
+    if (!stream_origins_put(&state->stream_origins, state->time_ms, begin)) {
+        result->code = RESULT_LIMIT;
+    }
 }
 
 bool site_state_apply(struct site_state *state, uint64_t timestamp_ms, const Entry *entry, EntryResult *result)
@@ -112,13 +121,14 @@
     case Entry_turn_finish_tag: site_finish_turn(state, &entry->command.turn_finish, result); return true;
     case Entry_retire_start_tag: site_start_retire(state, &entry->command.retire_start); return true;
     case Entry_zone_drain_tag: site_drain_zone(state, &entry->command.zone_drain, result); return true;
+    case Entry_stream_begin_tag: site_begin_stream(state, &entry->command.stream_begin, result); return true;
     default: return false;
     }
 }
 
 size_t site_state_bytes(const struct site_state *state)
 {
-    return state->turns.index_bytes + state->budgets.bytes;
+    return state->turns.index_bytes + state->budgets.bytes + stream_origins_bytes(&state->stream_origins);
 }
 
 void site_state_export(const struct site_state *state, SiteSnapshot *snapshot)
@@ -133,6 +143,7 @@
     snapshot->retired_count = (pb_size_t)state->retiring_count;
     snapshot->has_drained = state->drained.revision > 0;
     zone_set_export(&state->drained, &snapshot->drained);
+    stream_origins_export(&state->stream_origins, snapshot);
 }
 
 void site_state_import(struct site_state *state, const SiteSnapshot *snapshot)
@@ -155,4 +166,5 @@
         site_start_retire(state, &start);
     }
     zone_set_update(&state->drained, &snapshot->drained);
+    stream_origins_import(&state->stream_origins, snapshot);
 }
--- a/src/core/state_machine.c
+++ b/src/core/state_machine.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <pb.h>
 #include <xxhash.h>
 
 #include "base/message.h"
@@ -98,6 +99,28 @@
     }
 }
 
+/* An encoded Entry has a single field, whose tag is in the first bytes (a varint), so it need not be decoded. */
+int state_machine_entry_command(struct view entry)
+{
+    uint64_t key = 0;
+    for (size_t i = 0; i < entry.length && i < sizeof(uint32_t); i++) {
+        key |= (uint64_t)(entry.data[i] & 0x7f) << (7 * i);
+        if ((entry.data[i] & 0x80) == 0) {
+            return (key & 7) == PB_WT_STRING ? (int)(key >> 3) : 0;
+        }
+    }
+    return 0;
+}
+
+uint32_t state_machine_entry_level(struct view entry)
+{
+    switch (state_machine_entry_command(entry)) {
+    case Entry_zone_drain_tag: return STATE_LEVEL_ZONES;
+    case Entry_stream_begin_tag: return STATE_LEVEL_STREAMS;
+    default: return 0;
+    }
+}
+
 /* ---- Snapshots ----------------------------------------------------------------- */
 
 /* Exports everything except turns and budgets, which have records of their own. */
@@ -116,6 +139,7 @@
     site_state_export(&machine->site, &snapshot.site);
     message_encode(out, StateSnapshot_fields, &snapshot);
     config_state_close(&snapshot.config);
+    stream_origins_free_export(&snapshot.site);
     free(snapshot.requests);
     free(snapshot.leases);
 }
--- a/src/core/state_machine.h
+++ b/src/core/state_machine.h
@@ -16,6 +16,13 @@
 #include "core/site_state.h"
 #include "core/state_stream.h"
 
+/** Levels of log entries: a daemon of level N can apply the entries of all levels up to N. */
+enum {
+    STATE_LEVEL_ZONES = 1,   /**< Entry.zone_drain. */
+    STATE_LEVEL_STREAMS = 2, /**< Entry.stream_begin. */
+    STATE_LEVEL = STATE_LEVEL_STREAMS
+};
+
 enum {
     STATE_CONFIG_GROUP = 0,      /**< Group of configuration, leases and site state. */
     STATE_STAMP_LENGTH = 9,      /**< Bytes of the stamp before the encoded Entry. */
@@ -40,6 +47,12 @@
 /** Returns the stamp's flags for an entry that a leader is about to propose; `leases` are those of group 0. */
 uint8_t state_machine_flags(const struct state_machine *machine, const struct lease_table *leases, struct view entry);
 
+/** Tag of the command of an encoded Entry; 0: it has none. */
+int state_machine_entry_command(struct view entry);
+
+/** Level that a daemon needs to apply an encoded Entry. */
+uint32_t state_machine_entry_level(struct view entry);
+
 /** Applies log entry data (stamp and entry) and appends the encoded EntryResult to `result`. */
 void state_machine_apply(struct state_machine *machine, struct view data, struct buffer *result);
 
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -22,13 +22,14 @@
 #include "base/buffer.h"
 #include "control.pb.h"
 #include "core/raft.h"
+#include "core/state_machine.h"
 #include "net/address.h"
 #include "net/dial_backoff.h"
 #include "net/link_counts.h"
 
 enum {
-    LINKS_VERSION = 1,       /**< Protocol version. */
-    LINKS_FEATURE_LEVEL = 1, /**< Highest level of log entries that this version can apply; 1 adds drained zones. */
+    LINKS_VERSION = 1,                    /**< Protocol version. */
+    LINKS_FEATURE_LEVEL = STATE_LEVEL,    /**< Highest level of log entries that this version can apply. */
     LINKS_MAX_FRAME_BYTES = 64 << 20,     /**< Of a received frame. */
     LINKS_MAX_QUEUED_BYTES = 64 << 20,    /**< Default of links_config.max_queued_bytes. */
     LINKS_KEEP_CAPACITY_BYTES = 32 << 10, /**< Buffers up to this capacity are never freed for being unused. */
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -114,6 +114,7 @@
     free(forward->last_server);
     free(forward->last_version);
     free(forward->stream.version);
+    forward_origin_close(forward);
     free(forward->resumes);
     free(forward->bound_incarnation);
     forward->timer.data = forward;
@@ -188,6 +189,7 @@
     forward->frontend->counters.completed++;
     forward->reason = FORWARD_COMPLETED;
     histogram_record(&forward->frontend->response_time, node_now(forward->frontend->node) - call->received_ms);
+    forward_release_held(forward);
     call->owner = NULL;
     forward_close(forward);
     http_call_end_response(call);
@@ -339,15 +341,18 @@
     }
     forward_read_placement_headers(forward);
     forward_turn_read(forward);
-    if (forward->turn.program == NULL) {
-        forward_quota_begin(forward);
-        forward_continue(forward);
-    } else if (frontend_is_cut_off(frontend)) {
+    bool needs_replicas = forward->turn.program != NULL || forward_names_stream(forward);
+    if (needs_replicas && frontend_is_cut_off(frontend)) {
         forward_refuse_cut_off(forward);
-    } else if (node_is_isolated(frontend->node)) {
+    } else if (needs_replicas && node_is_isolated(frontend->node)) {
         /* Makes the caller reconnect, maybe to a gateway that reaches the state replicas. */
         http_call_close_after(call);
         forward_refuse(forward, FORWARD_UNAVAILABLE, "state replicas unreachable");
+    } else if (!forward_begin_resumption(forward)) {
+        return;
+    } else if (forward->turn.program == NULL) {
+        forward_quota_begin(forward);
+        forward_continue(forward);
     } else {
         forward_quota_begin(forward); /* the rate limit token and the turn's state are requested concurrently */
         forward_turn_begin(forward);
@@ -357,7 +362,8 @@
 bool forward_has_pending_requests(const struct forward *forward)
 {
     const struct forward_turn *turn = &forward->turn;
-    return forward->quota.request_number != 0 || turn->proposal != NULL || turn->fetch != NULL;
+    return forward->quota.request_number != 0 || turn->proposal != NULL || turn->fetch != NULL ||
+           forward->origin.lookup != NULL;
 }
 
 void forward_continue(struct forward *forward)
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -33,7 +33,9 @@
     FORWARD_RESTARTED_IDLE_MS = 2000,     /**< Minimum idle timeout of an attempt at a server that has restarted. */
     FORWARD_STARTUP_WAIT_MS = 1500,       /**< Maximum time in FORWARD_WAITING. */
     FORWARD_STARTUP_WAIT_DIVISOR = 2,     /**< That time is also at most the caller's timeout divided by this. */
-    FORWARD_MAX_WAITING = 256             /**< Maximum number of requests in FORWARD_WAITING. */
+    FORWARD_RECORD_WAIT_MS = 250,    /**< Maximum time for which a first event waits for the record of its version. */
+    FORWARD_RECORD_SLACK_MS = 10000, /**< Records are kept this much longer than the caller waits. */
+    FORWARD_MAX_WAITING = 256        /**< Maximum number of requests in FORWARD_WAITING. */
 };
 
 enum forward_phase { FORWARD_WAITING, FORWARD_PREPARING, FORWARD_QUEUED, FORWARD_RUNNING, FORWARD_COMMITTING };
@@ -78,7 +80,9 @@
     struct event_stream events;
     uint64_t event_count;      /**< Relayed events with data. */
     uint64_t last_event;       /**< Id of the last event. */
-    char *version;             /**< Software version that began it: of the server of the first event; NULL: none yet. */
+    const char *service;       /**< Service and software version that began it, those of the server of the first event;
+                                  NULL: not known yet. Borrowed from the route. */
+    char *version;             /**< Set together with `service`. */
     bool version_unknown;      /**< That server restarted at about that time, maybe with another version. */
     bool has_unnumbered_event; /**< Some event has no numeric id, so no server can resume after it. */
     uint32_t resumes;          /**< Times resumed. */
@@ -86,6 +90,16 @@
     bool paused;               /**< Reading from the server is paused, since the caller reads too slowly. */
 };
 
+/** The record of the software version that began a stream (core/stream_origins.h). */
+struct forward_origin {
+    struct node_request *lookup; /**< Read of the record in flight, or NULL. */
+    struct node_request *record; /**< Proposal of the record in flight, or NULL. */
+    char *recorded;              /**< Version last proposed or read; NULL: none. */
+    bool first_event_seen;       /**< Whether it waits for the record is decided at the first event. */
+    uint64_t held_until_ms;      /**< Loop time until which `held` waits for the record; 0: nothing is held. */
+    struct buffer held;          /**< Events, from the first one on. */
+};
+
 /** Rate limiting of a request; all zero: its tenant has no limit. */
 struct forward_quota {
     bool may_start_program;  /**< May be the first request of its program; known once the reservation succeeds. */
@@ -114,10 +128,11 @@
     uint64_t queued_ms;           /**< Loop time at which it was first queued; 0: never, or reset by a resume. */
     uint64_t program_deadline_ms; /**< Loop time at which the program should be complete. */
     struct forward_attempt attempts[FORWARD_MAX_PARALLEL];
-    bool hedged;             /**< Sent to a second server because the first was slow. */
-    char *last_server;       /**< Of the last attempt, for the log; NULL: none. */
-    char *last_version;      /**< Software version of that server, for the log; NULL: none. */
-    char *resumes;           /**< DIALECT_RESUMES, or NULL. */
+    bool hedged;        /**< Sent to a second server because the first was slow. */
+    char *last_server;  /**< Of the last attempt, for the log; NULL: none. */
+    char *last_version; /**< Software version of that server, for the log; NULL: none. */
+    char *resumes;      /**< DIALECT_RESUMES, or NULL. */
+    struct forward_origin origin;
     uint32_t sends;          /**< Attempts so far. */
     uint32_t possible_runs;  /**< Failed attempts in which a server may have run it. */
     char *bound_incarnation; /**< Incarnation of the only server that may resume it; NULL: any server may. */
@@ -153,10 +168,32 @@
 /** forward_resume.c: ends the attempts at restarted servers that were not sent or are idle. */
 void forward_end_idle_after_restart(struct frontend *frontend);
 
-/** forward_version.c: events were relayed from the attempt's server: the stream stays at that server's version. */
+/** forward_version.c: whether the request resumes a stream of an earlier request, which it names. */
+bool forward_names_stream(const struct forward *forward);
+
+/** forward_version.c: if the request resumes a stream, reads which version began it, and then calls forward_continue().
+ * False: the request was refused. */
+bool forward_begin_resumption(struct forward *forward);
+
+/** forward_version.c: records the version of the server that the request is sent to, if several serve. */
+void forward_record_version(struct forward *forward, const struct server *server);
+
+/** forward_version.c: the same for the server that runs the stream, after the list of servers has changed. */
+void forward_record_running(struct forward *forward);
+
+/** forward_version.c: forwards events to the caller, the first ones once the version is recorded. */
+void forward_send_event(struct forward *forward, struct view raw);
+
+/** forward_version.c: forwards the held events. */
+void forward_release_held(struct forward *forward);
+
+/** forward_version.c: forwards the held events that have waited for FORWARD_RECORD_WAIT_MS. */
+void forward_release_held_streams(struct frontend *frontend);
+
+/** forward_version.c: events were received from the attempt's server: the stream stays at that server's version. */
 void forward_pin_version(struct forward_attempt *attempt);
 
-/** forward_version.c: the attempt's server has been replaced by another incarnation, maybe before it ran the stream. */
+/** forward_version.c: the attempt's server may have been replaced by another version before it ran the stream. */
 void forward_check_replaced_version(struct forward_attempt *attempt);
 
 /** forward_version.c: whether no server may run the request for the sake of its stream's version. */
@@ -165,6 +202,9 @@
 /** forward_version.c: whether the stream may be resumed at another server of its version. */
 bool forward_has_other_of_version(const struct forward_attempt *attempt);
 
+/** forward_version.c: frees the members of `origin`; later replies of the state replicas are ignored. */
+void forward_origin_close(struct forward *forward);
+
 /** forward_queue.c. */
 void forward_queue_add(struct forward *forward);
 
@@ -196,7 +236,7 @@
 /** Ends the request as not run; 429 and 503 carry a Retry-After time. Fails it if the response has begun. */
 void forward_refuse(struct forward *forward, int status, const char *reason);
 
-/** Whether requests to state replicas are pending: for its reservation, its conversation or a rate limit token. */
+/** Whether requests to state replicas are pending that must be answered before it is placed. */
 bool forward_has_pending_requests(const struct forward *forward);
 
 /** frontend_contact.c: whether it has not run and waits for the quorum. */
@@ -252,6 +292,9 @@
 /** forward_quota.c: requests tokens from the leader for the waiting requests. */
 void forward_quota_request(struct frontend *frontend);
 
+/** forward_turn.c: loop time by which a request to the state replicas must be answered. */
+uint64_t forward_replica_deadline_ms(const struct forward *forward);
+
 /** forward_turn.c: at least 1. */
 uint64_t forward_tokens_per_event(const struct forward *forward);
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -193,6 +193,7 @@
                   "version", server->version, "last_event", (json_int_t)forward->stream.last_event);
     }
     server_criteria_add_tried(&forward->criteria, server);
+    forward_record_version(forward, server);
     prefix_table_record(&server->prefixes, node_now(frontend->node), &forward->chain);
     address_parse(server->address, &address);
     bool head_request = http_name_equal(forward->call->request->method, "HEAD");
@@ -233,7 +234,7 @@
     forward->criteria.chain = forward->chain.count > 0 ? &forward->chain : NULL;
     forward->criteria.cost = &forward->frontend->call_cost;
     struct server *server = forward_choose_in_backend(forward);
-    if (server == NULL) {
+    if (server == NULL && forward->stream.service == NULL) {
         const struct route_backend *backend = route_choose_backend(forward->route, forward_backend_is_usable, forward);
         forward->criteria.service = backend == NULL ? NULL : backend->service;
         server = forward_choose_in_backend(forward);
--- a/src/proxy/forward_response.c
+++ b/src/proxy/forward_response.c
@@ -145,7 +145,7 @@
             buffer_append(&forward->turn.output, "\n", 1);
         }
     }
-    http_call_send_data(forward->call, event->raw);
+    forward_send_event(forward, event->raw);
     return true;
 }
 
@@ -153,7 +153,8 @@
 static void forward_pause_for_caller(struct forward_attempt *attempt)
 {
     struct forward *forward = attempt->forward;
-    if (!forward->stream.paused && http_call_unsent_bytes(forward->call) > FORWARD_MAX_PENDING_BYTES) {
+    if (!forward->stream.paused &&
+        http_call_unsent_bytes(forward->call) + forward->origin.held.length > FORWARD_MAX_PENDING_BYTES) {
         forward->stream.paused = true;
         forward->frontend->counters.pauses++;
         upstream_pause(attempt->exchange, true);
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -43,8 +43,8 @@
     return service == NULL || service->chunk_tokens == 0 ? 1 : service->chunk_tokens;
 }
 
-/* Loop time. An election may delay the state replicas; most of the caller's time is kept for a retry. */
-static uint64_t forward_replica_deadline_ms(const struct forward *forward)
+/* An election may delay the state replicas; most of the caller's time is kept for a retry. */
+uint64_t forward_replica_deadline_ms(const struct forward *forward)
 {
     uint64_t now_ms = node_now(forward->frontend->node);
     uint64_t left_ms = forward->deadline_ms > now_ms ? forward->deadline_ms - now_ms : 0;
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -83,6 +83,7 @@
     http_listener_close(&frontend->callers);
     frontend_configuration_close(frontend);
     server_table_close(&frontend->servers);
+    version_mix_close(&frontend->version_mix);
     zone_reach_close(&frontend->zone_reach);
     turn_store_close(&frontend->cache);
     quota_leases_close(&frontend->tenant_leases);
@@ -101,6 +102,10 @@
 static void frontend_servers_changed(struct frontend *frontend)
 {
     server_table_record_drains(&frontend->servers, node_now(frontend->node));
+    version_mix_update(&frontend->version_mix, &frontend->servers, node_now(frontend->node));
+    for (struct forward *forward = frontend->forwards; forward != NULL; forward = forward->next) {
+        forward_record_running(forward);
+    }
 }
 
 void frontend_apply_server_list(struct frontend *frontend, struct view encoded)
@@ -272,6 +277,20 @@
               "share", (double)share / HEALTH_ONE);
 }
 
+static void frontend_log_version_mix(struct frontend *frontend)
+{
+    uint64_t now_ms = node_now(frontend->node);
+    version_mix_service_t *service = frontend->version_mix.services;
+    for (; service != NULL; service = service->hh.next) {
+        bool mixed = version_mix_has(&frontend->version_mix, service->name, now_ms);
+        if (mixed != service->logged) {
+            service->logged = mixed;
+            event_log(mixed ? "versions_mixed" : "versions_single", "{s:s,s:s}", "service", service->name, "version",
+                      service->version);
+        }
+    }
+}
+
 /* Detects servers that do not respond, and logs state changes. */
 static void frontend_review_servers(struct frontend *frontend)
 {
@@ -279,6 +298,8 @@
         forward_record_unanswered(forward);
     }
     forward_end_idle_after_restart(frontend);
+    forward_release_held_streams(frontend);
+    frontend_log_version_mix(frontend);
     quota_leases_remove_idle(&frontend->start_leases, node_now(frontend->node));
     server_table_apply_deferred(&frontend->servers, node_now(frontend->node));
     for (struct server *server = frontend->servers.servers; server != NULL; server = server->hh.next) {
@@ -347,6 +368,15 @@
                           counters->server_restarts);
     metrics_write_counter(out, "queued_total", "Requests that waited for a place at a server.", counters->queued);
     metrics_write_counter(out, "resumes_total", "Streams taken up after they broke off.", counters->resumes);
+    metrics_write_counter(out, "resumptions_total", "Requests that take up a stream of an earlier request.",
+                          counters->resumptions);
+    metrics_write_counter(out, "resumption_refusals_total",
+                          "Of these, refused for the software version that began the stream.",
+                          counters->resumption_refusals);
+    metrics_write_counter(out, "stream_records_total", "Records of the software version that began a stream.",
+                          counters->stream_records);
+    metrics_write_counter(out, "unrecorded_streams_total", "Streams forwarded before their record was committed.",
+                          counters->unrecorded_streams);
     metrics_write_counter(out, "hedges_total", "Second servers asked for want of an answer.", counters->hedges);
     metrics_write_counter(out, "pauses_total", "Streams held back for a slow caller.", counters->pauses);
     metrics_write_counter(out, "crossed_total", "Answers to other requests, dropped.", counters->mismatched);
@@ -371,6 +401,8 @@
                         frontend->node->state.drained.count);
     metrics_write_gauge(out, "zones_unreachable", "Zones whose servers are avoided because two or more failed there.",
                         zone_reach_count_unreachable(&frontend->zone_reach));
+    metrics_write_gauge(out, "services_mixed", "Services whose servers run several software versions, or did.",
+                        version_mix_count(&frontend->version_mix, node_now(frontend->node)));
     metrics_write_gauge(out, "servers_known", "Servers known.", HASH_COUNT(frontend->servers.servers));
     histogram_write(&frontend->first_event_time, "first_event_seconds", "Time to the first event of a stream.", out);
     histogram_write(&frontend->response_time, "answer_seconds", "Time to the end of an answer.", out);
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -13,6 +13,7 @@
 #include "core/route_table.h"
 #include "core/server_table.h"
 #include "core/turn_store.h"
+#include "core/version_mix.h"
 #include "proxy/histogram.h"
 #include "proxy/node.h"
 
@@ -29,22 +30,26 @@
     uint64_t completed;
     uint64_t refused; /**< Requests answered with X-Run-State: not-run. */
     uint64_t unknown_route;
-    uint64_t failed;             /**< Requests answered with X-Run-State: unknown (502 or 504). */
-    uint64_t aborted;            /**< Responses aborted after they began. */
-    uint64_t caller_disconnects; /**< Before the response was complete. */
-    uint64_t sends;              /**< Attempts at servers. */
-    uint64_t remote_sends;       /**< Requests written to servers in another zone. */
-    uint64_t remote_bytes;       /**< Bytes of these requests, heads included. */
-    uint64_t server_refusals;    /**< Attempts that a server refused without running them. */
-    uint64_t mismatched;         /**< Responses dropped for another request's id, or successes without an id. */
-    uint64_t key_refusals;       /**< Requests without a known API key. */
-    uint64_t quota_refusals;     /**< Requests over the rate limit of their tenant. */
-    uint64_t budget_refusals;    /**< Turns over the token budget of their program. */
-    uint64_t pauses;             /**< Of reading a stream, for a slow caller. */
-    uint64_t server_restarts;    /**< Restarts of servers under the same id. */
-    uint64_t probes;             /**< Of silent servers. */
-    uint64_t queued;             /**< Requests queued; one may count again after its stream was resumed. */
-    uint64_t resumes;            /**< Of streams; a stream may be resumed several times. */
+    uint64_t failed;              /**< Requests answered with X-Run-State: unknown (502 or 504). */
+    uint64_t aborted;             /**< Responses aborted after they began. */
+    uint64_t caller_disconnects;  /**< Before the response was complete. */
+    uint64_t sends;               /**< Attempts at servers. */
+    uint64_t remote_sends;        /**< Requests written to servers in another zone. */
+    uint64_t remote_bytes;        /**< Bytes of these requests, heads included. */
+    uint64_t server_refusals;     /**< Attempts that a server refused without running them. */
+    uint64_t mismatched;          /**< Responses dropped for another request's id, or successes without an id. */
+    uint64_t key_refusals;        /**< Requests without a known API key. */
+    uint64_t quota_refusals;      /**< Requests over the rate limit of their tenant. */
+    uint64_t budget_refusals;     /**< Turns over the token budget of their program. */
+    uint64_t pauses;              /**< Of reading a stream, for a slow caller. */
+    uint64_t server_restarts;     /**< Restarts of servers under the same id. */
+    uint64_t probes;              /**< Of silent servers. */
+    uint64_t queued;              /**< Requests queued; one may count again after its stream was resumed. */
+    uint64_t resumes;             /**< Of streams; a stream may be resumed several times. */
+    uint64_t resumptions;         /**< Requests that resume a stream of an earlier request. */
+    uint64_t resumption_refusals; /**< Of these, refused for the stream's software version. */
+    uint64_t stream_records;      /**< Proposed records of the version that began a stream. */
+    uint64_t unrecorded_streams;  /**< Streams whose first event was forwarded before their record was committed. */
     uint64_t hedges;
     uint64_t cache_hits;   /**< Conversations found in frontend.cache. */
     uint64_t cache_misses; /**< Conversations to fetch from a state replica. */
@@ -66,8 +71,9 @@
     uint64_t confirm_sent_ms;        /**< Of the last request. */
     uint64_t confirm_due_ms;         /**< Earliest time of the next request. */
     struct server_table servers;
-    zone_reach_t zone_reach; /**< Zones of `servers`; unused without the setting tolerated_zones. */
-    bool servers_known;      /**< A server list was applied, maybe an empty one. */
+    version_mix_t version_mix; /**< Services of `servers` with several software versions. */
+    zone_reach_t zone_reach;   /**< Zones of `servers`; unused without the setting tolerated_zones. */
+    bool servers_known;        /**< A server list was applied, maybe an empty one. */
     uint64_t servers_change; /**< Last applied change of node->state.servers; 0: the applied list has another source. */
     struct turn_store cache; /**< Recent turns. */
     struct forward *forwards; /**< Active requests, newest first. */
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -328,6 +328,8 @@
                           host->watchers.full_lists_sent);
     metrics_write_gauge(out, "turns_stored", "Turns stored.", HASH_COUNT(group->machine.site.turns.turns));
     metrics_write_gauge(out, "turn_bytes", "Bytes of turns stored.", group->machine.site.turns.bytes);
+    metrics_write_gauge(out, "streams_recorded", "Streams whose software version is recorded.",
+                        HASH_COUNT(group->machine.site.stream_origins.streams));
     metrics_write_gauge(out, "programs_budgeted", "Programs with a budget.",
                         HASH_COUNT(group->machine.site.budgets.programs));
 }
--- a/src/proxy/state_host_daemons.c
+++ b/src/proxy/state_host_daemons.c
@@ -236,10 +236,11 @@
 
 /* Members of an earlier version skip entries of an unknown kind, and could become leader without having applied them.
  * Only connected members are checked. */
-static bool host_members_support_level(const struct state_host *host)
+static bool host_members_support(const struct state_host *host, struct view entry)
 {
     const struct raft_members *members = state_host_logged_members(host);
-    return links_min_feature_level(&host->node->links, members->nodes, members->count) >= LINKS_FEATURE_LEVEL;
+    return links_min_feature_level(&host->node->links, members->nodes, members->count) >=
+           state_machine_entry_level(entry);
 }
 
 static void host_reject_unsupported(struct state_host *host, uint32_t from, const Request *request)
@@ -270,7 +271,7 @@
 {
     Frame proposal = *frame;
     proposal.payload.request.kind = REQUEST_PROPOSE;
-    if (state_host_is_leader(host) && !host_members_support_level(host)) {
+    if (state_host_is_leader(host) && !host_members_support(host, frame->payload.request.body)) {
         host_reject_unsupported(host, from, &frame->payload.request);
     } else {
         replica_receive(&host->replica, node_now(host->node), from, &proposal);
--- a/tests/fuzz/fuzz_site.c
+++ b/tests/fuzz/fuzz_site.c
@@ -9,7 +9,18 @@
 #include "base/message.h"
 #include "support/streams.h"
 
-enum { TURNS = 24, PROGRAMS = 3, BUDGET = 300, NO_PARENT = -1, NAME_BYTES = 16, RETENTION_MS = 1 << 30 };
+enum {
+    TURNS = 24,
+    PROGRAMS = 3,
+    STREAMS = 8,
+    VERSIONS = 3,
+    BUDGET = 300,
+    NO_PARENT = -1,
+    NO_VERSION = -1,
+    NAME_BYTES = 16,
+    RETENTION_MS = 1 << 30,
+    KEEP_MS = 100 * 1000 /* longer than the clock moves */
+};
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
@@ -21,12 +32,14 @@
     bool charged[PROGRAMS][TURNS]; /* the turn's tokens count against the budget */
     bool settled[PROGRAMS][TURNS]; /* its tokens are final */
     uint64_t tokens[PROGRAMS][TURNS];
+    int stream_version[STREAMS];
+    uint32_t stream_attempt[STREAMS];
     uint64_t version;
     uint8_t content;
 };
 
 /* Operations, numbered as in the input. */
-enum operation { OP_BEGIN, OP_STORE, OP_SETTLE, OP_DOCUMENT, OP_SNAPSHOT, OP_COUNT };
+enum operation { OP_BEGIN, OP_STORE, OP_SETTLE, OP_DOCUMENT, OP_SNAPSHOT, OP_STREAM, OP_COUNT };
 
 static void require(bool condition, const char *what)
 {
@@ -130,6 +143,33 @@
     }
 }
 
+static void run_stream(struct site_state *site, struct model *model, uint64_t now_ms, int stream, uint32_t attempt,
+                       int version)
+{
+    char name[NAME_BYTES];
+    snprintf(name, sizeof(name), "v%d", version);
+    StreamBegin begin = {.stream = (uint64_t)stream, .attempt = attempt, .keep_ms = KEEP_MS, .version = name};
+    begin.service = (char *)(uintptr_t) "service";
+    begin.forget = version == VERSIONS;
+    Entry entry = {.which_command = Entry_stream_begin_tag, .command.stream_begin = begin};
+    require(apply(site, now_ms, &entry) == RESULT_OK, "every record of a stream succeeds");
+    bool known = model->stream_version[stream] != NO_VERSION;
+    if (!known || attempt >= model->stream_attempt[stream]) {
+        model->stream_version[stream] = begin.forget ? NO_VERSION : version;
+        model->stream_attempt[stream] = attempt;
+    }
+}
+
+static void check_stream(const struct site_state *site, const struct model *model, int stream)
+{
+    char name[NAME_BYTES];
+    const stream_version_t *found = stream_origins_find(&site->stream_origins, (uint64_t)stream);
+    snprintf(name, sizeof(name), "v%d", model->stream_version[stream]);
+    bool known = model->stream_version[stream] != NO_VERSION;
+    require((found != NULL) == known, "a stream is found if and only if its version is known");
+    require(!known || strcmp(found->version, name) == 0, "a stream has the version of its last attempt");
+}
+
 static void start(struct state_machine *machine)
 {
     struct history_io in_memory = {0};
@@ -173,6 +213,9 @@
     for (int turn = 0; turn < TURNS; turn++) {
         check_chain(site, model, turn);
     }
+    for (int stream = 0; stream < STREAMS; stream++) {
+        check_stream(site, model, stream);
+    }
     require(site->document.version == model->version, "the stored document has the highest version");
     require(model->version == 0 || site->document.content.data[0] == model->content,
             "the content of a document version never changes");
@@ -185,6 +228,7 @@
     static struct model model;
     start(&machine);
     memset(&model, 0, sizeof(model));
+    memset(model.stream_version, 0xff, sizeof(model.stream_version)); /* NO_VERSION */
     for (size_t at = 0; at + 5 <= size; at += 5) {
         const uint8_t *step = data + at;
         uint64_t now_ms = 1000000U + (uint64_t)step[4] * 7; /* not monotonic, but never past an expiry */
@@ -196,6 +240,9 @@
         case OP_STORE: run_finish(site, &model, now_ms, turn, program, step[3], true, parent); break;
         case OP_SETTLE: run_finish(site, &model, now_ms, turn, program, step[3], false, NO_PARENT); break;
         case OP_DOCUMENT: run_document(site, &model, now_ms, step[1], step[3]); break;
+        case OP_STREAM:
+            run_stream(site, &model, now_ms, step[1] % STREAMS, step[2] % 4, step[3] % (VERSIONS + 1));
+            break;
         default: run_snapshot(&machine); break;
         }
         check(site, &model);
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -50,6 +50,9 @@
     SITE_RESET           /**< Part of a response without a length, then a connection reset. */
 };
 
+/** Header of a request that a server in SITE_NORMAL runs as in SITE_PACED. */
+#define SITE_PACED_HEADER "X-Paced"
+
 /** A request that a server runs. */
 typedef struct site_run_t {
     int server;
@@ -153,7 +156,7 @@
 /** Replaces a server by an instance that runs another software version (a string constant); initially all run v1. */
 void site_set_version(int server, const char *version);
 
-/** Makes the text of events end with @ and the version of the server that sent them. */
+/** Makes the text of events on the route /open/ end with @ and the version of the server that sent them. */
 void site_show_versions(void);
 
 /** Drops all packets to a server and to the closed port, so that the kernel does not respond either, as on a machine
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -29,6 +29,7 @@
     SITE_CHUNK_DELAY_US = 80000,
     SITE_SEND_TIMEOUT_US = 200000, /* after which an unread response is aborted */
     SITE_COLD_REMAINING_MS = 3000,
+    SITE_INSTANCE_ID_BYTES = 32,
     SITE_VERSION_BYTES = 16,   /* of the version in an event's text, including @ and NUL */
     SITE_MAX_NUMBER_BYTES = 24 /* of a number in a header, including NUL */
 };
@@ -89,6 +90,14 @@
     return server->version == NULL ? "v1" : server->version;
 }
 
+/* Call with the lock held. */
+static void site_write_instance_id(const struct site_server *server, char out[SITE_INSTANCE_ID_BYTES])
+{
+    int number = (int)(server - site_servers);
+    snprintf(out, SITE_INSTANCE_ID_BYTES, server->instance == 0 ? "server-%d" : "server-%d-%d", number,
+             server->instance);
+}
+
 /* Sends the events with ids above `last`; `suffix` ends their text. */
 static void site_write_events(int fd, const char *id, enum site_mode mode, int last, const char *suffix)
 {
@@ -200,11 +209,16 @@
     run.server = (int)(server - site_servers);
     pthread_mutex_lock(&site_lock);
     run.instance = server->instance;
+    char instance_id[SITE_INSTANCE_ID_BYTES];
+    site_write_instance_id(server, instance_id);
     char suffix[SITE_VERSION_BYTES] = "";
-    if (site_events_have_version) {
+    if (site_events_have_version && memmem(reader.target.data, reader.target.length, "/open/", 6) != NULL) {
         snprintf(suffix, sizeof(suffix), "@%s", site_version(server));
     }
-    enum site_mode mode = server->mode;
+    struct view expected = http_reader_header(&reader, "Bankbank-Expect-Instance");
+    bool other_expected = expected.length > 0 && (expected.length != strlen(instance_id) ||
+                                                  memcmp(expected.data, instance_id, expected.length) != 0);
+    enum site_mode mode = other_expected ? SITE_MISDIRECTED : server->mode;
     bool executes = mode != SITE_REFUSE && mode != SITE_MISDIRECTED;
     server->runs += executes ? 1 : 0;
     if (executes) {
@@ -220,6 +234,7 @@
     struct view last_event_id = http_reader_header(&reader, "Last-Event-Id");
     int last = last_event_id.length == 0 ? 0 : atoi((const char *)last_event_id.data);
     bool stream = memmem(reader.target.data, reader.target.length, "/chat/", 6) != NULL;
+    mode = mode == SITE_NORMAL && http_reader_has_header(&reader, SITE_PACED_HEADER) ? SITE_PACED : mode;
     keep_open = true;
     switch (mode) {
     case SITE_REFUSE: {
@@ -327,9 +342,8 @@
     buffer_append_text(out, "{\"instances\":[");
     pthread_mutex_lock(&site_lock);
     for (int i = 0; i < SITE_SERVERS; i++) {
-        char id[32];
-        snprintf(id, sizeof(id), site_servers[i].instance == 0 ? "server-%d" : "server-%d-%d", i,
-                 site_servers[i].instance);
+        char id[SITE_INSTANCE_ID_BYTES];
+        site_write_instance_id(&site_servers[i], id);
         buffer_append_text(out, i == 0 ? "{" : ",{");
         site_write_start_time(out);
         buffer_printf(out,
