--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -8,6 +8,7 @@
 #include "operators.h"
 #include "programs.h"
 #include "random.h"
+#include "resumed_streams.h"
 #include "routes.h"
 
 enum {
@@ -28,7 +29,7 @@
         switch (random_below(&caller->seed, 8)) {
         case 0: calls_send_once(caller); break;
         case 1: calls_send_safe(caller); break;
-        case 2: calls_send_stream(caller); break;
+        case 2: resumed_streams_run(caller); break;
         case 3:
         case 4:
         case 5: calls_send_added_route(caller); break;
@@ -82,5 +83,7 @@
         .refused = sum.refused,
         .turns = programs_turns(),
         .configurations = routes_acknowledged_count(),
+        .resumed = resumed_streams_counters().resumed,
+        .continued = resumed_streams_counters().continued,
     };
 }
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -16,6 +16,8 @@
     uint64_t refused;        /**< Refusals marked as not run. */
     uint64_t turns;          /**< Turns acknowledged. */
     uint64_t configurations; /**< Configurations acknowledged. */
+    uint64_t resumed;        /**< Requests that resumed a stream. */
+    uint64_t continued;      /**< Of these, answered with at least one event. */
 } callers_counters_t;
 
 void callers_start(uint64_t seed);
--- a/tests/soak/calls.c
+++ b/tests/soak/calls.c
@@ -117,7 +117,7 @@
 
 /* ---- Single requests ---------------------------------------------------- */
 
-static int calls_pick_gateway(caller_t *caller)
+int calls_pick_gateway(caller_t *caller)
 {
     return (int)random_below(&caller->seed, (uint32_t)daemons_gateways());
 }
@@ -194,18 +194,3 @@
     }
     buffer_close(&expected);
 }
-
-void calls_send_stream(caller_t *caller)
-{
-    char id[CALLS_ID_BYTES];
-    struct site_response response;
-    calls_next_id(id, sizeof(id), caller, "e");
-    call_t call = {.id = id, .path = "/open/chat/x", .headers = "", .body = id, .expectation = {.max_servers = 1}};
-    call.gateway = calls_pick_gateway(caller);
-    call.timeout_ms = calls_pick_timeout_ms(caller);
-    calls_send(caller, &call, &response);
-    if (response.status == 200 && response.complete) {
-        calls_check_events(id, &response.body);
-    }
-    site_response_close(&response);
-}
--- a/tests/soak/calls.h
+++ b/tests/soak/calls.h
@@ -58,13 +58,14 @@
  * calling function closes `response`. */
 void calls_send(caller_t *caller, const call_t *call, struct site_response *response);
 
-/** Send a request that must not be retried, one that may be, one for a resumable stream, and one for a route that a
- * configuration added. */
+/** Send a request that must not be retried, one that may be, and one for a route that a configuration added. */
 void calls_send_once(caller_t *caller);
 void calls_send_safe(caller_t *caller);
-void calls_send_stream(caller_t *caller);
 void calls_send_added_route(caller_t *caller);
 
+/** Number of a random gateway. */
+int calls_pick_gateway(caller_t *caller);
+
 /** Reports a violation if `body` is not the expected stream of request `id`. */
 void calls_check_events(const char *id, struct buffer *body);
 
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -23,6 +23,7 @@
     START_KILL_EXTRA_MS = 400,   /* maximum random addition to FAULT_MIN_MS / 2 before a restart is killed */
     KILLED_STARTS_LIMIT = 3,     /* exclusive limit of the restarts killed in a row */
     MAX_PLANNED_GAP_MS = 500,
+    SOAK_ENGINES = 2,        /* servers 0 and 1 run streams */
     SERVER_FAULT_ONE_IN = 3, /* in run_mixed(), on average one fault in this many comes with a server fault */
     MIXED_ROUND_MS = 5000,
     OUTAGE_ROUND_MS = 4000,
@@ -155,7 +156,7 @@
 static void fail_server(uint64_t *seed)
 {
     static const enum site_mode modes[] = {SITE_REFUSE, SITE_CUT,          SITE_CUT_MIDWAY, SITE_SLOW,
-                                           SITE_STALL,  SITE_CUT_IN_EVENT, SITE_PAUSED};
+                                           SITE_STALL,  SITE_CUT_IN_EVENT, SITE_PAUSED,     SITE_PACED};
     int server = (int)random_below(seed, SITE_SERVERS);
     enum site_mode mode = modes[random_below(seed, sizeof(modes) / sizeof(modes[0]))];
     set_server_mode(server, mode, random_duration_ms(seed));
@@ -193,6 +194,18 @@
     return expired;
 }
 
+/* Engine servers alternate between two software versions, so that at times one version serves and at times both. */
+static void release_server(int server)
+{
+    static int releases;
+    static const char *const versions[] = {"v2", "v1"};
+    if (server < SOAK_ENGINES) {
+        site_set_version(server, versions[releases++ / SOAK_ENGINES % 2]);
+    } else {
+        site_replace_server(server);
+    }
+}
+
 static void poll_servers(void)
 {
     for (int i = 0; i < SITE_SERVERS; i++) {
@@ -205,7 +218,7 @@
             fault_log_end(FAULT_LOG_SERVERS, FAULT_LOG_SERVER_FAULT);
         }
         if (clear_if_expired(&drain_until_ms[i])) {
-            site_replace_server(i);
+            release_server(i);
             fault_log_end(FAULT_LOG_SERVERS, FAULT_LOG_SERVER_FAULT);
         }
     }
--- a/tests/soak/oracle.h
+++ b/tests/soak/oracle.h
@@ -21,6 +21,8 @@
  *   regressed       a process that served a configuration serves no older one (routes.h)
  *   unanswered      a request that a server started does not end without an answer
  *                   before its deadline, unless the gateway was killed (calls.h)
+ *   versions        the events of a stream, over all requests of its caller that resume it, come from
+ *                   servers of one software version (resumed_streams.h)
  *   cut             no answer is truncated while the only faults are planned stops
  *                   and reloads (calls.h)
  */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -23,6 +23,7 @@
 enum {
     MEMORY_LIMIT_MB = 64, /* of each daemon */
     TOLERATED_ZONES = 1,
+    SERVER_DRAIN_MS = 3000,
     FINISH_TIMEOUT_S = 150 /* for recovery and the final checks */
 };
 
@@ -54,6 +55,8 @@
 {
     site_limit_memory(MEMORY_LIMIT_MB);
     site_set_tolerated_zones(TOLERATED_ZONES);
+    site_set_server_drain_ms(SERVER_DRAIN_MS);
+    site_show_versions();
     site_store_on_disk(); /* to test fsync(); callers retry if it is slow */
     site_start_sized(replicas, gateways);
     daemons_init(replicas, gateways);
@@ -67,10 +70,11 @@
     int violations = oracle_finish();
     callers_counters_t sum = callers_counters();
     printf("soak seed %llu: %d faults, %llu calls, %llu on reused connections, %llu served, %llu refused, %llu turns, "
-           "%llu configurations, %.0f snapshots, %d violations\n",
+           "%llu configurations, %llu of %llu resumptions continued, %.0f snapshots, %d violations\n",
            (unsigned long long)seed, faults_count(), (unsigned long long)sum.calls, (unsigned long long)sum.reused,
            (unsigned long long)sum.served, (unsigned long long)sum.refused, (unsigned long long)sum.turns,
-           (unsigned long long)sum.configurations, count_snapshots(), violations);
+           (unsigned long long)sum.configurations, (unsigned long long)sum.continued, (unsigned long long)sum.resumed,
+           count_snapshots(), violations);
     site_stop();
     ck_assert_int_eq(violations, 0);
 }
