Streams: reading from the server resumes when held events are released

Callers would have seen a stream stop for good after 64 KiB: while its first events waited for the record of its version, reading from the server was paused for their size, and sending them in one write that completes at once causes no "drained" event, which alone ended the pause. Change: releasing held events ends the pause if nothing remains unsent. Result: a_stream_does_not_wait_for_its_record_for_ever, new, with a long stream while all replicas are stopped: failed before (the response was not complete by its deadline), passes; integration_test_stream_versions 8 of 8.

--- a/src/proxy/forward_version.c
+++ b/src/proxy/forward_version.c
@@ -155,6 +155,9 @@
         origin->held_until_ms = 0;
         http_call_send_data(forward->call, buffer_view(&origin->held));
         buffer_clear(&origin->held);
+        if (http_call_unsent_bytes(forward->call) == 0) {
+            forward_caller_drained(forward); /* bytes that are written at once cause no http_handler.drained */
+        }
     }
 }
 
--- a/tests/integration/test_stream_versions.c
+++ b/tests/integration/test_stream_versions.c
@@ -278,6 +278,29 @@
 }
 END_TEST
 
+static void signal_replicas(int signal_number)
+{
+    for (int replica = 0; replica < SITE_REPLICAS; replica++) {
+        kill(site_process(site_replica_daemon(replica)), signal_number);
+    }
+}
+
+/* Without a leader the record of a stream is not committed. Guards against events that are held for it for ever, also
+ * if so many have come meanwhile that reading from the server was paused. */
+START_TEST(a_stream_does_not_wait_for_its_record_for_ever)
+{
+    struct site_response response;
+    site_set_mode(-1, SITE_LONG);
+    signal_replicas(SIGSTOP);
+    site_call_as(0, "not-recorded", "POST", "/open/chat/x", "Bankbank-Deadline-Ms: 2900\r\n", "prompt", &response);
+    signal_replicas(SIGCONT);
+    ck_assert_int_eq(response.status, 200);
+    ck_assert(response.complete);
+    ck_assert(site_log_has(site_gateway_daemon(0), "stream_not_recorded"));
+    site_response_close(&response);
+}
+END_TEST
+
 static double sum_of_gateways(const char *metric)
 {
     return site_metric(site_gateway_daemon(0), metric) + site_metric(site_gateway_daemon(1), metric);
@@ -373,6 +396,7 @@
     tcase_add_test(tests, a_response_has_events_of_one_version);
     tcase_add_test(tests, a_stream_whose_gateways_restart_stays_at_its_version);
     tcase_add_test(tests, a_stream_that_no_server_can_continue_is_refused);
+    tcase_add_test(tests, a_stream_does_not_wait_for_its_record_for_ever);
     suite_add_tcase(suite, tests);
     TCase *one_version = tcase_create("one version");
     tcase_set_timeout(one_version, 120);
