--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -95,6 +95,9 @@
  * that other load on the machine does not delay syncs. */
 void site_store_on_disk(void);
 
+/** Directory of the daemons' data and logs. */
+const char *site_data_directory(void);
+
 /** Stops all daemons; fails if one does not exit cleanly. Logs and data are removed when the test program exits, unless
  * it fails. */
 void site_stop(void);
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -468,6 +468,11 @@
     return use_tmpfs ? tmpfs : "/tmp";
 }
 
+const char *site_data_directory(void)
+{
+    return site_directory;
+}
+
 void site_store_on_disk(void)
 {
     site_on_disk = true;
--- a/tests/soak/calls.h
+++ b/tests/soak/calls.h
@@ -5,9 +5,9 @@
  *
  *   unanswered  the connection closed without an answer, a server had started
  *               the request, and the gateway was not killed
- *   cut         the answer was truncated, no unplanned fault was active since
- *               CALLS_RECOVERY_MS before the request, and at most one state
- *               replica was stopping
+ *   cut         the answer was truncated, no unplanned fault was active and the
+ *               disk did not stall (disk_watch.h) since CALLS_RECOVERY_MS before
+ *               the request, and at most one state replica was stopping
  */
 #ifndef BANKBANK_TESTS_CALLS_H
 #define BANKBANK_TESTS_CALLS_H
