--- a/tests/integration/proxy.h
+++ b/tests/integration/proxy.h
@@ -11,8 +11,8 @@
     PROXY_PASS,
     PROXY_DELAY, /**< Delays each chunk by PROXY_DELAY_US. */
     PROXY_RESET,
-    PROXY_DROP_REQUESTS,  /**< Drops bytes from the client; the connections stay open. */
-    PROXY_DROP_RESPONSES, /**< Drops bytes from the target; the connections stay open. */
+    PROXY_DROP_REQUESTS,  /**< Drops bytes from the client; the connections stay open, and silent from then on. */
+    PROXY_DROP_RESPONSES, /**< Drops bytes from the target; the connections stay open, and silent from then on. */
     PROXY_DROP_ALL,
     PROXY_MODE_COUNT
 };
--- a/tests/integration/support_proxy.c
+++ b/tests/integration/support_proxy.c
@@ -26,7 +26,9 @@
 struct proxy_connection {
     struct proxy *proxy;
     int client;
-    int target; /* -1: connecting failed */
+    int target;          /* -1: connecting failed */
+    bool lost_requests;  /* bytes from the client were dropped: nothing later of it may arrive */
+    bool lost_responses; /* the same of the target */
 };
 
 static void proxy_reset_on_close(int fd)
@@ -48,8 +50,9 @@
     return true;
 }
 
-/* Forwards received bytes, unless the mode is `drop_mode` or PROXY_DROP_ALL; false: a side has closed. */
-static bool proxy_forward(const struct proxy *proxy, int from, int to, enum proxy_mode drop_mode)
+/* Forwards received bytes, unless the mode is `drop_mode` or PROXY_DROP_ALL; false: a side has closed. After a loss the
+ * direction stays silent: TCP never delivers bytes with a gap. */
+static bool proxy_forward(const struct proxy *proxy, int from, int to, enum proxy_mode drop_mode, bool *lost)
 {
     char chunk[PROXY_CHUNK_BYTES];
     ssize_t got = recv(from, chunk, sizeof(chunk), 0);
@@ -60,7 +63,8 @@
     if (drop_mode == PROXY_DROP_REQUESTS) {
         site_record_read_delay(from);
     }
-    if (mode == drop_mode || mode == PROXY_DROP_ALL) {
+    *lost = *lost || mode == drop_mode || mode == PROXY_DROP_ALL;
+    if (*lost) {
         return true;
     }
     if (mode == PROXY_DELAY) {
@@ -78,10 +82,12 @@
     while (open && atomic_load(&connection->proxy->mode) != PROXY_RESET) {
         poll(polled, 2, PROXY_POLL_MS);
         if ((polled[0].revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
-            open = proxy_forward(connection->proxy, connection->client, connection->target, PROXY_DROP_REQUESTS);
+            open = proxy_forward(connection->proxy, connection->client, connection->target, PROXY_DROP_REQUESTS,
+                                 &connection->lost_requests);
         }
         if (open && (polled[1].revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
-            open = proxy_forward(connection->proxy, connection->target, connection->client, PROXY_DROP_RESPONSES);
+            open = proxy_forward(connection->proxy, connection->target, connection->client, PROXY_DROP_RESPONSES,
+                                 &connection->lost_responses);
         }
     }
     if (open) {
