--- a/review/2/case.c
+++ b/review/2/case.c
@@ -21,7 +21,7 @@
 };
 
 /* How long the machine runs after each return but the last one, in ms: a machine that crashes right after its start. */
-static const int up_ms[] = {150, 200, 250};
+static const int up_ms[] = {100, 120, 100, 120, 100};
 
 static void handle(struct server *server, int fd)
 {
@@ -130,7 +130,8 @@
     sleep_ms(1000);
     /* LOSSES=1: the control, a single loss; it holds. */
     int losses = getenv("LOSSES") == NULL ? (int)(sizeof(up_ms) / sizeof(up_ms[0])) + 1 : atoi(getenv("LOSSES"));
-    losses = losses > 4 ? 4 : losses;
+    int most = (int)(sizeof(up_ms) / sizeof(up_ms[0])) + 1;
+    losses = losses > most ? most : losses;
     for (int i = 0; trouble() && i < losses; i++) {
         record("storage machine %d (%s) loses its disk and comes back empty", VICTIM, site_ip(VICTIM));
         lose_disk(VICTIM);
