Simulator: schedules in which machines lose their disks

Cause: the simulator lost writes, not disks, and had no successor at another address. Each change of members under lost disks was checked by unit tests with statuses that were written by hand.

Machines lose their disks, at most as many at a time as are tolerated, return with an empty disk at their old address or at another one, and join; many of these faults, crashes, freezes and partitions follow a change of members within 260 ms.

--- a/src/sim/main.c
+++ b/src/sim/main.c
@@ -21,6 +21,7 @@
     uint64_t first_failed_seed; /* the lowest one; `failure` belongs to it */
     char failure[SIM_FAILURE_TEXT_BYTES];
     struct sim_counters totals;
+    bool lose_disks;
 };
 
 static void main_add_counters(struct main_work *work, const struct sim_counters *counters)
@@ -64,7 +65,7 @@
     struct sim *sim = memory_new(sizeof(*sim));
     uint64_t seed = 0;
     while (main_take_seed(work, &seed)) {
-        struct sim_options options = sim_options_of_seed(seed);
+        struct sim_options options = work->lose_disks ? sim_disk_options_of_seed(seed) : sim_options_of_seed(seed);
         sim_run(sim, &options);
         main_record_result(work, seed, sim);
         sim_close(sim);
@@ -73,9 +74,9 @@
     return NULL;
 }
 
-static int main_run(uint64_t first, uint64_t count, int threads)
+static int main_run(uint64_t first, uint64_t count, int threads, bool lose_disks)
 {
-    struct main_work work = {.next_seed = first, .end_seed = first + count};
+    struct main_work work = {.next_seed = first, .end_seed = first + count, .lose_disks = lose_disks};
     pthread_t ids[MAIN_MAX_THREADS];
     struct timespec start_time;
     struct timespec end_time;
@@ -101,6 +102,11 @@
     printf("crashes %llu, partitions %llu, freezes %llu, snapshots installed %llu\n",
            (unsigned long long)totals->crashes, (unsigned long long)totals->partitions,
            (unsigned long long)totals->freezes, (unsigned long long)totals->installs);
+    if (lose_disks) {
+        printf("disks lost %llu, returns at another address %llu, changes of members %llu\n",
+               (unsigned long long)totals->disk_losses, (unsigned long long)totals->moves,
+               (unsigned long long)totals->member_changes);
+    }
     if (work.failed_count > 0) {
         printf("first failing seed %llu: %s\n", (unsigned long long)work.first_failed_seed, work.failure);
         return EXIT_FAILURE;
@@ -113,9 +119,10 @@
     struct arg_int *first = arg_int0(NULL, "first", "SEED", "first seed (default 1)");
     struct arg_int *count = arg_int0(NULL, "seeds", "N", "number of seeds to run (default 200)");
     struct arg_int *threads = arg_int0(NULL, "threads", "N", "number of threads (default 8, at most 64)");
+    struct arg_lit *lose_disks = arg_lit0(NULL, "lose-disks", "machines lose their disks and are replaced");
     struct arg_lit *help = arg_lit0("h", "help", "show this text");
     struct arg_end *end = arg_end(8);
-    void *table[] = {first, count, threads, help, end};
+    void *table[] = {first, count, threads, lose_disks, help, end};
     int status = EXIT_SUCCESS;
     int errors = arg_parse(argc, argv, table);
     if (help->count > 0) {
@@ -129,7 +136,8 @@
         int thread_count = threads->count > 0 ? threads->ival[0] : 8;
         thread_count = thread_count < 1 ? 1 : thread_count > MAIN_MAX_THREADS ? MAIN_MAX_THREADS : thread_count;
         status = main_run(first->count > 0 ? (uint64_t)first->ival[0] : 1,
-                          count->count > 0 ? (uint64_t)count->ival[0] : MAIN_DEFAULT_SEEDS, thread_count);
+                          count->count > 0 ? (uint64_t)count->ival[0] : MAIN_DEFAULT_SEEDS, thread_count,
+                          lose_disks->count > 0);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return status;
--- a/src/sim/sim.c
+++ b/src/sim/sim.c
@@ -87,6 +87,25 @@
     return options;
 }
 
+struct sim_options sim_disk_options_of_seed(uint64_t seed)
+{
+    static const uint32_t machines[] = {3, 4, 3, 5, 4, 6, 8, 7};
+    struct sim_options options = {
+        .seed = seed,
+        .replicas = machines[seed % (sizeof(machines) / sizeof(machines[0]))],
+        .groups = 1,
+        .gateways = 2,
+        .operators = 2,
+        .fault_phase_ms = 24000,
+        .settle_phase_ms = 14000,
+        .faults = true,
+        .snapshot_entries = seed % 3 == 0 ? 20 : 100,
+    };
+    options.tolerated_disks = options.replicas >= MEMBERSHIP_VOTERS_LARGE ? 2 : 1;
+    options.tolerated_zones = options.replicas > MEMBERSHIP_VOTERS_LARGE && seed % 5 == 0 ? 1 : 0;
+    return options;
+}
+
 /* ---- Raft invariants ------------------------------------------------------------------ */
 
 /* Checks that all replicas apply the same entry at the same index. */
@@ -143,6 +162,9 @@
 static bool sim_client_send(void *context, uint32_t to, struct view frame)
 {
     struct sim_node *node = context;
+    if (to == RAFT_NO_NODE) {
+        return false;
+    }
     sim_network_send(node->sim, node->id, to, frame);
     return true;
 }
@@ -161,9 +183,15 @@
     (void)config;
 }
 
+bool sim_is_replica_running(const struct sim_node *node)
+{
+    return node->has_replica && node->up && !node->outside;
+}
+
 static void sim_start_replica(struct sim_node *node)
 {
     struct sim *sim = node->sim;
+    bool loses_disks = sim->options.tolerated_disks > 0;
     struct replica_config config = {
         .node = node->id,
         .groups = sim->options.groups,
@@ -172,8 +200,11 @@
         .lease_ms = SIM_LEASE_MS,
         .seed = sim->options.seed + node->boot_count * 1000,
         .snapshot_entries = sim->options.snapshot_entries,
+        .members = node->first_members,
+        .auto_membership = loses_disks,
+        .tolerated_zones = sim->options.tolerated_zones,
     };
-    for (uint32_t i = 0; i < sim->options.replicas; i++) {
+    for (uint32_t i = 0; i < sim->options.replicas && !loses_disks; i++) {
         config.members.nodes[config.members.count++] = i + 1;
     }
     struct replica_io io = sim_disk_io(node);
@@ -206,24 +237,27 @@
     control_client_init(&node->client, &config, &io);
 }
 
-static void sim_start_node(struct sim_node *node)
+void sim_start_node(struct sim_node *node)
 {
     node->up = true;
     node->frozen = false;
     node->boot_count++;
-    if (node->has_replica) {
+    if (node->has_replica && !node->outside) {
         sim_start_replica(node);
-    } else {
+    } else if (!node->has_replica) {
         sim_start_client(node);
     }
 }
 
-static void sim_stop_node(struct sim_node *node)
+void sim_stop_node(struct sim_node *node)
 {
     if (!node->up) {
         return;
     }
     node->up = false;
+    if (node->outside) {
+        return;
+    }
     if (node->has_replica) {
         node->sim->counters.installs += node->replica.counters.installs;
         replica_close(&node->replica);
@@ -267,7 +301,9 @@
     if (!node->up || !message_decode(view_of(message->data, message->length), Frame_fields, &frame)) {
         return;
     }
-    if (node->has_replica) {
+    if (node->outside) {
+        sim_disks_receive(node, &frame);
+    } else if (node->has_replica) {
         uint64_t applied[REPLICA_MAX_GROUPS] = {0};
         sim_record_applied(sim, node, applied);
         replica_receive(&node->replica, sim->now_ms, message->from, &frame);
@@ -280,6 +316,9 @@
 
 static void sim_tick_node(struct sim *sim, struct sim_node *node)
 {
+    if (node->outside) {
+        return;
+    }
     if (node->has_replica) {
         uint64_t applied[REPLICA_MAX_GROUPS] = {0};
         sim_record_applied(sim, node, applied);
@@ -337,7 +376,8 @@
 /* In the settle phase, periodically adds the last replica back to all groups as a voter. */
 static void sim_restore_members(struct sim *sim)
 {
-    if (sim->options.replicas < SIM_MAX_REPLICAS || sim->now_ms % SIM_MEMBER_RESTORE_PERIOD_MS != 0) {
+    bool changes = sim->options.replicas >= SIM_MAX_REPLICAS && sim->options.tolerated_disks == 0;
+    if (!changes || sim->now_ms % SIM_MEMBER_RESTORE_PERIOD_MS != 0) {
         return;
     }
     for (uint32_t group = 0; group < sim->options.groups; group++) {
@@ -346,7 +386,7 @@
     }
 }
 
-static void sim_crash(struct sim *sim, struct sim_node *node, uint32_t max_downtime_ms)
+void sim_crash(struct sim *sim, struct sim_node *node, uint32_t max_downtime_ms)
 {
     if (!node->up) {
         return;
@@ -357,10 +397,10 @@
 }
 
 /* Starts a network partition between two random sets of nodes, in one direction or both. */
-static void sim_start_partition(struct sim *sim)
+void sim_start_partition(struct sim *sim)
 {
     bool both_directions = sim_chance(sim, 50);
-    bool in_first_set[SIM_MAX_REPLICAS + SIM_MAX_GATEWAYS];
+    bool in_first_set[SIM_MAX_DISKS + SIM_MAX_GATEWAYS];
     sim->counters.partitions++;
     for (uint32_t i = 0; i < sim->node_count; i++) {
         in_first_set[i] = sim_chance(sim, 40);
@@ -375,12 +415,12 @@
     sim->partition_end_ms = sim->now_ms + 200 + sim_random(sim, 3000);
 }
 
-/* Isolates the leader of a random group from all other nodes, if the group has a leader. */
-static void sim_isolate_leader(struct sim *sim)
+void sim_isolate_leader(struct sim *sim, uint32_t group)
 {
-    uint32_t group = sim_random(sim, sim->options.groups);
-    for (uint32_t i = 0; i < sim->options.replicas; i++) {
-        if (!sim->nodes[i].up || !raft_is_leader(&sim->nodes[i].replica.groups[group].raft)) {
+    for (uint32_t i = 0; i < sim->node_count; i++) {
+        bool leads =
+            sim_is_replica_running(&sim->nodes[i]) && raft_is_leader(&sim->nodes[i].replica.groups[group].raft);
+        if (!leads) {
             continue;
         }
         sim->counters.partitions++;
@@ -393,7 +433,7 @@
     }
 }
 
-static void sim_freeze(struct sim *sim, struct sim_node *node)
+void sim_freeze(struct sim *sim, struct sim_node *node)
 {
     if (!node->up || node->frozen) {
         return;
@@ -416,7 +456,7 @@
         sim_crash(sim, &sim->nodes[sim_random(sim, sim->options.replicas)], 800);
         break;
     case 3: sim_start_partition(sim); break;
-    case 4: sim_isolate_leader(sim); break;
+    case 4: sim_isolate_leader(sim, sim_random(sim, sim->options.groups)); break;
     case 5: sim_freeze(sim, random_node); break;
     case 6: sim->drop_percent = sim_random(sim, 15); break;
     default: sim->slow_percent = sim_random(sim, 10); break;
@@ -430,10 +470,10 @@
     }
     for (uint32_t i = 0; i < sim->node_count; i++) {
         struct sim_node *node = &sim->nodes[i];
-        if (!node->up && sim->now_ms >= node->resume_ms) {
+        if (!node->absent && !node->up && sim->now_ms >= node->resume_ms) {
             sim_start_node(node);
             /* another replica may crash right after this one restarted */
-            if (!sim->settling && node->has_replica && sim_chance(sim, 30)) {
+            if (!sim->settling && node->has_replica && sim->options.tolerated_disks == 0 && sim_chance(sim, 30)) {
                 sim_crash(sim, &sim->nodes[sim_random(sim, sim->options.replicas)], 1500);
             }
         }
@@ -484,7 +524,9 @@
 {
     sim->now_ms += SIM_STEP_MS;
     bool faults_active = sim->options.faults && sim->now_ms < sim->options.fault_phase_ms;
-    if (faults_active && sim_chance(sim, SIM_FAULT_PERCENT)) {
+    if (faults_active && sim->options.tolerated_disks > 0) {
+        sim_disks_inject_fault(sim);
+    } else if (faults_active && sim_chance(sim, SIM_FAULT_PERCENT)) {
         sim_inject_fault(sim);
     }
     if (!sim->settling && sim->now_ms >= sim->options.fault_phase_ms) {
@@ -494,6 +536,9 @@
     if (sim->settling) {
         sim_restore_members(sim);
     }
+    if (sim->options.tolerated_disks > 0) {
+        sim_disks_step(sim);
+    }
     sim_deliver_due(sim);
     for (uint32_t i = 0; i < sim->node_count && !sim->failed; i++) {
         if (sim->nodes[i].up && !sim->nodes[i].frozen) {
@@ -510,7 +555,7 @@
     sim->options = *options;
     sim->random = gsl_rng_alloc(gsl_rng_taus2);
     gsl_rng_set(sim->random, (unsigned long)(options->seed * 2654435761U + 1));
-    sim->node_count = options->replicas + options->gateways;
+    sim->node_count = options->replicas + options->gateways + (options->tolerated_disks > 0 ? SIM_MAX_DISKS : 0);
     sim->nodes = memory_new(sim->node_count * sizeof(*sim->nodes));
     sim->partitioned = memory_new((size_t)sim->node_count * sim->node_count * sizeof(*sim->partitioned));
     sim->duplicate_percent = options->faults ? 3 : 0;
@@ -518,9 +563,15 @@
         struct sim_node *node = &sim->nodes[i];
         node->sim = sim;
         node->id = i + 1;
-        node->has_replica = i < options->replicas;
+        node->has_replica = i < options->replicas || i >= options->replicas + options->gateways;
+        node->absent = i >= options->replicas + options->gateways;
         sim_disk_init(&node->disk, node->has_replica ? options->groups : 0);
-        sim_start_node(node);
+    }
+    if (options->tolerated_disks > 0) {
+        sim_disks_init(sim);
+    }
+    for (uint32_t i = 0; i < options->replicas + options->gateways; i++) {
+        sim_start_node(&sim->nodes[i]);
     }
     sim_callers_init(sim);
     sim_operators_init(sim);
@@ -533,6 +584,9 @@
     while (!sim->failed && sim->now_ms < end_ms) {
         sim_step(sim);
     }
+    if (!sim->failed && sim->options.tolerated_disks > 0) {
+        sim_disks_check(sim);
+    }
     if (!sim->failed) {
         sim_callers_check(sim);
         sim_operators_check(sim);
--- a/src/sim/sim.h
+++ b/src/sim/sim.h
@@ -19,6 +19,8 @@
 
 enum {
     SIM_MAX_REPLICAS = 5,
+    SIM_MAX_MACHINES = 8, /**< State replicas if disks are lost. */
+    SIM_MAX_DISKS = 96,   /**< Disks that these machines have in one schedule. */
     SIM_MAX_GATEWAYS = 1024,
     SIM_MAX_CALLERS = 64,
     SIM_MAX_OPERATORS = 4,
@@ -38,6 +40,9 @@
     uint32_t fault_phase_ms;
     uint32_t settle_phase_ms; /**< Fault-free; follows the fault phase. */
     bool faults;
+    uint32_t tolerated_disks;  /**< Machines whose disks may be lost at once (sim_disks.c). 0: replicas keep their disks
+                                    and ids. */
+    uint32_t tolerated_zones;  /**< With `tolerated_disks`: see membership_plan(). */
     uint32_t snapshot_entries; /**< Entries between snapshots. */
     const uint8_t *choices;    /**< Fuzz input that replaces random numbers until it is used up; NULL: none. */
     size_t choice_count;       /**< Bytes of `choices`. */
@@ -88,10 +93,12 @@
     uint64_t bytes; /**< Bytes of these messages. */
 };
 
-/** A state replica or a gateway. */
+/** A state replica or a gateway. If disks are lost, a replica's id belongs to its disk: a new disk is another node. */
 struct sim_node {
     struct sim *sim;
     uint32_t id;
+    bool absent;        /**< Its disk is lost or not in use yet: it never starts. */
+    bool outside;       /**< A replica that has not joined the group; it has no state yet. */
     bool up;            /**< The process runs. */
     bool has_replica;   /**< A state replica; else a gateway. */
     bool frozen;        /**< The process is suspended: it handles no messages and no ticks. */
@@ -101,6 +108,16 @@
     struct sim_disk disk;         /**< Kept across restarts. */
     struct control_client client; /**< Valid while up and not has_replica. */
     bool has_client;              /**< Not used. */
+    struct raft_member_location location;
+    struct raft_members first_members; /**< At the start of its log. */
+    uint64_t join_due_ms;
+};
+
+/** A machine with a state replica, if disks are lost. */
+struct sim_machine {
+    uint32_t node;      /**< Id that belongs to its present disk. */
+    bool disk_lost;     /**< Counts as lost: a disk was lost, and its successor has not had time to catch up. */
+    uint64_t intact_ms; /**< Since when it and all others have run undisturbed. */
 };
 
 enum sim_caller_state {
@@ -172,6 +189,7 @@
     uint64_t calls, replays, unknowns, repeated_runs, changes, revision_conflicts, crashes, partitions, freezes,
         installs, reads;
     uint64_t budget_refusals, timeouts;
+    uint64_t disk_losses, moves, member_changes;
 };
 
 struct sim {
@@ -202,10 +220,16 @@
     bool failed;                          /**< An invariant was violated. */
     char failure[SIM_FAILURE_TEXT_BYTES]; /**< Description of the first violation. */
     struct sim_counters counters;
+    struct sim_machine machines[SIM_MAX_MACHINES]; /**< If disks are lost; options.replicas of them. */
+    uint64_t members_index;                        /**< Latest change of members that a leader made. */
+    uint64_t members_fault_ms;                     /**< Time of the fault that follows it; 0: none. */
 };
 
 struct sim_options sim_options_of_seed(uint64_t seed);
 
+/** Options of a schedule in which machines lose their disks, and some return at another address. */
+struct sim_options sim_disk_options_of_seed(uint64_t seed);
+
 /** Runs a schedule. False: an invariant was violated, see `failure`. Call sim_close() in either case. */
 bool sim_run(struct sim *sim, const struct sim_options *options);
 void sim_close(struct sim *sim);
@@ -220,6 +244,19 @@
 
 struct sim_node *sim_node(struct sim *sim, uint32_t id);
 
+/** Whether a replica runs and has joined the group. */
+bool sim_is_replica_running(const struct sim_node *node);
+
+void sim_start_node(struct sim_node *node);
+void sim_stop_node(struct sim_node *node);
+
+/** Stops a node as by a loss of power; it restarts after 100 ms and a random time below `max_downtime_ms`. */
+void sim_crash(struct sim *sim, struct sim_node *node, uint32_t max_downtime_ms);
+void sim_freeze(struct sim *sim, struct sim_node *node);
+void sim_start_partition(struct sim *sim);
+/** Isolates the leader of a group from all other nodes, if the group has a leader. */
+void sim_isolate_leader(struct sim *sim, uint32_t group);
+
 /** Returns the node id of a random running gateway, or of a stopped one if none runs. */
 uint32_t sim_pick_gateway(struct sim *sim);
 
@@ -231,6 +268,18 @@
 struct history_io sim_disk_history(struct sim_node *node);
 void sim_disk_restore(struct sim_node *node);
 
+/* sim_disks.c */
+void sim_disks_init(struct sim *sim);
+void sim_disks_inject_fault(struct sim *sim);
+/** Per step: joins of replicas outside the group, members known to gateways, and faults beside changes of members. */
+void sim_disks_step(struct sim *sim);
+/** Handles a message for a replica outside the group. */
+void sim_disks_receive(struct sim_node *node, const Frame *frame);
+/** Whether a replica must have everything at the end of the schedule. */
+bool sim_disks_is_member(struct sim *sim, const struct sim_node *node);
+/** At the end: whether the group has a leader, and all of its voters run. */
+void sim_disks_check(struct sim *sim);
+
 /* sim_network.c */
 void sim_network_send(struct sim *sim, uint32_t from, uint32_t to, struct view frame);
 bool sim_network_pop(struct sim *sim, struct sim_message *message);
--- a/src/sim/sim_operators.c
+++ b/src/sim/sim_operators.c
@@ -217,6 +217,9 @@
     }
     for (uint32_t i = 0; i < sim->node_count && !sim->failed; i++) {
         const struct sim_node *node = &sim->nodes[i];
+        if (node->has_replica && sim->options.tolerated_disks > 0 && !sim_disks_is_member(sim, node)) {
+            continue;
+        }
         const struct config_store *store =
             node->has_replica ? &node->replica.groups[0].machine.config : &node->client.store;
         sim_check_config(sim, node->id, store);
