Membership: a learner takes a voter's place in one change

What callers saw: no configuration was read and no turn served any more, for good, after one machine had been replaced by another one whose disk was lost again.

Cause: a voter that was not known as replaced counted as unreachable only, and its successor was promoted beside it: four voters, of which two never return, need three. That it is replaced was known from requests to join that this leader remembered, not for a successor with another address and name, and not after a change of leader. The order for a known one, removal first, made the other two voters indispensable for 200 ms, and would end the quorum for an unreachable voter that returns with its disk. Groups also grew by counting a member that had just lost its disk, and one of five shrank to three voters while one restarted.

Change: a voter is replaced by joint consensus (raft_propose_replacement()): elections, commits and reads need a quorum of the voters before and of those after, so that neither the old voter nor the new one is needed. The plan no longer depends on whether the voter returns. A learner gets a vote only if the voters that stay have answered a heartbeat that was sent after its first answer, so that it does not succeed one of them; a group grows only while all voters are healthy, and keeps an unreachable voter for a minute if no learner can replace it. A member whose machine has another member that was heard since counts as replaced, so that a new leader knows it too. Members get two flags on the wire; quorums of versions without them overlap.

--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -9,9 +9,14 @@
     uint32_t tolerated_zones;
 };
 
+static bool membership_is_reachable(const struct membership_status *status)
+{
+    return status->silent_ms < MEMBERSHIP_UNREACHABLE_MS && !status->replaced;
+}
+
 static bool membership_is_healthy(const struct membership_status *status)
 {
-    return status->silent_ms < MEMBERSHIP_UNREACHABLE_MS && !status->replaced && !status->retiring;
+    return membership_is_reachable(status) && !status->retiring;
 }
 
 /* `zone`: NULL: all zones. */
@@ -27,6 +32,72 @@
     return count;
 }
 
+static bool membership_all_voters_are_healthy(const struct membership_group *group)
+{
+    return membership_count_healthy(group, NULL, true) == raft_voter_count(group->members);
+}
+
+/* Whether both have run at the same time, so that they are on different machines. */
+static bool membership_is_beside(const struct membership_group *group, uint32_t voter, uint32_t learner)
+{
+    uint64_t first_round = group->statuses[learner].first_round;
+    bool answered_since = group->statuses[voter].answered_round > first_round;
+    return first_round != 0 && (answered_since || group->statuses[voter].is_leader);
+}
+
+/* Whether there are caught-up learners for all unreachable voters. */
+static bool membership_can_replace_all(const struct membership_group *group)
+{
+    uint32_t unreachable = 0;
+    uint32_t learners = 0;
+    for (uint32_t i = 0; i < group->members->count; i++) {
+        const struct membership_status *status = &group->statuses[i];
+        if (group->members->learners[i]) {
+            learners += membership_is_healthy(status) && status->caught_up ? 1 : 0;
+        } else {
+            unreachable += membership_is_reachable(status) ? 0 : 1;
+        }
+    }
+    return learners >= unreachable;
+}
+
+/* Whether the learner may be on the machine of a voter that stays. */
+static bool membership_may_succeed(const struct membership_group *group, uint32_t learner, uint32_t voter)
+{
+    bool decided = !membership_is_reachable(&group->statuses[voter]) &&
+                   (membership_can_replace_all(group) || group->statuses[learner].known_ms >= MEMBERSHIP_AMBIGUITY_MS);
+    return !decided && !membership_is_beside(group, voter, learner);
+}
+
+/* Whether the reachable voters are a quorum of so many voters, and the learner succeeds none of those that stay.
+ * `without`: voter that is left out, or RAFT_MAX_MEMBERS. A retiring voter counts: it stays until it is replaced. */
+static bool membership_has_quorum_beside(const struct membership_group *group, uint32_t learner, uint32_t without,
+                                         uint32_t voters)
+{
+    uint32_t reachable = 0;
+    for (uint32_t i = 0; i < group->members->count; i++) {
+        if (i == without || group->members->learners[i]) {
+            continue;
+        }
+        if (membership_may_succeed(group, learner, i)) {
+            return false;
+        }
+        reachable += membership_is_reachable(&group->statuses[i]) ? 1 : 0;
+    }
+    return reachable > voters / 2;
+}
+
+/* Whether the reachable voters without the one at `without` are a quorum of so many voters. */
+static bool membership_has_quorum(const struct membership_group *group, uint32_t without, uint32_t voters)
+{
+    uint32_t reachable = 0;
+    for (uint32_t i = 0; i < group->members->count; i++) {
+        bool counts = i != without && !group->members->learners[i] && membership_is_reachable(&group->statuses[i]);
+        reachable += counts ? 1 : 0;
+    }
+    return reachable > voters / 2;
+}
+
 static uint32_t membership_target_voters(const struct membership_group *group)
 {
     uint32_t healthy = membership_count_healthy(group, NULL, false);
@@ -54,16 +125,6 @@
     return membership_count_healthy(group, zone, true) > membership_zone_limit(group);
 }
 
-static bool membership_any_zone_is_over(const struct membership_group *group)
-{
-    for (uint32_t i = 0; i < group->members->count; i++) {
-        if (membership_zone_is_over(group, group->members->locations[i].zone)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* A zone without members is admitted even if the others have all spares: it returns after a loss, and without it the
  * voters cannot be spread. `in_zone`: healthy members of the zone. */
 static bool membership_may_admit(const struct membership_group *group, uint32_t in_zone)
@@ -102,122 +163,180 @@
     return change;
 }
 
-/* True also if no voter is missing but a zone has too many: membership_plan_demote() then demotes one of these. */
-static bool membership_needs_voter(const struct membership_group *group)
+/* ---- Voters --------------------------------------------------------------------- */
+
+/* A step that makes a learner a voter: in the place of another voter, or beside all of them. */
+struct membership_vote {
+    uint32_t replaces; /* position of the voter; RAFT_MAX_MEMBERS: none */
+    uint32_t voters;   /* number of voters after it */
+};
+
+static bool membership_may_vote(const struct membership_group *group, uint32_t learner,
+                                const struct membership_vote *vote)
 {
-    uint32_t voters = membership_count_healthy(group, NULL, true);
-    uint32_t target = membership_target_voters(group);
-    return voters < target || (voters == target && membership_any_zone_is_over(group));
+    const struct membership_status *status = &group->statuses[learner];
+    return group->members->learners[learner] && membership_is_healthy(status) && status->caught_up &&
+           membership_has_quorum_beside(group, learner, vote->replaces, vote->voters);
 }
 
-/* Prefers the zone with the fewest voters. `limit`: only zones with fewer voters than this. */
-static struct membership_change membership_promote_below(const struct membership_group *group, uint32_t limit)
+/* Prefers learners of the zone with the fewest voters. `limit`: only zones with fewer voters than this. */
+static struct membership_change membership_promote_below(const struct membership_group *group,
+                                                         const struct membership_vote *vote, uint32_t limit)
 {
     const struct raft_members *members = group->members;
     struct membership_change change = {0};
     uint32_t fewest = 0;
     for (uint32_t i = 0; i < members->count; i++) {
-        const struct membership_status *status = &group->statuses[i];
-        if (!members->learners[i] || !membership_is_healthy(status) || !status->caught_up) {
+        if (!membership_may_vote(group, i, vote)) {
             continue;
         }
         uint32_t in_zone = membership_count_healthy(group, members->locations[i].zone, true);
         if (in_zone < limit && (!change.needed || in_zone < fewest)) {
             change = membership_make_change(MEMBER_PROMOTE, members->nodes[i]);
+            change.replaces = vote->replaces < members->count ? members->nodes[vote->replaces] : RAFT_NO_NODE;
             fewest = in_zone;
         }
     }
     return change;
 }
 
-/* While no zone below its limit has a member that may vote, another one gets the missing voter: a group of four would
- * lose its quorum for good with two disks. The voters are spread when the lost zone returns. */
-static struct membership_change membership_plan_promote(const struct membership_group *group)
+/* If no zone below its limit has a learner that may vote, another one gets the vote; the voters are spread when a zone
+ * returns. */
+static struct membership_change membership_promote_any(const struct membership_group *group,
+                                                       const struct membership_vote *vote)
 {
-    struct membership_change change = {0};
-    if (!membership_needs_voter(group)) {
-        return change;
-    }
-    change = membership_promote_below(group, membership_zone_limit(group));
-    bool is_missing = membership_count_healthy(group, NULL, true) < membership_target_voters(group);
-    return change.needed || !is_missing ? change : membership_promote_below(group, RAFT_MAX_MEMBERS);
+    struct membership_change change = membership_promote_below(group, vote, membership_zone_limit(group));
+    return change.needed ? change : membership_promote_below(group, vote, RAFT_MAX_MEMBERS);
 }
 
-static bool membership_may_remove(const struct membership_group *group, uint32_t position)
+/* Position of the unhealthy voter to replace first: one that takes no part in quorums before a retiring one, the one
+ * that has been silent for longest before others; -1: none. */
+static int membership_find_unhealthy_voter(const struct membership_group *group)
 {
-    const struct membership_status *status = &group->statuses[position];
-    if (group->members->learners[position]) {
-        return status->replaced || status->retiring || status->silent_ms >= MEMBERSHIP_LEARNER_REMOVAL_MS;
+    int found = -1;
+    for (uint32_t i = 0; i < group->members->count; i++) {
+        const struct membership_status *status = &group->statuses[i];
+        if (group->members->learners[i] || membership_is_healthy(status)) {
+            continue;
+        }
+        const struct membership_status *other = found < 0 ? NULL : &group->statuses[found];
+        bool first =
+            other == NULL || (!membership_is_reachable(status) && membership_is_reachable(other)) ||
+            (membership_is_reachable(status) == membership_is_reachable(other) && status->silent_ms > other->silent_ms);
+        found = first ? (int)i : found;
     }
-    return !membership_is_healthy(status) && membership_count_healthy(group, NULL, true) >= MEMBERSHIP_VOTERS;
+    return found;
 }
 
-static struct membership_change membership_plan_remove(const struct membership_group *group)
+static struct membership_change membership_plan_replace(const struct membership_group *group)
 {
     struct membership_change change = {0};
-    for (uint32_t i = 0; i < group->members->count; i++) {
-        if (membership_may_remove(group, i)) {
-            return membership_make_change(MEMBER_REMOVE, group->members->nodes[i]);
-        }
+    int position = membership_find_unhealthy_voter(group);
+    if (position < 0) {
+        return change;
     }
-    return change;
+    const struct membership_vote vote = {(uint32_t)position, raft_voter_count(group->members)};
+    return membership_promote_any(group, &vote);
 }
 
-static struct membership_change membership_plan_remove_replaced(const struct membership_group *group)
+/* A group of one grows although its quorum then includes the learner: there is no other way to more voters. */
+static struct membership_change membership_plan_grow(const struct membership_group *group)
 {
-    const struct raft_members *members = group->members;
     struct membership_change change = {0};
-    uint32_t quorum = (raft_voter_count(members) - 1) / 2 + 1; /* without the replaced voter */
-    for (uint32_t i = 0; i < members->count; i++) {
-        bool replaced = !members->learners[i] && group->statuses[i].replaced;
-        if (replaced && membership_count_healthy(group, NULL, true) >= quorum) {
-            return membership_make_change(MEMBER_REMOVE, members->nodes[i]);
-        }
+    uint32_t voters = raft_voter_count(group->members);
+    if (voters >= membership_target_voters(group) || !membership_all_voters_are_healthy(group)) {
+        return change;
     }
-    return change;
+    const struct membership_vote vote = {RAFT_MAX_MEMBERS, voters == 1 ? voters : voters + 1};
+    return membership_promote_any(group, &vote);
 }
 
-/* A surplus is left by an unreachable voter that returns after its replacement was promoted, and by a promotion that
- * spreads the voters. Never demotes the leader; prefers a voter of a zone that has too many, then one that has not
- * caught up. */
-static struct membership_change membership_plan_demote(const struct membership_group *group)
+/* A healthy voter other than the leader, of a zone that has too many before others, then one that has not caught up;
+ * -1: none. `zone_over_only`: only of a zone that has too many. */
+static int membership_find_surplus_voter(const struct membership_group *group, bool zone_over_only)
 {
     const struct raft_members *members = group->members;
-    struct membership_change change = {0};
+    int found = -1;
     uint32_t highest = 0;
-    if (membership_count_healthy(group, NULL, true) <= membership_target_voters(group)) {
-        return change;
-    }
     for (uint32_t i = 0; i < members->count; i++) {
         const struct membership_status *status = &group->statuses[i];
-        bool eligible = !members->learners[i] && membership_is_healthy(status) && !status->is_leader;
         bool zone_is_over = membership_zone_is_over(group, members->locations[i].zone);
+        bool eligible = !members->learners[i] && membership_is_healthy(status) && !status->is_leader &&
+                        (zone_is_over || !zone_over_only);
         uint32_t preference = (zone_is_over ? 2U : 0U) + (status->caught_up ? 0U : 1U);
-        if (eligible && (!change.needed || preference > highest)) {
-            change = membership_make_change(MEMBER_DEMOTE, members->nodes[i]);
+        if (eligible && (found < 0 || preference > highest)) {
+            found = (int)i;
             highest = preference;
         }
     }
+    return found;
+}
+
+/* A surplus is left if fewer machines remain than there were when the group grew. */
+static struct membership_change membership_plan_demote(const struct membership_group *group)
+{
+    struct membership_change change = {0};
+    bool surplus = raft_voter_count(group->members) > membership_target_voters(group);
+    int position =
+        surplus && membership_all_voters_are_healthy(group) ? membership_find_surplus_voter(group, false) : -1;
+    return position < 0 ? change : membership_make_change(MEMBER_DEMOTE, group->members->nodes[position]);
+}
+
+static struct membership_change membership_plan_spread(const struct membership_group *group)
+{
+    struct membership_change change = {0};
+    int position = membership_all_voters_are_healthy(group) ? membership_find_surplus_voter(group, true) : -1;
+    if (position < 0) {
+        return change;
+    }
+    const struct membership_vote vote = {(uint32_t)position, raft_voter_count(group->members)};
+    return membership_promote_below(group, &vote, membership_zone_limit(group));
+}
+
+/* ---- Removal -------------------------------------------------------------------- */
+
+static bool membership_may_remove_learner(const struct membership_status *status)
+{
+    return status->replaced || status->retiring || status->silent_ms >= MEMBERSHIP_REMOVAL_MS;
+}
+
+/* Only if no machine is left that could replace it. */
+static bool membership_may_remove_voter(const struct membership_group *group, uint32_t position)
+{
+    const struct membership_status *status = &group->statuses[position];
+    uint32_t healthy_voters = membership_count_healthy(group, NULL, true);
+    bool gone = status->retiring || status->silent_ms >= MEMBERSHIP_REMOVAL_MS;
+    bool has_learner = membership_count_healthy(group, NULL, false) > healthy_voters;
+    return gone && !has_learner && healthy_voters >= MEMBERSHIP_VOTERS &&
+           membership_has_quorum(group, position, raft_voter_count(group->members) - 1);
+}
+
+static struct membership_change membership_plan_remove(const struct membership_group *group)
+{
+    struct membership_change change = {0};
+    for (uint32_t i = 0; i < group->members->count; i++) {
+        bool removed = group->members->learners[i] ? membership_may_remove_learner(&group->statuses[i])
+                                                   : membership_may_remove_voter(group, i);
+        if (removed) {
+            return membership_make_change(MEMBER_REMOVE, group->members->nodes[i]);
+        }
+    }
     return change;
 }
 
+/* ---- Plan ----------------------------------------------------------------------- */
+
 struct membership_change membership_plan(const struct raft_members *members, const struct membership_status *statuses,
                                          const struct membership_join *joins, size_t join_count, uint64_t now_ms,
                                          uint32_t tolerated_zones)
 {
+    static struct membership_change (*const steps[])(const struct membership_group *group) = {
+        membership_plan_replace, membership_plan_grow, membership_plan_remove, membership_plan_demote,
+        membership_plan_spread};
     const struct membership_group group = {members, statuses, tolerated_zones};
     struct membership_change change = membership_plan_join(&group, joins, join_count, now_ms);
-    if (!change.needed) {
-        change = membership_plan_remove_replaced(&group);
-    }
-    if (!change.needed) {
-        change = membership_plan_promote(&group);
-    }
-    if (!change.needed) {
-        change = membership_plan_remove(&group);
-    }
-    if (!change.needed) {
-        change = membership_plan_demote(&group);
+    for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]) && !change.needed; i++) {
+        change = steps[i](&group);
     }
     return change;
 }
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -1,101 +1,8 @@
-/* Lifecycle of a replica, ticks, message dispatch and membership. */
+/* Lifecycle of a replica, ticks and message dispatch. */
 #include "core/raft_internal.h"
 
 #include <string.h>
 
-#include "base/message.h"
-
-int raft_member_position(const struct raft_members *members, uint32_t node)
-{
-    for (uint32_t i = 0; i < members->count; i++) {
-        if (members->nodes[i] == node) {
-            return (int)i;
-        }
-    }
-    return -1;
-}
-
-bool raft_is_voter(const struct raft_members *members, uint32_t node)
-{
-    int position = raft_member_position(members, node);
-    return position >= 0 && !members->learners[position];
-}
-
-uint32_t raft_voter_count(const struct raft_members *members)
-{
-    uint32_t voters = 0;
-    for (uint32_t i = 0; i < members->count; i++) {
-        voters += members->learners[i] ? 0 : 1;
-    }
-    return voters;
-}
-
-bool raft_members_decode(struct view data, struct raft_members *members)
-{
-    Members wire = {0};
-    if (!message_decode(data, Members_fields, &wire)) {
-        return false;
-    }
-    bool valid = raft_members_from_wire(&wire, members);
-    message_free(Members_fields, &wire);
-    return valid;
-}
-
-static void raft_copy_text(char *out, size_t size, const char *text)
-{
-    size_t length = strnlen(text_or_empty(text), size - 1);
-    memcpy(out, text_or_empty(text), length);
-    out[length] = '\0';
-}
-
-void raft_member_location_from_wire(const Member *wire, struct raft_member_location *location)
-{
-    memset(location, 0, sizeof(*location));
-    raft_copy_text(location->name, sizeof(location->name), wire->name);
-    raft_copy_text(location->zone, sizeof(location->zone), wire->zone);
-    location->ip = wire->ip;
-    location->port = (uint16_t)wire->port;
-}
-
-bool raft_members_from_wire(const Members *wire, struct raft_members *members)
-{
-    memset(members, 0, sizeof(*members));
-    if (wire->members_count > RAFT_MAX_MEMBERS) {
-        return false;
-    }
-    for (pb_size_t i = 0; i < wire->members_count; i++) {
-        members->nodes[i] = wire->members[i].node;
-        members->learners[i] = wire->members[i].learner;
-        raft_member_location_from_wire(&wire->members[i], &members->locations[i]);
-        members->count++;
-    }
-    return true;
-}
-
-void raft_members_to_wire(const struct raft_members *members, Member *items, Members *wire)
-{
-    memset(items, 0, RAFT_MAX_MEMBERS * sizeof(*items));
-    for (uint32_t i = 0; i < members->count; i++) {
-        const struct raft_member_location *location = &members->locations[i];
-        items[i].node = members->nodes[i];
-        items[i].learner = members->learners[i];
-        items[i].name = (char *)(uintptr_t)location->name;
-        items[i].zone = (char *)(uintptr_t)location->zone;
-        items[i].ip = location->ip;
-        items[i].port = location->port;
-    }
-    wire->members_count = (pb_size_t)members->count;
-    wire->members = items;
-}
-
-void raft_members_encode(const struct raft_members *members, struct buffer *out)
-{
-    Member items[RAFT_MAX_MEMBERS];
-    Members wire = {0};
-    raft_members_to_wire(members, items, &wire);
-    message_encode(out, Members_fields, &wire);
-}
-
 uint64_t raft_last_index(const struct raft *raft)
 {
     return raft->log.base_index + raft->log.count;
@@ -285,6 +192,7 @@
     if (raft->role != RAFT_LEADER) {
         return;
     }
+    raft_finish_replacement(raft, now_ms);
     if (raft->round_due) {
         raft_broadcast_heartbeat(raft, now_ms);
         raft_release_reads(raft);
@@ -294,40 +202,10 @@
     raft->send_due = false;
 }
 
-static uint32_t raft_member_difference(const struct raft_members *a, const struct raft_members *b)
-{
-    uint32_t difference = 0;
-    for (uint32_t i = 0; i < a->count; i++) {
-        int position = raft_member_position(b, a->nodes[i]);
-        bool same = position >= 0 && a->learners[i] == b->learners[position];
-        difference += same ? 0 : 1;
-    }
-    for (uint32_t i = 0; i < b->count; i++) {
-        difference += raft_member_position(a, b->nodes[i]) < 0 ? 1 : 0;
-    }
-    return difference;
-}
-
-uint64_t raft_propose_members(struct raft *raft, uint64_t now_ms, const struct raft_members *members)
-{
-    bool may_change = raft->role == RAFT_LEADER && raft->transfer_target == RAFT_NO_NODE &&
-                      raft->members_index <= raft->commit && raft_term_at(raft, raft->commit) == raft->term;
-    bool valid = members->count > 0 && members->count <= RAFT_MAX_MEMBERS && raft_voter_count(members) > 0 &&
-                 raft_member_difference(&raft->members, members) == 1;
-    if (!may_change || !valid) {
-        return 0;
-    }
-    struct buffer encoded = {0};
-    raft_members_encode(members, &encoded);
-    raft_append_local(raft, RAFT_ENTRY_MEMBERS, buffer_view(&encoded));
-    buffer_close(&encoded);
-    raft_replicate_all(raft, now_ms);
-    return raft_last_index(raft);
-}
-
 bool raft_transfer(struct raft *raft, uint64_t now_ms, uint32_t target)
 {
-    bool possible = raft->role == RAFT_LEADER && target != raft->config.node && raft_is_voter(&raft->members, target);
+    bool possible =
+        raft->role == RAFT_LEADER && target != raft->config.node && raft_is_lasting_voter(&raft->members, target);
     if (!possible) {
         return false;
     }
--- a/src/core/raft.h
+++ b/src/core/raft.h
@@ -8,7 +8,14 @@
  * does not hear from a quorum within an election timeout steps down, but after a
  * stall of its own process peers first get time to respond), linearizable reads
  * by heartbeat rounds, leadership transfer, learners, one-at-a-time membership
- * changes, and chunked snapshot transfer.
+ * changes, replacement of a voter by a learner in one change, and chunked snapshot
+ * transfer.
+ *
+ * A replacement uses joint consensus: while it lasts, elections, commits and reads need
+ * a quorum of the voters without the joining one and a quorum of those without the
+ * leaving one. If the others contain a quorum, the group thus needs neither of the two.
+ * The leader appends the final members once the joint ones are committed. A version that
+ * ignores the two flags counts both as voters; its quorums overlap with these.
  *
  * Data passed to `save_state` and `append` is durable only after the host's next
  * sync. The host holds messages marked `after_sync` until then, and calls
@@ -79,6 +86,8 @@
     uint32_t count;
     uint32_t nodes[RAFT_MAX_MEMBERS];
     bool learners[RAFT_MAX_MEMBERS]; /**< Learners receive the log but have no vote. */
+    bool joining[RAFT_MAX_MEMBERS];  /**< Voter that replaces the leaving one; at most one, with a leaving one. */
+    bool leaving[RAFT_MAX_MEMBERS];  /**< Voter that is being replaced. */
     struct raft_member_location locations[RAFT_MAX_MEMBERS];
 };
 
@@ -137,7 +146,9 @@
     uint64_t match; /**< Highest entry known to be durable there. */
     uint64_t next;  /**< Next entry to send. */
     uint64_t last_contact_ms;
-    uint64_t acked_round; /**< Highest heartbeat round acknowledged. */
+    uint64_t first_contact_ms; /**< When this leader first heard from it; 0: not yet. */
+    uint64_t first_round;      /**< Last heartbeat round begun by then. */
+    uint64_t acked_round;      /**< Highest heartbeat round acknowledged. */
     bool probing; /**< Until an append succeeds: entries are sent only with heartbeats and in answer to replies, and
                      `next` does not advance. */
     size_t inflight_bytes; /**< Entry payload sent and not yet acknowledged. */
@@ -253,14 +264,19 @@
 void raft_flush(struct raft *raft, uint64_t now_ms);
 
 /** Proposes a member list that differs from the current one by one member; returns the entry's index, or 0 if this
- * replica cannot accept it. */
+ * replica cannot accept it, for example during a replacement. */
 uint64_t raft_propose_members(struct raft *raft, uint64_t now_ms, const struct raft_members *members);
 
+/** Proposes to replace a voter by a learner; returns the entry's index, or 0 if this replica cannot accept it. Does not
+ * need the learner to be available: the caller checks that the other voters are a quorum. */
+uint64_t raft_propose_replacement(struct raft *raft, uint64_t now_ms, uint32_t voter, uint32_t learner);
+
 /** Starts a linearizable read; returns false unless this replica leads and has committed an entry of its own term.
  * raft_flush() begins the heartbeat round, one for all reads started since the last one. */
 bool raft_read(struct raft *raft, uint64_t read_id);
 
-/** Starts a leadership transfer; returns false if this replica is not the leader, or `target` is not another voter. */
+/** Starts a leadership transfer; returns false if this replica is not the leader, or `target` is not another voter that
+ * stays. */
 bool raft_transfer(struct raft *raft, uint64_t now_ms, uint32_t target);
 
 /** Reports that everything written before this call is durable. */
@@ -297,8 +313,16 @@
  * total, are kept. */
 uint64_t raft_compaction_index(const struct raft *raft, uint64_t entries, size_t bytes);
 
+/** Number of voters; during a replacement, the leaving one is left out. */
 uint32_t raft_voter_count(const struct raft_members *members);
 
+/** Whether a voter is being replaced. */
+bool raft_is_replacing(const struct raft_members *members);
+
+/** Whether the members marked in `present`, by position, contain a quorum; during a replacement, one of both sets of
+ * voters. */
+bool raft_is_quorum(const struct raft_members *members, const bool *present);
+
 /** Whether a leader heard from a quorum of voters, itself included, within the last election timeout. */
 bool raft_quorum_is_active(const struct raft *raft, uint64_t now_ms);
 
@@ -329,9 +353,16 @@
 
 void raft_member_location_from_wire(const Member *wire, struct raft_member_location *location);
 
+/** Removes the member at `position`; the last one takes its place. */
+void raft_members_remove(struct raft_members *members, uint32_t position);
+
 /** Returns -1 if the node is not a member. */
 int raft_member_position(const struct raft_members *members, uint32_t node);
 
+/** During a replacement, both the joining and the leaving member are voters. */
 bool raft_is_voter(const struct raft_members *members, uint32_t node);
 
+/** Whether it is a voter, and not being replaced. */
+bool raft_is_lasting_voter(const struct raft_members *members, uint32_t node);
+
 #endif
--- a/src/core/raft_election.c
+++ b/src/core/raft_election.c
@@ -87,15 +87,6 @@
     raft_notify_role(raft);
 }
 
-static bool raft_has_vote_quorum(const struct raft *raft)
-{
-    uint32_t granted = 0;
-    for (uint32_t i = 0; i < raft->members.count; i++) {
-        granted += raft->votes[i] && !raft->members.learners[i] ? 1 : 0;
-    }
-    return granted > raft_voter_count(&raft->members) / 2;
-}
-
 /* A failed pre-vote is retried after the short election timeout, since pre-votes do not disrupt other replicas; a
  * leader is then elected soon after a quorum of voters is running. */
 void raft_campaign(struct raft *raft, uint64_t now_ms, bool pre_vote, bool forced)
@@ -119,7 +110,7 @@
     if (self >= 0) {
         raft->votes[self] = true;
     }
-    if (raft_has_vote_quorum(raft)) {
+    if (raft_is_quorum(&raft->members, raft->votes)) {
         if (pre_vote) {
             raft_campaign(raft, now_ms, false, forced);
         } else {
@@ -179,7 +170,7 @@
         return;
     }
     raft->votes[position] = true;
-    if (!raft_has_vote_quorum(raft)) {
+    if (!raft_is_quorum(&raft->members, raft->votes)) {
         return;
     }
     if (pre_vote) {
--- a/src/core/raft_internal.h
+++ b/src/core/raft_internal.h
@@ -2,7 +2,8 @@
  * @file raft_internal.h
  * Functions private to the consensus module, shared by its source files.
  *
- *   raft.c              lifecycle, ticks, message dispatch, membership
+ *   raft.c              lifecycle, ticks, message dispatch
+ *   raft_members.c      members, their quorums and changes
  *   raft_log.c          entries in memory
  *   raft_election.c     pre-vote, vote, role changes
  *   raft_replication.c  append, commit, reads
@@ -29,6 +30,13 @@
 void raft_append_in_memory(struct raft *raft, const struct raft_entry *entry);
 void raft_set_members(struct raft *raft, const struct raft_members *members, uint64_t index);
 
+/* raft_members.c */
+/** The sets of voters whose quorums are needed; they are the same unless a voter is being replaced. */
+typedef enum raft_voter_set_t { RAFT_VOTERS_BEFORE, RAFT_VOTERS_AFTER, RAFT_VOTER_SETS } raft_voter_set_t;
+bool raft_votes_in(const struct raft_members *members, uint32_t position, raft_voter_set_t set);
+/** Leader: appends the final members if a replacement is committed and not finished. */
+void raft_finish_replacement(struct raft *raft, uint64_t now_ms);
+
 /* raft_election.c */
 void raft_become_follower(struct raft *raft, uint64_t now_ms, uint64_t term, uint32_t leader);
 void raft_campaign(struct raft *raft, uint64_t now_ms, bool pre_vote, bool forced);
--- a/src/core/raft_replication.c
+++ b/src/core/raft_replication.c
@@ -108,13 +108,12 @@
 
 bool raft_quorum_active_since(const struct raft *raft, uint64_t since_ms)
 {
-    uint32_t heard = 0;
+    bool heard[RAFT_MAX_MEMBERS];
     for (uint32_t i = 0; i < raft->members.count; i++) {
         const struct raft_progress *progress = &raft->progress[i];
-        bool active = progress->node == raft->config.node || progress->last_contact_ms >= since_ms;
-        heard += active && !raft->members.learners[i] ? 1 : 0;
+        heard[i] = progress->node == raft->config.node || progress->last_contact_ms >= since_ms;
     }
-    return heard > raft_voter_count(&raft->members) / 2;
+    return raft_is_quorum(&raft->members, heard);
 }
 
 bool raft_quorum_is_active(const struct raft *raft, uint64_t now_ms)
@@ -147,13 +146,14 @@
     return left < right ? 1 : left > right ? -1 : 0;
 }
 
-/* Highest value that a quorum of voters has reached. */
-static uint64_t raft_quorum_value(const struct raft *raft, uint64_t (*value)(const struct raft *, uint32_t))
+/* Highest value that a quorum of a set of voters has reached. */
+static uint64_t raft_set_quorum_value(const struct raft *raft, raft_voter_set_t set,
+                                      uint64_t (*value)(const struct raft *, uint32_t))
 {
     uint64_t values[RAFT_MAX_MEMBERS];
     uint32_t voters = 0;
     for (uint32_t i = 0; i < raft->members.count; i++) {
-        if (!raft->members.learners[i]) {
+        if (raft_votes_in(&raft->members, i, set)) {
             values[voters++] = value(raft, i);
         }
     }
@@ -164,6 +164,13 @@
     return values[voters / 2];
 }
 
+static uint64_t raft_quorum_value(const struct raft *raft, uint64_t (*value)(const struct raft *, uint32_t))
+{
+    uint64_t before = raft_set_quorum_value(raft, RAFT_VOTERS_BEFORE, value);
+    uint64_t after = raft_set_quorum_value(raft, RAFT_VOTERS_AFTER, value);
+    return before < after ? before : after;
+}
+
 static uint64_t raft_match_of(const struct raft *raft, uint32_t position)
 {
     return raft->progress[position].match;
@@ -299,6 +306,10 @@
         return;
     }
     progress->last_contact_ms = now_ms;
+    if (progress->first_contact_ms == 0) {
+        progress->first_contact_ms = now_ms;
+        progress->first_round = raft->round;
+    }
     if (message->context > progress->acked_round) {
         progress->acked_round = message->context;
         raft_release_reads(raft);
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -367,8 +367,8 @@
     uint64_t match = 0;
     for (uint32_t i = 0; i < raft->members.count; i++) {
         const struct raft_progress *progress = &raft->progress[i];
-        bool candidate = !raft->members.learners[i] && progress->node != replica->config.node &&
-                         raft_member_is_active(raft, i, replica->now_ms);
+        bool candidate = raft_is_lasting_voter(&raft->members, progress->node) &&
+                         progress->node != replica->config.node && raft_member_is_active(raft, i, replica->now_ms);
         if (candidate && (best == RAFT_NO_NODE || progress->match > match)) {
             best = progress->node;
             match = progress->match;
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -129,6 +129,7 @@
     uint64_t installs;        /**< Snapshots received from a leader and installed. */
     uint64_t role_changes;    /**< Role, term or leader changes of any group. */
     uint64_t refused;         /**< Proposals refused because of a memory limit. */
+    uint64_t replacements;    /**< Replacements of a voter by a learner proposed here. */
 };
 
 struct replica {
--- a/src/core/replica_requests.c
+++ b/src/core/replica_requests.c
@@ -224,22 +224,20 @@
         if (!is_member) {
             return false;
         }
-        members->count--;
-        members->nodes[position] = members->nodes[members->count];
-        members->learners[position] = members->learners[members->count];
-        members->locations[position] = members->locations[members->count];
+        raft_members_remove(members, position);
         return true;
     }
     return false;
 }
 
-/* Whether the leader may propose the change now. A leader that removes or demotes itself first transfers the
+/* Whether the leader may propose the change now. A leader that removes, demotes or replaces itself first transfers the
  * leadership. */
 static bool replica_may_change(struct replica *replica, uint32_t group, const struct membership_change *change)
 {
     struct raft *raft = &replica->groups[group].raft;
     bool loses_vote = change->action == MEMBER_REMOVE || change->action == MEMBER_DEMOTE;
-    if (loses_vote && change->node == replica->config.node) {
+    bool is_own = (loses_vote && change->node == replica->config.node) || change->replaces == replica->config.node;
+    if (is_own) {
         raft_transfer(raft, replica->now_ms, replica_best_successor(replica, raft));
         return false;
     }
@@ -281,8 +279,15 @@
 {
     struct raft *raft = &replica->groups[group].raft;
     struct raft_members members = raft->members;
-    bool possible = replica_edit_members(&members, change) && replica_may_change(replica, group, change);
-    return possible && raft_propose_members(raft, replica->now_ms, &members) != 0;
+    if (!replica_edit_members(&members, change) || !replica_may_change(replica, group, change)) {
+        return false;
+    }
+    if (change->replaces == RAFT_NO_NODE) {
+        return raft_propose_members(raft, replica->now_ms, &members) != 0;
+    }
+    bool proposed = raft_propose_replacement(raft, replica->now_ms, change->replaces, change->node) != 0;
+    replica->counters.replacements += proposed ? 1 : 0;
+    return proposed;
 }
 
 static bool replica_has_waiter(const struct replica_waiters *waiters, uint32_t from, uint64_t request_id)
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -160,27 +160,57 @@
     return contact_ms;
 }
 
+static bool replica_is_same_machine(const struct raft_member_location *a, const struct raft_member_location *b)
+{
+    bool same_address = a->ip != 0 && a->ip == b->ip && a->port == b->port;
+    return same_address || (a->name[0] != '\0' && text_equal(a->name, b->name));
+}
+
+/* Whether another node asks to join from the member's machine. */
+static bool replica_is_succeeded_by_join(const struct replica *replica, const struct raft *raft, uint32_t position)
+{
+    for (size_t i = 0; i < REPLICA_MAX_JOINS; i++) {
+        const struct membership_join *join = &replica->joins[i];
+        bool is_other_node = join->node != RAFT_NO_NODE && join->node != raft->members.nodes[position];
+        if (is_other_node && replica_is_same_machine(&raft->members.locations[position], &join->location)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether another member is on the same machine and has been heard since. An earlier leader may have added it: then it
+ * no longer asks to join. */
+static bool replica_is_succeeded_by_member(const struct replica *replica, const struct raft *raft, uint32_t position)
+{
+    uint64_t contact_ms = replica_last_contact_ms(replica, raft, position);
+    bool silent = replica->now_ms >= contact_ms + raft->config.election_timeout_ms;
+    for (uint32_t i = 0; i < raft->members.count && silent; i++) {
+        bool heard_since = i != position && replica_last_contact_ms(replica, raft, i) > contact_ms;
+        if (heard_since && replica_is_same_machine(&raft->members.locations[position], &raft->members.locations[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void replica_describe_members(const struct replica *replica, const struct raft *raft,
                                      struct membership_status *statuses)
 {
     const struct site_state *site = &replica->groups[STATE_CONFIG_GROUP].machine.site;
     for (uint32_t i = 0; i < raft->members.count; i++) {
-        const struct raft_member_location *location = &raft->members.locations[i];
         bool self = raft->members.nodes[i] == replica->config.node;
         uint64_t contact_ms = replica_last_contact_ms(replica, raft, i);
         memset(&statuses[i], 0, sizeof(statuses[i]));
         statuses[i].is_leader = self;
         statuses[i].silent_ms = self || contact_ms >= replica->now_ms ? 0 : replica->now_ms - contact_ms;
+        statuses[i].known_ms = replica->now_ms - raft->progress[i].first_contact_ms;
+        statuses[i].first_round = raft->progress[i].first_round;
+        statuses[i].answered_round = raft->progress[i].acked_round;
         statuses[i].caught_up = self || raft_has_caught_up(raft, raft->members.nodes[i], replica->now_ms);
-        statuses[i].retiring = site_state_is_retiring(site, location->name);
-        for (size_t k = 0; k < REPLICA_MAX_JOINS; k++) {
-            const struct membership_join *join = &replica->joins[k];
-            bool is_other_node = join->node != RAFT_NO_NODE && join->node != raft->members.nodes[i];
-            bool same_address =
-                location->ip != 0 && join->location.ip == location->ip && join->location.port == location->port;
-            bool same_name = location->name[0] != '\0' && text_equal(join->location.name, location->name);
-            statuses[i].replaced = statuses[i].replaced || (is_other_node && (same_address || same_name));
-        }
+        statuses[i].retiring = site_state_is_retiring(site, raft->members.locations[i].name);
+        statuses[i].replaced = replica_is_succeeded_by_join(replica, raft, i) ||
+                               (!self && replica_is_succeeded_by_member(replica, raft, i));
     }
 }
 
@@ -302,7 +332,7 @@
 {
     for (uint32_t group = 0; group < replica->config.groups; group++) {
         struct raft *raft = &replica->groups[group].raft;
-        if (!raft_is_leader(raft) || raft->members_index > raft->commit) {
+        if (!raft_is_leader(raft) || raft->members_index > raft->commit || raft_is_replacing(&raft->members)) {
             continue;
         }
         struct membership_status statuses[RAFT_MAX_MEMBERS];
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -257,6 +257,26 @@
     node_state_changed(node, changes);
 }
 
+/* Node with a flag of struct raft_members; RAFT_NO_NODE: none. */
+static uint32_t host_find_member(const struct raft_members *members, const bool *flags)
+{
+    for (uint32_t i = 0; i < members->count; i++) {
+        if (flags[i]) {
+            return members->nodes[i];
+        }
+    }
+    return RAFT_NO_NODE;
+}
+
+static void host_log_members(const struct replica_group *group)
+{
+    const struct raft_members *members = &group->raft.members;
+    event_log("members_changed", "{s:I,s:I,s:I,s:I,s:I}", "members", (json_int_t)members->count, "voters",
+              (json_int_t)raft_voter_count(members), "leaving", (json_int_t)host_find_member(members, members->leaving),
+              "joining", (json_int_t)host_find_member(members, members->joining), "index",
+              (json_int_t)group->raft.members_index);
+}
+
 /* Copies the applied state to node->state, from which watchers are updated. */
 static struct watch_changes host_publish_state(struct state_host *host)
 {
@@ -281,8 +301,7 @@
         state->members_index = members_index;
         state->members = group->raft.members;
         changes.members = true;
-        event_log("members_changed", "{s:I,s:I,s:I}", "members", (json_int_t)state->members.count, "voters",
-                  (json_int_t)raft_voter_count(&state->members), "index", (json_int_t)group->raft.members_index);
+        host_log_members(group);
     }
     return changes;
 }
@@ -321,6 +340,12 @@
     metrics_write_gauge(out, "raft_commit_index", "Highest committed entry.", group->raft.commit);
     metrics_write_gauge(out, "raft_members", "Voters and learners.", group->raft.members.count);
     metrics_write_gauge(out, "raft_voters", "Voters.", raft_voter_count(&group->raft.members));
+    metrics_write_gauge(out, "raft_voting", "Whether this replica is a voter, and stays one.",
+                        raft_is_lasting_voter(&group->raft.members, host->identity.node) ? 1 : 0);
+    metrics_write_gauge(out, "raft_replacing", "Whether a voter is being replaced.",
+                        raft_is_replacing(&group->raft.members) ? 1 : 0);
+    metrics_write_counter(out, "raft_replacements_total", "Replacements of a voter begun here.",
+                          counters->replacements);
     metrics_write_counter(out, "raft_proposals_total", "Entries proposed here.", counters->proposals);
     metrics_write_counter(out, "raft_syncs_total", "Syncs of the log.", counters->syncs);
     metrics_write_counter(out, "raft_synced_bytes_total", "Bytes written to the log.", counters->written_bytes);
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -27,29 +27,29 @@
 };
 
 enum site_mode {
-    SITE_NORMAL,      /**< Complete, signed response. */
+    SITE_NORMAL,         /**< Complete, signed response. */
     SITE_REFUSE,      /**< 503 with Bankbank-Not-Executed. */
     SITE_REFUSE_LATE, /**< Refuses one request with its id; sends a copy of that refusal on the same connection after it
                          has run the next request there. Otherwise as SITE_NORMAL. */
-    SITE_MISDIRECTED, /**< 421 with the id of another instance. */
-    SITE_CUT,         /**< Runs the request, then closes without a response. */
-    SITE_CUT_MIDWAY,  /**< Runs the request, and closes in the middle of the response. */
-    SITE_STALL,       /**< Streams two events, then nothing; the connection stays open. */
-    SITE_CUT_IN_EVENT,   /**< Closes within the second event; a resumed stream is complete. */
-    SITE_NO_EVENT_IDS,   /**< Streams events without ids, and closes after the second event. */
-    SITE_PAUSED,         /**< Streams two events, pauses for two seconds, and completes the stream. */
-    SITE_PACED,          /**< Complete response with a delay before each chunk. */
-    SITE_WRONG_ID,       /**< Responds with the id of another request. */
-    SITE_UNSIGNED,       /**< Success without a signature. */
-    SITE_ENCODED,        /**< Response with Content-Encoding: gzip. */
-    SITE_TRAILING_BYTES, /**< Complete response followed by further bytes. */
-    SITE_SILENT,         /**< Runs the request; does not respond within SITE_TIMEOUT_MS. */
-    SITE_SLOW,           /**< Responds after a second. */
-    SITE_LONG,           /**< Streams SITE_LONG_EVENTS events of more than a KiB each. */
-    SITE_ABORT_UNREAD,   /**< Like SITE_LONG; resets a stream that stays unread, unless it was resumed. */
-    SITE_LARGE,          /**< Complete response of SITE_LARGE_BYTES. */
-    SITE_NO_LENGTH,      /**< Complete response that ends when the connection closes. */
-    SITE_RESET           /**< Part of a response without a length, then a connection reset. */
+    SITE_MISDIRECTED,         /**< 421 with the id of another instance. */
+    SITE_CUT,                 /**< Runs the request, then closes without a response. */
+    SITE_CUT_MIDWAY,          /**< Runs the request, and closes in the middle of the response. */
+    SITE_STALL,               /**< Streams two events, then nothing; the connection stays open. */
+    SITE_CUT_IN_EVENT,        /**< Closes within the second event; a resumed stream is complete. */
+    SITE_NO_EVENT_IDS,        /**< Streams events without ids, and closes after the second event. */
+    SITE_PAUSED,              /**< Streams two events, pauses for two seconds, and completes the stream. */
+    SITE_PACED,               /**< Complete response with a delay before each chunk. */
+    SITE_WRONG_ID,            /**< Responds with the id of another request. */
+    SITE_UNSIGNED,            /**< Success without a signature. */
+    SITE_ENCODED,             /**< Response with Content-Encoding: gzip. */
+    SITE_TRAILING_BYTES,      /**< Complete response followed by further bytes. */
+    SITE_SILENT,              /**< Runs the request; does not respond within SITE_TIMEOUT_MS. */
+    SITE_SLOW,                /**< Responds after a second. */
+    SITE_LONG,                /**< Streams SITE_LONG_EVENTS events of more than a KiB each. */
+    SITE_ABORT_UNREAD,        /**< Like SITE_LONG; resets a stream that stays unread, unless it was resumed. */
+    SITE_LARGE,               /**< Complete response of SITE_LARGE_BYTES. */
+    SITE_NO_LENGTH,           /**< Complete response that ends when the connection closes. */
+    SITE_RESET                /**< Part of a response without a length, then a connection reset. */
 };
 
 /** Header of a request that a server in SITE_NORMAL runs as in SITE_PACED. */
@@ -143,6 +143,10 @@
 /** The daemon must be stopped. */
 void site_remove_data(int daemon);
 
+/** Removes the data of a stopped state replica, and makes it start next time on another machine: with another address
+ * and name. */
+void site_move_replica(int daemon);
+
 /** Sets the mode of a server, or of all (-1); resets its run count and the count of cancellations. */
 void site_set_mode(int server, enum site_mode mode);
 
--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -428,6 +428,9 @@
 
 static bool replica_has_rejoined(void *context)
 {
+    if (site_metric(*(int *)context, "raft_voting") != 1) {
+        return false;
+    }
     for (int i = 0; i < SITE_REPLICAS; i++) {
         if (site_metric(i, "raft_leading") == 1 && site_metric(i, "raft_members") == SITE_REPLICAS &&
             site_metric(i, "raft_voters") == SITE_REPLICAS) {
