Refusals: one that names no request is believed only on a new connection

What callers saw: a request that must run once ran twice, or was answered 503 though it ran, where a server sends the second copy of a refusal late and without an id.

Cause: a response that is no success was accepted without an id, whatever the connection had carried before. The class is that of: a claim is acted on before it is known which request it is about.

Change: a response without an id is certain only if it is the first of its connection; otherwise the attempt ends as unknown, and the connection. A connection that carried such a response is closed after it. A request that is sent again avoids connections that carried it among their last eight exchanges, not only the last one. A page of the machine list, which names no request either, is fetched on a connection of its own.

--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -195,7 +195,7 @@
     http_reader_reset(&connection->reader);
     exchange->connection = connection;
     exchange->sent = true;
-    connection->last_key = exchange->key;
+    connection->recent_keys[connection->exchange_count++ % UPSTREAM_RECENT_KEYS] = exchange->key;
     connection->last_activity_ms = uv_now(connection->pool->loop);
     uv_buf_t part = uv_buf_init((char *)request.data, (unsigned)request.length);
     int written = uv_try_write((uv_stream_t *)&connection->socket, &part, 1);
@@ -289,7 +289,16 @@
     return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-/* Leaves out connections whose last exchange had the same key; NULL: no other one is idle. */
+static bool upstream_has_carried(const struct upstream_connection *connection, uint64_t key)
+{
+    bool carried = false;
+    for (int i = 0; i < UPSTREAM_RECENT_KEYS && key != 0; i++) {
+        carried = carried || connection->recent_keys[i] == key;
+    }
+    return carried;
+}
+
+/* Leaves out connections that have recently carried an exchange with the same key; NULL: no other one is idle. */
 static struct upstream_connection *upstream_take_idle(struct upstream_pool *pool, struct upstream_server *server,
                                                       uint64_t key)
 {
@@ -301,7 +310,7 @@
             now_ms < connection->state_since_ms + connection->idle_timeout_ms && upstream_is_reusable(connection);
         if (!usable) {
             upstream_connection_close(connection);
-        } else if (key == 0 || connection->last_key != key) {
+        } else if (!upstream_has_carried(connection, key)) {
             upstream_unlink_idle(connection);
             return connection;
         }
@@ -325,7 +334,7 @@
     }
     bool full = pool->max_connections != 0 && server->open >= pool->max_connections;
     if (full && server->idle != NULL) {
-        upstream_connection_close(server->idle); /* it last carried the same request */
+        upstream_connection_close(server->idle); /* it has carried the same request */
         full = false;
     }
     if (!full) {
@@ -389,6 +398,16 @@
     return exchange;
 }
 
+bool upstream_is_first_exchange(const struct upstream_exchange *exchange)
+{
+    return exchange->connection != NULL && exchange->connection->exchange_count == 1;
+}
+
+void upstream_close_after_response(struct upstream_exchange *exchange)
+{
+    exchange->connection->close_after = true;
+}
+
 void upstream_probe(struct upstream_pool *pool, const struct address *address)
 {
     struct upstream_connection *connection = upstream_connect(pool, upstream_get_server(pool, address), NULL);
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -9,7 +9,8 @@
  * response, and is closed well before the server would close it.
  *
  * A response that arrives twice can be told from the next one only by the request that it names. Exchanges with the
- * same key, the attempts at one request, are therefore not sent one after the other on the same connection.
+ * same key, the attempts at one request, are therefore not sent on a connection that has recently carried another one
+ * of them, and a response that names no request is certain to answer the first request of its connection only.
  *
  * An exchange may wait until its connection is established, or, if its server has
  * `max_connections` already, until one becomes idle or closes. Its request is
@@ -34,6 +35,7 @@
     UPSTREAM_PROBE_MS = 50,        /**< Connect timeout of a probe. */
     UPSTREAM_IDLE_MS = 4000,       /**< Idle timeout if the server sends no Keep-Alive header. */
     UPSTREAM_IDLE_MARGIN_MS = 700, /**< Idle connections are closed this long before the server's timeout. */
+    UPSTREAM_RECENT_KEYS = 8,      /**< Exchanges of a connection whose keys are remembered. */
     UPSTREAM_MAX_HEAD_BYTES = 64 << 10,
     UPSTREAM_MAX_BODY_BYTES = 64 << 20
 };
@@ -126,6 +128,12 @@
 struct upstream_exchange *upstream_start(struct upstream_pool *pool, const struct address *address, uint64_t key,
                                          bool head_request, const struct upstream_events *events, void *owner);
 
+/** Whether no other request was sent before on the connection of an exchange that was sent. */
+bool upstream_is_first_exchange(const struct upstream_exchange *exchange);
+
+/** Closes the connection after the response whose head was received. */
+void upstream_close_after_response(struct upstream_exchange *exchange);
+
 /** Tests whether the server is reachable: opens a connection, which becomes idle, and calls `probed` later. */
 void upstream_probe(struct upstream_pool *pool, const struct address *address);
 
--- a/src/net/upstream_internal.h
+++ b/src/net/upstream_internal.h
@@ -21,14 +21,15 @@
     struct upstream_exchange *exchange; /* may be NULL */
     enum upstream_state state;
     struct http_reader reader;
-    uint64_t state_since_ms;   /* start of connecting or of the idle period */
-    uint64_t idle_timeout_ms;  /* from the server's Keep-Alive header, else UPSTREAM_IDLE_MS; 0: not reused */
-    uint64_t last_key;         /* key of the last exchange */
-    bool request_written;      /* completely */
-    bool close_after;          /* close after the current response */
-    bool probe;                /* opened by upstream_probe(), which has no result yet */
-    bool keepalive;            /* the keepalive is started */
-    uint64_t last_activity_ms; /* last time that bytes arrived or a request was sent */
+    uint64_t state_since_ms;  /* start of connecting or of the idle period */
+    uint64_t idle_timeout_ms; /* from the server's Keep-Alive header, else UPSTREAM_IDLE_MS; 0: not reused */
+    uint64_t recent_keys[UPSTREAM_RECENT_KEYS]; /* of the last exchanges; a ring */
+    uint64_t exchange_count;                    /* requests sent so far */
+    bool request_written;                       /* completely */
+    bool close_after;                           /* close after the current response */
+    bool probe;                                 /* opened by upstream_probe(), which has no result yet */
+    bool keepalive;                             /* the keepalive is started */
+    uint64_t last_activity_ms;                  /* last time that bytes arrived or a request was sent */
     struct upstream_connection *next_idle;
     struct upstream_connection *previous;
     struct upstream_connection *next;
--- a/src/proxy/forward_response.c
+++ b/src/proxy/forward_response.c
@@ -27,12 +27,17 @@
     return id.length == strlen(forward->id) && memcmp(id.data, forward->id, id.length) == 0;
 }
 
-/* A refusal need not carry an id, a success must. */
-static bool forward_is_other_response(const struct forward *forward, const struct http_reader *response)
+/* NULL: it is the response to this request. A success must name the request. Any other response may lack its id, but
+ * may then be a copy of an earlier one: it is certain only if it is the first of its connection. */
+static const char *forward_mismatch(const struct forward_attempt *attempt, const struct http_reader *response)
 {
-    bool success = response->status < FORWARD_FIRST_NON_SUCCESS;
+    const struct forward *forward = attempt->forward;
     bool has_id = forward_response_header(forward, response, DIALECT_REQUEST_ID).length > 0;
-    return (has_id || success) && !forward_id_matches(forward, response);
+    if (has_id) {
+        return forward_id_matches(forward, response) ? NULL : "an answer to another request";
+    }
+    bool certain = response->status >= FORWARD_FIRST_NON_SUCCESS && upstream_is_first_exchange(attempt->exchange);
+    return certain ? NULL : "an answer that names no request";
 }
 
 /* NULL: the response to this request is valid. A success must carry the server's signature. */
@@ -82,11 +87,16 @@
     attempt->status = response->status;
     reach_record_response(&attempt->server->reach, node_now(forward->frontend->node) - attempt->sent_ms);
     forward_record_received(attempt);
-    if (forward_is_other_response(forward, response)) {
+    const char *mismatch = forward_mismatch(attempt, response);
+    if (mismatch != NULL) {
         forward->frontend->counters.mismatched++;
-        forward_attempt_outcome_unknown(attempt, "an answer to another request");
+        forward_attempt_outcome_unknown(attempt, mismatch);
         return;
     }
+    if (forward_response_header(forward, response, DIALECT_REQUEST_ID).length == 0) {
+        forward->frontend->counters.unnamed++;
+        upstream_close_after_response(attempt->exchange); /* a copy of it would not name its request either */
+    }
     if (forward_is_not_run(forward, response)) {
         attempt->refused = true;
         return;
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -410,7 +410,9 @@
                           counters->unrecorded_streams);
     metrics_write_counter(out, "hedges_total", "Second servers asked for want of an answer.", counters->hedges);
     metrics_write_counter(out, "pauses_total", "Streams held back for a slow caller.", counters->pauses);
-    metrics_write_counter(out, "crossed_total", "Answers to other requests, dropped.", counters->mismatched);
+    metrics_write_counter(out, "crossed_total", "Answers to other requests, or to none by name, dropped.",
+                          counters->mismatched);
+    metrics_write_counter(out, "unnamed_total", "Answers that name no request, accepted.", counters->unnamed);
     metrics_write_counter(out, "budget_refusals_total", "Turns refused for the budget.", counters->budget_refusals);
     metrics_write_counter(out, "conversation_hits_total", "Conversations found near.", counters->cache_hits);
     metrics_write_counter(out, "conversation_misses_total", "Conversations fetched.", counters->cache_misses);
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -38,7 +38,8 @@
     uint64_t remote_sends;        /**< Requests written to servers in another zone. */
     uint64_t remote_bytes;        /**< Bytes of these requests, heads included. */
     uint64_t server_refusals;     /**< Attempts that a server refused without running them. */
-    uint64_t mismatched;          /**< Responses dropped for another request's id, or successes without an id. */
+    uint64_t mismatched;          /**< Responses dropped since they name another request, or none. */
+    uint64_t unnamed;             /**< Responses without an id that were accepted. */
     uint64_t key_refusals;        /**< Requests without a known API key. */
     uint64_t quota_refusals;      /**< Requests over the rate limit of their tenant. */
     uint64_t budget_refusals;     /**< Turns over the token budget of their program. */
--- a/src/proxy/machine_reader.c
+++ b/src/proxy/machine_reader.c
@@ -55,6 +55,7 @@
 {
     struct machine_reader *reader = owner;
     reader->status = response->status;
+    upstream_close_after_response(reader->exchange); /* a page does not tell which request it answers */
 }
 
 static void machine_on_body(void *owner, struct view chunk)
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -28,9 +28,11 @@
 
 enum site_mode {
     SITE_NORMAL,         /**< Complete, signed response. */
-    SITE_REFUSE,      /**< 503 with Bankbank-Not-Executed. */
+    SITE_REFUSE,         /**< 503 with Bankbank-Not-Executed and the request's id. */
+    SITE_REFUSE_UNNAMED, /**< The same without the id. */
     SITE_REFUSE_LATE, /**< Refuses one request with its id; sends a copy of that refusal on the same connection after it
                          has run the next request there. Otherwise as SITE_NORMAL. */
+    SITE_REFUSE_LATE_UNNAMED, /**< The same, with a copy that lacks the id. */
     SITE_MISDIRECTED,         /**< 421 with the id of another instance. */
     SITE_CUT,                 /**< Runs the request, then closes without a response. */
     SITE_CUT_MIDWAY,          /**< Runs the request, and closes in the middle of the response. */
@@ -207,7 +209,7 @@
 /** Number of requests that a server, or all (-1), ran since its mode was set. */
 int site_run_count(int server);
 
-/** Whether a server in SITE_REFUSE_LATE has refused a request. */
+/** Whether a server in SITE_REFUSE_LATE or SITE_REFUSE_LATE_UNNAMED has refused a request. */
 bool site_has_refused(int server);
 
 /** Number of exits of servers because of SITE_EXIT_HEADER since the modes were set. */
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -48,7 +48,7 @@
     int instance; /* number of replacements */
     int runs;
     int exits;    /* since the mode was set */
-    bool refused; /* since the mode was set, in SITE_REFUSE_LATE */
+    bool refused; /* since the mode was set, in SITE_REFUSE_LATE or SITE_REFUSE_LATE_UNNAMED */
     bool not_accepting;
     int pending[SITE_PENDING_CONNECTIONS]; /* connections that fill the backlog while none is accepted */
     int connections[SITE_MAX_CONNECTIONS]; /* sockets of open connections; 0: free entry */
@@ -230,31 +230,56 @@
     }
 }
 
+/* `id`: empty: without a request id. */
 static void site_send_refusal(int fd, const char *id)
+{
+    struct buffer out = {0};
+    buffer_append_text(&out, "HTTP/1.1 503 No\r\nBankbank-Not-Executed: 1\r\nContent-Length: 0\r\n");
+    if (id[0] != '\0') {
+        buffer_printf(&out, "Bankbank-Request-Id: %s\r\n", id);
+    }
+    buffer_append_text(&out, "\r\n");
+    site_send(fd, buffer_text(&out), out.length);
+    buffer_close(&out);
+}
+
+static void site_send_misdirected(int fd, const char *id)
 {
     struct buffer out = {0};
     buffer_printf(&out,
-                  "HTTP/1.1 503 No\r\nBankbank-Not-Executed: 1\r\nBankbank-Request-Id: %s\r\n"
+                  "HTTP/1.1 421 No\r\nBankbank-Instance-Id: other\r\nBankbank-Request-Id: %s\r\n"
                   "Content-Length: 0\r\n\r\n",
                   id);
     site_send(fd, buffer_text(&out), out.length);
     buffer_close(&out);
 }
 
-/* For SITE_REFUSE_LATE; `refused_id` is the request that was refused on this connection, or empty. */
+/* Call with the lock held. `refused_id` is the request that was refused on this connection, or empty. */
 static enum site_mode site_refuse_late(struct site_server *server, const char *refused_id)
 {
+    enum site_mode mode = server->mode;
+    if (mode != SITE_REFUSE_LATE && mode != SITE_REFUSE_LATE_UNNAMED) {
+        return mode;
+    }
     if (server->refused || refused_id[0] != '\0') {
         return SITE_NORMAL;
     }
     server->refused = true;
-    return SITE_REFUSE_LATE;
+    return mode;
+}
+
+static bool site_executes(enum site_mode mode)
+{
+    bool refuses = mode == SITE_REFUSE || mode == SITE_REFUSE_UNNAMED || mode == SITE_REFUSE_LATE ||
+                   mode == SITE_REFUSE_LATE_UNNAMED;
+    return !refuses && mode != SITE_MISDIRECTED;
 }
 
 /* Reads and serves one request; false: the connection is to be closed. */
 static bool site_serve_request(int fd, struct site_server *server)
 {
     static _Thread_local char refused_id[64]; /* a thread serves one connection */
+    static _Thread_local bool copy_is_unnamed;
     struct http_reader reader;
     struct buffer body = {0};
     bool keep_open = false;
@@ -280,9 +305,8 @@
     bool other_expected =
         site_events_have_version && expected.length > 0 &&
         (expected.length != strlen(instance_id) || memcmp(expected.data, instance_id, expected.length) != 0);
-    enum site_mode mode = other_expected ? SITE_MISDIRECTED : server->mode;
-    mode = mode == SITE_REFUSE_LATE ? site_refuse_late(server, refused_id) : mode;
-    bool executes = mode != SITE_REFUSE && mode != SITE_REFUSE_LATE && mode != SITE_MISDIRECTED;
+    enum site_mode mode = other_expected ? SITE_MISDIRECTED : site_refuse_late(server, refused_id);
+    bool executes = site_executes(mode);
     server->runs += executes ? 1 : 0;
     if (executes) {
         free(site_last_request_body);
@@ -304,24 +328,19 @@
     }
     keep_open = true;
     if (executes && refused_id[0] != '\0') {
-        site_send_refusal(fd, refused_id);
+        site_send_refusal(fd, copy_is_unnamed ? "" : refused_id);
         refused_id[0] = '\0';
     }
     switch (mode) {
     case SITE_REFUSE_LATE:
+    case SITE_REFUSE_LATE_UNNAMED:
         site_send_refusal(fd, id);
         memcpy(refused_id, id, sizeof(refused_id));
+        copy_is_unnamed = mode == SITE_REFUSE_LATE_UNNAMED;
         break;
-    case SITE_REFUSE: {
-        static const char refused[] = "HTTP/1.1 503 No\r\nBankbank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-        site_send(fd, refused, sizeof(refused) - 1);
-        break;
-    }
-    case SITE_MISDIRECTED: {
-        static const char misdirected[] = "HTTP/1.1 421 No\r\nBankbank-Instance-Id: other\r\nContent-Length: 0\r\n\r\n";
-        site_send(fd, misdirected, sizeof(misdirected) - 1);
-        break;
-    }
+    case SITE_REFUSE: site_send_refusal(fd, id); break;
+    case SITE_REFUSE_UNNAMED: site_send_refusal(fd, ""); break;
+    case SITE_MISDIRECTED: site_send_misdirected(fd, id); break;
     case SITE_CUT: keep_open = false; break;
     case SITE_SILENT:
     case SITE_SLOW:
--- a/tests/scripted/run_machine_reader.c
+++ b/tests/scripted/run_machine_reader.c
@@ -1,5 +1,6 @@
 /* Fetches of the platform's machine list, page by page:
  *   response IDS NEXT       queues a page with these servers (a,b or -) and the next page's token, or -
+ *   response IDS NEXT twice the same; a second copy answers the next request of the connection, if there is one
  *   response IDS truncated  the same, truncated
  *   response status NUMBER  queues a response with another status and no page
  *   tick MS [unwanted]      runs machine_reader_tick() and its requests; prints them, and the list once complete;
@@ -23,6 +24,7 @@
 static struct upstream_pool pool;
 static struct machine_reader reader;
 static struct buffer responses[MAX_RESPONSES];
+static bool sent_twice[MAX_RESPONSES];
 static int response_count;
 static int sent_count;
 static char receive_buffer[RECEIVE_BYTES];
@@ -34,10 +36,18 @@
     free(handle);
 }
 
+static void on_request(uv_stream_t *stream, ssize_t got, const uv_buf_t *text);
+static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *out);
+
+/* A connection whose response is sent twice has a copy of it in `data` and stays open. */
 static void on_written(uv_write_t *write, int status)
 {
     (void)status;
-    uv_close((uv_handle_t *)write->handle, on_closed);
+    if (write->handle->data != NULL) {
+        uv_read_start(write->handle, on_allocate, on_request);
+    } else {
+        uv_close((uv_handle_t *)write->handle, on_closed);
+    }
     free(write);
 }
 
@@ -50,6 +60,9 @@
 
 static void on_request(uv_stream_t *stream, ssize_t got, const uv_buf_t *text)
 {
+    if (got < 0 && stream->data != NULL) {
+        uv_close((uv_handle_t *)stream, on_closed);
+    }
     if (got <= 0) {
         return;
     }
@@ -57,8 +70,11 @@
     script_print("requested %.*s\n", target, text->base + 4);
     uv_read_stop(stream);
     uv_write_t *write = memory_new(sizeof(*write));
-    uv_buf_t response = uv_buf_init((char *)responses[sent_count].data, (unsigned)responses[sent_count].length);
-    sent_count++;
+    struct buffer *content = stream->data != NULL ? stream->data : &responses[sent_count];
+    uv_buf_t response = uv_buf_init((char *)content->data, (unsigned)content->length);
+    bool is_copy = stream->data != NULL;
+    stream->data = !is_copy && sent_twice[sent_count] ? content : NULL;
+    sent_count += is_copy ? 0 : 1;
     uv_write(write, stream, &response, 1, on_written);
 }
 
@@ -67,6 +83,7 @@
     uv_tcp_t *client = memory_new(sizeof(*client));
     (void)status;
     uv_tcp_init(&loop, client);
+    client->data = NULL;
     uv_accept(from, (uv_stream_t *)client);
     uv_read_start((uv_stream_t *)client, on_allocate, on_request);
 }
@@ -97,8 +114,9 @@
     if (page && strcmp(next, "truncated") != 0) {
         buffer_printf(&body, strcmp(next, "-") == 0 ? "],\"next-token\":null}" : "],\"next-token\":\"%s\"}", next);
     }
-    buffer_printf(out, "HTTP/1.1 %s No\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n%s", page ? "200" : next,
-                  body.length, buffer_text(&body));
+    sent_twice[response_count - 1] = script_is(command, 3, "twice");
+    buffer_printf(out, "HTTP/1.1 %s No\r\nContent-Length: %zu\r\n%s\r\n%s", page ? "200" : next, body.length,
+                  sent_twice[response_count - 1] ? "" : "Connection: close\r\n", buffer_text(&body));
     buffer_close(&body);
 }
 
