Resume: a draining server that breaks off a stream has not ended

Cause: server_is_gone() counted a draining server as gone, so that a stream that it broke off went on elsewhere and did not count it for max-attempts, while it may still have run there. The class: an announcement is taken for the event.

Change: server_has_ended() needs evidence: the list no longer has the server, or has another incarnation or address for it, its address refuses connections, or its machine is dead. If the route allows no other server, the stream goes on at the draining one while that may get such requests. Later it is dialled without being sent anything: if the address refuses, the stream moves; otherwise it ends.

--- a/src/core/resume.h
+++ b/src/core/resume.h
@@ -4,9 +4,11 @@
  *
  * A stream is resumed after the last event that was forwarded to the caller, by
  * the id of that event. The same server is tried first: it has the prompt cached
- * and does not count as another server. If it has ended, is leaving or is dead, its
- * run of the stream has ended or ends soon, and another server is used. If it is
- * unreachable (reach.h), another server is used if the route allows one. In a
+ * and does not count as another server. If it has ended or is dead, it no longer
+ * runs the stream, and another server is used. If it is leaving or unreachable
+ * (reach.h), another server is used if the route allows one; otherwise the stream
+ * continues at a leaving server while that may get such requests, and moves only once
+ * the server's address refuses connections or the list no longer has it. In a
  * drained zone the run may continue: another server is used if the route allows
  * one, and otherwise the stream ends. If no other server is allowed and this one is
  * full, the stream waits like a queued request (queue_policy.h) and ends if the
@@ -38,7 +40,8 @@
 /** An interrupted stream. */
 typedef struct resume_stream_t {
     bool resumable;   /**< Allowed by the route. */
-    bool server_gone; /**< The server is gone (server_is_gone()), or unreachable and the route allows another one. */
+    bool server_gone; /**< The server has ended (server_has_ended()), or it is leaving or unreachable and the route
+                           allows another one. */
     bool server_zone_drained;
     uint32_t resumes;      /**< So far. */
     uint32_t servers_used; /**< Servers that may have run it. */
--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -321,9 +321,10 @@
     return server_is_leaving(server) || server->zone_drained;
 }
 
-bool server_is_gone(const struct server *server)
+bool server_has_ended(const struct server *server)
 {
-    return server_is_leaving(server) || server->not_listening || reach_is_dead(&server->reach);
+    return server->replaced || !server->listed || server->address_reused || server->not_listening ||
+           reach_is_dead(&server->reach);
 }
 
 uint32_t server_total_in_flight(const struct server_table *table, const struct server *server, uint64_t now_ms)
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -219,11 +219,12 @@
 /** NULL if no server is eligible. */
 struct server *server_table_choose(struct server_table *table, uint64_t now_ms, const struct server_criteria *criteria);
 
-/**
- * Whether a server is leaving (as is a replaced incarnation), is `not_listening` or is dead (reach.h): it no longer
- * counts for `max_attempts` of a route.
- */
-bool server_is_gone(const struct server *server);
+/** Whether a server no longer counts for `max_attempts` of a route: it is off the list, replaced, `not_listening` or
+ * dead (reach.h), or its address belongs to another one. A draining server still runs its requests. */
+bool server_has_ended(const struct server *server);
+
+/** Whether the list has reported that a server leaves, or server_has_ended() for a reason known from the list. */
+bool server_is_leaving(const struct server *server);
 
 /** Whether a service has a server that accepts requests in an allowed region; ignores the service in `criteria`. */
 bool server_table_has_available(const struct server_table *table, uint64_t now_ms, const char *service,
--- a/src/core/server_table_internal.h
+++ b/src/core/server_table_internal.h
@@ -11,7 +11,6 @@
 #include "core/server_table.h"
 
 /** Whether a server is draining, is not on the list, or its address is used by another one. */
-bool server_is_leaving(const struct server *server);
 
 /** In-flight requests of all gateways; without the others if their loads have expired. */
 uint32_t server_total_in_flight(const struct server_table *table, const struct server *server, uint64_t now_ms);
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -22,7 +22,9 @@
     uint64_t now_ms = node_now(forward->frontend->node);
     return (resume_stream_t){
         .resumable = forward_is_resumable(forward),
-        .server_gone = server_is_gone(server) || (server->reach.unreachable && forward_may_use_another_server(forward)),
+        .server_gone =
+            server_has_ended(server) ||
+            ((server_is_leaving(server) || server->reach.unreachable) && forward_may_use_another_server(forward)),
         .server_zone_drained = server->zone_drained,
         .resumes = forward->stream.resumes,
         .servers_used = forward->criteria.tried_count,
@@ -63,7 +65,7 @@
         return NULL;
     }
     struct server *server = server_table_find_incarnation(&forward->frontend->servers, forward->bound_incarnation);
-    if (server == NULL || server_is_gone(server)) {
+    if (server == NULL || server_has_ended(server)) {
         forward_bind_to_server(forward, NULL);
         return NULL;
     }
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -188,6 +188,9 @@
 /** Drops packets to the closed port, as a packet filter does, or lets it refuse connections again. */
 void site_filter_closed_port(bool filtered);
 
+/** Closes a server's current connections; it goes on and accepts new ones. */
+void site_close_connections(int server);
+
 /** Permanently drops all packets to a server's current connections; new connections work. */
 void site_drop_connection_traffic(int server);
 
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -243,6 +243,13 @@
     buffer_close(&out);
 }
 
+void site_close_connections(int server)
+{
+    pthread_mutex_lock(&site_lock);
+    site_shut_down_connections(&site_servers[server], -1);
+    pthread_mutex_unlock(&site_lock);
+}
+
 static void site_send_misdirected(int fd, const char *id)
 {
     struct buffer out = {0};
--- a/tests/integration/test_leaving_stream.c
+++ b/tests/integration/test_leaving_stream.c
@@ -15,7 +15,7 @@
 #include "site.h"
 #include "site_internal.h"
 
-enum { GATEWAY = SITE_REPLICAS, POLL_US = 500, POLLS = 6000, ONE_PROBE_US = 80000 };
+enum { GATEWAY = SITE_REPLICAS, POLL_US = 500, POLLS = 6000, ONE_PROBE_US = 80000, LIST_US = 400000 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static char observed_id[32];
@@ -148,6 +148,11 @@
 {
 }
 
+static void restore_draining(void)
+{
+    site_set_draining(first_server, false);
+}
+
 START_TEST(a_stream_stays_behind_a_packet_filter)
 {
     site_filter_closed_port(true);
@@ -179,6 +184,45 @@
 }
 END_TEST
 
+/* Starts a stream, and breaks it off once its server drains and would serve it. */
+static pthread_t break_off_while_draining(const char *id)
+{
+    pthread_t thread = start_stream(id, SITE_STALL);
+    site_set_draining(first_server, true);
+    clock_sleep_us(LIST_US);
+    site_set_mode(-1, SITE_NORMAL);
+    site_close_connections(first_server);
+    return thread;
+}
+
+/* Guards against a draining server that is taken for one that has ended: the stream ran on two servers that were both
+ * alive. */
+START_TEST(a_stream_resumes_at_a_draining_server_that_broke_it_off)
+{
+    pthread_t thread = break_off_while_draining("broken-off");
+    expect_one_server(thread, restore_draining);
+}
+END_TEST
+
+static void start_with_short_drain(void)
+{
+    site_set_server_drain_ms(0);
+    site_start();
+    site_set_server_drain_ms(SITE_SERVER_DRAIN_MS);
+}
+
+/* The server gets no requests any more, but its address still accepts connections. */
+START_TEST(a_stream_ends_at_a_draining_server_that_gets_no_requests)
+{
+    pthread_t thread = break_off_while_draining("not-resumed");
+    pthread_join(thread, NULL);
+    restore_draining();
+    ck_assert(!response_complete);
+    ck_assert_int_eq(count_servers(), 1);
+    ck_assert_int_eq(site_run_count(-1), 0);
+}
+END_TEST
+
 static void start_without_closed_port(void)
 {
     site_hides_closed_port = true;
@@ -218,7 +262,13 @@
     tcase_add_test(tests, a_stream_stays_behind_a_packet_filter);
     tcase_add_test(tests, a_stream_stays_when_one_more_packet_is_lost);
     tcase_add_test(tests, a_stream_with_a_silent_connection_resumes_at_its_server);
+    tcase_add_test(tests, a_stream_resumes_at_a_draining_server_that_broke_it_off);
     suite_add_tcase(suite, tests);
+    TCase *short_drain = tcase_create("one site, draining servers get no requests");
+    tcase_set_timeout(short_drain, 60);
+    tcase_add_checked_fixture(short_drain, start_with_short_drain, site_stop);
+    tcase_add_test(short_drain, a_stream_ends_at_a_draining_server_that_gets_no_requests);
+    suite_add_tcase(suite, short_drain);
     TCase *without_port = tcase_create("one site, no closed port");
     tcase_set_timeout(without_port, 60);
     tcase_add_checked_fixture(without_port, start_without_closed_port, site_stop);
--- a/tests/scripted/run_zones.c
+++ b/tests/scripted/run_zones.c
@@ -196,7 +196,7 @@
     const struct server *server = server_table_find_incarnation(&servers, id);
     resume_stream_t stream = {
         .resumable = true,
-        .server_gone = server_is_gone(server),
+        .server_gone = server_has_ended(server),
         .server_zone_drained = server->zone_drained,
         .servers_used = 1,
         .max_attempts = 1,
