Forwarding: all sends of a request have one bound, and a backoff

Cause: FORWARD_MAX_SENDS was checked where a request is retried, not where it is sent, and not if an earlier attempt may have run and the last one certainly did not; a stream was resumed at once, however often its server broke it off before any event.

Change: forward_may_send_again() is checked before each send: placement, hedging and resumption.

Result: integration_test_leaving_stream, two new cases.

--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -22,8 +22,7 @@
 enum {
     FORWARD_MAX_PARALLEL = 2,     /**< Maximum concurrent attempts of one request. */
     FORWARD_HEDGE_DELAY_MS = 150, /**< Minimum time from routing to a second server, if no response is complete. */
-    FORWARD_MAX_SENDS = 8, /**< Attempts, refused ones included, after which there is no retry. Not enforced if the last
-                              attempt certainly did not run but an earlier one may have. */
+    FORWARD_MAX_SENDS = 8,        /**< Attempts at servers, including those that were refused or not sent. */
     FORWARD_MAX_RESPONSE_BYTES = 8 << 20, /**< Maximum body of a response that is not streamed. */
     FORWARD_STATE_MAX_PERCENT = 40,       /**< Share of the time left that the state replicas may use. */
     FORWARD_STATE_TIMEOUT_MS = 1500,      /**< Upper limit of that time, for one reservation or fetch. */
@@ -89,6 +88,7 @@
     bool version_unknown;      /**< That server restarted at about that time, maybe with another version. */
     bool has_unnumbered_event; /**< Some event has no numeric id, so no server can resume after it. */
     uint32_t resumes;          /**< Times resumed. */
+    uint64_t resumed_events;   /**< `event_count` when it was last resumed. */
     uint64_t first_event_ms;   /**< Loop time; 0: none yet. */
     bool paused;               /**< Reading from the server is paused, since the caller reads too slowly. */
 };
@@ -225,6 +225,9 @@
 /** forward_slow_start.c: whether the server needs no start token, or one is held. */
 bool forward_may_send_to(const struct forward *forward, const struct server *server);
 
+/** Whether FORWARD_MAX_SENDS allows another attempt; checked before each one. */
+bool forward_may_send_again(const struct forward *forward);
+
 /** forward_slow_start.c: returns the token's expiry (loop time), 0: the server needs none. */
 uint64_t forward_take_start_token(struct forward *forward, const struct server *server);
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -164,6 +164,11 @@
     return true;
 }
 
+bool forward_may_send_again(const struct forward *forward)
+{
+    return forward->sends < FORWARD_MAX_SENDS;
+}
+
 static struct forward_attempt *forward_find_free_attempt(struct forward *forward)
 {
     for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
@@ -306,6 +311,10 @@
         forward_refuse_quarantined(forward);
         return;
     }
+    if (!forward_may_send_again(forward)) {
+        forward_end_unplaced(forward, "sent too often");
+        return;
+    }
     struct server *server = forward_choose_server(forward);
     if (server != NULL) {
         forward_send(forward, server);
@@ -324,7 +333,7 @@
  * retry budget. */
 static bool forward_may_hedge(struct forward *forward)
 {
-    if (forward_awaits_failure_count(forward) || forward_is_quarantined(forward)) {
+    if (forward_awaits_failure_count(forward) || forward_is_quarantined(forward) || !forward_may_send_again(forward)) {
         return false;
     }
     return forward->route->kind == ROUTE_SAFE && !forward->hedged && forward->phase == FORWARD_RUNNING &&
@@ -353,10 +362,6 @@
         return;
     }
     forward->bound_retry_ms = node_now(forward->frontend->node) + SERVER_FULL_PAUSE_MS;
-    if (forward->sends >= FORWARD_MAX_SENDS && forward->possible_runs == 0) {
-        forward_refuse(forward, FORWARD_UNAVAILABLE, reason);
-        return;
-    }
     forward_place(forward);
 }
 
@@ -407,7 +412,7 @@
 bool forward_may_retry(const struct forward *forward)
 {
     return !forward->stream.head_sent && forward->route->kind == ROUTE_SAFE &&
-           forward->possible_runs < forward->route->max_attempts && forward->sends < FORWARD_MAX_SENDS;
+           forward->possible_runs < forward->route->max_attempts && forward_may_send_again(forward);
 }
 
 void forward_after_failure(struct forward_attempt *attempt, const char *reason)
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -22,10 +22,10 @@
     uint64_t now_ms = node_now(forward->frontend->node);
     return (resume_stream_t){
         .resumable = forward_is_resumable(forward),
-        .server_gone =
-            server_has_ended(server) ||
-            ((server_is_leaving(server) || server->reach.unreachable) && forward_may_use_another_server(forward)),
+        .server_gone = server_has_ended(server) || ((server_is_leaving(server) || server->reach.unreachable) &&
+                                                    forward_may_use_another_server(forward)),
         .server_zone_drained = server->zone_drained,
+        .stalled = forward->stream.resumes > 0 && forward->stream.event_count == forward->stream.resumed_events,
         .resumes = forward->stream.resumes,
         .servers_used = forward->criteria.tried_count,
         .max_attempts = forward->route->max_attempts,
@@ -105,11 +105,17 @@
               server->id, "version", server->version, "reason", reason, "way", forward_resume_target_name(target),
               "last_event", (json_int_t)forward->stream.last_event, "resumes", (int)forward->stream.resumes, "left_ms",
               (json_int_t)stream.left_ms);
+    uint32_t backoff_ms = target == RESUME_SAME ? resume_backoff_ms(&stream) : 0;
+    bool bound = target == RESUME_SAME && !forward_may_use_another_server(forward);
+    bool at_once = target == RESUME_SAME && backoff_ms == 0 && forward_may_send_again(forward) &&
+                   forward_may_send_to(forward, server);
     forward->stream.resumes++;
+    forward->stream.resumed_events = forward->stream.event_count;
     forward->frontend->counters.resumes++;
     forward_drop_partial_event(forward);
-    forward_bind_to_server(forward, target == RESUME_SAME && !forward_may_use_another_server(forward) ? server : NULL);
-    if (target == RESUME_SAME && forward_may_send_to(forward, server)) {
+    forward_bind_to_server(forward, bound ? server : NULL);
+    forward->bound_retry_ms = node_now(forward->frontend->node) + backoff_ms;
+    if (at_once) {
         forward_send(forward, server);
         forward_end_attempt(attempt);
     } else {
--- a/tests/integration/test_leaving_stream.c
+++ b/tests/integration/test_leaving_stream.c
@@ -11,15 +11,18 @@
 #include <string.h>
 
 #include "../unit/suite.h"
+#include "core/resume.h"
 #include "base/clock.h"
 #include "site.h"
 #include "site_internal.h"
 
-enum { GATEWAY = SITE_REPLICAS, POLL_US = 500, POLLS = 6000, ONE_PROBE_US = 80000, LIST_US = 400000 };
+enum { GATEWAY = SITE_REPLICAS, POLL_US = 500, POLLS = 6000, ONE_PROBE_US = 80000, LIST_US = 400000, MAX_RUNS = 16 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static char observed_id[32];
 static bool ran_on[SITE_SERVERS];
+static uint64_t run_ms[MAX_RUNS]; /* when servers began to run the stream */
+static int run_count;
 static int first_server = -1;
 static bool response_complete; /* set when the stream's thread ends */
 
@@ -29,6 +32,9 @@
     if (strcmp(run->id, observed_id) == 0) {
         first_server = first_server < 0 ? run->server : first_server;
         ran_on[run->server] = true;
+        if (run_count < MAX_RUNS) {
+            run_ms[run_count++] = run->at_ms;
+        }
     }
     pthread_mutex_unlock(&lock);
 }
@@ -69,6 +75,7 @@
     snprintf(observed_id, sizeof(observed_id), "%s", id);
     memset(ran_on, 0, sizeof(ran_on));
     first_server = -1;
+    run_count = 0;
     pthread_mutex_unlock(&lock);
     ck_assert_int_eq(count_servers(), 0);
     site_set_mode(-1, mode);
@@ -204,6 +211,34 @@
 }
 END_TEST
 
+/* Guards against a stream that is sent to a server again and again within milliseconds. */
+START_TEST(a_server_that_sends_no_event_is_tried_again_after_a_backoff)
+{
+    pthread_t thread = start_stream("no-event", SITE_CUT);
+    pthread_join(thread, NULL);
+    ck_assert(!response_complete);
+    ck_assert_int_eq(count_servers(), 1);
+    ck_assert_int_eq(run_count, 1 + RESUME_MAX);
+    for (int i = 2; i < run_count; i++) {
+        ck_assert_uint_ge(run_ms[i] + 1, run_ms[i - 1] + RESUME_BACKOFF_MS);
+    }
+}
+END_TEST
+
+/* Guards against sends without a common bound: an earlier attempt has run, the later ones are refused. */
+START_TEST(a_stream_whose_server_refuses_it_is_sent_a_limited_number_of_times)
+{
+    pthread_t thread = start_stream("refused", SITE_STALL);
+    site_set_mode(-1, SITE_REFUSE);
+    site_close_connections(first_server);
+    pthread_join(thread, NULL);
+    ck_assert(!response_complete);
+    ck_assert_int_eq(count_servers(), 1);
+    ck_assert(site_log_has(GATEWAY, "\"reason\":\"the server refused\",\"sends\":8"));
+    ck_assert(!site_log_has(GATEWAY, "\"reason\":\"the server refused\",\"sends\":9"));
+}
+END_TEST
+
 static void start_with_short_drain(void)
 {
     site_set_server_drain_ms(0);
@@ -263,6 +298,8 @@
     tcase_add_test(tests, a_stream_stays_when_one_more_packet_is_lost);
     tcase_add_test(tests, a_stream_with_a_silent_connection_resumes_at_its_server);
     tcase_add_test(tests, a_stream_resumes_at_a_draining_server_that_broke_it_off);
+    tcase_add_test(tests, a_server_that_sends_no_event_is_tried_again_after_a_backoff);
+    tcase_add_test(tests, a_stream_whose_server_refuses_it_is_sent_a_limited_number_of_times);
     suite_add_tcase(suite, tests);
     TCase *short_drain = tcase_create("one site, draining servers get no requests");
     tcase_set_timeout(short_drain, 60);
--- a/tests/scripted/run_resume.c
+++ b/tests/scripted/run_resume.c
@@ -1,7 +1,8 @@
 /* Where an interrupted stream is resumed:
- *   decide [servers N] [attempts N] [resumes N] [left MS] [gone] [drained] [not-resumable]
- *                                 prints the target; `gone`: sets `server_gone`; `drained`: the server's zone is
- *                                 drained; `not-resumable`: the route does not allow resuming */
+ *   decide [servers N] [attempts N] [resumes N] [left MS] [gone] [drained] [stalled] [not-resumable]
+ *                                 prints the target and the backoff, if any; `gone`: sets `server_gone`; `drained`:
+ *                                 the server's zone is drained; `stalled`: no event since the last resume;
+ *                                 `not-resumable`: the route does not allow resuming */
 #include "core/resume.h"
 #include "script.h"
 
@@ -23,6 +24,8 @@
             stream.server_gone = true;
         } else if (script_is(command, i, "drained")) {
             stream.server_zone_drained = true;
+        } else if (script_is(command, i, "stalled")) {
+            stream.stalled = true;
         } else if (script_is(command, i, "not-resumable")) {
             stream.resumable = false;
         }
@@ -35,7 +38,10 @@
     resume_stream_t stream = stream_of(command);
     switch (resume_decide(&stream)) {
     case RESUME_NONE: script_print("none\n"); break;
-    case RESUME_SAME: script_print("same\n"); break;
+    case RESUME_SAME:
+        script_print("same");
+        script_print(resume_backoff_ms(&stream) > 0 ? " after %u ms\n" : "\n", resume_backoff_ms(&stream));
+        break;
     case RESUME_OTHER: script_print("other\n"); break;
     }
 }
