Membership: a learner that is gone is removed after ten seconds

What operators saw: a replica whose machine was replaced stayed a member for a minute, so that a group had a member too many; each loss of a disk at a new address left one.

Cause: an unreachable learner was kept for 60 s, as if it were needed. It has no vote, and joins again when it returns.

Change: 10 s for learners. An unreachable voter that no machine can replace stays for 60 s.

--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -297,7 +297,7 @@
 
 static bool membership_may_remove_learner(const struct membership_status *status)
 {
-    return status->replaced || status->retiring || status->silent_ms >= MEMBERSHIP_REMOVAL_MS;
+    return status->replaced || status->retiring || status->silent_ms >= MEMBERSHIP_LEARNER_REMOVAL_MS;
 }
 
 /* Only if no machine is left that could replace it. */
@@ -305,7 +305,7 @@
 {
     const struct membership_status *status = &group->statuses[position];
     uint32_t healthy_voters = membership_count_healthy(group, NULL, true);
-    bool gone = status->retiring || status->silent_ms >= MEMBERSHIP_REMOVAL_MS;
+    bool gone = status->retiring || status->silent_ms >= MEMBERSHIP_VOTER_REMOVAL_MS;
     bool has_learner = membership_count_healthy(group, NULL, false) > healthy_voters;
     return gone && !has_learner && healthy_voters >= MEMBERSHIP_VOTERS &&
            membership_has_quorum(group, position, raft_voter_count(group->members) - 1);
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -23,7 +23,7 @@
  *     the one that has been silent for longest is replaced once there are learners for
  *     all of them, or after MEMBERSHIP_AMBIGUITY_MS.
  *   - Without a learner to replace it, an unreachable voter stays for
- *     MEMBERSHIP_REMOVAL_MS, and is then removed if MEMBERSHIP_VOTERS healthy ones remain.
+ *     MEMBERSHIP_VOTER_REMOVAL_MS, and is then removed if MEMBERSHIP_VOTERS healthy ones remain.
  *
  * If zones may be lost, no zone should have so many voters that its loss takes the
  * quorum: after a lost zone's voters were replaced by members of the other zones,
@@ -43,8 +43,9 @@
     MEMBERSHIP_UNREACHABLE_MS = 1500, /**< Time without contact after which a member is unreachable. */
     MEMBERSHIP_AMBIGUITY_MS = 2000,   /**< Time since a learner's first answer after which it may replace one of several
                                            unreachable voters although the others must stay. */
-    MEMBERSHIP_REMOVAL_MS = 60 * 1000, /**< Time without contact after which a learner, or a voter for which there is no
-                                            other machine, is removed. */
+    MEMBERSHIP_LEARNER_REMOVAL_MS = 10 * 1000, /**< Time without contact after which a learner is removed: it is not
+                                                    needed, and joins again if it returns. */
+    MEMBERSHIP_VOTER_REMOVAL_MS = 60 * 1000,   /**< The same for a voter that no machine can replace. */
     MEMBERSHIP_JOIN_VALID_MS = 2 * 1000
 };
 
--- a/tests/unit/membership.c
+++ b/tests/unit/membership.c
@@ -113,7 +113,7 @@
 
 START_TEST(unreachable_voter_without_successor_stays)
 {
-    statuses[0].silent_ms = MEMBERSHIP_REMOVAL_MS * 10;
+    statuses[0].silent_ms = MEMBERSHIP_VOTER_REMOVAL_MS * 10;
     expect_no_change();
 }
 END_TEST
@@ -241,9 +241,9 @@
 {
     add_member(4, false);
     add_member(5, false);
-    statuses[3].silent_ms = MEMBERSHIP_REMOVAL_MS - 1;
+    statuses[3].silent_ms = MEMBERSHIP_VOTER_REMOVAL_MS - 1;
     expect_no_change();
-    statuses[3].silent_ms = MEMBERSHIP_REMOVAL_MS;
+    statuses[3].silent_ms = MEMBERSHIP_VOTER_REMOVAL_MS;
     expect_change(MEMBER_REMOVE, 4);
     remove_member(3);
     statuses[0].is_leader = true;
@@ -259,6 +259,17 @@
 }
 END_TEST
 
+/* Guards against learners that are gone and fill the group: each loss of a disk leaves one. */
+START_TEST(unreachable_learner_is_removed_soon)
+{
+    add_member(4, true);
+    statuses[3].silent_ms = MEMBERSHIP_LEARNER_REMOVAL_MS - 1;
+    expect_no_change();
+    statuses[3].silent_ms++;
+    expect_change(MEMBER_REMOVE, 4);
+}
+END_TEST
+
 START_TEST(five_reachable_members_all_vote)
 {
     add_member(4, true);
@@ -279,7 +290,7 @@
     expect_change(MEMBER_DEMOTE, 3);
     statuses[1].silent_ms = MEMBERSHIP_UNREACHABLE_MS;
     expect_no_change();
-    statuses[1].silent_ms = MEMBERSHIP_REMOVAL_MS;
+    statuses[1].silent_ms = MEMBERSHIP_VOTER_REMOVAL_MS;
     expect_change(MEMBER_REMOVE, 2);
     members.learners[2] = true;
     statuses[1].silent_ms = 0;
@@ -447,6 +458,7 @@
     tcase_add_test(tests, sole_voter_gets_others);
     tcase_add_test(tests, voters_stay_while_one_of_five_is_unreachable);
     tcase_add_test(tests, retiring_learner_is_removed);
+    tcase_add_test(tests, unreachable_learner_is_removed_soon);
     tcase_add_test(tests, five_reachable_members_all_vote);
     tcase_add_test(tests, surplus_voter_is_demoted);
     tcase_add_test(tests, membership_is_limited_to_voters_and_spares);
