Soak: data is lost early in each cycle

Cause: the round in which a replica loses its data again and again came after 35 s, so that shorter runs did not reach it.

Change: it is the second round.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -434,11 +434,11 @@
     end_ms = started_ms + duration_ms;
     while (can_continue(end_ms)) {
         run_mixed(&seed, &server_seed);
+        run_data_losses(&server_seed);
         run_outage(&seed);
         run_mixed(&seed, &server_seed);
         run_planned(&seed);
         run_lethal(&server_seed);
-        run_data_losses(&server_seed);
         run_cut_off(&seed);
     }
 }
