Log: the operation of a request, and failures that the leader did not count

The log could not tell whether attempts that end servers belong to one operation, nor whether the leader had counted a failure. The request line names the operation of requests that a server may have run without an answer, and failure_not_counted names failures without an acknowledgement. Built; logic is unchanged.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -88,16 +88,20 @@
     return forward->stream.head_sent ? "response_aborted" : "request_not_served";
 }
 
-static void forward_log(const struct forward *forward)
+static void forward_log(struct forward *forward)
 {
+    char operation[QUARANTINE_TEXT_BYTES] = "";
+    if (forward->possible_runs > 0) {
+        quarantine_format(forward_operation(forward), operation);
+    }
     const struct node *node = forward->frontend->node;
     const struct forward_stream *stream = &forward->stream;
     uint64_t begun_ms = forward->call->received_ms;
     uint64_t first_ms = stream->first_event_ms > begun_ms ? stream->first_event_ms - begun_ms : 0;
     event_log_with_budget(
         forward_log_budget(forward), "request",
-        "{s:s,s:s,s:s,s:s,s:i,s:s,s:s,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:I}", "id",
-        text_or_empty(forward->id), "tenant", forward->tenant == NULL ? "" : forward->tenant->name, "route",
+        "{s:s,s:s,s:s,s:s,s:s,s:i,s:s,s:s,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:I}", "id",
+        text_or_empty(forward->id), "operation", operation, "tenant", forward->tenant == NULL ? "" : forward->tenant->name, "route",
         forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome", forward->reason, "status",
         forward->response_status, "server", text_or_empty(forward->last_server), "version",
         text_or_empty(forward->last_version), "resumes", text_or_empty(forward->resumes), "total_ms",
--- a/src/proxy/forward_quarantine.c
+++ b/src/proxy/forward_quarantine.c
@@ -56,12 +56,22 @@
     }
 }
 
+static void forward_log_uncounted(struct forward *forward, ResultCode code)
+{
+    char operation[QUARANTINE_TEXT_BYTES];
+    quarantine_format(forward_operation(forward), operation);
+    event_log("failure_not_counted", "{s:s,s:s,s:i}", "id", text_or_empty(forward->id), "operation", operation, "code",
+              (int)code);
+}
+
 static void forward_on_failure_counted(void *context, ResultCode code, struct view body)
 {
     struct forward_attempt *attempt = context;
     attempt->failure_report = NULL;
     if (code == RESULT_OK) {
         frontend_adopt_encoded_notice(attempt->forward->frontend, body);
+    } else {
+        forward_log_uncounted(attempt->forward, code);
     }
     forward_after_failure(attempt, attempt->failure);
 }
