--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -64,6 +64,9 @@
 /** With SITE_EXIT_HEADER: the connection of the request stays open. */
 #define SITE_SILENT_HEADER "X-Exit-Silently"
 
+/** With SITE_EXIT_HEADER: the server starts again under its id, which the machine list does not show. */
+#define SITE_SAME_ID_HEADER "X-Exit-Same-Id"
+
 /** A request that a server runs. */
 typedef struct site_run_t {
     int server;
@@ -113,6 +116,9 @@
  * it fails. */
 void site_stop(void);
 
+/** Kills all daemons at once, starts them again, and waits until the gateways are ready. */
+void site_restart_all(void);
+
 /** Daemon numbers: SITE_REPLICAS state replicas, then SITE_GATEWAYS gateways, then additional daemons. */
 void site_start_daemon(int daemon);
 
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -547,15 +547,20 @@
     site_servers_start(&site_list_port);
 }
 
+static void site_wait_until_gateways_are_ready(void)
+{
+    for (int i = 0; i < SITE_GATEWAYS; i++) {
+        site_wait(site_gateway_is_ready, &i, "the gateways are ready");
+    }
+}
+
 static void site_wait_until_bootstrapped(void)
 {
     char *configuration = site_configuration(1, "");
     site_wait(site_configuration_is_accepted, configuration, "the first configuration is accepted");
     free(configuration);
     site_bootstrapped = true;
-    for (int i = 0; i < SITE_GATEWAYS; i++) {
-        site_wait(site_gateway_is_ready, &i, "the gateways are ready");
-    }
+    site_wait_until_gateways_are_ready();
 }
 
 void site_start(void)
@@ -597,6 +602,20 @@
     site_wait_until_bootstrapped();
 }
 
+void site_restart_all(void)
+{
+    for (int i = 0; i < site_daemons(); i++) {
+        kill(site_processes[i], SIGKILL);
+    }
+    for (int i = 0; i < site_daemons(); i++) {
+        site_kill_daemon(i, SIGKILL);
+    }
+    for (int i = 0; i < site_daemons(); i++) {
+        site_start_daemon(i);
+    }
+    site_wait_until_gateways_are_ready();
+}
+
 void site_stop(void)
 {
     for (int i = SITE_MAX_DAEMONS - 1; i >= 0; i--) {
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -215,13 +215,15 @@
     return site_exit_count() < atoi(text);
 }
 
-/* Ends the server as if its process had exited: it starts again as another instance (site_restart()). With `silent`,
- * its end cannot be seen on the connection `fd`, as if its machine had lost power. */
-static void site_exit(struct site_server *server, int fd, bool silent)
+/* Ends the server as if its process had exited: it starts again (site_restart()) as another instance, or under its id
+ * with SITE_SAME_ID_HEADER. With SITE_SILENT_HEADER, its end cannot be seen on the connection `fd`, as if its machine
+ * had lost power. */
+static void site_exit(struct site_server *server, int fd, const struct http_reader *request)
 {
+    bool silent = http_reader_has_header(request, SITE_SILENT_HEADER);
     pthread_mutex_lock(&site_lock);
     server->exits++;
-    server->instance++;
+    server->instance += http_reader_has_header(request, SITE_SAME_ID_HEADER) ? 0 : 1;
     shutdown(server->listener, SHUT_RDWR);
     site_shut_down_connections(server, silent ? fd : -1);
     pthread_mutex_unlock(&site_lock);
@@ -330,7 +332,7 @@
     bool stream = memmem(reader.target.data, reader.target.length, "/chat/", 6) != NULL;
     mode = mode == SITE_NORMAL && http_reader_has_header(&reader, SITE_PACED_HEADER) ? SITE_PACED : mode;
     if (executes && site_should_exit(&reader)) {
-        site_exit(server, fd, http_reader_has_header(&reader, SITE_SILENT_HEADER));
+        site_exit(server, fd, &reader);
         goto out;
     }
     keep_open = true;
--- a/tests/integration/test_lethal_requests.c
+++ b/tests/integration/test_lethal_requests.c
@@ -87,6 +87,69 @@
 }
 END_TEST
 
+/* Repeats a request with all daemons killed and started again between its attempts: what they remembered is gone. */
+static void expect_few_exits_over_restarts(const char *path, const char *program)
+{
+    site_set_mode(-1, SITE_NORMAL);
+    for (int i = 0; i < ATTEMPTS; i++) {
+        struct site_response response;
+        int status = attempt(i % SITE_GATEWAYS, path, program, ALWAYS, &response);
+        printf("%s, attempt %d: status %d, %d servers ended so far\n", path, i, status, site_exit_count());
+        fflush(stdout);
+        ck_assert(status == 502 || status == 503);
+        site_response_close(&response);
+        site_restart_all();
+        clock_sleep_us(RESTART_US);
+    }
+    ck_assert_int_le(site_exit_count(), MAX_EXITS);
+}
+
+/* The failures of an operation must count after everything that remembers them was killed at once. */
+START_TEST(servers_that_ended_before_all_daemons_were_killed_count)
+{
+    expect_few_exits_over_restarts("/once/x", "restarts");
+}
+END_TEST
+
+START_TEST(a_quarantine_outlives_all_daemons)
+{
+    expect_few_exits_over_restarts("/open/chat/x", "restarts-streams");
+}
+END_TEST
+
+/* A server that starts again under its id before the machine list shows it must count for each of its ends. */
+START_TEST(a_server_that_starts_again_under_its_id_counts_again)
+{
+    site_set_mode(-1, SITE_NORMAL);
+    for (int i = 0; i < ATTEMPTS; i++) {
+        struct site_response response;
+        attempt_with(i % SITE_GATEWAYS, "/once/x", "same-id", ALWAYS, SITE_SAME_ID_HEADER ": 1\r\n", &response);
+        printf("same id, attempt %d: status %d, %d ends so far\n", i, response.status, site_exit_count());
+        fflush(stdout);
+        site_response_close(&response);
+        clock_sleep_us(RESTART_US);
+    }
+    ck_assert_int_le(site_exit_count(), MAX_EXITS);
+}
+END_TEST
+
+/* Callers without a program repeat a request under another id, and nothing else ties the attempts together. */
+START_TEST(a_request_without_a_program_ends_at_most_three_servers)
+{
+    site_set_mode(-1, SITE_NORMAL);
+    for (int i = 0; i < ATTEMPTS; i++) {
+        struct site_response response;
+        site_call(i % SITE_GATEWAYS, "POST", "/once/x", "Bankbank-Deadline-Ms: 1500\r\n" SITE_EXIT_HEADER ": 1000\r\n",
+                  "without a program", &response);
+        printf("no program, attempt %d: status %d, %d servers ended so far\n", i, response.status, site_exit_count());
+        fflush(stdout);
+        site_response_close(&response);
+        clock_sleep_us(RESTART_US);
+    }
+    ck_assert_int_le(site_exit_count(), MAX_EXITS);
+}
+END_TEST
+
 /* Makes an operation end as many servers as it may, and returns the number of servers that have ended. */
 static int quarantine(const char *program)
 {
@@ -214,6 +277,10 @@
     tcase_add_test(tests, a_repeatable_request_ends_at_most_three_servers);
     tcase_add_test(tests, a_request_that_runs_once_ends_at_most_three_servers);
     tcase_add_test(tests, a_request_that_ends_machines_silently_ends_at_most_three);
+    tcase_add_test(tests, servers_that_ended_before_all_daemons_were_killed_count);
+    tcase_add_test(tests, a_quarantine_outlives_all_daemons);
+    tcase_add_test(tests, a_server_that_starts_again_under_its_id_counts_again);
+    tcase_add_test(tests, a_request_without_a_program_ends_at_most_three_servers);
     tcase_add_test(tests, other_operations_are_served_beside_a_quarantine);
     tcase_add_test(tests, a_stream_that_loses_two_servers_is_served);
     tcase_add_test(tests, a_quarantine_outlives_the_leader);
