--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -56,33 +56,35 @@
     operation->quarantined = true;
     operation->expires_ms = expires_ms;
     quarantine->quarantined++;
+    quarantine->begun++;
 }
 
-static bool quarantine_has_server(const quarantine_operation_t *operation, uint64_t server)
+static bool quarantine_counts(const quarantine_operation_t *operation, const quarantine_failure_t *failure)
 {
-    for (uint32_t i = 0; i < operation->server_count; i++) {
-        if (operation->servers[i] == server) {
-            return true;
+    for (uint32_t i = 0; i < operation->failure_count; i++) {
+        if (operation->failures[i] == failure->id) {
+            return false;
         }
     }
-    return false;
+    return operation->failure_count == 0 || !failure->by_contents || failure->sent_ms >= operation->last_ms;
 }
 
-bool quarantine_record(quarantine_t *quarantine, uint64_t now_ms, uint64_t hash, uint64_t server)
+bool quarantine_record(quarantine_t *quarantine, uint64_t now_ms, const quarantine_failure_t *failure)
 {
-    if (quarantine->max_servers == 0) {
+    if (quarantine->max_failures == 0) {
         return false;
     }
     quarantine_expire(quarantine, now_ms);
-    quarantine_operation_t *operation = quarantine_find_or_add(quarantine, hash);
+    quarantine_operation_t *operation = quarantine_find_or_add(quarantine, failure->operation);
     if (operation->quarantined) {
         return false;
     }
-    operation->expires_ms = now_ms + quarantine->keep_ms;
-    if (!quarantine_has_server(operation, server)) {
-        operation->servers[operation->server_count++] = server;
+    if (quarantine_counts(operation, failure)) {
+        operation->failures[operation->failure_count++] = failure->id;
     }
-    bool begins = operation->server_count >= quarantine->max_servers;
+    operation->last_ms = now_ms;
+    operation->expires_ms = now_ms + quarantine->keep_ms;
+    bool begins = operation->failure_count >= quarantine->max_failures;
     if (begins) {
         quarantine_begin(quarantine, operation, now_ms + quarantine->keep_ms);
     }
@@ -92,7 +94,7 @@
 uint32_t quarantine_count(const quarantine_t *quarantine, uint64_t hash)
 {
     const quarantine_operation_t *operation = quarantine_find(quarantine, hash);
-    return operation == NULL ? 0 : operation->server_count;
+    return operation == NULL ? 0 : operation->failure_count;
 }
 
 uint64_t quarantine_remaining_ms(const quarantine_t *quarantine, uint64_t now_ms, uint64_t hash)
@@ -104,7 +106,7 @@
 
 void quarantine_adopt(quarantine_t *quarantine, uint64_t now_ms, const QuarantinedOperation *list, size_t count)
 {
-    for (size_t i = 0; i < count && quarantine->max_servers > 0; i++) {
+    for (size_t i = 0; i < count && quarantine->max_failures > 0; i++) {
         quarantine_operation_t *operation = quarantine_find_or_add(quarantine, list[i].operation);
         if (!operation->quarantined) {
             uint64_t remaining_ms =
@@ -153,3 +155,48 @@
         }
     }
 }
+
+size_t quarantine_bytes(const quarantine_t *quarantine)
+{
+    return HASH_COUNT(quarantine->operations) * sizeof(quarantine_operation_t);
+}
+
+/* ---- Snapshots ------------------------------------------------------------------------------------------ */
+
+void quarantine_export(const quarantine_t *quarantine, SiteSnapshot *snapshot)
+{
+    size_t count = HASH_COUNT(quarantine->operations);
+    snapshot->failures = count == 0 ? NULL : memory_new(count * sizeof(*snapshot->failures));
+    for (quarantine_operation_t *operation = quarantine->operations; operation != NULL;
+         operation = operation->hh.next) {
+        snapshot->failures[snapshot->failures_count++] = (FailureRecord){
+            .operation = operation->hash,
+            .failures = operation->failures,
+            .failures_count = (pb_size_t)operation->failure_count,
+            .quarantined = operation->quarantined,
+            .last_ms = operation->last_ms,
+            .expires_ms = operation->expires_ms,
+        };
+    }
+}
+
+void quarantine_free_export(SiteSnapshot *snapshot)
+{
+    free(snapshot->failures);
+}
+
+void quarantine_import(quarantine_t *quarantine, const SiteSnapshot *snapshot)
+{
+    for (pb_size_t i = 0; i < snapshot->failures_count; i++) {
+        const FailureRecord *record = &snapshot->failures[i];
+        quarantine_operation_t *operation = quarantine_find_or_add(quarantine, record->operation);
+        for (pb_size_t j = 0; j < record->failures_count && j < QUARANTINE_MAX_FAILURES; j++) {
+            operation->failures[operation->failure_count++] = record->failures[j];
+        }
+        operation->last_ms = record->last_ms;
+        operation->expires_ms = record->expires_ms;
+        if (record->quarantined) {
+            quarantine_begin(quarantine, operation, record->expires_ms);
+        }
+    }
+}
--- a/src/core/quarantine.h
+++ b/src/core/quarantine.h
@@ -7,18 +7,20 @@
  * got no answer repeats its request under another id. Without a limit of its own, a
  * request that makes servers crash would end one after the other.
  *
- * An operation is what a caller wants, over all of its requests for it. Each
- * incarnation of a server whose connection broke while it ran the operation counts
- * once, whether the server has ended or only the connection: the two cannot be told
- * apart at that moment. Errors in a response do not count.
+ * An operation is what a caller wants, over all of its requests for it. A failure is
+ * the end of a connection while a server ran the operation, whether the server has
+ * ended or only the connection: the two cannot be told apart at that moment. Errors
+ * in a response do not count.
  *
- * Every gateway counts what it sees and reports each failure to the leader, which
- * counts the failures of all gateways. An operation is quarantined for `keep_ms` from
- * its `max_servers`-th failure on. Failures below that are forgotten `keep_ms` after
- * the last one.
+ * An operation is quarantined for `keep_ms` from its `max_failures`-th failure on.
+ * Failures below that are forgotten `keep_ms` after the last one.
  *
- * Soft state: a new leader learns the quarantined operations from the gateways'
- * load reports, and starts to count the others again.
+ * Operations that are identified by their contents may be wanted by several callers.
+ * Of these, a failure does not count if its request was sent before the last failure:
+ * many that run at the same time fail together when servers end for another reason.
+ *
+ * Group 0 replicates the count of all gateways (site_state.h); its leader and the
+ * gateways have copies of the quarantined operations.
  */
 #ifndef BANKBANK_CORE_QUARANTINE_H
 #define BANKBANK_CORE_QUARANTINE_H
@@ -31,9 +33,9 @@
 #include "control.pb.h"
 
 enum {
-    QUARANTINE_DEFAULT_SERVERS = 3,
+    QUARANTINE_DEFAULT_FAILURES = 3,
     QUARANTINE_DEFAULT_KEEP_MS = 60000,
-    QUARANTINE_MAX_SERVERS = 16,
+    QUARANTINE_MAX_FAILURES = 16,
     QUARANTINE_MAX_OPERATIONS = 4096, /**< Above that, the oldest one is forgotten, quarantined ones last. */
     QUARANTINE_MAX_LISTED = 64,       /**< Operations in a message. */
     /** Operations with less time left are not listed: passed back and forth, they would never expire. */
@@ -41,28 +43,37 @@
     QUARANTINE_TEXT_BYTES = 17 /**< Of quarantine_format(), NUL included. */
 };
 
+typedef struct quarantine_failure_t {
+    uint64_t operation;
+    uint64_t id;      /**< Identifies the failure: one that is recorded again counts once. */
+    bool by_contents; /**< Requests of other callers may have the same operation. */
+    uint64_t sent_ms; /**< When the request was sent to the server; only with `by_contents`. */
+} quarantine_failure_t;
+
 typedef struct quarantine_operation_t {
-    uint64_t hash;                            /**< Identifies it (forward_operation()). */
-    uint64_t servers[QUARANTINE_MAX_SERVERS]; /**< Hashes of the incarnations that failed. */
-    uint32_t server_count;
+    uint64_t hash;                              /**< Identifies it (forward_operation()). */
+    uint64_t failures[QUARANTINE_MAX_FAILURES]; /**< quarantine_failure_t.id of those that count. */
+    uint32_t failure_count;
     bool quarantined;
+    uint64_t last_ms; /**< Time of the last failure. */
     uint64_t expires_ms;
     UT_hash_handle hh; /**< By `hash`, oldest first. */
 } quarantine_operation_t;
 
 /** All zero: empty and disabled. */
 typedef struct quarantine_t {
-    uint32_t max_servers; /**< Failures that quarantine an operation, at most QUARANTINE_MAX_SERVERS; 0: disabled. */
-    uint64_t keep_ms;     /**< Duration of a quarantine. */
+    uint32_t max_failures; /**< That quarantine an operation, at most QUARANTINE_MAX_FAILURES; 0: disabled. */
+    uint64_t keep_ms;      /**< Duration of a quarantine. */
     quarantine_operation_t *operations;
     uint32_t quarantined; /**< How many of them are. */
+    uint64_t begun;       /**< Quarantines so far. */
 } quarantine_t;
 
 /** Forgets all operations. */
 void quarantine_clear(quarantine_t *quarantine);
 
-/** Records that an incarnation of a server failed while it ran the operation; true: it is quarantined from now on. */
-bool quarantine_record(quarantine_t *quarantine, uint64_t now_ms, uint64_t operation, uint64_t server);
+/** Returns whether the operation is quarantined from now on. */
+bool quarantine_record(quarantine_t *quarantine, uint64_t now_ms, const quarantine_failure_t *failure);
 
 /** Failures recorded for the operation. */
 uint32_t quarantine_count(const quarantine_t *quarantine, uint64_t operation);
@@ -82,4 +93,14 @@
 /** Must be called regularly. */
 void quarantine_expire(quarantine_t *quarantine, uint64_t now_ms);
 
+/** Estimated memory use. */
+size_t quarantine_bytes(const quarantine_t *quarantine);
+
+/** Fills the failures of a snapshot, which borrow from the operations; release them with quarantine_free_export(). */
+void quarantine_export(const quarantine_t *quarantine, SiteSnapshot *snapshot);
+void quarantine_free_export(SiteSnapshot *snapshot);
+
+/** Loads the failures of a snapshot into empty operations. */
+void quarantine_import(quarantine_t *quarantine, const SiteSnapshot *snapshot);
+
 #endif
--- a/src/core/replica.c
+++ b/src/core/replica.c
@@ -132,7 +132,9 @@
     while (done < waiters->count && waiters->items[done].key <= entry->index) {
         const struct replica_waiter *waiter = &waiters->items[done];
         bool is_own = waiter->key == entry->index && waiter->term == entry->term;
-        if (waiter->from != RAFT_NO_NODE) {
+        if (is_own && waiter->kind == REQUEST_FAILURE) {
+            replica_answer_failure(replica, group, waiter, result);
+        } else if (waiter->from != RAFT_NO_NODE) {
             replica_reply(replica, group, waiter, is_own ? RESULT_OK : RESULT_NOT_LEADER,
                           is_own ? result : view_of(NULL, 0));
         }
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -168,6 +168,17 @@
 /** False if the disk failed; else see raft_is_fresh(). */
 bool replica_is_fresh(const struct replica *replica, uint32_t group, uint64_t now_ms);
 
+/** Time stamp for an entry that the group's leader proposes now; see also replica_config.monotonic_timestamps. */
+uint64_t replica_timestamp_ms(struct replica *replica, uint32_t group);
+
+/** Whether this replica leads the group and has applied all that earlier leaders committed. */
+bool replica_leads_applied(const struct replica *replica, uint32_t group);
+
+/** Logs a failure that `from` reported in `request`. Once the entry is applied, `from` gets a QuarantineNotice with the
+ * operation if it is quarantined. False: not proposed. */
+bool replica_record_failure(struct replica *replica, uint64_t now_ms, uint32_t from, const Request *request,
+                            const OperationFailure *failure);
+
 /** Sends entries, syncs pending writes, sends the frames that waited for the sync, and writes due snapshots. */
 void replica_flush(struct replica *replica, uint64_t now_ms);
 
--- a/src/core/replica_internal.h
+++ b/src/core/replica_internal.h
@@ -35,6 +35,8 @@
 void replica_answer_read(struct replica *replica, uint32_t group, const struct replica_waiter *waiter);
 void replica_handle_request(struct replica *replica, uint32_t from, uint32_t group, const Request *request);
 bool replica_propose_entry(struct replica *replica, uint32_t group, const Entry *entry);
+/** Whether the request is a retransmission of one that is still pending. */
+bool replica_is_duplicate(const struct replica_group *group, uint32_t from, const Request *request);
 bool replica_propose(struct replica *replica, uint32_t group, struct view entry, const struct replica_waiter *waiter);
 void replica_reply_message(struct replica *replica, uint32_t group, const struct replica_waiter *waiter,
                            const pb_msgdesc_t *fields, const void *message);
@@ -47,7 +49,9 @@
 /** Returns false if the request is not a read of the site state. */
 bool replica_answer_site_read(struct replica *replica, uint32_t group, const struct replica_waiter *waiter);
 void replica_update_members(struct replica *replica);
-uint64_t replica_timestamp_ms(struct replica *replica, uint32_t group);
+/** Answers the sender of an OperationFailure; `result` is its EntryResult. */
+void replica_answer_failure(struct replica *replica, uint32_t group, const struct replica_waiter *waiter,
+                            struct view result);
 
 /* replica_maintenance.c */
 void replica_maintain(struct replica *replica);
--- a/src/core/replica_requests.c
+++ b/src/core/replica_requests.c
@@ -301,8 +301,7 @@
     return false;
 }
 
-/* A request that is retransmitted while it is still pending is answered once. */
-static bool replica_is_duplicate(const struct replica_group *group, uint32_t from, const Request *request)
+bool replica_is_duplicate(const struct replica_group *group, uint32_t from, const Request *request)
 {
     return request->again && (replica_has_waiter(&group->proposals, from, request->id) ||
                               replica_has_waiter(&group->reads, from, request->id));
@@ -312,7 +311,7 @@
 {
     struct replica_waiter waiter = {.from = from, .request_id = request->id, .kind = request->kind};
     if (replica_is_duplicate(&replica->groups[group], from, request)) {
-        return;
+        return; /* answered once */
     }
     if (request->kind == REQUEST_MEMBERS) {
         replica_change_members(replica, group, request, &waiter);
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -146,6 +146,42 @@
     }
 }
 
+/* ---- Failures under operations ------------------------------------------------------ */
+
+bool replica_leads_applied(const struct replica *replica, uint32_t group)
+{
+    const struct raft *raft = &replica->groups[group].raft;
+    return raft_is_leader(raft) && raft_term_at(raft, raft->applied) == raft->term;
+}
+
+bool replica_record_failure(struct replica *replica, uint64_t now_ms, uint32_t from, const Request *request,
+                            const OperationFailure *failure)
+{
+    struct replica_waiter waiter = {.from = from, .request_id = request->id, .kind = REQUEST_FAILURE};
+    Entry entry = {.which_command = Entry_operation_failure_tag, .command.operation_failure = *failure};
+    struct buffer encoded = {0};
+    replica->now_ms = now_ms;
+    bool pending = replica_is_duplicate(&replica->groups[STATE_CONFIG_GROUP], from, request);
+    bool proposed = pending || (message_encode(&encoded, Entry_fields, &entry) &&
+                                replica_propose(replica, STATE_CONFIG_GROUP, buffer_view(&encoded), &waiter));
+    buffer_close(&encoded);
+    return proposed;
+}
+
+void replica_answer_failure(struct replica *replica, uint32_t group, const struct replica_waiter *waiter,
+                            struct view result)
+{
+    EntryResult outcome = {0};
+    if (!message_decode(result, EntryResult_fields, &outcome)) {
+        replica_reply(replica, group, waiter, RESULT_INVALID, view_of(NULL, 0));
+        return;
+    }
+    QuarantinedOperation operation = {.operation = outcome.operation, .remaining_ms = outcome.quarantined_ms};
+    QuarantineNotice notice = {.quarantined_count = outcome.quarantined_ms > 0 ? 1 : 0, .quarantined = &operation};
+    replica_reply_message(replica, group, waiter, QuarantineNotice_fields, &notice);
+    message_free(EntryResult_fields, &outcome);
+}
+
 /* ---- Members ---------------------------------------------------------------------- */
 
 /* Join requests count too, since a new member has not replied to the leader yet. */
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -119,6 +119,7 @@
     bool in_update;            /**< Its id is in the full list that is being applied. */
     bool address_reused;       /**< Another server answered at its address. */
     bool not_listening;        /**< Its address refused a connection: it has ended. */
+    uint32_t refused_dials;    /**< Connections that its address refused. */
     uint32_t in_flight;        /**< In-flight requests of this gateway. */
     uint32_t other_in_flight;  /**< In-flight requests of other gateways, as last reported. */
     uint32_t other_failures;   /**< Sum of the failure shares seen by other gateways, as last reported. */
--- a/src/core/site_state.c
+++ b/src/core/site_state.c
@@ -20,6 +20,7 @@
     free(state->retiring_machines);
     zone_set_close(&state->drained);
     stream_origins_close(&state->stream_origins);
+    quarantine_clear(&state->failures);
     memset(state, 0, sizeof(*state));
 }
 
@@ -102,6 +103,7 @@
     turn_store_expire(&state->turns, state->time_ms);
     budget_table_expire(&state->budgets, state->time_ms);
     stream_origins_expire(&state->stream_origins, state->time_ms);
+    quarantine_expire(&state->failures, state->time_ms);
 }
 
 static void site_begin_stream(struct site_state *state, const StreamBegin *begin, EntryResult *result)
@@ -111,6 +113,22 @@
     }
 }
 
+static void site_record_failure(struct site_state *state, const OperationFailure *entry, EntryResult *result)
+{
+    quarantine_failure_t failure = {
+        .operation = entry->operation,
+        .id = entry->failure,
+        .by_contents = entry->by_contents,
+        .sent_ms = state->time_ms > entry->age_ms ? state->time_ms - entry->age_ms : 0,
+    };
+    uint32_t max_failures = entry->max_failures;
+    state->failures.max_failures = max_failures < QUARANTINE_MAX_FAILURES ? max_failures : QUARANTINE_MAX_FAILURES;
+    state->failures.keep_ms = entry->keep_ms;
+    quarantine_record(&state->failures, state->time_ms, &failure);
+    result->operation = entry->operation;
+    result->quarantined_ms = (uint32_t)quarantine_remaining_ms(&state->failures, state->time_ms, entry->operation);
+}
+
 bool site_state_apply(struct site_state *state, uint64_t timestamp_ms, const Entry *entry, EntryResult *result)
 {
     state->time_ms = timestamp_ms > state->time_ms ? timestamp_ms : state->time_ms;
@@ -122,13 +140,17 @@
     case Entry_retire_start_tag: site_start_retire(state, &entry->command.retire_start); return true;
     case Entry_zone_drain_tag: site_drain_zone(state, &entry->command.zone_drain, result); return true;
     case Entry_stream_begin_tag: site_begin_stream(state, &entry->command.stream_begin, result); return true;
+    case Entry_operation_failure_tag:
+        site_record_failure(state, &entry->command.operation_failure, result);
+        return true;
     default: return false;
     }
 }
 
 size_t site_state_bytes(const struct site_state *state)
 {
-    return state->turns.index_bytes + state->budgets.bytes + stream_origins_bytes(&state->stream_origins);
+    return state->turns.index_bytes + state->budgets.bytes + stream_origins_bytes(&state->stream_origins) +
+           quarantine_bytes(&state->failures);
 }
 
 void site_state_export(const struct site_state *state, SiteSnapshot *snapshot)
@@ -144,6 +166,13 @@
     snapshot->has_drained = state->drained.revision > 0;
     zone_set_export(&state->drained, &snapshot->drained);
     stream_origins_export(&state->stream_origins, snapshot);
+    quarantine_export(&state->failures, snapshot);
+}
+
+void site_state_free_export(SiteSnapshot *snapshot)
+{
+    stream_origins_free_export(snapshot);
+    quarantine_free_export(snapshot);
 }
 
 void site_state_import(struct site_state *state, const SiteSnapshot *snapshot)
@@ -167,4 +196,5 @@
     }
     zone_set_update(&state->drained, &snapshot->drained);
     stream_origins_import(&state->stream_origins, snapshot);
+    quarantine_import(&state->failures, snapshot);
 }
--- a/src/core/site_state.h
+++ b/src/core/site_state.h
@@ -2,8 +2,8 @@
  * @file site_state.h
  * State that group 0 replicates for the gateways, besides the resources of
  * config_store.h: the configuration document, conversation turns, program
- * budgets, machines being retired, drained zones and the software versions that
- * began streams.
+ * budgets, machines being retired, drained zones, the software versions that
+ * began streams, and the operations under which servers failed.
  *
  * Time is the highest timestamp of the applied entries. It never goes back, so
  * that a wall clock jump makes no expired turn valid again; see also
@@ -13,6 +13,7 @@
 #define BANKBANK_CORE_SITE_STATE_H
 
 #include "core/budget_table.h"
+#include "core/quarantine.h"
 #include "core/stream_origins.h"
 #include "core/turn_store.h"
 #include "core/zone_set.h"
@@ -37,7 +38,8 @@
     char **retiring_machines; /**< Names of machines being retired: their replicas leave the group. Owned. */
     uint32_t retiring_count;
     stream_origins_t stream_origins;
-    zone_set_t drained; /**< Zones whose servers get no new requests. */
+    zone_set_t drained;    /**< Zones whose servers get no new requests. */
+    quarantine_t failures; /**< Of all gateways; the limits are those of the last entry. */
 };
 
 /** Initializes an empty state. The texts of turns are stored in `history`, or in memory if it is all zero. */
@@ -51,12 +53,13 @@
 /** Whether the retirement of a machine has started; its replica may not have left the group yet. */
 bool site_state_is_retiring(const struct site_state *state, const char *machine);
 
-/** Bytes of memory that grow with traffic: the index of turns, the budgets and the versions of streams. */
+/** Bytes of memory that grow with traffic: the index of turns, the budgets, the versions of streams and failures. */
 size_t site_state_bytes(const struct site_state *state);
 
 /** Fills a snapshot that borrows from the state. It lacks turns and budgets, which have records of their own. Release
- * it with stream_origins_free_export(). */
+ * it with site_state_free_export(). */
 void site_state_export(const struct site_state *state, SiteSnapshot *snapshot);
+void site_state_free_export(SiteSnapshot *snapshot);
 
 /** Loads a snapshot into an empty state; snapshots of older versions contain turns and budgets as well. */
 void site_state_import(struct site_state *state, const SiteSnapshot *snapshot);
--- a/src/core/state_machine.c
+++ b/src/core/state_machine.c
@@ -117,6 +117,7 @@
     switch (state_machine_entry_command(entry)) {
     case Entry_zone_drain_tag: return STATE_LEVEL_ZONES;
     case Entry_stream_begin_tag: return STATE_LEVEL_STREAMS;
+    case Entry_operation_failure_tag: return STATE_LEVEL_FAILURES;
     default: return 0;
     }
 }
@@ -139,7 +140,7 @@
     site_state_export(&machine->site, &snapshot.site);
     message_encode(out, StateSnapshot_fields, &snapshot);
     config_state_close(&snapshot.config);
-    stream_origins_free_export(&snapshot.site);
+    site_state_free_export(&snapshot.site);
     free(snapshot.requests);
     free(snapshot.leases);
 }
--- a/src/core/state_machine.h
+++ b/src/core/state_machine.h
@@ -18,9 +18,10 @@
 
 /** Levels of log entries: a daemon of level N can apply the entries of all levels up to N. */
 enum {
-    STATE_LEVEL_ZONES = 1,   /**< Entry.zone_drain. */
-    STATE_LEVEL_STREAMS = 2, /**< Entry.stream_begin. */
-    STATE_LEVEL = STATE_LEVEL_STREAMS
+    STATE_LEVEL_ZONES = 1,    /**< Entry.zone_drain. */
+    STATE_LEVEL_STREAMS = 2,  /**< Entry.stream_begin. */
+    STATE_LEVEL_FAILURES = 3, /**< Entry.operation_failure. */
+    STATE_LEVEL = STATE_LEVEL_FAILURES
 };
 
 enum {
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -101,7 +101,8 @@
     event_log_with_budget(
         forward_log_budget(forward), "request",
         "{s:s,s:s,s:s,s:s,s:s,s:i,s:s,s:s,s:s,s:I,s:I,s:i,s:i,s:b,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:I}", "id",
-        text_or_empty(forward->id), "operation", operation, "tenant", forward->tenant == NULL ? "" : forward->tenant->name, "route",
+        text_or_empty(forward->id), "operation", operation, "tenant",
+        forward->tenant == NULL ? "" : forward->tenant->name, "route",
         forward->route == NULL ? "" : text_or_empty(forward->route->name), "outcome", forward->reason, "status",
         forward->response_status, "server", text_or_empty(forward->last_server), "version",
         text_or_empty(forward->last_version), "resumes", text_or_empty(forward->resumes), "total_ms",
@@ -202,6 +203,7 @@
     struct http_call *call = forward->call;
     forward->frontend->counters.completed++;
     forward->reason = FORWARD_COMPLETED;
+    forward_record_served(forward);
     histogram_record(&forward->frontend->response_time, node_now(forward->frontend->node) - call->received_ms);
     forward_release_held(forward);
     call->owner = NULL;
@@ -214,6 +216,7 @@
     struct http_call *call = forward->call;
     forward->frontend->counters.completed++;
     forward->reason = FORWARD_COMPLETED;
+    forward_record_served(forward);
     forward->response_status = status;
     histogram_record(&forward->frontend->response_time, node_now(forward->frontend->node) - call->received_ms);
     call->owner = NULL;
@@ -278,6 +281,14 @@
     return defers;
 }
 
+static const char *forward_startup_reason(const struct frontend *frontend)
+{
+    if (frontend_is_configured(frontend)) {
+        return "failures of servers not known yet";
+    }
+    return frontend->table == NULL ? "no configuration yet" : "no servers known yet";
+}
+
 static void forward_on_timer(uv_timer_t *timer)
 {
     struct forward *forward = timer->data;
@@ -286,8 +297,7 @@
         return;
     }
     if (forward->phase == FORWARD_WAITING) {
-        forward_refuse(forward, FORWARD_UNAVAILABLE,
-                       forward->frontend->table == NULL ? "no configuration yet" : "no servers known yet");
+        forward_refuse(forward, FORWARD_UNAVAILABLE, forward_startup_reason(forward->frontend));
         return;
     }
     if (now_ms >= forward->deadline_ms) {
@@ -471,7 +481,7 @@
         forward_end_at_stop(forward);
     } else if (!frontend_memory_admit(frontend, forward)) {
         forward_refuse(forward, FORWARD_UNAVAILABLE, "memory full");
-    } else if (frontend_is_configured(frontend)) {
+    } else if (frontend_may_route(frontend)) {
         forward_route(forward);
     } else {
         forward_wait_for_startup(forward);
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -32,10 +32,13 @@
     FORWARD_RESTARTED_IDLE_MS = 2000,     /**< Minimum idle timeout of an attempt at a server that has restarted. */
     FORWARD_STARTUP_WAIT_MS = 1500,       /**< Maximum time in FORWARD_WAITING. */
     FORWARD_STARTUP_WAIT_DIVISOR = 2,     /**< That time is also at most the caller's timeout divided by this. */
-    FORWARD_RECORD_WAIT_MS = 250,    /**< Maximum time for which a first event waits for the record of its version. */
-    FORWARD_RECORD_SLACK_MS = 10000, /**< Records are kept this much longer than the caller waits. */
-    FORWARD_MAX_WAITING = 256,       /**< Maximum number of requests in FORWARD_WAITING. */
-    FORWARD_FAILURE_REPORT_MS = 100  /**< Maximum time for which a retry or resume waits for the leader's count. */
+    FORWARD_RECORD_WAIT_MS = 250,     /**< Maximum time for which a first event waits for the record of its version. */
+    FORWARD_RECORD_SLACK_MS = 10000,  /**< Records are kept this much longer than the caller waits. */
+    FORWARD_MAX_WAITING = 256,        /**< Maximum number of requests in FORWARD_WAITING. */
+    FORWARD_FAILURE_WAIT_MS = 500,    /**< Maximum time for which a retry or resume waits for the leader's count. */
+    FORWARD_FAILURE_ANSWER_MS = 100,  /**< The same for the answer of a request that is not sent again: its caller may
+                                         repeat it at once, maybe after this process has been killed. */
+    FORWARD_FAILURE_REPORT_MS = 10000 /**< Maximum time for which a failure is reported again to the leader. */
 };
 
 enum forward_phase { FORWARD_WAITING, FORWARD_PREPARING, FORWARD_QUEUED, FORWARD_RUNNING, FORWARD_COMMITTING };
@@ -68,6 +71,8 @@
     uint64_t restart_seen_ms;        /**< Loop time at which a restart of the server was noticed; 0: none. */
     const char *failure;             /**< Reason of its failure, while `failure_report` is in flight. */
     struct node_request *failure_report; /**< To the leader; in flight, or NULL. */
+    uint64_t failure_reported_ms;        /**< Loop time. */
+    bool may_go_on;                      /**< The request may be sent again unless it is quarantined. */
     bool unanswered_recorded;            /**< By forward_record_unanswered(), once. */
     int status;                          /**< 0: no response yet. */
     bool refused;                        /**< The response says that the server did not run the request. */
@@ -139,6 +144,8 @@
     char *resumes;      /**< DIALECT_RESUMES, or NULL. */
     uint64_t operation; /**< Once `has_operation` is set; see forward_operation(). */
     bool has_operation;
+    bool operation_by_contents; /**< Requests of other callers may have the same operation. */
+    bool failure_uncounted;     /**< The leader may not have counted all failures: no further server may run it. */
     struct forward_origin origin;
     uint32_t sends;          /**< Attempts so far. */
     uint32_t possible_runs;  /**< Failed attempts in which a server may have run it. */
@@ -313,9 +320,15 @@
 void forward_refuse_quarantined(struct forward *forward);
 
 /** forward_quarantine.c: counts and reports that the attempt's server failed while it ran the request. True:
- * forward_after_failure() is called once the leader has counted it, or after FORWARD_FAILURE_REPORT_MS. */
+ * forward_after_failure() is called once the leader has counted it, or after FORWARD_FAILURE_WAIT_MS. */
 bool forward_report_failure(struct forward_attempt *attempt, const char *reason);
 
+/** forward_quarantine.c: ends the waits for the leader's count that last too long. */
+void forward_end_failure_waits(struct frontend *frontend);
+
+/** forward_operation.c: remembers that a server has responded to the request. */
+void forward_record_served(struct forward *forward);
+
 /** forward_quarantine.c: counts and reports servers that have ended without a sign on the connection, for a request
  * that ends while it waits for them. */
 void forward_report_silent_servers(const struct forward *forward);
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -333,10 +333,9 @@
  * retry budget. */
 static bool forward_may_hedge(struct forward *forward)
 {
-    if (forward_awaits_failure_count(forward) || forward_is_quarantined(forward) || !forward_may_send_again(forward)) {
-        return false;
-    }
-    return forward->route->kind == ROUTE_SAFE && !forward->hedged && forward->phase == FORWARD_RUNNING &&
+    bool may_be_sent = !forward_awaits_failure_count(forward) && !forward_is_quarantined(forward) &&
+                       forward->frontend->counts_known && forward_may_send_again(forward);
+    return may_be_sent && forward->route->kind == ROUTE_SAFE && !forward->hedged && forward->phase == FORWARD_RUNNING &&
            forward_has_attempt(forward) && forward->sends < forward->route->max_attempts && forward_has_time(forward);
 }
 
@@ -419,7 +418,8 @@
 {
     struct forward *forward = attempt->forward;
     bool quarantined = forward_is_quarantined(forward);
-    if (!quarantined && forward_resume(attempt, reason)) {
+    bool ends = quarantined || forward->failure_uncounted;
+    if (!ends && forward_resume(attempt, reason)) {
         return;
     }
     forward_end_attempt(attempt);
@@ -430,7 +430,7 @@
         forward_refuse_quarantined(forward);
         return;
     }
-    if (forward_may_retry(forward)) {
+    if (!ends && forward_may_retry(forward)) {
         forward_place(forward);
     } else {
         forward_fail(forward, FORWARD_BAD_GATEWAY, reason);
--- a/src/proxy/forward_quarantine.c
+++ b/src/proxy/forward_quarantine.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "base/event_log.h"
 #include "base/message.h"
 #include "proxy/forward.h"
@@ -56,12 +58,20 @@
     }
 }
 
-static void forward_log_uncounted(struct forward *forward, ResultCode code)
+static void forward_log_uncounted(struct forward *forward, const char *reason)
 {
     char operation[QUARANTINE_TEXT_BYTES];
     quarantine_format(forward_operation(forward), operation);
-    event_log("failure_not_counted", "{s:s,s:s,s:i}", "id", text_or_empty(forward->id), "operation", operation, "code",
-              (int)code);
+    event_log("failure_not_counted", "{s:s,s:s,s:s}", "id", text_or_empty(forward->id), "operation", operation,
+              "reason", reason);
+}
+
+/* The number of failures is unknown: the request must not be sent to another server. */
+static void forward_end_uncounted(struct forward *forward, const char *reason)
+{
+    forward->frontend->counters.uncounted_failures++;
+    forward->failure_uncounted = true;
+    forward_log_uncounted(forward, reason);
 }
 
 static void forward_on_failure_counted(void *context, ResultCode code, struct view body)
@@ -70,19 +80,44 @@
     attempt->failure_report = NULL;
     if (code == RESULT_OK) {
         frontend_adopt_encoded_notice(attempt->forward->frontend, body);
-    } else {
-        forward_log_uncounted(attempt->forward, code);
+    } else if (code != RESULT_INVALID && attempt->may_go_on) { /* invalid: of a leader that does not count failures */
+        forward_end_uncounted(attempt->forward, "not acknowledged");
     }
     forward_after_failure(attempt, attempt->failure);
 }
 
+/* Within one request, a server that broke off several times without having ended counts once. */
+static uint64_t forward_failure_id(const struct forward_attempt *attempt)
+{
+    uint64_t parts[] = {XXH64(attempt->forward->id, strlen(attempt->forward->id), 0), attempt->server->hash,
+                        attempt->server->refused_dials};
+    return XXH64(parts, sizeof(parts), 0);
+}
+
+static quarantine_failure_t forward_describe_failure(const struct forward_attempt *attempt)
+{
+    return (quarantine_failure_t){
+        .operation = forward_operation(attempt->forward),
+        .id = forward_failure_id(attempt),
+        .by_contents = attempt->forward->operation_by_contents,
+        .sent_ms = attempt->sent_ms,
+    };
+}
+
+/* The leader counts it even if the request ends, or the caller leaves, meanwhile. */
 static struct node_request *forward_submit_failure(const struct forward_attempt *attempt, node_reply reply,
                                                    void *context)
 {
-    struct forward *forward = attempt->forward;
-    struct node *node = forward->frontend->node;
+    struct node *node = attempt->forward->frontend->node;
+    quarantine_failure_t failure = forward_describe_failure(attempt);
     struct buffer body = {0};
-    FailureReport report = {.operation = forward_operation(forward), .server = attempt->server->hash};
+    FailureReport report = {
+        .operation = failure.operation,
+        .server = attempt->server->hash,
+        .failure = failure.id,
+        .age_ms = (uint32_t)(node_now(node) - failure.sent_ms),
+        .by_contents = failure.by_contents,
+    };
     message_encode(&body, FailureReport_fields, &report);
     struct node_request *request = node_submit(node, REQUEST_FAILURE, buffer_view(&body),
                                                node_now(node) + FORWARD_FAILURE_REPORT_MS, reply, context);
@@ -90,30 +125,73 @@
     return request;
 }
 
-/* Returns whether the leader can be told. */
+static bool forward_counts_alone(const struct frontend *frontend)
+{
+    return node_is_isolated(frontend->node) || frontend_is_cut_off(frontend);
+}
+
+/* Returns whether failures are counted at all. */
 static bool forward_count_failure(const struct forward_attempt *attempt)
 {
-    struct forward *forward = attempt->forward;
-    struct frontend *frontend = forward->frontend;
-    quarantine_record(&frontend->quarantine, node_now(frontend->node), forward_operation(forward),
-                      attempt->server->hash);
-    return frontend->quarantine.max_servers > 0 && !node_is_isolated(frontend->node) && !frontend_is_cut_off(frontend);
+    struct frontend *frontend = attempt->forward->frontend;
+    quarantine_failure_t failure = forward_describe_failure(attempt);
+    quarantine_record(&frontend->quarantine, node_now(frontend->node), &failure);
+    return frontend->quarantine.max_failures > 0;
 }
 
 bool forward_report_failure(struct forward_attempt *attempt, const char *reason)
 {
     struct forward *forward = attempt->forward;
+    struct frontend *frontend = forward->frontend;
     if (!forward_count_failure(attempt)) {
         return false;
     }
-    bool may_go_on = forward_may_retry(forward) || forward_is_resumable(forward);
-    if (!may_go_on || forward_is_quarantined(forward)) {
-        forward_submit_failure(attempt, NULL, NULL);
-        return false;
+    bool waits = frontend->counts_known && !forward_counts_alone(frontend);
+    struct node_request *report =
+        forward_submit_failure(attempt, waits ? forward_on_failure_counted : NULL, waits ? attempt : NULL);
+    attempt->may_go_on =
+        (forward_may_retry(forward) || forward_is_resumable(forward)) && !forward_is_quarantined(forward);
+    if (attempt->may_go_on && !frontend->counts_known) {
+        forward_end_uncounted(forward, "earlier failures are not known since the start");
     }
     attempt->failure = reason;
-    attempt->failure_report = forward_submit_failure(attempt, forward_on_failure_counted, attempt);
-    return true;
+    attempt->failure_report = waits ? report : NULL;
+    attempt->failure_reported_ms = node_now(frontend->node);
+    return waits;
+}
+
+static bool forward_report_is_late(const struct forward_attempt *attempt)
+{
+    if (attempt->failure_report == NULL) {
+        return false;
+    }
+    uint64_t wait_ms = attempt->may_go_on ? FORWARD_FAILURE_WAIT_MS : FORWARD_FAILURE_ANSWER_MS;
+    return node_now(attempt->forward->frontend->node) >= attempt->failure_reported_ms + wait_ms;
+}
+
+static void forward_end_failure_wait(struct forward_attempt *attempt)
+{
+    struct frontend *frontend = attempt->forward->frontend;
+    node_ignore_reply(frontend->node, attempt->failure_report);
+    attempt->failure_report = NULL;
+    if (attempt->may_go_on && !forward_counts_alone(frontend)) {
+        forward_end_uncounted(attempt->forward, "not acknowledged in time");
+    }
+    forward_after_failure(attempt, attempt->failure);
+}
+
+void forward_end_failure_waits(struct frontend *frontend)
+{
+    struct forward *next = NULL;
+    for (struct forward *forward = frontend->forwards; forward != NULL; forward = next) {
+        next = forward->next;
+        for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
+            if (forward_report_is_late(&forward->attempts[i])) {
+                forward_end_failure_wait(&forward->attempts[i]);
+                break; /* the request may have ended */
+            }
+        }
+    }
 }
 
 static bool forward_server_has_ended(const struct server *server)
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -52,8 +52,10 @@
     frontend_default_limits(&limits);
     frontend->node = node;
     frontend->jitter_state = node->boot_id;
-    frontend->quarantine.max_servers = (uint32_t)node->settings.quarantine_servers;
+    frontend->quarantine.max_failures = (uint32_t)node->settings.quarantine_servers;
     frontend->quarantine.keep_ms = node->settings.quarantine_ms;
+    frontend->counts_known = frontend->quarantine.max_failures == 0;
+    frontend->opened_ms = node_now(node);
     node->upstreams.max_connections = FRONTEND_MAX_SERVER_CONNECTIONS;
     frontend_init_probes(frontend);
     frontend->servers.on_replaced = frontend_on_server_restarted;
@@ -95,7 +97,7 @@
 
 void frontend_route_waiting(struct frontend *frontend)
 {
-    if (frontend->waiting > 0 && frontend_is_configured(frontend)) {
+    if (frontend->waiting > 0 && frontend_may_route(frontend)) {
         forward_route_waiting(frontend);
     }
 }
@@ -167,6 +169,12 @@
     return frontend->table != NULL && frontend->servers_known;
 }
 
+bool frontend_may_route(const struct frontend *frontend)
+{
+    bool waited = node_now(frontend->node) >= frontend->opened_ms + FRONTEND_COUNTS_WAIT_MS;
+    return frontend_is_configured(frontend) && (frontend->counts_known || waited);
+}
+
 /* Linear congruential generator with Knuth's MMIX constants. */
 uint32_t frontend_random(struct frontend *frontend)
 {
@@ -222,7 +230,7 @@
  * leader's interval, but at least QUORUM_CONTACT_IDLE_REPORT_MS, so that it detects a cut sooner. */
 uint32_t frontend_report_interval_ms(const struct frontend *frontend)
 {
-    bool idle = frontend->active == 0 && !frontend->last_report_had_loads;
+    bool idle = frontend->active == 0 && !frontend->last_report_had_loads && frontend->counts_known;
     uint32_t idle_ms =
         frontend->node->settings.tolerated_zones > 0 ? QUORUM_CONTACT_IDLE_REPORT_MS : PRESENCE_REPORT_MS;
     uint32_t min_ms = idle ? idle_ms : LOAD_MIN_REPORT_MS;
@@ -273,6 +281,10 @@
     frontend->report_interval_ms = totals->report_ms;
     frontend_record_leader_reply(frontend);
     frontend_adopt_quarantine(frontend, totals->quarantined, totals->quarantined_count);
+    if (!frontend->counts_known) {
+        frontend->counts_known = true;
+        frontend_route_waiting(frontend);
+    }
     if (totals->loads_ms > 0) {
         server_table_set_other_loads(&frontend->servers, now_ms, totals);
     }
@@ -316,6 +328,8 @@
         forward_record_unanswered(forward);
     }
     forward_end_idle_after_restart(frontend);
+    forward_end_failure_waits(frontend);
+    frontend_route_waiting(frontend);
     quarantine_expire(&frontend->quarantine, node_now(frontend->node));
     forward_release_held_streams(frontend);
     frontend_log_version_mix(frontend);
@@ -424,6 +438,9 @@
                           frontend->quota_requests);
     metrics_write_counter(out, "quarantine_refusals_total",
                           "Requests ended since servers failed under their operation.", counters->quarantine_refusals);
+    metrics_write_counter(out, "uncounted_failures_total",
+                          "Requests ended since the leader had not counted a failure of a server.",
+                          counters->uncounted_failures);
     metrics_write_gauge(out, "operations_quarantined", "Operations that no server may run for now.",
                         frontend->quarantine.quarantined);
     metrics_write_gauge(out, "requests_active", "Requests under way.", frontend->active);
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -12,6 +12,7 @@
 #include "core/quota_lease.h"
 #include "core/retry.h"
 #include "core/route_table.h"
+#include "core/served_set.h"
 #include "core/server_table.h"
 #include "core/turn_store.h"
 #include "core/version_mix.h"
@@ -21,6 +22,7 @@
 enum {
     FRONTEND_DEFAULT_CACHE_BYTES = 8 << 20, /**< Used if no memory budget is set. */
     FRONTEND_MAX_SERVER_CONNECTIONS = 24,   /**< Limit for each server. */
+    FRONTEND_COUNTS_WAIT_MS = 3000,         /**< Maximum time for which requests wait for counts_known. */
     FRONTEND_REVIEW_MS = 50, /**< Interval of the checks of servers (silence, failures, restarts) and of the memory. */
     FRONTEND_WITHDRAWAL_MS = 1000 /**< Duration of a withdrawal (core/presence.h) after the last LoadTotals that called
                                    * for it, unless a later one ends it. */
@@ -60,6 +62,7 @@
     uint64_t cut_off_refusals; /**< Requests refused because the gateway was cut off. */
     uint64_t commits_aborted;  /**< Responses aborted because the gateway was cut off before their turn was stored. */
     uint64_t quarantine_refusals; /**< Requests ended because their operation is quarantined. */
+    uint64_t uncounted_failures;  /**< Requests that ended since the leader had not counted a failure. */
     uint64_t contact_probes;      /**< Probes of replicas in other zones while in doubt. */
 };
 
@@ -94,11 +97,15 @@
     bool last_report_had_loads;
     uint64_t withdrawn_until_ms; /**< Not ready until then, so that other zones serve callers (presence.h). */
     bool withdrawal_logged;
-    quarantine_t quarantine;   /**< Operations under which servers failed here, or that the leader quarantined. */
-    quorum_contact_t contact;  /**< Unused without the setting tolerated_zones. */
-    uint32_t contact_rotation; /**< Position of the next replica to probe. */
-    uint64_t contact_delay_ms; /**< Longest delay of a tick since a leader's last reply. */
-    uint64_t cut_off_ended_ms; /**< When the last cut ended; 0: never. */
+    quarantine_t quarantine; /**< Operations under which servers failed here, or that the leader quarantined. */
+    served_set_t served;     /**< Contents of requests without a program. */
+    bool counts_known;       /**< A leader has replied to a load report: `quarantine` has all that it lists. Until then
+                                a request is sent to one server at most. */
+    uint64_t opened_ms;
+    quorum_contact_t contact;         /**< Unused without the setting tolerated_zones. */
+    uint32_t contact_rotation;        /**< Position of the next replica to probe. */
+    uint64_t contact_delay_ms;        /**< Longest delay of a tick since a leader's last reply. */
+    uint64_t cut_off_ended_ms;        /**< When the last cut ended; 0: never. */
     uint64_t cut_off_refusals_before; /**< counters.cut_off_refusals when the last cut was detected. */
     prefix_cost_t call_cost;          /**< Average cost of a request to a model server, in input tokens. */
     quota_leases_t tenant_leases;     /**< Rate limit tokens of tenants. */
@@ -135,7 +142,7 @@
 /** frontend_configuration.c. */
 void frontend_configuration_close(struct frontend *frontend);
 
-/** Routes the requests in FORWARD_WAITING if the configuration and the servers are known. */
+/** Routes the requests in FORWARD_WAITING if frontend_may_route(). */
 void frontend_route_waiting(struct frontend *frontend);
 
 /** Applies node->state.servers. */
@@ -156,6 +163,9 @@
 /** Whether it has a configuration and a server list. */
 bool frontend_is_configured(const struct frontend *frontend);
 
+/** Whether requests may be routed: it is configured and counts_known, or has waited long enough for the latter. */
+bool frontend_may_route(const struct frontend *frontend);
+
 /** For the jitter of Retry-After. */
 uint32_t frontend_random(struct frontend *frontend);
 
--- a/src/proxy/node_settings.c
+++ b/src/proxy/node_settings.c
@@ -91,7 +91,7 @@
     NODE_NUMBER(memory_mb, 0, NODE_MAX_MEMORY_MB),
     NODE_NUMBER(tolerated_zones, 0, NODE_MAX_ZONES),
     NODE_NUMBER(server_drain_ms, 0, NODE_MAX_DURATION_MS),
-    NODE_NUMBER(quarantine_servers, 0, QUARANTINE_MAX_SERVERS),
+    NODE_NUMBER(quarantine_servers, 0, QUARANTINE_MAX_FAILURES),
     {.key = "quarantine_s",
      .type = YAML_SECONDS,
      .offset = offsetof(struct node_settings, quarantine_ms),
@@ -107,7 +107,7 @@
     settings->list_period_ms = NODE_LIST_PERIOD_MS;
     settings->grace_ms = NODE_GRACE_MS;
     settings->refer_above = WATCH_REFER_ABOVE;
-    settings->quarantine_servers = QUARANTINE_DEFAULT_SERVERS;
+    settings->quarantine_servers = QUARANTINE_DEFAULT_FAILURES;
     settings->quarantine_ms = QUARANTINE_DEFAULT_KEEP_MS;
     settings->log_lines_per_s = NODE_LOG_LINES_PER_S;
     settings->log_level = text_copy("warn");
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -19,7 +19,7 @@
 {
     struct state_host *host = memory_new(sizeof(*host));
     host->node = node;
-    host->quarantine.max_servers = (uint32_t)node->settings.quarantine_servers;
+    host->quarantine.max_failures = (uint32_t)node->settings.quarantine_servers;
     host->quarantine.keep_ms = node->settings.quarantine_ms;
     host->watchers.refer_above = (uint32_t)node->settings.refer_above;
     host->watchers.max_queued_bytes = node->memory.queues == 0 ? LINKS_MAX_QUEUED_BYTES : node->memory.queues;
@@ -144,8 +144,9 @@
     host->logged_is_leader = leads;
     quota_table_clear(&host->quotas, node_now(host->node));
     quota_table_clear(&host->slow_starts.tokens, node_now(host->node));
-    quarantine_clear(&host->quarantine); /* failures that other leaders counted meanwhile are unknown here */
-    presence_clear(&host->presence);     /* this leader counts a gateway as silent only after a first report to it */
+    quarantine_clear(&host->quarantine); /* outdated: other leaders may have decided meanwhile */
+    host->quarantines_applied = 0;
+    presence_clear(&host->presence); /* this leader counts a gateway as silent only after a first report to it */
     event_log("leader_changed", "{s:I,s:b,s:I,s:I}", "leader", (json_int_t)raft->leader, "own", leads, "term",
               (json_int_t)raft->term, "commit", (json_int_t)raft->commit);
 }
@@ -319,6 +320,7 @@
         return;
     }
     host_dial_members(host);
+    state_host_apply_quarantines(host);
     struct watch_changes changes = host_publish_state(host);
     if (changes.document || changes.drained || changes.members) {
         node_state_changed(node, changes);
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -51,7 +51,8 @@
     presence_t presence;            /**< Leader only: gateways that reported recently. */
     quota_table_t quotas;           /**< Leader only: rate limit tokens of tenants. */
     slow_start_table_t slow_starts; /**< Leader only: tokens for servers that have just started. */
-    quarantine_t quarantine;        /**< Leader only: operations under which servers failed. */
+    quarantine_t quarantine;        /**< Leader only: the quarantined operations of the log, and those of gateways. */
+    uint64_t quarantines_applied;   /**< Leader only: quarantine_t.begun of the log when last copied. */
     uint64_t quarantines;           /**< Operations quarantined so far. */
     struct route_table *routes;     /**< Configuration that the quotas are computed from, or NULL. */
     struct http_listener control;   /**< Operators' API. */
--- a/src/proxy/state_host_daemons.c
+++ b/src/proxy/state_host_daemons.c
@@ -137,13 +137,19 @@
 
 /* If zones may be lost, gateways take the reply as proof that the quorum is reachable. A leader that has lost its
  * quorum steps down only after an election timeout; its replies until then would delay the detection of the cut. */
-static bool host_may_reply_to_reports(const struct state_host *host, uint64_t now_ms)
+static bool host_has_contact(const struct state_host *host, uint64_t now_ms)
 {
     const struct raft *raft = &host->replica.groups[STATE_CONFIG_GROUP].raft;
     uint64_t since_ms = now_ms > QUORUM_CONTACT_LEADER_QUORUM_MS ? now_ms - QUORUM_CONTACT_LEADER_QUORUM_MS : 0;
     return host->node->settings.tolerated_zones == 0 || raft_quorum_active_since(raft, since_ms);
 }
 
+/* A gateway takes the first reply as proof that it knows all quarantined operations (frontend.counts_known). */
+static bool host_may_reply_to_reports(const struct state_host *host, uint64_t now_ms)
+{
+    return replica_leads_applied(&host->replica, STATE_CONFIG_GROUP) && host_has_contact(host, now_ms);
+}
+
 /* Replies with the load of the other gateways and the number of silent ones. */
 static void host_handle_load_report(struct state_host *host, uint32_t from, const LoadReport *report)
 {
@@ -162,6 +168,7 @@
     if (!host_may_reply_to_reports(host, now_ms)) {
         return;
     }
+    state_host_apply_quarantines(host);
     load_table_answer(&host->loads, now_ms, from, &frame.payload.load_totals);
     LoadTotals *totals = &frame.payload.load_totals;
     presence_count(&host->presence, now_ms, report->zone, totals);
@@ -276,13 +283,10 @@
 
 /* ---- Feature levels ---------------------------------------------------------------------------------- */
 
-/* Members of an earlier version skip entries of an unknown kind, and could become leader without having applied them.
- * Only connected members are checked. */
-static bool host_members_support(const struct state_host *host, struct view entry)
+bool state_host_members_have_level(const struct state_host *host, uint32_t level)
 {
     const struct raft_members *members = state_host_logged_members(host);
-    return links_min_feature_level(&host->node->links, members->nodes, members->count) >=
-           state_machine_entry_level(entry);
+    return links_min_feature_level(&host->node->links, members->nodes, members->count) >= level;
 }
 
 static void host_reject_unsupported(struct state_host *host, uint32_t from, const Request *request)
@@ -318,7 +322,8 @@
 {
     Frame proposal = *frame;
     proposal.payload.request.kind = REQUEST_PROPOSE;
-    if (state_host_is_leader(host) && !host_members_support(host, frame->payload.request.body)) {
+    uint32_t level = state_machine_entry_level(frame->payload.request.body);
+    if (state_host_is_leader(host) && !state_host_members_have_level(host, level)) {
         host_reject_unsupported(host, from, &frame->payload.request);
     } else {
         replica_receive(&host->replica, node_now(host->node), from, &proposal);
--- a/src/proxy/state_host_internal.h
+++ b/src/proxy/state_host_internal.h
@@ -34,6 +34,13 @@
 /** Handles a REQUEST_FAILURE. */
 void state_host_handle_failure(struct state_host *host, uint32_t from, const Request *request);
 
+/** Tells the gateways of operations that the log has quarantined since the last call. */
+void state_host_apply_quarantines(struct state_host *host);
+
+/** Whether all connected members can apply entries of the level. Members of an earlier version skip entries of an
+ * unknown kind, and could become leader without having applied them. */
+bool state_host_members_have_level(const struct state_host *host, uint32_t level);
+
 void state_host_write_quarantine(const struct state_host *host, struct buffer *out);
 
 #endif
--- a/tests/fuzz/fuzz_site.c
+++ b/tests/fuzz/fuzz_site.c
@@ -14,6 +14,9 @@
     PROGRAMS = 3,
     STREAMS = 8,
     VERSIONS = 3,
+    OPERATIONS = 4,
+    FAILURES = 8,
+    MAX_FAILURES = 3,
     BUDGET = 300,
     NO_PARENT = -1,
     NO_VERSION = -1,
@@ -34,12 +37,13 @@
     uint64_t tokens[PROGRAMS][TURNS];
     int stream_version[STREAMS];
     uint32_t stream_attempt[STREAMS];
+    uint32_t failures[OPERATIONS]; /* bit N: failure N was recorded before the operation was quarantined */
     uint64_t version;
     uint8_t content;
 };
 
 /* Operations, numbered as in the input. */
-enum operation { OP_BEGIN, OP_STORE, OP_SETTLE, OP_DOCUMENT, OP_SNAPSHOT, OP_STREAM, OP_COUNT };
+enum operation { OP_BEGIN, OP_STORE, OP_SETTLE, OP_DOCUMENT, OP_SNAPSHOT, OP_STREAM, OP_FAILURE, OP_COUNT };
 
 static void require(bool condition, const char *what)
 {
@@ -160,6 +164,34 @@
     }
 }
 
+static bool is_quarantined(const struct model *model, int operation)
+{
+    return __builtin_popcount(model->failures[operation]) >= MAX_FAILURES;
+}
+
+static void run_failure(struct site_state *site, struct model *model, uint64_t now_ms, int operation, int failure)
+{
+    OperationFailure record = {
+        .operation = (uint64_t)operation,
+        .failure = (uint64_t)failure,
+        .max_failures = MAX_FAILURES,
+        .keep_ms = KEEP_MS,
+    };
+    Entry entry = {.which_command = Entry_operation_failure_tag, .command.operation_failure = record};
+    EntryResult result = {0};
+    require(site_state_apply(site, now_ms, &entry, &result), "the state handles the entry");
+    model->failures[operation] |= is_quarantined(model, operation) ? 0 : 1U << failure;
+    require((result.quarantined_ms > 0) == is_quarantined(model, operation), "the result tells of a quarantine");
+}
+
+static void check_failures(const struct site_state *site, const struct model *model, int operation)
+{
+    uint32_t expected = (uint32_t)__builtin_popcount(model->failures[operation]);
+    uint64_t remaining_ms = quarantine_remaining_ms(&site->failures, site->time_ms, (uint64_t)operation);
+    require(quarantine_count(&site->failures, (uint64_t)operation) == expected, "each failure counts once");
+    require((remaining_ms > 0) == is_quarantined(model, operation), "an operation is quarantined by its failures");
+}
+
 static void check_stream(const struct site_state *site, const struct model *model, int stream)
 {
     char name[NAME_BYTES];
@@ -216,6 +248,9 @@
     for (int stream = 0; stream < STREAMS; stream++) {
         check_stream(site, model, stream);
     }
+    for (int operation = 0; operation < OPERATIONS; operation++) {
+        check_failures(site, model, operation);
+    }
     require(site->document.version == model->version, "the stored document has the highest version");
     require(model->version == 0 || site->document.content.data[0] == model->content,
             "the content of a document version never changes");
@@ -243,6 +278,7 @@
         case OP_STREAM:
             run_stream(site, &model, now_ms, step[1] % STREAMS, step[2] % 4, step[3] % (VERSIONS + 1));
             break;
+        case OP_FAILURE: run_failure(site, &model, now_ms, step[1] % OPERATIONS, step[2] % FAILURES); break;
         default: run_snapshot(&machine); break;
         }
         check(site, &model);
--- a/tests/integration/test_lethal_requests.c
+++ b/tests/integration/test_lethal_requests.c
@@ -150,6 +150,35 @@
 }
 END_TEST
 
+static int call_without_program(int gateway, const char *lines)
+{
+    struct site_response response;
+    site_call(gateway, "POST", "/once/x", lines, "popular", &response);
+    int status = response.status;
+    site_response_close(&response);
+    return status;
+}
+
+/* Servers that end for another reason, while they run requests that are equal by chance, must not make gateways refuse
+ * all requests with these contents. */
+START_TEST(equal_requests_of_other_callers_are_served)
+{
+    site_set_mode(-1, SITE_NORMAL);
+    for (int i = 0; i < SITE_GATEWAYS; i++) {
+        ck_assert_int_eq(call_without_program(i, "Bankbank-Deadline-Ms: 1500\r\n"), 200);
+    }
+    for (int i = 0; i < ATTEMPTS; i++) {
+        ck_assert_int_eq(
+            call_without_program(i % SITE_GATEWAYS, "Bankbank-Deadline-Ms: 1500\r\n" SITE_EXIT_HEADER ": 1000\r\n"),
+            502);
+        clock_sleep_us(RESTART_US);
+    }
+    for (int i = 0; i < SITE_GATEWAYS; i++) {
+        ck_assert_int_eq(call_without_program(i, "Bankbank-Deadline-Ms: 1500\r\n"), 200);
+    }
+}
+END_TEST
+
 /* Makes an operation end as many servers as it may, and returns the number of servers that have ended. */
 static int quarantine(const char *program)
 {
@@ -281,6 +310,7 @@
     tcase_add_test(tests, a_quarantine_outlives_all_daemons);
     tcase_add_test(tests, a_server_that_starts_again_under_its_id_counts_again);
     tcase_add_test(tests, a_request_without_a_program_ends_at_most_three_servers);
+    tcase_add_test(tests, equal_requests_of_other_callers_are_served);
     tcase_add_test(tests, other_operations_are_served_beside_a_quarantine);
     tcase_add_test(tests, a_stream_that_loses_two_servers_is_served);
     tcase_add_test(tests, a_quarantine_outlives_the_leader);
--- a/tests/scripted/run_quarantine.c
+++ b/tests/scripted/run_quarantine.c
@@ -1,6 +1,7 @@
 /* Tests which operations are quarantined after failures of servers. Table 0 is the leader's. Commands:
  *   limit TABLE SERVERS KEEP_MS     sets the limits
- *   fail MS TABLE OPERATION SERVER  a server failed while it ran the operation
+ *   fail MS TABLE OPERATION ID [SENT]  a server failed while it ran the operation; SENT: when the request was sent, of
+ *                                   an operation that is identified by its contents
  *   state MS TABLE OPERATION        prints the failures and the remaining time
  *   share MS FROM TO                TO adopts the operations that FROM lists
  *   many MS TABLE COUNT             COUNT other operations fail once each
@@ -22,8 +23,14 @@
 
 static void fail(const script_command_t *command)
 {
-    bool begins = quarantine_record(table_of(command, 2), script_number(command, 1, 0), script_number(command, 3, 0),
-                                    script_number(command, 4, 0));
+    uint64_t now_ms = script_number(command, 1, 0);
+    quarantine_failure_t failure = {
+        .operation = script_number(command, 3, 0),
+        .id = script_number(command, 4, 0),
+        .by_contents = script_number(command, 5, UINT64_MAX) != UINT64_MAX,
+        .sent_ms = script_number(command, 5, 0),
+    };
+    bool begins = quarantine_record(table_of(command, 2), now_ms, &failure);
     script_print(begins ? "quarantined\n" : "counted\n");
 }
 
@@ -49,7 +56,8 @@
 {
     uint64_t count = script_number(command, 3, 0);
     for (uint64_t i = 0; i < count; i++) {
-        quarantine_record(table_of(command, 2), script_number(command, 1, 0), FIRST_OTHER_OPERATION + i, 1);
+        quarantine_failure_t failure = {.operation = FIRST_OTHER_OPERATION + i, .id = 1};
+        quarantine_record(table_of(command, 2), script_number(command, 1, 0), &failure);
     }
 }
 
@@ -66,7 +74,7 @@
 static void set_limit(const script_command_t *command)
 {
     quarantine_t *table = table_of(command, 1);
-    table->max_servers = (uint32_t)script_number(command, 2, 0);
+    table->max_failures = (uint32_t)script_number(command, 2, 0);
     table->keep_ms = script_number(command, 3, 0);
 }
 
