--- a/src/proxy/forward_version.c
+++ b/src/proxy/forward_version.c
@@ -249,11 +249,19 @@
     return NULL;
 }
 
+static void forward_log_origin(const struct forward *forward, const StreamState *state)
+{
+    event_log("stream_origin_read", "{s:s,s:s,s:b,s:s,s:b}", "id", text_or_empty(forward->id), "resumes",
+              text_or_empty(forward->resumes), "found", state->found, "version", text_or_empty(state->version),
+              "others_recorded", state->others_recorded);
+}
+
 /* Without a record, the stream was begun by a gateway that knew of one version only, which is the one that this gateway
  * knows, or its record was not committed. */
 static void forward_apply_origin(struct forward *forward, const StreamState *state)
 {
     const char *service = state->found ? forward_find_service(forward, text_or_empty(state->service)) : NULL;
+    forward_log_origin(forward, state);
     if (state->found && service == NULL) {
         forward_refuse_resumption(forward, "the route no longer leads to the stream's service");
     } else if (!state->found && (state->others_recorded || forward_route_is_mixed(forward))) {
--- a/tests/integration/test_stream_versions.c
+++ b/tests/integration/test_stream_versions.c
@@ -67,13 +67,16 @@
 }
 
 /* Resumes a stream as its caller does; returns the status. `server`: that ran the rest, -1: none did. */
-static int resume_stream(int gateway, const stream_t *stream, int *server)
+static int resume_stream_as(int gateway, const stream_t *stream, bool names_stream, int *server)
 {
     char id[ID_BYTES];
     struct buffer lines = {0};
     struct site_response response;
     snprintf(id, sizeof(id), "resumed-%d", next_number++);
-    buffer_printf(&lines, "Last-Event-Id: %d\r\nResumes: %s\r\n", LAST_EVENT, stream->id);
+    buffer_printf(&lines, "Last-Event-Id: %d\r\n", LAST_EVENT);
+    if (names_stream) {
+        buffer_printf(&lines, "Resumes: %s\r\n", stream->id);
+    }
     send_stream(gateway, id, buffer_text(&lines), 2500, &response);
     buffer_close(&lines);
     int status = response.status;
@@ -83,6 +86,11 @@
     return status;
 }
 
+static int resume_stream(int gateway, const stream_t *stream, int *server)
+{
+    return resume_stream_as(gateway, stream, true, server);
+}
+
 static bool gateway_uses_only(int gateway, int server)
 {
     bool only = true;
@@ -278,6 +286,84 @@
 }
 END_TEST
 
+static bool gateway_serves(void *context)
+{
+    struct site_response response;
+    char id[ID_BYTES];
+    snprintf(id, sizeof(id), "probe-%d", next_number++);
+    send_stream(*(int *)context, id, "", 2500, &response);
+    bool serves = response.status == 200;
+    site_response_close(&response);
+    return serves;
+}
+
+/* Kills all daemons: nobody remembers which versions served. */
+static void restart_all(void)
+{
+    site_restart_all();
+    for (int i = 0; i < SITE_GATEWAYS; i++) {
+        site_wait(gateway_serves, &i, "the gateways serve");
+    }
+}
+
+static void expect_not_joined(const stream_t *streams)
+{
+    for (int i = 0; i < STREAMS; i++) {
+        int server = -1;
+        bool names_stream = i / 2 % 2 == 0;
+        int status = resume_stream_as((i + 1) % 2, &streams[i], names_stream, &server);
+        ck_assert_msg(status == 503, "%s, begun at v1, continued with status %d by version %d", streams[i].id, status,
+                      server + 1);
+    }
+}
+
+/* No stream has a record, and only the new version serves when the daemons are back. */
+START_TEST(streams_of_a_version_that_left_are_not_joined_after_all_daemons_were_killed)
+{
+    stream_t streams[STREAMS];
+    begin_streams(streams);
+    site_set_version(0, "v2");
+    site_set_version(1, "v2");
+    restart_all();
+    expect_not_joined(streams);
+}
+END_TEST
+
+/* Two versions served; the old one left before the daemons were killed. */
+START_TEST(streams_are_not_joined_after_a_release_and_a_kill_of_all_daemons)
+{
+    stream_t streams[STREAMS];
+    int served = 0;
+    site_set_mode(1, SITE_REFUSE);
+    begin_streams(streams);
+    for (int i = 0; i < STREAMS; i++) {
+        served += streams[i].server == 0 ? 1 : 0;
+    }
+    site_set_version(0, "v2");
+    restart_all();
+    for (int i = 0; i < STREAMS; i++) {
+        int server = -1;
+        int status = resume_stream_as((i + 1) % 2, &streams[i], i / 2 % 2 == 0, &server);
+        ck_assert_msg(streams[i].server != 0 || status == 503,
+                      "%s, begun at v1, continued with status %d by version %d", streams[i].id, status, server + 1);
+    }
+    ck_assert_int_gt(served, 0);
+}
+END_TEST
+
+/* A kill without a release must not cost callers their streams. */
+START_TEST(streams_are_resumed_after_all_daemons_were_killed)
+{
+    stream_t streams[STREAMS];
+    begin_streams(streams);
+    restart_all();
+    for (int i = 0; i < STREAMS; i++) {
+        int server = -1;
+        ck_assert_int_eq(resume_stream_as((i + 1) % 2, &streams[i], i / 2 % 2 == 0, &server), 200);
+    }
+}
+END_TEST
+
 static void signal_replicas(int signal_number)
 {
     for (int replica = 0; replica < SITE_REPLICAS; replica++) {
@@ -395,6 +481,7 @@
     tcase_add_test(tests, a_resumed_stream_stays_at_the_version_that_began_it);
     tcase_add_test(tests, a_response_has_events_of_one_version);
     tcase_add_test(tests, a_stream_whose_gateways_restart_stays_at_its_version);
+    tcase_add_test(tests, streams_are_not_joined_after_a_release_and_a_kill_of_all_daemons);
     tcase_add_test(tests, a_stream_that_no_server_can_continue_is_refused);
     tcase_add_test(tests, a_stream_does_not_wait_for_its_record_for_ever);
     suite_add_tcase(suite, tests);
@@ -403,6 +490,8 @@
     tcase_add_checked_fixture(one_version, start_one_version, stop);
     tcase_add_test(one_version, a_stream_that_runs_when_a_second_version_starts_is_recorded);
     tcase_add_test(one_version, one_version_needs_no_records);
+    tcase_add_test(one_version, streams_of_a_version_that_left_are_not_joined_after_all_daemons_were_killed);
+    tcase_add_test(one_version, streams_are_resumed_after_all_daemons_were_killed);
     suite_add_tcase(suite, one_version);
     suite_add_tcase(suite, create_earlier_case());
     site_show_versions();
