Resumed streams: the versions of services are in the replicated log

Callers resumed streams after everything was killed and got 200 with the rest of another version. Whether a service was mixed lately was known to each gateway from the lists that it had seen, and a request that does not name its stream was decided by that alone.

The leader logs the version of each service, and whether it has several, before it spreads the list that shows a change (ServiceVersion, level 4). A request that resumes a stream always asks the leader, with the versions that the gateway's list shows; without a record of its stream it goes on only if the service has had that version alone for 30 s. A gateway is ready once it knows the failures that the leader lists, so that requests do not wait for them.

--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -179,6 +179,9 @@
 bool replica_record_failure(struct replica *replica, uint64_t now_ms, uint32_t from, const Request *request,
                             const OperationFailure *failure);
 
+/** Logs the version of a service that the leader's list of servers shows. False: not proposed. */
+bool replica_record_version(struct replica *replica, uint64_t now_ms, const ServiceVersion *version);
+
 /** Sends entries, syncs pending writes, sends the frames that waited for the sync, and writes due snapshots. */
 void replica_flush(struct replica *replica, uint64_t now_ms);
 
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -120,7 +120,9 @@
         return;
     }
     const stream_origins_t *origins = &replica->groups[group].machine.site.stream_origins;
+    const service_versions_t *versions = &replica->groups[group].machine.site.versions;
     const stream_version_t *version = stream_origins_find(origins, query.stream);
+    uint64_t now_ms = replica_timestamp_ms(replica, group);
     StreamState state = {.found = version != NULL};
     if (version != NULL) {
         state.service = version->service;
@@ -128,6 +130,8 @@
     }
     for (pb_size_t i = 0; i < query.services_count; i++) {
         state.others_recorded = state.others_recorded || stream_origins_has_service(origins, query.services[i]);
+        const char *current = i < query.versions_count ? query.versions[i] : NULL;
+        state.unsettled = state.unsettled || !service_versions_is_settled(versions, now_ms, query.services[i], current);
     }
     message_free(StreamQuery_fields, &query);
     replica_reply_message(replica, group, waiter, StreamState_fields, &state);
@@ -146,6 +150,13 @@
     }
 }
 
+bool replica_record_version(struct replica *replica, uint64_t now_ms, const ServiceVersion *version)
+{
+    Entry entry = {.which_command = Entry_service_version_tag, .command.service_version = *version};
+    replica->now_ms = now_ms;
+    return replica_propose_entry(replica, STATE_CONFIG_GROUP, &entry);
+}
+
 /* ---- Failures under operations ------------------------------------------------------ */
 
 bool replica_leads_applied(const struct replica *replica, uint32_t group)
--- a/src/core/site_state.c
+++ b/src/core/site_state.c
@@ -21,6 +21,7 @@
     zone_set_close(&state->drained);
     stream_origins_close(&state->stream_origins);
     quarantine_clear(&state->failures);
+    service_versions_close(&state->versions);
     memset(state, 0, sizeof(*state));
 }
 
@@ -113,6 +114,13 @@
     }
 }
 
+static void site_put_version(struct site_state *state, const ServiceVersion *entry, EntryResult *result)
+{
+    if (!service_versions_put(&state->versions, state->time_ms, entry)) {
+        result->code = RESULT_LIMIT;
+    }
+}
+
 static void site_record_failure(struct site_state *state, const OperationFailure *entry, EntryResult *result)
 {
     quarantine_failure_t failure = {
@@ -140,6 +148,7 @@
     case Entry_retire_start_tag: site_start_retire(state, &entry->command.retire_start); return true;
     case Entry_zone_drain_tag: site_drain_zone(state, &entry->command.zone_drain, result); return true;
     case Entry_stream_begin_tag: site_begin_stream(state, &entry->command.stream_begin, result); return true;
+    case Entry_service_version_tag: site_put_version(state, &entry->command.service_version, result); return true;
     case Entry_operation_failure_tag:
         site_record_failure(state, &entry->command.operation_failure, result);
         return true;
@@ -167,12 +176,14 @@
     zone_set_export(&state->drained, &snapshot->drained);
     stream_origins_export(&state->stream_origins, snapshot);
     quarantine_export(&state->failures, snapshot);
+    service_versions_export(&state->versions, snapshot);
 }
 
 void site_state_free_export(SiteSnapshot *snapshot)
 {
     stream_origins_free_export(snapshot);
     quarantine_free_export(snapshot);
+    service_versions_free_export(snapshot);
 }
 
 void site_state_import(struct site_state *state, const SiteSnapshot *snapshot)
@@ -197,4 +208,5 @@
     zone_set_update(&state->drained, &snapshot->drained);
     stream_origins_import(&state->stream_origins, snapshot);
     quarantine_import(&state->failures, snapshot);
+    service_versions_import(&state->versions, snapshot);
 }
--- a/src/core/site_state.h
+++ b/src/core/site_state.h
@@ -2,8 +2,8 @@
  * @file site_state.h
  * State that group 0 replicates for the gateways, besides the resources of
  * config_store.h: the configuration document, conversation turns, program
- * budgets, machines being retired, drained zones, the software versions that
- * began streams, and the operations under which servers failed.
+ * budgets, machines being retired, drained zones, the software versions of services
+ * and of streams, and the operations under which servers failed.
  *
  * Time is the highest timestamp of the applied entries. It never goes back, so
  * that a wall clock jump makes no expired turn valid again; see also
@@ -14,6 +14,7 @@
 
 #include "core/budget_table.h"
 #include "core/quarantine.h"
+#include "core/service_versions.h"
 #include "core/stream_origins.h"
 #include "core/turn_store.h"
 #include "core/zone_set.h"
@@ -38,6 +39,7 @@
     char **retiring_machines; /**< Names of machines being retired: their replicas leave the group. Owned. */
     uint32_t retiring_count;
     stream_origins_t stream_origins;
+    service_versions_t versions;
     zone_set_t drained;    /**< Zones whose servers get no new requests. */
     quarantine_t failures; /**< Of all gateways; the limits are those of the last entry. */
 };
--- a/src/core/state_machine.c
+++ b/src/core/state_machine.c
@@ -118,6 +118,7 @@
     case Entry_zone_drain_tag: return STATE_LEVEL_ZONES;
     case Entry_stream_begin_tag: return STATE_LEVEL_STREAMS;
     case Entry_operation_failure_tag: return STATE_LEVEL_FAILURES;
+    case Entry_service_version_tag: return STATE_LEVEL_VERSIONS;
     default: return 0;
     }
 }
--- a/src/core/state_machine.h
+++ b/src/core/state_machine.h
@@ -21,7 +21,8 @@
     STATE_LEVEL_ZONES = 1,    /**< Entry.zone_drain. */
     STATE_LEVEL_STREAMS = 2,  /**< Entry.stream_begin. */
     STATE_LEVEL_FAILURES = 3, /**< Entry.operation_failure. */
-    STATE_LEVEL = STATE_LEVEL_FAILURES
+    STATE_LEVEL_VERSIONS = 4, /**< Entry.service_version. */
+    STATE_LEVEL = STATE_LEVEL_VERSIONS
 };
 
 enum {
--- a/src/core/version_mix.c
+++ b/src/core/version_mix.c
@@ -75,6 +75,12 @@
     return known != NULL && version_mix_service_is_mixed(known, now_ms);
 }
 
+const char *version_mix_only(const version_mix_t *mix, const char *service)
+{
+    const version_mix_service_t *known = version_mix_find(mix, service);
+    return known == NULL || known->several ? "" : known->version;
+}
+
 uint32_t version_mix_count(const version_mix_t *mix, uint64_t now_ms)
 {
     uint32_t count = 0;
--- a/src/core/version_mix.h
+++ b/src/core/version_mix.h
@@ -40,6 +40,9 @@
 /** Whether the service is mixed; false for an unknown one and for NULL. */
 bool version_mix_has(const version_mix_t *mix, const char *service, uint64_t now_ms);
 
+/** The version that all listed servers of the service have; empty: they have several, or there is none. */
+const char *version_mix_only(const version_mix_t *mix, const char *service);
+
 /** Number of mixed services. */
 uint32_t version_mix_count(const version_mix_t *mix, uint64_t now_ms);
 
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -407,19 +407,19 @@
     }
     forward_read_placement_headers(forward);
     forward_turn_read(forward);
-    bool needs_replicas = forward->turn.program != NULL || forward_names_stream(forward);
+    bool needs_replicas = forward->turn.program != NULL || forward_resumes_stream(forward);
     if (needs_replicas && frontend_is_cut_off(frontend)) {
         forward_refuse_cut_off(forward);
     } else if (needs_replicas && node_is_isolated(frontend->node)) {
         /* Makes the caller reconnect, maybe to a gateway that reaches the state replicas. */
         http_call_close_after(call);
         forward_refuse(forward, FORWARD_UNAVAILABLE, "state replicas unreachable");
-    } else if (!forward_begin_resumption(forward)) {
-        return;
     } else if (forward->turn.program == NULL) {
+        forward_begin_resumption(forward);
         forward_quota_begin(forward);
         forward_continue(forward);
     } else {
+        forward_begin_resumption(forward);
         forward_quota_begin(forward); /* the rate limit token and the turn's state are requested concurrently */
         forward_turn_begin(forward);
     }
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -185,9 +185,12 @@
 /** forward_version.c: whether the request resumes a stream of an earlier request, which it names. */
 bool forward_names_stream(const struct forward *forward);
 
-/** forward_version.c: if the request resumes a stream, reads which version began it, and then calls forward_continue().
- * False: the request was refused. */
-bool forward_begin_resumption(struct forward *forward);
+/** forward_version.c: whether the request resumes a stream of an earlier request. */
+bool forward_resumes_stream(const struct forward *forward);
+
+/** forward_version.c: if the request resumes a stream, reads which version began it, and then calls forward_continue()
+ * or refuses the request. */
+void forward_begin_resumption(struct forward *forward);
 
 /** forward_version.c: records the version of the server that the request is sent to, if several serve. */
 void forward_record_version(struct forward *forward, const struct server *server);
--- a/src/proxy/forward_version.c
+++ b/src/proxy/forward_version.c
@@ -34,7 +34,7 @@
     return forward->route->kind == ROUTE_STREAM && forward->route->resumable && !forward->turn.persistent;
 }
 
-static bool forward_resumes_stream(const struct forward *forward)
+bool forward_resumes_stream(const struct forward *forward)
 {
     struct view last_event = http_reader_header(forward->call->request, CALLER_HEADERS_LAST_EVENT);
     return forward_may_be_resumed_by_caller(forward) && last_event.length > 0;
@@ -251,21 +251,22 @@
 
 static void forward_log_origin(const struct forward *forward, const StreamState *state)
 {
-    event_log("stream_origin_read", "{s:s,s:s,s:b,s:s,s:b}", "id", text_or_empty(forward->id), "resumes",
+    event_log("stream_origin_read", "{s:s,s:s,s:b,s:s,s:b,s:b}", "id", text_or_empty(forward->id), "resumes",
               text_or_empty(forward->resumes), "found", state->found, "version", text_or_empty(state->version),
-              "others_recorded", state->others_recorded);
+              "others_recorded", state->others_recorded, "unsettled", state->unsettled);
 }
 
-/* Without a record, the stream was begun by a gateway that knew of one version only, which is the one that this gateway
- * knows, or its record was not committed. */
+/* Without a record, the stream was begun by the only version that serves, if group 0 knows of no other one lately. */
 static void forward_apply_origin(struct forward *forward, const StreamState *state)
 {
     const char *service = state->found ? forward_find_service(forward, text_or_empty(state->service)) : NULL;
     forward_log_origin(forward, state);
     if (state->found && service == NULL) {
         forward_refuse_resumption(forward, "the route no longer leads to the stream's service");
-    } else if (!state->found && (state->others_recorded || forward_route_is_mixed(forward))) {
-        forward_refuse_resumption(forward, "software version of the stream not known");
+    } else if (!state->found && (state->others_recorded || state->unsettled || forward_route_is_mixed(forward))) {
+        forward_refuse_resumption(forward, forward_names_stream(forward)
+                                               ? "software version of the stream not known"
+                                               : "the request does not name the stream that it resumes");
     } else {
         if (state->found) {
             forward_set_version(forward, service, text_or_empty(state->version));
@@ -296,31 +297,27 @@
     struct node *node = forward->frontend->node;
     const struct route *route = forward->route;
     struct buffer body = {0};
-    StreamQuery query = {.stream = forward_stream_hash(forward)};
+    StreamQuery query = {.stream = forward_names_stream(forward) ? forward_stream_hash(forward) : 0};
     query.services = memory_new((route->backend_count + 1U) * sizeof(*query.services));
+    query.versions = memory_new((route->backend_count + 1U) * sizeof(*query.versions));
     for (uint32_t i = 0; i < route->backend_count; i++) {
-        query.services[query.services_count++] = (char *)(uintptr_t)route->backends[i].service;
+        const char *service = route->backends[i].service;
+        query.services[query.services_count++] = (char *)(uintptr_t)service;
+        query.versions[query.versions_count++] =
+            (char *)(uintptr_t)version_mix_only(&forward->frontend->version_mix, service);
     }
     message_encode(&body, StreamQuery_fields, &query);
     forward->origin.lookup = node_submit(node, REQUEST_STREAM, buffer_view(&body), forward_replica_deadline_ms(forward),
                                          forward_on_origin_read, forward);
     free(query.services);
+    free(query.versions);
     buffer_close(&body);
 }
 
-bool forward_begin_resumption(struct forward *forward)
+void forward_begin_resumption(struct forward *forward)
 {
-    if (!forward_resumes_stream(forward)) {
-        return true;
-    }
-    forward->frontend->counters.resumptions++;
-    if (forward_names_stream(forward)) {
+    if (forward_resumes_stream(forward)) {
+        forward->frontend->counters.resumptions++;
         forward_read_origin(forward);
-        return true;
-    }
-    bool refused = forward_route_is_mixed(forward);
-    if (refused) {
-        forward_refuse_resumption(forward, "the request does not name the stream that it resumes");
     }
-    return !refused;
 }
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -189,7 +189,7 @@
 
 bool frontend_is_ready(const struct frontend *frontend)
 {
-    return frontend_is_configured(frontend) && !node_is_isolated(frontend->node) && !frontend_is_withdrawn(frontend) &&
+    return frontend_may_route(frontend) && !node_is_isolated(frontend->node) && !frontend_is_withdrawn(frontend) &&
            !frontend_is_cut_off(frontend);
 }
 
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -223,6 +223,7 @@
     replica_tick(&host->replica, now_ms);
     host_update_role(host);
     host_log_memory(host);
+    state_host_record_versions(host);
     if (state_host_leader(host) != RAFT_NO_NODE) {
         host->leader_seen_ms = now_ms;
     } else if (now_ms >= host->leader_seen_ms + STATE_HOST_NO_LEADER_TIMEOUT_MS) {
@@ -246,6 +247,9 @@
     if (same && own_term) {
         return;
     }
+    host->versions_due = true;
+    host->versions_due_ms = 0;
+    state_host_record_versions(host); /* logged before gateways can send requests to servers of a new version */
     /* A new leader's first list gets a new version even if it is unchanged: watchers accept only newer versions. */
     node->state.servers_number = own_term ? node->state.servers_number + 1 : 1;
     node->state.servers_term = term;
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -27,6 +27,7 @@
     STATE_HOST_JOIN_RETRY_MS = 250,
     STATE_HOST_JOIN_REJECTED_RETRY_MS = 1000, /**< After a join was declined: the group is complete. */
     STATE_HOST_MAX_TENANT_METRICS = 64, /**< Tenants in the metrics: the first ones with a limit that sent requests. */
+    STATE_HOST_VERSIONS_RETRY_MS = 200, /**< Interval of comparisons while entries of versions are not applied. */
     STATE_HOST_NO_LEADER_TIMEOUT_MS = 1000 /**< Time without a leader until a member requests to join again; also the
                                                 timeout of a join request. */
 };
@@ -53,6 +54,8 @@
     slow_start_table_t slow_starts; /**< Leader only: tokens for servers that have just started. */
     quarantine_t quarantine;        /**< Leader only: the quarantined operations of the log, and those of gateways. */
     uint64_t quarantines_applied;   /**< Leader only: quarantine_t.begun of the log when last copied. */
+    bool versions_due;              /**< Leader only: its list may show versions that the log does not have. */
+    uint64_t versions_due_ms;       /**< Time of the next comparison. */
     uint64_t quarantines;           /**< Operations quarantined so far. */
     struct route_table *routes;     /**< Configuration that the quotas are computed from, or NULL. */
     struct http_listener control;   /**< Operators' API. */
--- a/src/proxy/state_host_internal.h
+++ b/src/proxy/state_host_internal.h
@@ -4,6 +4,7 @@
  *
  *   state_host.c          lifecycle, role, memory, the site's state, metrics
  *   state_host_daemons.c  requests of other daemons: watches, load reports, quotas
+ *   state_host_versions.c  software versions of services
  *   state_host_quarantine.c  failures of servers that gateways report
  *   state_host_disk.c     opening, storage and network callbacks
  *   state_host_join.c     bootstrap and joining of the group
@@ -31,6 +32,9 @@
 
 void state_host_write_quotas(const struct state_host *host, struct buffer *out);
 
+/** Leader only: logs the versions of services in its list that the log does not have. */
+void state_host_record_versions(struct state_host *host);
+
 /** Handles a REQUEST_FAILURE. */
 void state_host_handle_failure(struct state_host *host, uint32_t from, const Request *request);
 
