Servers that send bytes without end: bounds on time, memory and answers

A server in trouble may send bytes that are no answer until the gateway closes. Interim responses, chunk extensions and the body of a refusal were read until the caller's deadline (504); bodies and events that do not end filled the gateway's memory, which ended its process (24 callers, 48 MB).

An exchange ends after 128 KB that bring its response no further; a refusal counts after 64 KB of its body; events without data end a stream after 64 KB; while the memory for requests is full, answers above 64 KB are not received further. Partial and held events now count for that memory. None of these is a failure of a server for the quarantine: the server was alive.

--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -58,7 +58,8 @@
 {
     const struct upstream_events *events = exchange->events;
     void *owner = exchange->owner;
-    pool->counters.broken += result == UPSTREAM_BROKEN || result == UPSTREAM_PEER_TIMEOUT ? 1 : 0;
+    bool broken = result == UPSTREAM_BROKEN || result == UPSTREAM_PEER_TIMEOUT || result == UPSTREAM_ENDLESS;
+    pool->counters.broken += broken ? 1 : 0;
     if (exchange->connection != NULL) {
         exchange->connection->exchange = NULL;
     }
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -37,6 +37,7 @@
     UPSTREAM_IDLE_MARGIN_MS = 700, /**< Idle connections are closed this long before the server's timeout. */
     UPSTREAM_RECENT_KEYS = 8,      /**< Exchanges of a connection whose keys are remembered. */
     UPSTREAM_MAX_HEAD_BYTES = 64 << 10,
+    UPSTREAM_MAX_USELESS_BYTES = 128 << 10, /**< Of interim responses, chunk extensions and trailers in a row. */
     UPSTREAM_MAX_BODY_BYTES = 64 << 20
 };
 
@@ -45,6 +46,7 @@
     UPSTREAM_NOT_SENT,        /**< No byte of the request was sent: it was not executed. */
     UPSTREAM_REFUSED,         /**< Not sent, and the connection was refused: no server listens at the address. */
     UPSTREAM_CONNECT_TIMEOUT, /**< Not sent, and nothing answered the connection attempt for UPSTREAM_CONNECT_MS. */
+    UPSTREAM_ENDLESS,         /**< Like UPSTREAM_BROKEN, but the server was still sending bytes that are no answer. */
     UPSTREAM_BROKEN,          /**< It was sent, without a complete response: it may have been executed. */
     UPSTREAM_PEER_TIMEOUT     /**< Like UPSTREAM_BROKEN, and the server's machine is unreachable (peer_keepalive.h). */
 };
--- a/src/net/upstream_internal.h
+++ b/src/net/upstream_internal.h
@@ -29,6 +29,7 @@
     bool close_after;                           /* close after the current response */
     bool probe;                                 /* opened by upstream_probe(), which has no result yet */
     bool keepalive;                             /* the keepalive is started */
+    size_t useless_bytes;                       /* received since the final head or the last part of its body */
     uint64_t last_activity_ms;                  /* last time that bytes arrived or a request was sent */
     struct upstream_connection *next_idle;
     struct upstream_connection *previous;
--- a/src/net/upstream_response.c
+++ b/src/net/upstream_response.c
@@ -34,6 +34,7 @@
         return true;
     }
     exchange->final = true;
+    connection->useless_bytes = 0;
     connection->idle_timeout_ms = upstream_parse_idle_timeout(reader);
     connection->close_after = !reader->keep_alive || reader->until_close;
     exchange->events->head(exchange->owner, reader);
@@ -44,6 +45,7 @@
 {
     struct upstream_connection *connection = context;
     (void)reader;
+    connection->useless_bytes = 0;
     connection->exchange->events->body(connection->exchange->owner, part);
     return connection->exchange != NULL;
 }
@@ -63,6 +65,7 @@
     struct upstream_server *server = connection->server;
     struct upstream_exchange *exchange = connection->exchange;
     connection->exchange = NULL;
+    connection->useless_bytes = 0;
     exchange->connection = NULL;
     pool->counters.stray_data_closes += bytes_left ? 1 : 0;
     bool reusable =
@@ -77,6 +80,12 @@
     upstream_assign_waiting(pool, server);
 }
 
+static bool upstream_is_endless(const struct upstream_connection *connection)
+{
+    return connection->reader.error == HTTP_PARSE_ERROR_HEAD_TOO_LARGE ||
+           connection->useless_bytes > UPSTREAM_MAX_USELESS_BYTES;
+}
+
 static void upstream_feed(struct upstream_connection *connection, const uint8_t *data, size_t length)
 {
     size_t used = 0;
@@ -85,6 +94,10 @@
         if (connection->state != UPSTREAM_ACTIVE || connection->exchange == NULL) {
             return; /* cancelled by a callback */
         }
+        if (upstream_is_endless(connection)) {
+            upstream_connection_end(connection, UPSTREAM_ENDLESS);
+            return;
+        }
         if (connection->reader.error != HTTP_PARSE_ERROR_NONE) {
             upstream_connection_fail(connection);
             return;
@@ -146,6 +159,7 @@
         upstream_connection_fail(connection);
         return;
     }
+    connection->useless_bytes += (size_t)nread;
     upstream_feed(connection, (const uint8_t *)buffer->base, (size_t)nread);
 }
 
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -23,10 +23,13 @@
     FORWARD_MAX_PARALLEL = 2,     /**< Maximum concurrent attempts of one request. */
     FORWARD_HEDGE_DELAY_MS = 150, /**< Minimum time from routing to a second server, if no response is complete. */
     FORWARD_MAX_SENDS = 8,        /**< Attempts at servers, including those that were refused or not sent. */
-    FORWARD_MAX_RESPONSE_BYTES = 8 << 20, /**< Maximum body of a response that is not streamed. */
-    FORWARD_STATE_MAX_PERCENT = 40,       /**< Share of the time left that the state replicas may use. */
-    FORWARD_STATE_TIMEOUT_MS = 1500,      /**< Upper limit of that time, for one reservation or fetch. */
-    FORWARD_NEARBY_TIMEOUT_MS = 120,      /**< Timeout of a nearby replica before the leader is asked. */
+    FORWARD_MAX_RESPONSE_BYTES = 8 << 20,    /**< Maximum body of a response that is not streamed. */
+    FORWARD_STATE_MAX_PERCENT = 40,          /**< Share of the time left that the state replicas may use. */
+    FORWARD_STATE_TIMEOUT_MS = 1500,         /**< Upper limit of that time, for one reservation or fetch. */
+    FORWARD_NEARBY_TIMEOUT_MS = 120,         /**< Timeout of a nearby replica before the leader is asked. */
+    FORWARD_SMALL_RESPONSE_BYTES = 64 << 10, /**< Received even if the memory for requests is full. */
+    FORWARD_MAX_REFUSAL_BYTES = 64 << 10,    /**< Of the body of a refusal, after which its end is not awaited. */
+    FORWARD_MAX_COMMENT_BYTES = 64 << 10,    /**< Of events without data in a row. */
     FORWARD_MAX_PENDING_BYTES = 64 << 10, /**< Unsent bytes of a stream above which reading from the server pauses. */
     FORWARD_MIN_REMAINING_MS = 30,        /**< Minimum time left to send a request to a server. */
     FORWARD_RESTARTED_IDLE_MS = 2000,     /**< Minimum idle timeout of an attempt at a server that has restarted. */
@@ -76,6 +79,7 @@
     bool unanswered_recorded;            /**< By forward_record_unanswered(), once. */
     int status;                          /**< 0: no response yet. */
     bool refused;                        /**< The response says that the server did not run the request. */
+    size_t refusal_bytes;                /**< Of the body of that response. */
     bool streaming;                      /**< Response relayed event by event. */
     struct buffer header_lines;          /**< To relay, each ends with CRLF. */
     struct buffer body;                  /**< Body of a response that is not streamed. */
@@ -92,6 +96,7 @@
     char *version;             /**< Set together with `service`. */
     bool version_unknown;      /**< That server restarted at about that time, maybe with another version. */
     bool has_unnumbered_event; /**< Some event has no numeric id, so no server can resume after it. */
+    size_t comment_bytes;      /**< Of events without data since the last one with data. */
     uint32_t resumes;          /**< Times resumed. */
     uint64_t resumed_events;   /**< `event_count` when it was last resumed. */
     uint64_t first_event_ms;   /**< Loop time; 0: none yet. */
--- a/src/proxy/forward_response.c
+++ b/src/proxy/forward_response.c
@@ -4,6 +4,7 @@
 
 #include "base/event_log.h"
 #include "proxy/forward.h"
+#include "proxy/frontend_memory.h"
 
 enum {
     FORWARD_OK = 200,
@@ -149,13 +150,14 @@
 {
     struct forward *forward = context;
     struct forward_stream *stream = &forward->stream;
-    if (!forward_event_is_next(forward, event)) {
+    if (!forward_event_is_next(forward, event) || stream->comment_bytes > FORWARD_MAX_COMMENT_BYTES) {
         return false;
     }
     if (stream->event_count == 0) {
         stream->first_event_ms = node_now(forward->frontend->node);
         histogram_record(&forward->frontend->first_event_time, stream->first_event_ms - forward->call->received_ms);
     }
+    stream->comment_bytes = event->has_data ? 0 : stream->comment_bytes + event->raw.length;
     if (event->has_data) {
         stream->event_count++;
         if (forward->turn.persistent) {
@@ -201,17 +203,48 @@
     }
 }
 
+/* What a server sent for the attempt and is not yet relayed. */
+static size_t forward_held_bytes(const struct forward_attempt *attempt)
+{
+    const struct forward *forward = attempt->forward;
+    return attempt->streaming ? forward->stream.events.pending.length + forward->origin.held.length
+                              : attempt->body.length;
+}
+
+/* While the memory for requests is full, only small answers are received whole. */
+static bool forward_has_memory(const struct forward_attempt *attempt, struct view part)
+{
+    bool has_memory = frontend_memory_grow(attempt->forward->frontend, part.length);
+    return has_memory || forward_held_bytes(attempt) + part.length <= FORWARD_SMALL_RESPONSE_BYTES;
+}
+
+static void forward_handle_server_refusal(struct forward_attempt *attempt);
+
+/* A refusal counts without its end if its body is too long. */
+static void forward_skip_refusal_body(struct forward_attempt *attempt, struct view part)
+{
+    attempt->refusal_bytes += part.length;
+    if (attempt->refusal_bytes > FORWARD_MAX_REFUSAL_BYTES) {
+        forward_handle_server_refusal(attempt);
+    }
+}
+
 static void forward_on_body(void *owner, struct view part)
 {
     struct forward_attempt *attempt = owner;
     struct forward *forward = attempt->forward;
     forward_record_received(attempt);
     if (attempt->refused) {
+        forward_skip_refusal_body(attempt, part);
+        return;
+    }
+    if (!forward_has_memory(attempt, part)) {
+        forward_attempt_outcome_unknown(attempt, "no memory for the answer");
         return;
     }
     if (attempt->streaming) {
         if (!event_stream_feed(&forward->stream.events, part, forward_on_event, forward)) {
-            forward_attempt_outcome_unknown(attempt, "events out of order");
+            forward_attempt_outcome_unknown(attempt, "events out of order, too large, or without data");
             return;
         }
         forward_pin_version(attempt);
@@ -301,6 +334,10 @@
         forward_attempt_failed(attempt, "the server's machine is silent");
         return;
     }
+    if (result == UPSTREAM_ENDLESS) {
+        forward_attempt_outcome_unknown(attempt, "bytes without end that are no answer");
+        return;
+    }
     if (result == UPSTREAM_BROKEN) {
         forward_attempt_failed(attempt, "the server broke off");
         return;
--- a/src/proxy/frontend_memory.c
+++ b/src/proxy/frontend_memory.c
@@ -8,7 +8,9 @@
 static size_t frontend_request_bytes(const struct forward *forward)
 {
     size_t prompt_bytes = forward->call->body.length + forward->turn.history.length;
-    size_t response_bytes = forward->turn.output.length;
+    const struct event_stream *events = &forward->stream.events;
+    size_t response_bytes =
+        forward->turn.output.length + events->pending.length + events->data.length + forward->origin.held.length;
     for (int i = 0; i < FORWARD_MAX_PARALLEL; i++) {
         response_bytes += forward->attempts[i].header_lines.length + forward->attempts[i].body.length;
     }
@@ -63,6 +65,16 @@
     return !frontend->memory_full;
 }
 
+bool frontend_memory_grow(struct frontend *frontend, size_t bytes)
+{
+    size_t share = frontend->node->memory.requests;
+    frontend->requests_bytes += bytes;
+    if (share > 0 && frontend->requests_bytes > share) {
+        frontend_sum_request_bytes(frontend);
+    }
+    return share == 0 || frontend->requests_bytes <= share;
+}
+
 void frontend_memory_write_metrics(const struct frontend *frontend, struct buffer *out)
 {
     metrics_write_gauge(out, "requests_bytes", "Memory of requests under way.", frontend->requests_bytes);
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -51,7 +51,15 @@
     SITE_ABORT_UNREAD,        /**< Like SITE_LONG; resets a stream that stays unread, unless it was resumed. */
     SITE_LARGE,               /**< Complete response of SITE_LARGE_BYTES. */
     SITE_NO_LENGTH,           /**< Complete response that ends when the connection closes. */
-    SITE_RESET                /**< Part of a response without a length, then a connection reset. */
+    SITE_RESET,               /**< Part of a response without a length, then a connection reset. */
+    /* Bytes without end, until the client closes: */
+    SITE_ENDLESS_HEAD,     /**< Header lines. */
+    SITE_ENDLESS_INTERIM,  /**< Interim responses (1xx). */
+    SITE_ENDLESS_CHUNK,    /**< The extension of a chunk's size. */
+    SITE_ENDLESS_BODY,     /**< Chunks of a body. */
+    SITE_ENDLESS_COMMENTS, /**< A stream of comments. */
+    SITE_ENDLESS_EVENT,    /**< A stream whose first event does not end. */
+    SITE_ENDLESS_REFUSAL   /**< The body of a refusal. */
 };
 
 /** Header of a request that a server in SITE_NORMAL runs as in SITE_PACED. */
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -252,6 +252,67 @@
     pthread_mutex_unlock(&site_lock);
 }
 
+static const char *site_endless_head(enum site_mode mode)
+{
+    switch (mode) {
+    case SITE_ENDLESS_HEAD: return "HTTP/1.1 200 OK\r\n";
+    case SITE_ENDLESS_INTERIM: return "";
+    case SITE_ENDLESS_REFUSAL: return "HTTP/1.1 503 No\r\nBankbank-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n";
+    case SITE_ENDLESS_BODY:
+    case SITE_ENDLESS_CHUNK: return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+    case SITE_ENDLESS_COMMENTS:
+    case SITE_ENDLESS_EVENT:
+        return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+    default: return NULL;
+    }
+}
+
+/* A block that is sent again and again. */
+static void site_write_endless_block(enum site_mode mode, struct buffer *out)
+{
+    enum { BLOCK_BYTES = 16 << 10, LINE_BYTES = 16 };
+    static const char line[] = ": comment line\n\n";
+    switch (mode) {
+    case SITE_ENDLESS_HEAD: buffer_append_text(out, "X-More: more\r\n"); break;
+    case SITE_ENDLESS_INTERIM: buffer_append_text(out, "HTTP/1.1 100 Continue\r\n\r\n"); break;
+    case SITE_ENDLESS_CHUNK: buffer_append_text(out, ";extension=extension"); break;
+    case SITE_ENDLESS_COMMENTS:
+        buffer_printf(out, "%zx\r\n", (size_t)BLOCK_BYTES);
+        for (int i = 0; i < BLOCK_BYTES / LINE_BYTES; i++) {
+            buffer_append(out, line, LINE_BYTES);
+        }
+        buffer_append_text(out, "\r\n");
+        break;
+    default:
+        buffer_printf(out, "%zx\r\n", (size_t)BLOCK_BYTES);
+        for (int i = 0; i < BLOCK_BYTES; i++) {
+            buffer_append(out, "x", 1);
+        }
+        buffer_append_text(out, "\r\n");
+        break;
+    }
+}
+
+/* Sends a response that does not end, until the client closes the connection or SITE_TIMEOUT_MS have passed. */
+static void site_send_endlessly(int fd, const char *id, enum site_mode mode)
+{
+    struct buffer head = {0};
+    struct buffer block = {0};
+    uint64_t until_ms = clock_monotonic_ms() + SITE_TIMEOUT_MS;
+    buffer_append_text(&head, site_endless_head(mode));
+    if (head.length > 0) {
+        buffer_printf(&head, "Bankbank-Request-Id: %s\r\nBankbank-Server-Signature: signed\r\n", id);
+    }
+    buffer_append_text(&head, head.length > 0 && mode != SITE_ENDLESS_HEAD ? "\r\n" : "");
+    buffer_append_text(&head, mode == SITE_ENDLESS_CHUNK ? "5" : "");
+    site_send(fd, buffer_text(&head), head.length);
+    site_write_endless_block(mode, &block);
+    while (send(fd, block.data, block.length, MSG_NOSIGNAL) > 0 && clock_monotonic_ms() < until_ms) {
+    }
+    buffer_close(&head);
+    buffer_close(&block);
+}
+
 static void site_send_misdirected(int fd, const char *id)
 {
     struct buffer out = {0};
@@ -351,6 +412,16 @@
     case SITE_REFUSE_UNNAMED: site_send_refusal(fd, ""); break;
     case SITE_MISDIRECTED: site_send_misdirected(fd, id); break;
     case SITE_CUT: keep_open = false; break;
+    case SITE_ENDLESS_HEAD:
+    case SITE_ENDLESS_INTERIM:
+    case SITE_ENDLESS_CHUNK:
+    case SITE_ENDLESS_BODY:
+    case SITE_ENDLESS_COMMENTS:
+    case SITE_ENDLESS_EVENT:
+    case SITE_ENDLESS_REFUSAL:
+        site_send_endlessly(fd, id, mode);
+        keep_open = false;
+        break;
     case SITE_SILENT:
     case SITE_SLOW:
         if (site_wait_for_close(fd, mode == SITE_SLOW ? 1000 : SITE_TIMEOUT_MS)) {
