Quarantine: a server that starts again at once under its id has ended

Leads: a server that listens again 20 ms after its end, under its id, got the same stream again and again, since no dial was refused in between. A gateway dials a server as soon as its connection breaks under a request that may go on; the connection serves that request, and a refusal shows that the server ended.

--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -232,6 +232,9 @@
     }
     if (status != 0) {
         connection->pool->counters.connect_failures++;
+        if (connection->probe && status == UV_ECONNREFUSED && connection->pool->probe_refused != NULL) {
+            connection->pool->probe_refused(connection->pool->probed_context, connection->server->key);
+        }
         upstream_report_probe(connection, true); /* any error before the timeout counts as an answer */
         if (connection->exchange != NULL) {
             connection->exchange->refused = status == UV_ECONNREFUSED;
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -109,14 +109,15 @@
 /** Connection pool of all servers. */
 struct upstream_pool {
     uv_loop_t *loop;
-    uv_timer_t sweep;                 /**< Checks timeouts and keepalives. */
-    uv_timer_t unsent_timer;          /**< Ends the exchanges in `unsent` asynchronously. */
-    struct upstream_exchange *unsent; /**< Exchanges that must not be sent any more. */
-    struct upstream_server *servers;  /**< Hash table by key. */
-    struct upstream_connection *all;  /**< Every connection. */
-    uint32_t max_connections;         /**< To one server; 0: no limit. */
-    upstream_probe_callback probed;   /**< Callback of upstream_probe(). */
-    void *probed_context;             /**< First argument of `probed`. */
+    uv_timer_t sweep;                                          /**< Checks timeouts and keepalives. */
+    uv_timer_t unsent_timer;                                   /**< Ends the exchanges in `unsent` asynchronously. */
+    struct upstream_exchange *unsent;                          /**< Exchanges that must not be sent any more. */
+    struct upstream_server *servers;                           /**< Hash table by key. */
+    struct upstream_connection *all;                           /**< Every connection. */
+    uint32_t max_connections;                                  /**< To one server; 0: no limit. */
+    upstream_probe_callback probed;                            /**< Callback of upstream_probe(). */
+    void (*probe_refused)(void *context, const char *address); /**< Before `probed`, if the connection was refused. */
+    void *probed_context;                                      /**< First argument of `probed` and `probe_refused`. */
     struct upstream_counters counters;
 };
 
--- a/src/proxy/forward_quarantine.c
+++ b/src/proxy/forward_quarantine.c
@@ -154,6 +154,9 @@
     if (attempt->may_go_on && !frontend->counts_known) {
         forward_end_uncounted(forward, "earlier failures are not known since the start");
     }
+    if (attempt->may_go_on && waits) {
+        frontend_probe_for_end(frontend, attempt->server);
+    }
     attempt->failure = reason;
     attempt->failure_report = waits ? report : NULL;
     attempt->failure_reported_ms = node_now(frontend->node);
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -166,6 +166,10 @@
 /** Whether requests may be routed: it is configured and counts_known, or has waited long enough for the latter. */
 bool frontend_may_route(const struct frontend *frontend);
 
+/** frontend_reach.c: dials a server whose connection broke: a refusal shows that it has ended (server.refused_dials),
+ * even if it listens again before a request is sent to it. The connection becomes idle, for that request. */
+void frontend_probe_for_end(struct frontend *frontend, const struct server *server);
+
 /** For the jitter of Retry-After. */
 uint32_t frontend_random(struct frontend *frontend);
 
--- a/src/proxy/frontend_reach.c
+++ b/src/proxy/frontend_reach.c
@@ -150,8 +150,29 @@
     }
 }
 
+static void frontend_on_probe_refused(void *context, const char *address)
+{
+    struct frontend *frontend = context;
+    for (struct server *server = frontend->servers.servers; server != NULL; server = server->hh.next) {
+        if (strcmp(server->address, address) == 0) {
+            server->not_listening = true;
+            server->refused_dials++;
+        }
+    }
+}
+
+void frontend_probe_for_end(struct frontend *frontend, const struct server *server)
+{
+    struct address address;
+    if (address_parse(server->address, &address)) {
+        frontend->counters.probes++;
+        upstream_probe(&frontend->node->upstreams, &address);
+    }
+}
+
 void frontend_init_probes(struct frontend *frontend)
 {
     frontend->node->upstreams.probed = frontend_on_probed;
+    frontend->node->upstreams.probe_refused = frontend_on_probe_refused;
     frontend->node->upstreams.probed_context = frontend;
 }
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -229,6 +229,9 @@
 /** Whether a server in SITE_REFUSE_LATE or SITE_REFUSE_LATE_UNNAMED has refused a request. */
 bool site_has_refused(int server);
 
+/** Time from a server's exit until it listens again; initially 300 ms. */
+void site_set_restart_ms(int restart_ms);
+
 /** Number of exits of servers because of SITE_EXIT_HEADER since the modes were set. */
 int site_exit_count(void);
 
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -32,7 +32,7 @@
     SITE_INSTANCE_ID_BYTES = 32,
     SITE_VERSION_BYTES = 16,    /* of the version in an event's text, including @ and NUL */
     SITE_MAX_NUMBER_BYTES = 24, /* of a number in a header, including NUL */
-    SITE_RESTART_US = 300000    /* from a server's exit until it listens again */
+    SITE_RESTART_MS = 300       /* default of site_set_restart_ms() */
 };
 
 struct site_server {
@@ -64,6 +64,7 @@
 static int site_cancellations;
 static void (*site_on_run)(const site_run_t *run);
 static bool site_events_have_version;
+static int site_restart_ms = SITE_RESTART_MS;
 
 struct site_connection {
     int fd;
@@ -487,7 +488,7 @@
 static void site_restart(struct site_server *server)
 {
     close(server->listener);
-    clock_sleep_us(SITE_RESTART_US);
+    clock_sleep_us(site_restart_ms * 1000);
     int listener = site_listen_at("127.0.0.1", server->port);
     pthread_mutex_lock(&site_lock);
     server->listener = listener;
@@ -772,6 +773,11 @@
     return refused;
 }
 
+void site_set_restart_ms(int restart_ms)
+{
+    site_restart_ms = restart_ms;
+}
+
 int site_exit_count(void)
 {
     int exits = 0;
--- a/tests/integration/test_lethal_requests.c
+++ b/tests/integration/test_lethal_requests.c
@@ -13,6 +13,9 @@
 #include "base/clock.h"
 #include "site.h"
 
+static const int restart_times_ms[] = {20, 300, 1500};
+
+enum { RESTART_TIMES = sizeof(restart_times_ms) / sizeof(*restart_times_ms), DEFAULT_RESTART_MS = 300 };
 enum { MAX_EXITS = 3, ALWAYS = 1000, ATTEMPTS = 5, RESTART_US = 700000, SHORT_QUARANTINE_S = 3 };
 
 /* One attempt of a program at its request, which ends the servers that run it until `exits` servers have ended. */
@@ -117,20 +120,32 @@
 }
 END_TEST
 
-/* A server that starts again under its id before the machine list shows it must count for each of its ends. */
-START_TEST(a_server_that_starts_again_under_its_id_counts_again)
+/* A server that starts again under its id, which the machine list does not show, must count for each of its ends. */
+static void expect_few_exits_under_one_id(const char *path, int restart_ms)
 {
+    char program[32];
     site_set_mode(-1, SITE_NORMAL);
+    site_set_restart_ms(restart_ms);
+    snprintf(program, sizeof(program), "same-id-%d", restart_ms);
     for (int i = 0; i < ATTEMPTS; i++) {
         struct site_response response;
-        attempt_with(i % SITE_GATEWAYS, "/once/x", "same-id", ALWAYS, SITE_SAME_ID_HEADER ": 1\r\n", &response);
-        printf("same id, attempt %d: status %d, %d ends so far\n", i, response.status, site_exit_count());
+        attempt_with(i % SITE_GATEWAYS, path, program, ALWAYS, SITE_SAME_ID_HEADER ": 1\r\n", &response);
+        printf("%s, back after %d ms, attempt %d: status %d, %d ends so far\n", path, restart_ms, i, response.status,
+               site_exit_count());
         fflush(stdout);
         site_response_close(&response);
         clock_sleep_us(RESTART_US);
     }
     ck_assert_int_le(site_exit_count(), MAX_EXITS);
 }
+
+START_TEST(a_server_that_starts_again_under_its_id_counts_again)
+{
+    expect_few_exits_under_one_id("/once/x", restart_times_ms[_i]);
+    expect_few_exits_under_one_id("/safe/x", restart_times_ms[_i]);
+    expect_few_exits_under_one_id("/open/chat/x", restart_times_ms[_i]);
+    site_set_restart_ms(DEFAULT_RESTART_MS);
+}
 END_TEST
 
 /* Callers without a program repeat a request under another id, and nothing else ties the attempts together. */
@@ -179,6 +194,75 @@
 }
 END_TEST
 
+static bool another_replica_leads(void *context)
+{
+    int old_leader = *(int *)context;
+    for (int i = 0; i < SITE_REPLICAS; i++) {
+        if (i != old_leader && site_metric(i, "raft_leading") == 1) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static int find_leader(void)
+{
+    for (int i = 0; i < SITE_REPLICAS; i++) {
+        if (site_metric(i, "raft_leading") == 1) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Kills daemons after each attempt. */
+static void expect_few_exits_beside_kills(const char *path, const char *program, void (*kill_daemons)(void))
+{
+    site_set_mode(-1, SITE_NORMAL);
+    for (int i = 0; i < ATTEMPTS + 1; i++) {
+        struct site_response response;
+        attempt(i % SITE_GATEWAYS, path, program, ALWAYS, &response);
+        printf("%s, %s, attempt %d: status %d, %d servers ended so far\n", path, program, i, response.status,
+               site_exit_count());
+        fflush(stdout);
+        site_response_close(&response);
+        kill_daemons();
+        clock_sleep_us(RESTART_US);
+    }
+    ck_assert_int_le(site_exit_count(), MAX_EXITS);
+}
+
+static void kill_leader(void)
+{
+    int leader = find_leader();
+    ck_assert_int_ge(leader, 0);
+    site_kill_daemon(leader, SIGKILL);
+    site_wait(another_replica_leads, &leader, "another replica leads");
+    site_start_daemon(leader);
+}
+
+static void kill_gateways(void)
+{
+    for (int i = 0; i < SITE_GATEWAYS; i++) {
+        site_kill_daemon(site_gateway_daemon(i), SIGKILL);
+        site_start_daemon(site_gateway_daemon(i));
+    }
+}
+
+START_TEST(failures_count_beside_leaders_that_are_killed)
+{
+    expect_few_exits_beside_kills("/once/x", "leaders-once", kill_leader);
+    expect_few_exits_beside_kills("/open/chat/x", "leaders-stream", kill_leader);
+}
+END_TEST
+
+START_TEST(failures_count_beside_gateways_that_are_killed)
+{
+    expect_few_exits_beside_kills("/once/x", "gateways-once", kill_gateways);
+    expect_few_exits_beside_kills("/open/chat/x", "gateways-stream", kill_gateways);
+}
+END_TEST
+
 /* Makes an operation end as many servers as it may, and returns the number of servers that have ended. */
 static int quarantine(const char *program)
 {
@@ -238,27 +322,6 @@
 }
 END_TEST
 
-static bool another_replica_leads(void *context)
-{
-    int old_leader = *(int *)context;
-    for (int i = 0; i < SITE_REPLICAS; i++) {
-        if (i != old_leader && site_metric(i, "raft_leading") == 1) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static int find_leader(void)
-{
-    for (int i = 0; i < SITE_REPLICAS; i++) {
-        if (site_metric(i, "raft_leading") == 1) {
-            return i;
-        }
-    }
-    return -1;
-}
-
 /* A quarantine must outlive the leader that decided it: the next one learns it from the gateways, and a gateway that
  * has started since from that leader. */
 START_TEST(a_quarantine_outlives_the_leader)
@@ -308,8 +371,10 @@
     tcase_add_test(tests, a_request_that_ends_machines_silently_ends_at_most_three);
     tcase_add_test(tests, servers_that_ended_before_all_daemons_were_killed_count);
     tcase_add_test(tests, a_quarantine_outlives_all_daemons);
-    tcase_add_test(tests, a_server_that_starts_again_under_its_id_counts_again);
+    tcase_add_loop_test(tests, a_server_that_starts_again_under_its_id_counts_again, 0, RESTART_TIMES);
     tcase_add_test(tests, a_request_without_a_program_ends_at_most_three_servers);
+    tcase_add_test(tests, failures_count_beside_leaders_that_are_killed);
+    tcase_add_test(tests, failures_count_beside_gateways_that_are_killed);
     tcase_add_test(tests, equal_requests_of_other_callers_are_served);
     tcase_add_test(tests, other_operations_are_served_beside_a_quarantine);
     tcase_add_test(tests, a_stream_that_loses_two_servers_is_served);
