Draining servers: a daemon that has just started does not know since when

A server that drains may get requests that resume streams until a second before the end of server_drain_ms, counted from when the daemon first saw it drain. A gateway that was restarted counted from its own start, and sent such requests for as long again. A server that is leaving when it is first seen gets none.

--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -292,7 +292,9 @@
 {
     for (struct server *server = table->servers; server != NULL; server = server->hh.next) {
         bool begins = server->draining && server->draining_ms == 0;
-        server->draining_ms = begins ? now_ms : server->draining_ms;
+        uint64_t since_ms = server->seen_ready ? now_ms : SERVER_DRAINING_SINCE_UNKNOWN_MS;
+        server->draining_ms = begins ? since_ms : server->draining_ms;
+        server->seen_ready = server->seen_ready || !server->draining;
     }
 }
 
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -77,6 +77,9 @@
 
 /* Constants named ..._REQUESTS are numbers of in-flight requests. A cost counts as that many additional ones. */
 enum {
+    /** server.draining_ms of a server that was leaving when it was first seen, such as by a daemon that has just
+     * started: so long ago that it gets no request. */
+    SERVER_DRAINING_SINCE_UNKNOWN_MS = 1,
     SERVER_REGION_RULES = 2,     /**< Per request: one of its route and one of its tenant. */
     SERVER_MAX_TRIED = 8,        /**< Tried servers that are remembered per request. */
     SERVER_FULL_PAUSE_MS = 30,   /**< A server is skipped for this time after it refused a request. */
@@ -111,6 +114,7 @@
     uint32_t slots;       /**< Requests it processes concurrently; 0: unknown. */
     bool draining;        /**< The list has reported that it is leaving; never reset. */
     uint64_t draining_ms; /**< When server_table_record_drains() first saw that; 0: not yet. */
+    bool seen_ready;      /**< server_table_record_drains() has seen it before it was leaving. */
     bool zone_drained;
     bool starting;             /**< The list reports that it has just started. */
     uint64_t returned_ms;      /**< When it last became reachable again or its zone was opened; 0: never. */
--- a/tests/integration/test_stream_versions.c
+++ b/tests/integration/test_stream_versions.c
@@ -219,6 +219,24 @@
 }
 END_TEST
 
+/* A gateway that has just started does not know for how long a server has been draining, and must send it nothing. */
+START_TEST(a_restarted_gateway_resumes_nothing_at_draining_servers)
+{
+    stream_t streams[STREAMS];
+    int drained = 0;
+    int other = 1;
+    begin_streams(streams);
+    site_set_draining(drained, true);
+    site_wait(new_streams_use_only, &other, "new streams avoid the draining server");
+    restart_gateways();
+    for (int i = 0; i < STREAMS; i++) {
+        int server = -1;
+        int expected = streams[i].server == drained ? 503 : 200;
+        ck_assert_int_eq(resume_stream((i + 1) % 2, &streams[i], &server), expected);
+    }
+}
+END_TEST
+
 static void *start_second_version(void *context)
 {
     (void)context;
@@ -482,6 +500,7 @@
     tcase_add_test(tests, a_response_has_events_of_one_version);
     tcase_add_test(tests, a_stream_whose_gateways_restart_stays_at_its_version);
     tcase_add_test(tests, streams_are_not_joined_after_a_release_and_a_kill_of_all_daemons);
+    tcase_add_test(tests, a_restarted_gateway_resumes_nothing_at_draining_servers);
     tcase_add_test(tests, a_stream_that_no_server_can_continue_is_refused);
     tcase_add_test(tests, a_stream_does_not_wait_for_its_record_for_ever);
     suite_add_tcase(suite, tests);
