--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -166,7 +166,10 @@
 void quarantine_export(const quarantine_t *quarantine, SiteSnapshot *snapshot)
 {
     size_t count = HASH_COUNT(quarantine->operations);
-    snapshot->failures = count == 0 ? NULL : memory_new(count * sizeof(*snapshot->failures));
+    if (count == 0) {
+        return;
+    }
+    snapshot->failures = memory_new(count * sizeof(*snapshot->failures));
     for (quarantine_operation_t *operation = quarantine->operations; operation != NULL;
          operation = operation->hh.next) {
         snapshot->failures[snapshot->failures_count++] = (FailureRecord){
--- a/src/core/service_versions.c
+++ b/src/core/service_versions.c
@@ -104,7 +104,10 @@
 {
     size_t count = HASH_COUNT(versions->services);
     snapshot->versions_since_ms = versions->since_ms;
-    snapshot->service_versions = count == 0 ? NULL : memory_new(count * sizeof(*snapshot->service_versions));
+    if (count == 0) {
+        return;
+    }
+    snapshot->service_versions = memory_new(count * sizeof(*snapshot->service_versions));
     for (service_version_t *service = versions->services; service != NULL; service = service->hh.next) {
         snapshot->service_versions[snapshot->service_versions_count++] = (ServiceVersionRecord){
             .service = service->name,
