Soak: all daemons killed around lethal requests and in the middle of a release

The soak knew no operation that ends servers beside kills of all daemons, under ids that stay or without a program, no kill of all daemons between the servers of a release, and no resumption that does not name its stream. Operations are checked while the daemons run undisturbed during their attempts.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -345,12 +345,28 @@
     }
 }
 
+static void release_engine(int server)
+{
+    if (drain_until_ms[server] == 0) {
+        log_fault("release server", server);
+        release_server(server);
+    }
+}
+
+/* Half of the time the daemons are killed in the middle of a release: nobody who saw the old version is left. */
 static void run_outage(uint64_t *seed)
 {
     uint64_t until_ms = now_ms() + OUTAGE_ROUND_MS;
+    bool during_release = random_below(seed, 2) == 0;
+    if (can_continue(until_ms) && during_release) {
+        release_engine(0);
+    }
     if (can_continue(until_ms)) {
         kill_all(seed);
     }
+    if (can_continue(until_ms) && during_release) {
+        release_engine(1);
+    }
     while (can_continue(until_ms)) {
         poll_for(random_below(seed, MAX_FAULT_GAP_MS));
         inject_daemon_fault(seed, FAULT_STARVE);
@@ -389,17 +405,30 @@
     return true;
 }
 
-/* Call after run_planned(): the daemons first get time to settle. */
-static void run_lethal(uint64_t *seed)
+static void wait_until_settled(void)
 {
     uint64_t until_ms = now_ms() + MAX_SETTLE_MS;
-    while (can_continue(until_ms) && !all_settled()) {
+    while (now_ms() < until_ms && !all_settled()) {
         poll_for(DAEMONS_STEP_MS);
     }
+}
+
+static void kill_all_and_settle(uint64_t *seed)
+{
+    kill_all(seed);
+    wait_until_settled();
+}
+
+/* Call after run_planned(): the daemons first get time to settle. */
+static void run_lethal(uint64_t *seed)
+{
+    if (can_continue(end_ms)) {
+        wait_until_settled();
+    }
     if (can_continue(end_ms)) {
         poll_for(LONGEST_FAULT_MS);
         log_fault("lethal requests", fault_count);
-        lethal_requests_run(seed);
+        lethal_requests_run(seed, kill_all_and_settle);
     }
 }
 
--- a/tests/soak/lethal_requests.h
+++ b/tests/soak/lethal_requests.h
@@ -1,11 +1,12 @@
 /**
  * @file lethal_requests.h
- * Operations that make each server that runs them exit. Their program repeats
- * them, each time through a random gateway, until it has tried
- * LETHAL_REQUESTS_ATTEMPTS times. Violation:
+ * Operations that make each server that runs them exit, and start again as another
+ * instance or under its id. Their caller, with or without a program, repeats them,
+ * each time through a random gateway, until it has tried LETHAL_REQUESTS_ATTEMPTS
+ * times. Between two attempts all daemons may be killed. Violation:
  *
  *   lethal  an operation ends more servers than a quarantine allows, while all
- *           daemons run undisturbed
+ *           daemons run undisturbed during its attempts
  */
 #ifndef BANKBANK_TESTS_LETHAL_REQUESTS_H
 #define BANKBANK_TESTS_LETHAL_REQUESTS_H
@@ -14,7 +15,8 @@
 
 enum { LETHAL_REQUESTS_ATTEMPTS = 6, LETHAL_REQUESTS_MAX_EXITS = 3 };
 
-/** Runs one operation of a random kind. Servers must be in SITE_NORMAL or SITE_PACED, and stay there. */
-void lethal_requests_run(uint64_t *seed);
+/** Runs one operation of a random kind. Servers must be in SITE_NORMAL or SITE_PACED, and stay there. `kill_all` kills
+ * all daemons and returns when they have settled. */
+void lethal_requests_run(uint64_t *seed, void (*kill_all)(uint64_t *seed));
 
 #endif
--- a/tests/soak/resumed_streams.c
+++ b/tests/soak/resumed_streams.c
@@ -14,6 +14,7 @@
     SHORT_ONE_IN = 2,    /* on average one request in this many is interrupted by its caller's timeout */
     SHORT_MIN_MS = 110,  /* of three paced events, one or two arrive in this time */
     SHORT_EXTRA_MS = 80, /* maximum random addition */
+    UNNAMED_ONE_IN = 3,  /* resumptions that do not name the stream */
     LONG_MIN_MS = 400,
     LONG_EXTRA_MS = 1600
 };
@@ -89,8 +90,11 @@
     int events_before = stream->events;
     calls_next_id(id, sizeof(id), caller, "e");
     if (resumes) {
-        snprintf(headers, sizeof(headers), SITE_PACED_HEADER ": 1\r\nLast-Event-Id: %d\r\nResumes: %s\r\n",
-                 stream->events, stream->first_id);
+        int length =
+            snprintf(headers, sizeof(headers), SITE_PACED_HEADER ": 1\r\nLast-Event-Id: %d\r\n", stream->events);
+        if (random_below(&caller->seed, UNNAMED_ONE_IN) > 0) {
+            snprintf(headers + length, sizeof(headers) - (size_t)length, "Resumes: %s\r\n", stream->first_id);
+        }
     }
     call_t call = {.id = id, .path = "/open/chat/x", .headers = headers, .body = id, .expectation = {.max_servers = 1}};
     call.gateway = calls_pick_gateway(caller);
