--- a/tests/integration/test_lethal_requests.c
+++ b/tests/integration/test_lethal_requests.c
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "../unit/suite.h"
 #include "base/clock.h"
@@ -15,6 +16,10 @@
 
 static const int restart_times_ms[] = {20, 300, 1500};
 
+enum { PATH_BYTES = 256 };
+
+static char earlier_build[PATH_BYTES];
+
 enum { RESTART_TIMES = sizeof(restart_times_ms) / sizeof(*restart_times_ms), DEFAULT_RESTART_MS = 300 };
 enum { MAX_EXITS = 3, ALWAYS = 1000, ATTEMPTS = 5, RESTART_US = 700000, SHORT_QUARANTINE_S = 3 };
 
@@ -352,6 +357,51 @@
 }
 END_TEST
 
+/* Replicas of an earlier build do not count failures, or only in their memory: gateways must go on by their own count.
+ */
+START_TEST(a_stream_that_loses_a_server_is_served_beside_earlier_replicas)
+{
+    site_set_mode(-1, SITE_NORMAL);
+    expect_served(0, "/open/chat/x", "beside-earlier", 1);
+    ck_assert_int_eq(site_exit_count(), 1);
+    clock_sleep_us(RESTART_US);
+    expect_served(1, "/safe/x", "beside-earlier-safe", 2);
+    ck_assert_int_eq(site_exit_count(), 2);
+}
+END_TEST
+
+static void start_beside_earlier_replicas(void)
+{
+    for (int replica = 0; replica < SITE_REPLICAS; replica++) {
+        site_set_build(site_replica_daemon(replica), earlier_build);
+    }
+    site_start();
+}
+
+static void stop_beside_earlier_replicas(void)
+{
+    site_stop();
+    for (int replica = 0; replica < SITE_REPLICAS; replica++) {
+        site_set_build(site_replica_daemon(replica), NULL);
+    }
+}
+
+static TCase *create_earlier_case(void)
+{
+    char program[PATH_BYTES + 32];
+    snprintf(earlier_build, sizeof(earlier_build), "%s/earlier", site_build);
+    snprintf(program, sizeof(program), "%s/bankbank-site", earlier_build);
+    TCase *earlier = tcase_create("replicas of an earlier build");
+    tcase_set_timeout(earlier, 60);
+    tcase_add_unchecked_fixture(earlier, start_beside_earlier_replicas, stop_beside_earlier_replicas);
+    if (access(program, X_OK) == 0) {
+        tcase_add_test(earlier, a_stream_that_loses_a_server_is_served_beside_earlier_replicas);
+    } else {
+        printf("not run: %s does not exist (scripts/build-earlier)\n", program);
+    }
+    return earlier;
+}
+
 static void start_with_short_quarantine(void)
 {
     site_set_quarantine_s(SHORT_QUARANTINE_S);
@@ -385,5 +435,6 @@
     tcase_add_unchecked_fixture(short_quarantine, start_with_short_quarantine, site_stop);
     tcase_add_test(short_quarantine, a_quarantine_ends);
     suite_add_tcase(suite, short_quarantine);
+    suite_add_tcase(suite, create_earlier_case());
     return suite_run_without_fork(suite); /* the simulated servers are threads of this process */
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -20,6 +20,7 @@
     STARVE_EXTRA_MS = 2000,
     CUT_OFF_MIN_MS = 2000, /* of which gateways need up to 800 to detect the cut */
     CUT_OFF_EXTRA_MS = 2000,
+    LETHAL_OPERATIONS = 2, /* in a round */
     MAX_SETTLE_MS = 10000, /* until a stopped daemon is back; a stop may take its grace time */
     LONGEST_FAULT_MS = CUT_OFF_MIN_MS + CUT_OFF_EXTRA_MS,
     OUTAGE_EARLY_EXTRA_MS = 300, /* maximum random addition to FAULT_MIN_MS before an early restart */
@@ -425,8 +426,8 @@
     if (can_continue(end_ms)) {
         wait_until_settled();
     }
-    if (can_continue(end_ms)) {
-        poll_for(LONGEST_FAULT_MS);
+    poll_for(can_continue(end_ms) ? LONGEST_FAULT_MS : 0);
+    for (int i = 0; i < LETHAL_OPERATIONS && can_continue(end_ms); i++) {
         log_fault("lethal requests", fault_count);
         lethal_requests_run(seed, kill_all_and_settle);
     }
