--- a/tests/scripted/run_quarantine.c
+++ b/tests/scripted/run_quarantine.c
@@ -6,15 +6,19 @@
  *   share MS FROM TO                TO adopts the operations that FROM lists
  *   many MS TABLE COUNT             COUNT other operations fail once each
  *   list MS TABLE                   prints how many operations are held, and listed as quarantined
- *   clear TABLE                     forgets all, as on a new leader */
+ *   clear TABLE                     forgets all, as on a new leader
+ *   serve MS CONTENTS               a server responded to a request with these contents
+ *   served MS CONTENTS              prints whether one did lately */
 #include <stdlib.h>
 
 #include "core/quarantine.h"
+#include "core/served_set.h"
 #include "script.h"
 
 enum { TABLES = 3, FIRST_OTHER_OPERATION = 1000 };
 
 static quarantine_t tables[TABLES];
+static served_set_t served;
 
 static quarantine_t *table_of(const script_command_t *command, int position)
 {
@@ -94,6 +98,11 @@
         print_list(command);
     } else if (script_is(command, 0, "clear")) {
         quarantine_clear(table_of(command, 1));
+    } else if (script_is(command, 0, "serve")) {
+        served_set_add(&served, script_number(command, 1, 0), script_number(command, 2, 0));
+    } else if (script_is(command, 0, "served")) {
+        bool has = served_set_has(&served, script_number(command, 1, 0), script_number(command, 2, 0));
+        script_print(has ? "served\n" : "not known\n");
     } else {
         script_print("unknown command\n");
     }
