--- a/tests/integration/test_lethal_requests.c
+++ b/tests/integration/test_lethal_requests.c
@@ -393,7 +393,7 @@
     snprintf(program, sizeof(program), "%s/bankbank-site", earlier_build);
     TCase *earlier = tcase_create("replicas of an earlier build");
     tcase_set_timeout(earlier, 60);
-    tcase_add_unchecked_fixture(earlier, start_beside_earlier_replicas, stop_beside_earlier_replicas);
+    tcase_add_checked_fixture(earlier, start_beside_earlier_replicas, stop_beside_earlier_replicas);
     if (access(program, X_OK) == 0) {
         tcase_add_test(earlier, a_stream_that_loses_a_server_is_served_beside_earlier_replicas);
     } else {
