--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -232,6 +232,11 @@
 /** Time from a server's exit until it listens again; initially 300 ms. */
 void site_set_restart_ms(int restart_ms);
 
+/** Makes servers call `before_exit` before they exit because of SITE_EXIT_HEADER and close their connections; NULL:
+ * none.
+ */
+void site_set_before_exit(void (*before_exit)(void));
+
 /** Number of exits of servers because of SITE_EXIT_HEADER since the modes were set. */
 int site_exit_count(void);
 
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -48,6 +48,7 @@
     int instance; /* number of replacements */
     int runs;
     int exits;    /* since the mode was set */
+    bool ended;   /* and not yet started again */
     bool refused; /* since the mode was set, in SITE_REFUSE_LATE or SITE_REFUSE_LATE_UNNAMED */
     bool not_accepting;
     int pending[SITE_PENDING_CONNECTIONS]; /* connections that fill the backlog while none is accepted */
@@ -195,6 +196,8 @@
     return strtoll(text, NULL, 10);
 }
 
+static void (*site_before_exit)(void); /* protected by site_lock */
+
 static void site_shut_down_connections(const struct site_server *server, int except)
 {
     for (int i = 0; i < SITE_MAX_CONNECTIONS; i++) {
@@ -223,7 +226,15 @@
 {
     bool silent = http_reader_has_header(request, SITE_SILENT_HEADER);
     pthread_mutex_lock(&site_lock);
+    if (server->ended) { /* under another request at the same moment */
+        pthread_mutex_unlock(&site_lock);
+        return;
+    }
+    if (site_before_exit != NULL) {
+        site_before_exit();
+    }
     server->exits++;
+    server->ended = true;
     server->instance += http_reader_has_header(request, SITE_SAME_ID_HEADER) ? 0 : 1;
     shutdown(server->listener, SHUT_RDWR);
     site_shut_down_connections(server, silent ? fd : -1);
@@ -492,6 +503,7 @@
     int listener = site_listen_at("127.0.0.1", server->port);
     pthread_mutex_lock(&site_lock);
     server->listener = listener;
+    server->ended = false;
     pthread_mutex_unlock(&site_lock);
 }
 
@@ -602,6 +614,13 @@
     pthread_mutex_unlock(&site_lock);
 }
 
+void site_set_before_exit(void (*before_exit)(void))
+{
+    pthread_mutex_lock(&site_lock);
+    site_before_exit = before_exit;
+    pthread_mutex_unlock(&site_lock);
+}
+
 void site_echo_ids(void (*run)(const site_run_t *run))
 {
     site_on_run = run;
