HTTP client: a response that ends inside its head is not complete

Callers of a service got a 200, or the 204 or 500 of the status line, with an empty body, framed as whole and marked as run, when the back end closed the connection inside the head of its response. bankbankctl exited with 0 and printed empty tables, or a deletion with revision 0. A repeatable request was not tried elsewhere, and the back end counted as healthy.

Cause: libcurl reports success for a connection that was closed inside the head, once it has read one line of it, and http_client_run() took this for a complete response. The class: a library's success is taken for a whole message.

Change, in one place: the client watches for the blank line at the end of the final head, and reports HTTP_TRANSFER_BROKEN and status 0 without it. Header lines are passed on from there, so that nothing is concluded from a part of a head; those of interim responses and trailers are not passed on. Every caller of http_client_run() was read: services, chat, machine list, cache releases, hand-overs, bankbankctl, bankbank-bench and the tests' own client use its result; scrape_fetch() ignored it, and now drops a page that is cut; bankbank-bench gave a call up for a cut 4xx. The content type of a failed attempt at a service is forgotten.

Clients of the tests and the soak: a reset or a timeout completed a response without a length; a reset connection counted as idle; a status was read from a part of a line.

--- a/src/bench/turn.c
+++ b/src/bench/turn.c
@@ -170,7 +170,8 @@
             return true;
         }
         /* 409, for example for a call still in progress, and 429 are retried. */
-        bool permanent = status >= 400 && status < 500 && status != 429 && status != 409;
+        bool permanent =
+            result == HTTP_TRANSFER_DONE && status >= 400 && status < 500 && status != 429 && status != 409;
         if (permanent) {
             fprintf(stderr, "call %u of program %s was rejected with status %d: %s\n", turn->program->next_call,
                     turn->program->id, status, buffer_text(&turn->error));
--- a/src/daemon/services.c
+++ b/src/daemon/services.c
@@ -130,6 +130,8 @@
     services_copy_headers(call, &request);
     buffer_clear(&call->response_body);
     buffer_clear(&call->response_headers);
+    free(call->content_type);
+    call->content_type = NULL;
     call->draining = false;
     uint64_t started_ms = clock_monotonic_ms();
     endpoints_begin_call(&call->gateway->endpoints, backend->base_url);
--- a/src/measure/scrape.c
+++ b/src/measure/scrape.c
@@ -18,6 +18,7 @@
 {
     struct buffer url = {0};
     int status = 0;
+    size_t length_before = page->length;
     buffer_printf(&url, "%s/metrics", base_url);
     struct http_request request = {
         .method = "GET",
@@ -27,7 +28,9 @@
         .context = page,
         .on_data = scrape_append_body,
     };
-    http_client_run(&request, &status);
+    if (http_client_run(&request, &status) != HTTP_TRANSFER_DONE) {
+        page->length = length_before;
+    }
     buffer_close(&url);
 }
 
--- a/src/measure/scrape.h
+++ b/src/measure/scrape.h
@@ -7,7 +7,7 @@
 
 #include "base/buffer.h"
 
-/** Appends the metrics page of the daemon at `base_url` to `page`; nothing if the daemon does not answer. */
+/** Appends the metrics page of the daemon at `base_url` to `page`; nothing without a complete response. */
 void scrape_fetch(const char *base_url, struct buffer *page);
 
 /** Returns the value of a metric without labels; 0 if it is not on the page. */
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -20,10 +20,16 @@
 static CURL *http_pool[HTTP_CLIENT_MAX_IDLE_HANDLES];
 static size_t http_pool_count;
 
+enum { HTTP_FIRST_FINAL_STATUS = 200 }; /* lower ones are of interim responses */
+
 struct http_transfer {
     const struct http_request *request;
     CURL *handle;
     bool stopped;
+    bool in_head;             /* a status line was received, the blank line after it was not */
+    int status;               /* of the last status line */
+    bool head_complete;       /* the head of the final response was received whole */
+    struct buffer head_lines; /* header lines of the head being received, each NUL-terminated */
 };
 
 bool http_client_init(void)
@@ -90,34 +96,83 @@
 static size_t http_on_data(char *data, size_t size, size_t count, void *context)
 {
     struct http_transfer *transfer = context;
-    long status = 0;
-    curl_easy_getinfo(transfer->handle, CURLINFO_RESPONSE_CODE, &status);
     const struct http_request *request = transfer->request;
     if (request->on_data == NULL) {
         return size * count;
     }
-    if (!request->on_data(request->context, (int)status, view_of(data, size * count))) {
+    if (!request->on_data(request->context, transfer->status, view_of(data, size * count))) {
         transfer->stopped = true;
         return 0;
     }
     return size * count;
 }
 
-static size_t http_on_header(char *data, size_t size, size_t count, void *context)
+static void http_pass_header(const struct http_request *request, char *line)
 {
-    struct http_transfer *transfer = context;
-    size_t length = size * count;
-    char *line = memory_copy(data, length);
     char *colon = strchr(line, ':');
     if (colon != NULL) {
         *colon = '\0';
         char *value = colon + 1;
         value += strspn(value, " \t");
         value[strcspn(value, "\r\n")] = '\0';
-        transfer->request->on_header(transfer->request->context, line, value);
+        request->on_header(request->context, line, value);
     }
-    free(line);
-    return length;
+}
+
+static void http_pass_headers(struct http_transfer *transfer)
+{
+    struct buffer *lines = &transfer->head_lines;
+    size_t length = 0;
+    for (size_t at = 0; transfer->request->on_header != NULL && at < lines->length; at += length) {
+        char *line = (char *)lines->data + at;
+        length = strlen(line) + 1;
+        http_pass_header(transfer->request, line);
+    }
+}
+
+static bool http_is_status_line(struct view line)
+{
+    static const char prefix[] = "HTTP/";
+    return line.length >= sizeof(prefix) - 1 && memcmp(line.data, prefix, sizeof(prefix) - 1) == 0;
+}
+
+static void http_begin_head(struct http_transfer *transfer)
+{
+    long status = 0;
+    curl_easy_getinfo(transfer->handle, CURLINFO_RESPONSE_CODE, &status);
+    transfer->in_head = true;
+    transfer->status = (int)status;
+    buffer_clear(&transfer->head_lines);
+}
+
+static void http_end_head(struct http_transfer *transfer)
+{
+    transfer->in_head = false;
+    transfer->head_complete = transfer->status >= HTTP_FIRST_FINAL_STATUS;
+    if (transfer->head_complete) {
+        http_pass_headers(transfer);
+    }
+}
+
+/* libcurl reports success for a connection that was closed inside the head: only the blank line at its end shows that
+ * it is whole. Header lines are passed on from there, those of interim responses and trailers not at all. */
+static size_t http_on_header(char *data, size_t size, size_t count, void *context)
+{
+    struct http_transfer *transfer = context;
+    struct view line = view_of(data, size * count);
+    bool blank = line.length > 0 && (line.data[0] == '\r' || line.data[0] == '\n');
+    if (transfer->head_complete) {
+        return line.length;
+    }
+    if (http_is_status_line(line)) {
+        http_begin_head(transfer);
+    } else if (transfer->in_head && blank) {
+        http_end_head(transfer);
+    } else if (transfer->in_head) {
+        buffer_append(&transfer->head_lines, line.data, line.length);
+        buffer_append(&transfer->head_lines, "", 1);
+    }
+    return line.length;
 }
 
 static void http_set_options(const struct http_request *request, struct http_transfer *transfer,
@@ -148,10 +203,8 @@
     }
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, http_on_data);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, transfer);
-    if (request->on_header != NULL) {
-        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, http_on_header);
-        curl_easy_setopt(handle, CURLOPT_HEADERDATA, transfer);
-    }
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, http_on_header);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, transfer);
 }
 
 static enum http_transfer_result http_transfer_outcome(CURLcode code, const struct http_transfer *transfer)
@@ -164,7 +217,7 @@
     curl_easy_getinfo(transfer->handle, CURLINFO_NUM_CONNECTS, &connects);
     curl_easy_getinfo(transfer->handle, CURLINFO_CONNECT_TIME_T, &connected_us);
     switch (code) {
-    case CURLE_OK: return HTTP_TRANSFER_DONE;
+    case CURLE_OK: return transfer->head_complete ? HTTP_TRANSFER_DONE : HTTP_TRANSFER_BROKEN;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
@@ -189,11 +242,10 @@
     headers = curl_slist_append(headers, "Expect:");
     http_set_options(request, &transfer, headers);
     CURLcode code = curl_easy_perform(transfer.handle);
-    long received = 0;
-    curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &received);
-    *status = (int)received;
+    *status = transfer.head_complete ? transfer.status : 0;
     enum http_transfer_result result = http_transfer_outcome(code, &transfer);
     curl_slist_free_all(headers);
+    buffer_close(&transfer.head_lines);
     http_pool_release(transfer.handle);
     return result;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -14,7 +14,7 @@
 enum { HTTP_CLIENT_MAX_HEADERS = 24 };
 
 enum http_transfer_result {
-    HTTP_TRANSFER_DONE,     /**< A complete response was received. */
+    HTTP_TRANSFER_DONE,     /**< A complete response was received: head and body, by its framing. */
     HTTP_TRANSFER_NOT_SENT, /**< No connection was established: the request was not executed. */
     HTTP_TRANSFER_BROKEN,   /**< Failed otherwise, without a complete response: the request may have been executed. */
     HTTP_TRANSFER_TIMEOUT,  /**< The timeout expired: the request may have been executed. */
@@ -33,7 +33,7 @@
     void *context;     /**< First argument of the callbacks. */
     /** Called with each part of the body; returning false stops the transfer. May be NULL. */
     bool (*on_data)(void *context, int status, struct view data);
-    /** Called with each header of the response. May be NULL. */
+    /** Called with each header of the final response, once its head is complete. May be NULL. */
     void (*on_header)(void *context, const char *name, const char *value);
 };
 
@@ -47,7 +47,7 @@
 
 void http_request_close(struct http_request *request);
 
-/** Runs the transfer; `status` is 0 if no status line was received. */
+/** Runs the transfer; `status` is 0 if the head of the final response was not received whole. */
 enum http_transfer_result http_client_run(const struct http_request *request, int *status);
 
 #endif
--- a/tests/integration/support_site_io.c
+++ b/tests/integration/support_site_io.c
@@ -16,8 +16,7 @@
 enum {
     SITE_MAX_HEAD_BYTES = 1 << 14,
     SITE_READ_DELAY_WINDOW_S = 4, /* for which site_read_delay_ms() reports delays */
-    SITE_MS_PER_S = 1000,
-    SITE_STATUS_OFFSET = 9 /* of the code in a status line */
+    SITE_MS_PER_S = 1000
 };
 
 /* ---- Sockets ------------------------------------------------------------------------ */
@@ -142,7 +141,10 @@
     http_reader_reset(reader);
     while (!reader->complete && reader->error == HTTP_PARSE_ERROR_NONE) {
         ssize_t got = recv(fd, part, sizeof(part), 0);
-        if (got <= 0) {
+        if (got < 0) {
+            break; /* a reset or a timeout: no end of a message */
+        }
+        if (got == 0) {
             http_reader_end(reader);
             break;
         }
@@ -153,8 +155,12 @@
 
 int site_read_status(int fd)
 {
-    char response[512] = "";
-    ssize_t got = recv(fd, response, sizeof(response) - 1, 0);
+    struct http_reader reader;
+    struct buffer body = {0};
+    bool complete = site_read(fd, &reader, HTTP_RESPONSE, &body);
+    int status = complete ? reader.status : 0;
+    http_reader_close(&reader);
+    buffer_close(&body);
     close(fd);
-    return got > SITE_STATUS_OFFSET ? atoi(response + SITE_STATUS_OFFSET) : 0;
+    return status;
 }
--- a/tests/soak/caller_connection.c
+++ b/tests/soak/caller_connection.c
@@ -1,5 +1,6 @@
 #include "caller_connection.h"
 
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,7 +11,8 @@
 bool caller_connection_is_idle(const caller_connection_t *connection)
 {
     char byte;
-    return recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+    bool silent = recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+    return silent && (errno == EAGAIN || errno == EWOULDBLOCK); /* another error: it has been reset */
 }
 
 void caller_connection_close(caller_connection_t *connection)
