Quarantine: attempts that have not ended count as possible failures

Callers repeated a request that ends its servers while earlier attempts at it were under way, or after the gateway had died together with the server: more servers ended than the three that a quarantine allows, without end in the second case.

Cause: the count knew reported failures only. Of an attempt that was running, or whose gateway had died, nothing was known, and that counted as if nothing had happened.

Change: group 0 keeps the open attempts of operations (core/open_attempts.h). A turn is open from its reservation to its settlement, entries that the log has anyway, with eight bytes more. Another request is open only if its operation is suspected already: its gateway asks the leader for a permit before it sends it (forward_permit.c), and a request that goes on after a failure is opened by the entry of that failure. The suspicion of an operation, its failures plus its other open attempts, must stay below the limit; else the request ends with 503, not run, and Retry-After, or with 502 if it may have run. An attempt whose gateway has died stays open for a minute. Once one failure is left, the leader tells all gateways, so that one that has seen none asks as well. No replicated decision depends on open attempts: members of an earlier version ignore them.

--- a/src/core/budget_table.c
+++ b/src/core/budget_table.c
@@ -9,7 +9,7 @@
 
 enum { BUDGET_SETTLED_GROWTH = 8 /* entries by which `settled` grows */ };
 
-static uint64_t budget_turn_key(const char *turn)
+uint64_t budget_turn_key(const char *turn)
 {
     const char *id = text_or_empty(turn);
     return XXH64(id, strlen(id), 0);
@@ -148,6 +148,12 @@
     return true;
 }
 
+bool budget_table_has_reservation(const struct budget_table *table, const char *program, const char *turn)
+{
+    const struct budget_program *found = budget_find(table, program);
+    return found != NULL && budget_find_reservation(found, budget_turn_key(turn)) != NULL;
+}
+
 const char *budget_table_server(const struct budget_table *table, const char *program)
 {
     const struct budget_program *found = budget_find(table, program);
--- a/src/core/budget_table.h
+++ b/src/core/budget_table.h
@@ -57,6 +57,12 @@
  */
 bool budget_table_reserve(struct budget_table *table, uint64_t now_ms, const TurnBegin *begin);
 
+/** Identifies a turn. */
+uint64_t budget_turn_key(const char *turn);
+
+/** Whether a turn is reserved and not yet settled. */
+bool budget_table_has_reservation(const struct budget_table *table, const char *program, const char *turn);
+
 /** Returns the server that ran the program's last settled turn, or NULL. Valid until the table changes. */
 const char *budget_table_server(const struct budget_table *table, const char *program);
 
--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -69,6 +69,11 @@
     return operation->failure_count == 0 || !failure->by_contents || failure->sent_ms >= operation->last_ms;
 }
 
+bool quarantine_is_nearly_begun(const quarantine_t *quarantine, const quarantine_operation_t *operation)
+{
+    return !operation->quarantined && operation->failure_count + 1 == quarantine->max_failures;
+}
+
 bool quarantine_record(quarantine_t *quarantine, uint64_t now_ms, const quarantine_failure_t *failure)
 {
     if (quarantine->max_failures == 0) {
@@ -81,6 +86,7 @@
     }
     if (quarantine_counts(operation, failure)) {
         operation->failures[operation->failure_count++] = failure->id;
+        quarantine->nearly += quarantine_is_nearly_begun(quarantine, operation) ? 1 : 0;
     }
     operation->last_ms = now_ms;
     operation->expires_ms = now_ms + quarantine->keep_ms;
@@ -97,6 +103,23 @@
     return operation == NULL ? 0 : operation->failure_count;
 }
 
+bool quarantine_is_suspected(const quarantine_t *quarantine, uint64_t hash)
+{
+    const quarantine_operation_t *operation = quarantine->operations == NULL ? NULL : quarantine_find(quarantine, hash);
+    return operation != NULL && (operation->failure_count > 0 || operation->suspected);
+}
+
+void quarantine_suspect(quarantine_t *quarantine, uint64_t now_ms, uint64_t hash)
+{
+    if (quarantine->max_failures == 0) {
+        return;
+    }
+    quarantine_operation_t *operation = quarantine_find_or_add(quarantine, hash);
+    operation->suspected = true;
+    uint64_t expires_ms = now_ms + quarantine->keep_ms;
+    operation->expires_ms = operation->expires_ms > expires_ms ? operation->expires_ms : expires_ms;
+}
+
 uint64_t quarantine_remaining_ms(const quarantine_t *quarantine, uint64_t now_ms, uint64_t hash)
 {
     const quarantine_operation_t *operation = quarantine->quarantined == 0 ? NULL : quarantine_find(quarantine, hash);
--- a/src/core/quarantine.h
+++ b/src/core/quarantine.h
@@ -55,6 +55,7 @@
     uint64_t failures[QUARANTINE_MAX_FAILURES]; /**< quarantine_failure_t.id of those that count. */
     uint32_t failure_count;
     bool quarantined;
+    bool suspected;   /**< Another daemon knows of failures. */
     uint64_t last_ms; /**< Time of the last failure. */
     uint64_t expires_ms;
     UT_hash_handle hh; /**< By `hash`, oldest first. */
@@ -67,6 +68,7 @@
     quarantine_operation_t *operations;
     uint32_t quarantined; /**< How many of them are. */
     uint64_t begun;       /**< Quarantines so far. */
+    uint64_t nearly;      /**< Times so far that an operation was one failure short of a quarantine. */
 } quarantine_t;
 
 /** Forgets all operations. */
@@ -78,6 +80,15 @@
 /** Failures recorded for the operation. */
 uint32_t quarantine_count(const quarantine_t *quarantine, uint64_t operation);
 
+/** Whether failures of the operation are known, here or at another daemon. */
+bool quarantine_is_suspected(const quarantine_t *quarantine, uint64_t operation);
+
+/** Records that another daemon knows of failures of the operation. */
+void quarantine_suspect(quarantine_t *quarantine, uint64_t now_ms, uint64_t operation);
+
+/** Whether one more failure quarantines the operation. */
+bool quarantine_is_nearly_begun(const quarantine_t *quarantine, const quarantine_operation_t *operation);
+
 /** Time until the operation may run again; 0: it is not quarantined. */
 uint64_t quarantine_remaining_ms(const quarantine_t *quarantine, uint64_t now_ms, uint64_t operation);
 
--- a/src/core/replica_site.c
+++ b/src/core/replica_site.c
@@ -188,7 +188,9 @@
         return;
     }
     QuarantinedOperation operation = {.operation = outcome.operation, .remaining_ms = outcome.quarantined_ms};
-    QuarantineNotice notice = {.quarantined_count = outcome.quarantined_ms > 0 ? 1 : 0, .quarantined = &operation};
+    QuarantineNotice notice = {.quarantined_count = outcome.quarantined_ms > 0 ? 1 : 0,
+                               .quarantined = &operation,
+                               .suspicion = outcome.suspicion};
     replica_reply_message(replica, group, waiter, QuarantineNotice_fields, &notice);
     message_free(EntryResult_fields, &outcome);
 }
--- a/src/core/site_state.c
+++ b/src/core/site_state.c
@@ -21,6 +21,7 @@
     zone_set_close(&state->drained);
     stream_origins_close(&state->stream_origins);
     quarantine_clear(&state->failures);
+    open_attempts_close(&state->open_attempts);
     service_versions_close(&state->versions);
     memset(state, 0, sizeof(*state));
 }
@@ -36,11 +37,31 @@
     result->revision = state->document.version;
 }
 
+static void site_report_suspicion(const struct site_state *state, uint64_t operation, uint64_t attempt,
+                                  EntryResult *result)
+{
+    result->operation = operation;
+    result->suspicion =
+        quarantine_count(&state->failures, operation) + open_attempts_others(&state->open_attempts, operation, attempt);
+}
+
+/* Only until its settlement: a begin that is applied afterwards opens nothing. */
+static void site_open_turn(struct site_state *state, const TurnBegin *begin, EntryResult *result)
+{
+    uint64_t attempt = budget_turn_key(begin->turn);
+    if (budget_table_has_reservation(&state->budgets, begin->program, begin->turn)) {
+        open_attempts_add(&state->open_attempts, state->time_ms, begin->operation, attempt);
+    }
+    site_report_suspicion(state, begin->operation, attempt, result);
+}
+
 /* The result borrows the name of the server that caches the program's prompt. */
 static void site_begin_turn(struct site_state *state, const TurnBegin *begin, EntryResult *result)
 {
     if (!budget_table_reserve(&state->budgets, state->time_ms, begin)) {
         result->code = RESULT_BUDGET;
+    } else if (begin->operation != 0) {
+        site_open_turn(state, begin, result);
     }
     result->engine = (char *)(uintptr_t)budget_table_server(&state->budgets, begin->program);
 }
@@ -49,6 +70,7 @@
 {
     if (text_or_empty(finish->program)[0] != '\0') {
         budget_table_settle(&state->budgets, state->time_ms, finish);
+        open_attempts_remove(&state->open_attempts, budget_turn_key(finish->turn));
     }
     if (!finish->keep) {
         return;
@@ -105,6 +127,7 @@
     budget_table_expire(&state->budgets, state->time_ms);
     stream_origins_expire(&state->stream_origins, state->time_ms);
     quarantine_expire(&state->failures, state->time_ms);
+    open_attempts_expire(&state->open_attempts, state->time_ms);
 }
 
 static void site_begin_stream(struct site_state *state, const StreamBegin *begin, EntryResult *result)
@@ -133,8 +156,25 @@
     state->failures.max_failures = max_failures < QUARANTINE_MAX_FAILURES ? max_failures : QUARANTINE_MAX_FAILURES;
     state->failures.keep_ms = entry->keep_ms;
     quarantine_record(&state->failures, state->time_ms, &failure);
-    result->operation = entry->operation;
+    site_report_suspicion(state, entry->operation, entry->attempt, result);
     result->quarantined_ms = (uint32_t)quarantine_remaining_ms(&state->failures, state->time_ms, entry->operation);
+    if (entry->goes_on && entry->attempt != 0 && result->suspicion < state->failures.max_failures) {
+        open_attempts_add(&state->open_attempts, state->time_ms, entry->operation, entry->attempt);
+    }
+}
+
+/* An attempt that the suspicion forbids is not opened: its gateway does not send it. */
+static void site_mark_attempt(struct site_state *state, const OperationAttempt *entry, EntryResult *result)
+{
+    if (entry->ended) {
+        open_attempts_remove(&state->open_attempts, entry->attempt);
+        return;
+    }
+    site_report_suspicion(state, entry->operation, entry->attempt, result);
+    uint32_t max_failures = state->failures.max_failures;
+    if (max_failures == 0 || result->suspicion < max_failures) {
+        open_attempts_add(&state->open_attempts, state->time_ms, entry->operation, entry->attempt);
+    }
 }
 
 bool site_state_apply(struct site_state *state, uint64_t timestamp_ms, const Entry *entry, EntryResult *result)
@@ -152,6 +192,7 @@
     case Entry_operation_failure_tag:
         site_record_failure(state, &entry->command.operation_failure, result);
         return true;
+    case Entry_operation_attempt_tag: site_mark_attempt(state, &entry->command.operation_attempt, result); return true;
     default: return false;
     }
 }
@@ -159,7 +200,7 @@
 size_t site_state_bytes(const struct site_state *state)
 {
     return state->turns.index_bytes + state->budgets.bytes + stream_origins_bytes(&state->stream_origins) +
-           quarantine_bytes(&state->failures);
+           quarantine_bytes(&state->failures) + open_attempts_bytes(&state->open_attempts);
 }
 
 void site_state_export(const struct site_state *state, SiteSnapshot *snapshot)
@@ -176,6 +217,7 @@
     zone_set_export(&state->drained, &snapshot->drained);
     stream_origins_export(&state->stream_origins, snapshot);
     quarantine_export(&state->failures, snapshot);
+    open_attempts_export(&state->open_attempts, snapshot);
     service_versions_export(&state->versions, snapshot);
 }
 
@@ -183,6 +225,7 @@
 {
     stream_origins_free_export(snapshot);
     quarantine_free_export(snapshot);
+    open_attempts_free_export(snapshot);
     service_versions_free_export(snapshot);
 }
 
@@ -208,5 +251,6 @@
     zone_set_update(&state->drained, &snapshot->drained);
     stream_origins_import(&state->stream_origins, snapshot);
     quarantine_import(&state->failures, snapshot);
+    open_attempts_import(&state->open_attempts, snapshot);
     service_versions_import(&state->versions, snapshot);
 }
--- a/src/core/site_state.h
+++ b/src/core/site_state.h
@@ -3,7 +3,7 @@
  * State that group 0 replicates for the gateways, besides the resources of
  * config_store.h: the configuration document, conversation turns, program
  * budgets, machines being retired, drained zones, the software versions of services
- * and of streams, and the operations under which servers failed.
+ * and of streams, the operations under which servers failed, and open attempts.
  *
  * Time is the highest timestamp of the applied entries. It never goes back, so
  * that a wall clock jump makes no expired turn valid again; see also
@@ -13,6 +13,7 @@
 #define BANKBANK_CORE_SITE_STATE_H
 
 #include "core/budget_table.h"
+#include "core/open_attempts.h"
 #include "core/quarantine.h"
 #include "core/service_versions.h"
 #include "core/stream_origins.h"
@@ -42,6 +43,7 @@
     service_versions_t versions;
     zone_set_t drained;    /**< Zones whose servers get no new requests. */
     quarantine_t failures; /**< Of all gateways; the limits are those of the last entry. */
+    open_attempts_t open_attempts;
 };
 
 /** Initializes an empty state. The texts of turns are stored in `history`, or in memory if it is all zero. */
--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -121,6 +121,7 @@
     forward_quota_return(forward);
     forward_end_attempts(forward);
     forward_turn_settle(forward);
+    forward_permit_close(forward);
     forward_turn_close(forward);
     event_stream_close(&forward->stream.events);
     forward_remove_from_list(forward);
@@ -429,7 +430,7 @@
 {
     const struct forward_turn *turn = &forward->turn;
     return forward->quota.request_number != 0 || turn->proposal != NULL || turn->fetch != NULL ||
-           forward->origin.lookup != NULL;
+           forward->origin.lookup != NULL || forward->permit.request != NULL;
 }
 
 void forward_continue(struct forward *forward)
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -35,13 +35,14 @@
     FORWARD_RESTARTED_IDLE_MS = 2000,     /**< Minimum idle timeout of an attempt at a server that has restarted. */
     FORWARD_STARTUP_WAIT_MS = 1500,       /**< Maximum time in FORWARD_WAITING. */
     FORWARD_STARTUP_WAIT_DIVISOR = 2,     /**< That time is also at most the caller's timeout divided by this. */
-    FORWARD_RECORD_WAIT_MS = 250,     /**< Maximum time for which a first event waits for the record of its version. */
-    FORWARD_RECORD_SLACK_MS = 10000,  /**< Records are kept this much longer than the caller waits. */
-    FORWARD_MAX_WAITING = 256,        /**< Maximum number of requests in FORWARD_WAITING. */
-    FORWARD_FAILURE_WAIT_MS = 500,    /**< Maximum time for which a retry or resume waits for the leader's count. */
-    FORWARD_FAILURE_ANSWER_MS = 100,  /**< The same for the answer of a request that is not sent again: its caller may
-                                         repeat it at once, maybe after this process has been killed. */
-    FORWARD_FAILURE_REPORT_MS = 10000 /**< Maximum time for which a failure is reported again to the leader. */
+    FORWARD_RECORD_WAIT_MS = 250,      /**< Maximum time for which a first event waits for the record of its version. */
+    FORWARD_RECORD_SLACK_MS = 10000,   /**< Records are kept this much longer than the caller waits. */
+    FORWARD_MAX_WAITING = 256,         /**< Maximum number of requests in FORWARD_WAITING. */
+    FORWARD_FAILURE_WAIT_MS = 500,     /**< Maximum time for which a retry or resume waits for the leader's count. */
+    FORWARD_FAILURE_ANSWER_MS = 100,   /**< The same for the answer of a request that is not sent again: its caller may
+                                          repeat it at once, maybe after this process has been killed. */
+    FORWARD_SUSPECTED_RETRY_MS = 1000, /**< Retry-After while other attempts at a suspected operation are open. */
+    FORWARD_FAILURE_REPORT_MS = 10000  /**< Maximum time for which a failure is reported again to the leader. */
 };
 
 enum forward_phase { FORWARD_WAITING, FORWARD_PREPARING, FORWARD_QUEUED, FORWARD_RUNNING, FORWARD_COMMITTING };
@@ -123,6 +124,13 @@
     bool needs_leader;       /**< It has no token and the gateway is cut off from the leader: to be refused. */
 };
 
+/** Whether the request may run although its operation is suspected (core/open_attempts.h). */
+struct forward_permit {
+    struct node_request *request; /**< To the leader; in flight, or NULL. */
+    bool granted;
+    bool opened; /**< The log holds an open attempt that is to be ended; not for turns. */
+};
+
 struct forward {
     struct frontend *frontend;
     struct http_call *call;            /**< Owned by its connection. */
@@ -151,6 +159,7 @@
     bool has_operation;
     bool operation_by_contents; /**< Requests of other callers may have the same operation. */
     bool failure_uncounted;     /**< The leader may not have counted all failures: no further server may run it. */
+    struct forward_permit permit;
     struct forward_origin origin;
     uint32_t sends;          /**< Attempts so far. */
     uint32_t possible_runs;  /**< Failed attempts in which a server may have run it. */
@@ -331,6 +340,28 @@
  * forward_after_failure() is called once the leader has counted it, or after FORWARD_FAILURE_WAIT_MS. */
 bool forward_report_failure(struct forward_attempt *attempt, const char *reason);
 
+/** forward_permit.c: whether servers failed while they ran its operation, as far as this gateway knows. */
+bool forward_is_suspected(struct forward *forward);
+
+/** forward_permit.c: whether it needs no permit, or has one. */
+bool forward_is_permitted(struct forward *forward);
+
+/** forward_permit.c: asks the leader for a permit; the request is placed or ended when it has replied. */
+void forward_request_permit(struct forward *forward);
+
+/** forward_permit.c: whether the operation's failures and other open attempts leave no room for another one. */
+bool forward_exceeds_suspicion(const struct forward *forward, uint32_t suspicion);
+
+/** forward_permit.c: ends a request that the suspicion of its operation forbids: as not run if no server may have run
+ * it. */
+void forward_refuse_suspected(struct forward *forward);
+
+/** forward_permit.c: identifies the request in reports. */
+uint64_t forward_attempt_key(const struct forward *forward);
+
+/** forward_permit.c: ends its open attempt. */
+void forward_permit_close(struct forward *forward);
+
 /** forward_quarantine.c: ends the waits for the leader's count that last too long. */
 void forward_end_failure_waits(struct frontend *frontend);
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -311,6 +311,10 @@
         forward_refuse_quarantined(forward);
         return;
     }
+    if (!forward_is_permitted(forward)) {
+        forward_request_permit(forward);
+        return;
+    }
     if (!forward_may_send_again(forward)) {
         forward_end_unplaced(forward, "sent too often");
         return;
@@ -333,7 +337,7 @@
  * retry budget. */
 static bool forward_may_hedge(struct forward *forward)
 {
-    bool may_be_sent = !forward_awaits_failure_count(forward) && !forward_is_quarantined(forward) &&
+    bool may_be_sent = !forward_awaits_failure_count(forward) && !forward_is_suspected(forward) &&
                        forward->frontend->counts_known && forward_may_send_again(forward);
     return may_be_sent && forward->route->kind == ROUTE_SAFE && !forward->hedged && forward->phase == FORWARD_RUNNING &&
            forward_has_attempt(forward) && forward->sends < forward->route->max_attempts && forward_has_time(forward);
--- a/src/proxy/forward_quarantine.c
+++ b/src/proxy/forward_quarantine.c
@@ -49,13 +49,17 @@
 
 /* ---- Reports to the leader ---------------------------------------------------------------------------- */
 
-static void frontend_adopt_encoded_notice(struct frontend *frontend, struct view encoded)
+/* Returns the suspicion of the operation that was reported. */
+static uint32_t frontend_adopt_encoded_notice(struct frontend *frontend, struct view encoded)
 {
     QuarantineNotice notice = {0};
+    uint32_t suspicion = 0;
     if (message_decode(encoded, QuarantineNotice_fields, &notice)) {
+        suspicion = notice.suspicion;
         frontend_adopt_quarantine(frontend, notice.quarantined, notice.quarantined_count);
         message_free(QuarantineNotice_fields, &notice);
     }
+    return suspicion;
 }
 
 static void forward_log_uncounted(struct forward *forward, const char *reason)
@@ -74,12 +78,26 @@
     forward_log_uncounted(forward, reason);
 }
 
+/* The leader has opened an attempt for a request that goes on, unless that would exceed the suspicion. */
+static void forward_apply_suspicion(struct forward *forward, uint32_t suspicion)
+{
+    if (forward_exceeds_suspicion(forward, suspicion)) {
+        forward_end_uncounted(forward, "other attempts at the operation are open");
+        return;
+    }
+    forward->permit.granted = true;
+    forward->permit.opened = forward->turn.program == NULL;
+}
+
 static void forward_on_failure_counted(void *context, ResultCode code, struct view body)
 {
     struct forward_attempt *attempt = context;
     attempt->failure_report = NULL;
     if (code == RESULT_OK) {
-        frontend_adopt_encoded_notice(attempt->forward->frontend, body);
+        uint32_t suspicion = frontend_adopt_encoded_notice(attempt->forward->frontend, body);
+        if (attempt->may_go_on) {
+            forward_apply_suspicion(attempt->forward, suspicion);
+        }
     } else if (code != RESULT_INVALID && attempt->may_go_on) { /* invalid: of a leader that does not count failures */
         forward_end_uncounted(attempt->forward, "not acknowledged");
     }
@@ -117,6 +135,8 @@
         .failure = failure.id,
         .age_ms = (uint32_t)(node_now(node) - failure.sent_ms),
         .by_contents = failure.by_contents,
+        .attempt = forward_attempt_key(attempt->forward),
+        .goes_on = attempt->may_go_on,
     };
     message_encode(&body, FailureReport_fields, &report);
     struct node_request *request = node_submit(node, REQUEST_FAILURE, buffer_view(&body),
@@ -147,10 +167,10 @@
         return false;
     }
     bool waits = frontend->counts_known && !forward_counts_alone(frontend);
-    struct node_request *report =
-        forward_submit_failure(attempt, waits ? forward_on_failure_counted : NULL, waits ? attempt : NULL);
     attempt->may_go_on =
         (forward_may_retry(forward) || forward_is_resumable(forward)) && !forward_is_quarantined(forward);
+    struct node_request *report =
+        forward_submit_failure(attempt, waits ? forward_on_failure_counted : NULL, waits ? attempt : NULL);
     if (attempt->may_go_on && !frontend->counts_known) {
         forward_end_uncounted(forward, "earlier failures are not known since the start");
     }
--- a/src/proxy/forward_turn.c
+++ b/src/proxy/forward_turn.c
@@ -58,15 +58,19 @@
 {
     struct forward *forward = context;
     EntryResult result = {0};
+    uint32_t suspicion = 0;
     forward->turn.proposal = NULL;
     if (code == RESULT_OK && message_decode(body, EntryResult_fields, &result)) {
         code = result.code;
+        suspicion = result.suspicion;
         forward->turn.home = text_copy(result.engine);
         forward->criteria.home = forward->route->sticky ? forward->turn.home : NULL;
         message_free(EntryResult_fields, &result);
     }
     histogram_record(&forward->frontend->reserve_time, node_now(forward->frontend->node) - forward->turn.proposed_ms);
-    if (code == RESULT_OK) {
+    if (code == RESULT_OK && forward_exceeds_suspicion(forward, suspicion)) {
+        forward_refuse_suspected(forward);
+    } else if (code == RESULT_OK) {
         frontend_record_leader_reply(forward->frontend); /* an entry was committed */
         forward_continue(forward);
     } else if (code == RESULT_BUDGET) {
@@ -91,6 +95,7 @@
     entry.command.turn_begin.program = turn->program;
     entry.command.turn_begin.budget_tokens = turn->budget_tokens;
     entry.command.turn_begin.reserve_tokens = turn->max_tokens;
+    entry.command.turn_begin.operation = forward_operation(forward);
     turn->reservation_sent = true;
     turn->proposed_ms = node_now(node);
     turn->proposal = node_propose(node, &entry, forward_replica_deadline_ms(forward), forward_on_reserved, forward);
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -438,6 +438,12 @@
                           frontend->quota_requests);
     metrics_write_counter(out, "quarantine_refusals_total",
                           "Requests ended since servers failed under their operation.", counters->quarantine_refusals);
+    metrics_write_counter(out, "permit_requests_total",
+                          "Requests for which the leader was asked, since their operation is suspected.",
+                          counters->permit_requests);
+    metrics_write_counter(out, "suspect_refusals_total",
+                          "Requests ended since other attempts at their suspected operation were open.",
+                          counters->suspect_refusals);
     metrics_write_counter(out, "uncounted_failures_total",
                           "Requests ended since the leader had not counted a failure of a server.",
                           counters->uncounted_failures);
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -62,6 +62,8 @@
     uint64_t cut_off_refusals; /**< Requests refused because the gateway was cut off. */
     uint64_t commits_aborted;  /**< Responses aborted because the gateway was cut off before their turn was stored. */
     uint64_t quarantine_refusals; /**< Requests ended because their operation is quarantined. */
+    uint64_t permit_requests;     /**< For requests whose operation is suspected. */
+    uint64_t suspect_refusals;    /**< Requests ended since other attempts at their suspected operation are open. */
     uint64_t uncounted_failures;  /**< Requests that ended since the leader had not counted a failure. */
     uint64_t contact_probes;      /**< Probes of replicas in other zones while in doubt. */
 };
@@ -160,6 +162,9 @@
 /** forward_quarantine.c: operations that the leader lists as quarantined. */
 void frontend_adopt_quarantine(struct frontend *frontend, const QuarantinedOperation *list, size_t count);
 
+/** Records that servers failed under an operation, as the leader says; 0: none. */
+void frontend_suspect(struct frontend *frontend, uint64_t operation);
+
 /** Whether it has a configuration and a server list. */
 bool frontend_is_configured(const struct frontend *frontend);
 
--- a/src/proxy/node_links.c
+++ b/src/proxy/node_links.c
@@ -93,6 +93,7 @@
         if (node->frontend != NULL) {
             const QuarantineNotice *notice = &frame->payload.quarantine_notice;
             frontend_adopt_quarantine(node->frontend, notice->quarantined, notice->quarantined_count);
+            frontend_suspect(node->frontend, notice->suspected);
         }
         break;
     default:
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -146,6 +146,8 @@
     quota_table_clear(&host->slow_starts.tokens, node_now(host->node));
     quarantine_clear(&host->quarantine); /* outdated: other leaders may have decided meanwhile */
     host->quarantines_applied = 0;
+    host->suspects_applied = 0;
+    host->suspects_until_ms = 0;
     presence_clear(&host->presence); /* this leader counts a gateway as silent only after a first report to it */
     event_log("leader_changed", "{s:I,s:b,s:I,s:I}", "leader", (json_int_t)raft->leader, "own", leads, "term",
               (json_int_t)raft->term, "commit", (json_int_t)raft->commit);
--- a/src/proxy/state_host_quarantine.c
+++ b/src/proxy/state_host_quarantine.c
@@ -12,10 +12,9 @@
 }
 
 /* A gateway that misses the notice learns the operation from the next reply to its load reports. */
-static void host_notify_gateways(struct state_host *host, QuarantinedOperation *entry)
+static void host_notify_gateways(struct state_host *host, const QuarantineNotice *notice)
 {
-    Frame frame = {.which_payload = Frame_quarantine_notice_tag};
-    frame.payload.quarantine_notice = (QuarantineNotice){.quarantined_count = 1, .quarantined = entry};
+    Frame frame = {.which_payload = Frame_quarantine_notice_tag, .payload.quarantine_notice = *notice};
     const struct load_gateway *gateway = host->loads.gateways;
     for (; gateway != NULL; gateway = gateway->hh.next) {
         node_send_frame(host->node, gateway->node, &frame);
@@ -29,14 +28,37 @@
     event_log("operation_quarantined", "{s:s,s:i,s:I}", "operation", operation, "servers", (int)failures,
               "remaining_ms", (json_int_t)entry->remaining_ms);
     host->quarantines++;
-    host_notify_gateways(host, entry);
+    QuarantineNotice notice = {.quarantined_count = 1, .quarantined = entry};
+    host_notify_gateways(host, &notice);
+}
+
+/* Gateways ask for permits for an operation that one more failure quarantines, also those that have seen none. */
+static void host_notify_suspected(struct state_host *host)
+{
+    const quarantine_t *logged = host_logged_failures(host);
+    if (host->suspects_applied == logged->nearly) {
+        return;
+    }
+    host->suspects_applied = logged->nearly;
+    uint64_t until_ms = host->suspects_until_ms;
+    for (const quarantine_operation_t *it = logged->operations; it != NULL; it = it->hh.next) {
+        if (it->last_ms >= until_ms && quarantine_is_nearly_begun(logged, it)) {
+            QuarantineNotice notice = {.suspected = it->hash};
+            host_notify_gateways(host, &notice);
+            host->suspects_until_ms = it->last_ms > host->suspects_until_ms ? it->last_ms : host->suspects_until_ms;
+        }
+    }
 }
 
 void state_host_apply_quarantines(struct state_host *host)
 {
     const quarantine_t *logged = host_logged_failures(host);
     uint64_t now_ms = node_now(host->node);
-    if (!state_host_is_leader(host) || host->quarantines_applied == logged->begun) {
+    if (!state_host_is_leader(host)) {
+        return;
+    }
+    host_notify_suspected(host);
+    if (host->quarantines_applied == logged->begun) {
         return;
     }
     host->quarantines_applied = logged->begun;
@@ -67,6 +89,8 @@
         .keep_ms = host->quarantine.keep_ms,
         .age_ms = report->age_ms,
         .by_contents = report->by_contents,
+        .attempt = report->attempt,
+        .goes_on = report->goes_on,
     };
     return replica_record_failure(&host->replica, node_now(host->node), from, request, &failure);
 }
