Soak: responses cut in their head, two attempts at a lethal operation at a time

Servers of the tests can close before the blank line that ends a head, with all that a success needs before it. bankbank-site was never affected (src/net/http_reader.c): 502, a repetition, or a resumed stream; test_site and test_resume now hold it to that, and the soak's servers do the same.

--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -35,6 +35,7 @@
     SITE_REFUSE_LATE_UNNAMED, /**< The same, with a copy that lacks the id. */
     SITE_MISDIRECTED,         /**< 421 with the id of another instance. */
     SITE_CUT,                 /**< Runs the request, then closes without a response. */
+    SITE_CUT_HEAD,            /**< Runs the request, and closes before the blank line at the end of the head. */
     SITE_CUT_MIDWAY,          /**< Runs the request, and closes in the middle of the response. */
     SITE_STALL,               /**< Streams two events, then nothing; the connection stays open. */
     SITE_CUT_IN_EVENT,        /**< Closes within the second event; a resumed stream is complete. */
--- a/tests/integration/support_site_servers.c
+++ b/tests/integration/support_site_servers.c
@@ -178,6 +178,18 @@
     buffer_close(&out);
 }
 
+/* All that a success needs, but for its end. */
+static void site_send_cut_head(int fd, const char *id, bool stream)
+{
+    struct buffer out = {0};
+    buffer_printf(&out,
+                  "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nBankbank-Request-Id: %s\r\n"
+                  "Bankbank-Server-Signature: signed\r\n",
+                  stream ? "text/event-stream" : "text/plain", id);
+    site_send(fd, buffer_text(&out), out.length);
+    buffer_close(&out);
+}
+
 static void site_reset_on_close(int fd)
 {
     struct linger reset = {.l_onoff = 1, .l_linger = 0};
@@ -424,6 +436,10 @@
     case SITE_REFUSE_UNNAMED: site_send_refusal(fd, ""); break;
     case SITE_MISDIRECTED: site_send_misdirected(fd, id); break;
     case SITE_CUT: keep_open = false; break;
+    case SITE_CUT_HEAD:
+        site_send_cut_head(fd, id, stream);
+        keep_open = false;
+        break;
     case SITE_ENDLESS_HEAD:
     case SITE_ENDLESS_INTERIM:
     case SITE_ENDLESS_CHUNK:
--- a/tests/integration/test_resume.c
+++ b/tests/integration/test_resume.c
@@ -64,6 +64,18 @@
 }
 END_TEST
 
+/* A stream that ends inside the head of its response has no event and no end: it must go on, not be empty. */
+START_TEST(a_stream_cut_in_its_head_is_not_complete)
+{
+    struct site_response response;
+    site_set_mode(-1, SITE_CUT_HEAD);
+    ck_assert_int_eq(run_turn("r20", "p20", 1000, &response), 502);
+    site_response_close(&response);
+    site_set_mode(-1, SITE_NORMAL);
+    expect_complete("r21", "p20");
+}
+END_TEST
+
 START_TEST(a_resumed_turn_settles_the_tokens_sent)
 {
     struct site_response response;
@@ -191,6 +203,7 @@
     tcase_add_test(tests, an_interrupted_stream_resumes_at_its_server);
     tcase_add_test(tests, a_partial_event_is_dropped);
     tcase_add_test(tests, a_server_that_always_disconnects_ends_the_stream);
+    tcase_add_test(tests, a_stream_cut_in_its_head_is_not_complete);
     tcase_add_test(tests, a_resumed_turn_settles_the_tokens_sent);
     tcase_add_test(tests, a_stream_leaves_a_server_that_loses_power);
     tcase_add_test(tests, a_stream_stays_at_a_slow_server);
--- a/tests/integration/test_site.c
+++ b/tests/integration/test_site.c
@@ -113,8 +113,8 @@
 END_TEST
 
 /* Failures after which a request may have run. */
-static const enum site_mode may_have_run_modes[] = {SITE_CUT, SITE_CUT_MIDWAY, SITE_WRONG_ID, SITE_UNSIGNED,
-                                                    SITE_ENCODED};
+static const enum site_mode may_have_run_modes[] = {SITE_CUT,      SITE_CUT_HEAD, SITE_CUT_MIDWAY,
+                                                    SITE_WRONG_ID, SITE_UNSIGNED, SITE_ENCODED};
 
 START_TEST(unsafe_requests_that_may_have_run_are_not_retried)
 {
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -169,17 +169,9 @@
 
 static void fail_server(uint64_t *seed)
 {
-    static const enum site_mode modes[] = {SITE_REFUSE,
-                                           SITE_CUT,
-                                           SITE_CUT_MIDWAY,
-                                           SITE_SLOW,
-                                           SITE_STALL,
-                                           SITE_CUT_IN_EVENT,
-                                           SITE_PAUSED,
-                                           SITE_PACED,
-                                           SITE_REFUSE_LATE,
-                                           SITE_REFUSE_UNNAMED,
-                                           SITE_REFUSE_LATE_UNNAMED};
+    static const enum site_mode modes[] = {
+        SITE_REFUSE,       SITE_CUT,    SITE_CUT_HEAD, SITE_CUT_MIDWAY,  SITE_SLOW,           SITE_STALL,
+        SITE_CUT_IN_EVENT, SITE_PAUSED, SITE_PACED,    SITE_REFUSE_LATE, SITE_REFUSE_UNNAMED, SITE_REFUSE_LATE_UNNAMED};
     int server = (int)random_below(seed, SITE_SERVERS);
     enum site_mode mode = modes[random_below(seed, sizeof(modes) / sizeof(modes[0]))];
     set_server_mode(server, mode, random_duration_ms(seed));
--- a/tests/soak/lethal_requests.c
+++ b/tests/soak/lethal_requests.c
@@ -1,5 +1,6 @@
 #include "lethal_requests.h"
 
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdio.h>
 
@@ -24,10 +25,11 @@
     const char *path;
     bool has_program;
     bool keeps_ids; /* the servers start again under their ids */
+    bool parallel;  /* two attempts at the same time */
     int exits_before;
 } lethal_operation_t;
 
-static void lethal_attempt(const lethal_operation_t *operation, int attempt, int gateway)
+static void lethal_send(const lethal_operation_t *operation, int attempt, int gateway)
 {
     char id[48];
     char lines[200];
@@ -38,7 +40,7 @@
     snprintf(body, sizeof(body), "prompt %d", operation->number);
     int length = snprintf(lines, sizeof(lines), "Bankbank-Deadline-Ms: 2000\r\n%s" SITE_EXIT_HEADER ": %d\r\n",
                           operation->keeps_ids ? SITE_SAME_ID_HEADER ": 1\r\n" : "",
-                          operation->exits_before + LETHAL_REQUESTS_ATTEMPTS * SITE_SERVERS);
+                          operation->exits_before + 2 * LETHAL_REQUESTS_ATTEMPTS * SITE_SERVERS);
     if (operation->has_program) {
         snprintf(lines + length, sizeof(lines) - (size_t)length, "Bankbank-Program-Id: lethal%d\r\n",
                  operation->number);
@@ -52,6 +54,34 @@
     site_response_close(&response);
 }
 
+typedef struct lethal_companion_t {
+    pthread_t thread;
+    const lethal_operation_t *operation;
+    int attempt;
+    int gateway;
+} lethal_companion_t;
+
+static void *lethal_run_companion(void *argument)
+{
+    const lethal_companion_t *companion = argument;
+    lethal_send(companion->operation, companion->attempt, companion->gateway);
+    return NULL;
+}
+
+/* With `parallel`, a second attempt goes through the next gateway at the same time. */
+static void lethal_attempt(const lethal_operation_t *operation, int attempt, int gateway)
+{
+    lethal_companion_t companion = {.operation = operation,
+                                    .attempt = attempt + LETHAL_REQUESTS_ATTEMPTS,
+                                    .gateway = (gateway + 1) % daemons_gateways()};
+    bool started =
+        operation->parallel && pthread_create(&companion.thread, NULL, lethal_run_companion, &companion) == 0;
+    lethal_send(operation, attempt, gateway);
+    if (started) {
+        pthread_join(companion.thread, NULL);
+    }
+}
+
 static bool lethal_daemons_undisturbed(uint64_t from_ms, uint64_t to_ms)
 {
     bool disturbed = disk_watch_has_stalled(from_ms, to_ms);
@@ -79,6 +109,7 @@
                                     .keeps_ids = random_below(seed, 2) == 0,
                                     .exits_before = site_exit_count()};
     bool kills = random_below(seed, 2) == 0;
+    operation.parallel = operation.has_program && random_below(seed, 2) == 0;
     bool undisturbed = true;
     fault_log_begin(FAULT_LOG_SERVERS, FAULT_LOG_SERVER_FAULT);
     for (int i = 0; i < LETHAL_REQUESTS_ATTEMPTS; i++) {
@@ -92,9 +123,10 @@
     }
     fault_log_end(FAULT_LOG_SERVERS, FAULT_LOG_SERVER_FAULT);
     int exits = site_exit_count() - operation.exits_before;
-    printf("operation lethal%d, %s%s%s%s: %d servers ended%s\n", operation.number, operation.path,
-           operation.has_program ? ", program" : "", operation.keeps_ids ? ", same ids" : "", kills ? ", kills" : "",
-           exits, undisturbed ? "" : ", daemons disturbed");
+    printf("operation lethal%d, %s%s%s%s%s: %d servers ended%s\n", operation.number, operation.path,
+           operation.has_program ? ", program" : "", operation.parallel ? ", two at a time" : "",
+           operation.keeps_ids ? ", same ids" : "", kills ? ", kills" : "", exits,
+           undisturbed ? "" : ", daemons disturbed");
     if (exits > LETHAL_REQUESTS_MAX_EXITS && undisturbed) {
         oracle_report_violation("lethal: operation lethal%d, %s ended %d servers, allowed %d", operation.number,
                                 operation.path, exits, LETHAL_REQUESTS_MAX_EXITS);
--- a/tests/soak/lethal_requests.h
+++ b/tests/soak/lethal_requests.h
@@ -3,7 +3,8 @@
  * Operations that make each server that runs them exit, and start again as another
  * instance or under its id. Their caller, with or without a program, repeats them,
  * each time through a random gateway, until it has tried LETHAL_REQUESTS_ATTEMPTS
- * times. Between two attempts all daemons may be killed. Violation:
+ * times. Attempts of a program may come two at a time. Between attempts all daemons
+ * may be killed. Violation:
  *
  *   lethal  an operation ends more servers than a quarantine allows, while all
  *           daemons run undisturbed during its attempts
