Requests in chunks that end before their last chunk are refused

A back end ran a request with a part of its body, framed as whole, when the caller of bankbankd closed its side before the last chunk. Found by looking for the same cause as in the HTTP client: success of a library taken for a whole message. mg_read() tells the end of a chunked body (0) from an error or an early end (below 0), and http_read_body() took both for the end.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -35,9 +35,10 @@
         return HTTP_BODY_TOO_LARGE;
     }
     size_t expected = has_length ? (size_t)info->content_length : limit + 1;
+    int received = 0;
     while (body->length < expected) {
         size_t step = expected - body->length < HTTP_READ_STEP_BYTES ? expected - body->length : HTTP_READ_STEP_BYTES;
-        int received = mg_read(connection, buffer_reserve(body, step), step);
+        received = mg_read(connection, buffer_reserve(body, step), step);
         if (received <= 0) {
             break;
         }
@@ -46,7 +47,9 @@
     if (!has_length && body->length > limit) {
         return HTTP_BODY_TOO_LARGE;
     }
-    return has_length && body->length < expected ? HTTP_BODY_TRUNCATED : HTTP_BODY_OK;
+    /* The end of a chunked body is 0; an error, or the end of the connection before the last chunk, is less. */
+    bool truncated = has_length ? body->length < expected : received < 0;
+    return truncated ? HTTP_BODY_TRUNCATED : HTTP_BODY_OK;
 }
 
 void http_send_body_error(struct mg_connection *connection, enum http_body_result result, size_t limit)
--- a/tests/integration/test_inputs.c
+++ b/tests/integration/test_inputs.c
@@ -130,6 +130,47 @@
 }
 END_TEST
 
+static const char *const cut_chunks[] = {
+    "5\r\nhel", "5\r\nhello\r\n", "5\r\nhello\r\n0", "5\r\nhello", "5",
+};
+
+enum { CUT_CHUNKS = sizeof(cut_chunks) / sizeof(cut_chunks[0]) };
+
+/* A body in chunks that ends before its last chunk must not be passed on as a whole one. */
+START_TEST(a_truncated_chunked_body_runs_nothing)
+{
+    json_int_t before = fleet_stat_sum(&fleet, "backends", "requests");
+    struct buffer request = {0};
+    buffer_printf(&request, "POST /services/calculator/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%s",
+                  cut_chunks[_i]);
+    expect_still_serving((const char *)request.data, request.length, true);
+    ck_assert_int_eq(fleet_stat_sum(&fleet, "backends", "requests"), before);
+    buffer_close(&request);
+}
+END_TEST
+
+static const char *const whole_chunks[] = {
+    "5\r\nhello\r\n0\r\n\r\n",
+    "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    "0\r\n\r\n",
+};
+
+enum { WHOLE_CHUNKS = sizeof(whole_chunks) / sizeof(whole_chunks[0]) };
+
+START_TEST(a_whole_chunked_body_is_passed_on)
+{
+    struct buffer request = {0};
+    buffer_printf(&request,
+                  "POST /services/calculator/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n%s",
+                  whole_chunks[_i]);
+    char *response = fleet_send_raw(fleet.daemons[0].caller_port, (const char *)request.data, request.length, false);
+    ck_assert_msg(strstr(response, "HTTP/1.1 200") == response, "%s", response);
+    free(response);
+    buffer_close(&request);
+}
+END_TEST
+
 START_TEST(oversized_bodies_and_headers_are_refused)
 {
     static const char head[] = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n{";
@@ -208,6 +249,8 @@
                         (int)(sizeof(refusals) / sizeof(refusals[0])));
     tcase_add_test(tests, call_numbers_must_be_consecutive);
     tcase_add_test(tests, a_truncated_body_runs_nothing);
+    tcase_add_loop_test(tests, a_truncated_chunked_body_runs_nothing, 0, CUT_CHUNKS);
+    tcase_add_loop_test(tests, a_whole_chunked_body_is_passed_on, 0, WHOLE_CHUNKS);
     tcase_add_test(tests, oversized_bodies_and_headers_are_refused);
     tcase_add_test(tests, slow_clients_do_not_block_others);
     tcase_add_test(tests, random_bytes_do_not_crash_the_daemon);
