--- a/src/proxy/state_host_quarantine.c
+++ b/src/proxy/state_host_quarantine.c
@@ -142,6 +142,8 @@
 {
     metrics_write_counter(out, "quarantines_total", "Operations quarantined by this replica as the leader.",
                           host->quarantines);
+    metrics_write_gauge(out, "attempts_open", "Requests that servers may be running, as far as the log knows.",
+                        HASH_COUNT(host->replica.groups[STATE_CONFIG_GROUP].machine.site.open_attempts.attempts));
     metrics_write_gauge(out, "operations_suspected", "Operations under which a server failed lately.",
                         HASH_COUNT(host_logged_failures(host)->operations));
 }
