Open attempts: failures of turns and of cut off gateways leave none behind

Turns are open by their reservation alone now, and a gateway ends what it may have opened. quarantine_has_one_failure_left() has a plainer name.

--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -69,7 +69,7 @@
     return operation->failure_count == 0 || !failure->by_contents || failure->sent_ms >= operation->last_ms;
 }
 
-bool quarantine_is_nearly_begun(const quarantine_t *quarantine, const quarantine_operation_t *operation)
+bool quarantine_has_one_failure_left(const quarantine_t *quarantine, const quarantine_operation_t *operation)
 {
     return !operation->quarantined && operation->failure_count + 1 == quarantine->max_failures;
 }
@@ -86,7 +86,7 @@
     }
     if (quarantine_counts(operation, failure)) {
         operation->failures[operation->failure_count++] = failure->id;
-        quarantine->nearly += quarantine_is_nearly_begun(quarantine, operation) ? 1 : 0;
+        quarantine->one_left += quarantine_has_one_failure_left(quarantine, operation) ? 1 : 0;
     }
     operation->last_ms = now_ms;
     operation->expires_ms = now_ms + quarantine->keep_ms;
--- a/src/core/quarantine.h
+++ b/src/core/quarantine.h
@@ -68,7 +68,7 @@
     quarantine_operation_t *operations;
     uint32_t quarantined; /**< How many of them are. */
     uint64_t begun;       /**< Quarantines so far. */
-    uint64_t nearly;      /**< Times so far that an operation was one failure short of a quarantine. */
+    uint64_t one_left;    /**< Times so far that an operation was one failure short of a quarantine. */
 } quarantine_t;
 
 /** Forgets all operations. */
@@ -87,7 +87,7 @@
 void quarantine_suspect(quarantine_t *quarantine, uint64_t now_ms, uint64_t operation);
 
 /** Whether one more failure quarantines the operation. */
-bool quarantine_is_nearly_begun(const quarantine_t *quarantine, const quarantine_operation_t *operation);
+bool quarantine_has_one_failure_left(const quarantine_t *quarantine, const quarantine_operation_t *operation);
 
 /** Time until the operation may run again; 0: it is not quarantined. */
 uint64_t quarantine_remaining_ms(const quarantine_t *quarantine, uint64_t now_ms, uint64_t operation);
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -128,7 +128,8 @@
 struct forward_permit {
     struct node_request *request; /**< To the leader; in flight, or NULL. */
     bool granted;
-    bool opened; /**< The log holds an open attempt that is to be ended; not for turns. */
+    bool opened; /**< The log may hold an open attempt that is to be ended; not for turns, which their settlement ends.
+                  */
 };
 
 struct forward {
--- a/src/proxy/forward_quarantine.c
+++ b/src/proxy/forward_quarantine.c
@@ -78,7 +78,7 @@
     forward_log_uncounted(forward, reason);
 }
 
-/* The leader has opened an attempt for a request that goes on, unless that would exceed the suspicion. */
+/* The attempt of a request that goes on is open by now, unless that would exceed the suspicion. */
 static void forward_apply_suspicion(struct forward *forward, uint32_t suspicion)
 {
     if (forward_exceeds_suspicion(forward, suspicion)) {
@@ -86,7 +86,6 @@
         return;
     }
     forward->permit.granted = true;
-    forward->permit.opened = forward->turn.program == NULL;
 }
 
 static void forward_on_failure_counted(void *context, ResultCode code, struct view body)
@@ -136,7 +135,7 @@
         .age_ms = (uint32_t)(node_now(node) - failure.sent_ms),
         .by_contents = failure.by_contents,
         .attempt = forward_attempt_key(attempt->forward),
-        .goes_on = attempt->may_go_on,
+        .goes_on = attempt->forward->permit.opened,
     };
     message_encode(&body, FailureReport_fields, &report);
     struct node_request *request = node_submit(node, REQUEST_FAILURE, buffer_view(&body),
@@ -169,6 +168,7 @@
     bool waits = frontend->counts_known && !forward_counts_alone(frontend);
     attempt->may_go_on =
         (forward_may_retry(forward) || forward_is_resumable(forward)) && !forward_is_quarantined(forward);
+    forward->permit.opened = forward->permit.opened || (attempt->may_go_on && forward->turn.program == NULL);
     struct node_request *report =
         forward_submit_failure(attempt, waits ? forward_on_failure_counted : NULL, waits ? attempt : NULL);
     if (attempt->may_go_on && !frontend->counts_known) {
--- a/src/proxy/state_host.h
+++ b/src/proxy/state_host.h
@@ -54,12 +54,12 @@
     slow_start_table_t slow_starts; /**< Leader only: tokens for servers that have just started. */
     quarantine_t quarantine;        /**< Leader only: the quarantined operations of the log, and those of gateways. */
     uint64_t quarantines_applied;   /**< Leader only: quarantine_t.begun of the log when last copied. */
-    uint64_t suspects_applied;    /**< Leader only: quarantine_t.nearly of the log when gateways were last notified. */
-    uint64_t suspects_until_ms;   /**< Logged time of the last failure of which gateways were notified. */
-    bool versions_due;            /**< Leader only: its list may show versions that the log does not have. */
-    uint64_t versions_due_ms;     /**< Time of the next comparison. */
-    uint64_t quarantines;         /**< Operations quarantined so far. */
-    struct route_table *routes;   /**< Configuration that the quotas are computed from, or NULL. */
+    uint64_t suspects_applied;  /**< Leader only: quarantine_t.one_left of the log when gateways were last notified. */
+    uint64_t suspects_until_ms; /**< Logged time of the last failure of which gateways were notified. */
+    bool versions_due;          /**< Leader only: its list may show versions that the log does not have. */
+    uint64_t versions_due_ms;   /**< Time of the next comparison. */
+    uint64_t quarantines;       /**< Operations quarantined so far. */
+    struct route_table *routes; /**< Configuration that the quotas are computed from, or NULL. */
     struct http_listener control; /**< Operators' API. */
     bool serves_control;          /**< `control` is listening. */
     uint64_t join_due_ms;
--- a/src/proxy/state_host_quarantine.c
+++ b/src/proxy/state_host_quarantine.c
@@ -36,13 +36,13 @@
 static void host_notify_suspected(struct state_host *host)
 {
     const quarantine_t *logged = host_logged_failures(host);
-    if (host->suspects_applied == logged->nearly) {
+    if (host->suspects_applied == logged->one_left) {
         return;
     }
-    host->suspects_applied = logged->nearly;
+    host->suspects_applied = logged->one_left;
     uint64_t until_ms = host->suspects_until_ms;
     for (const quarantine_operation_t *it = logged->operations; it != NULL; it = it->hh.next) {
-        if (it->last_ms >= until_ms && quarantine_is_nearly_begun(logged, it)) {
+        if (it->last_ms >= until_ms && quarantine_has_one_failure_left(logged, it)) {
             QuarantineNotice notice = {.suspected = it->hash};
             host_notify_gateways(host, &notice);
             host->suspects_until_ms = it->last_ms > host->suspects_until_ms ? it->last_ms : host->suspects_until_ms;
