Quarantine: gateways learn suspected operations before they send anything

Gateways that had just started had seen no failure and missed the notice that one is left, so that neither asked for a permit.

The leader's replies to load reports list the operations that one more failure quarantines, beside the quarantined ones; a gateway sends nothing before the first reply. A notice that is lost is made up for by the next reply.

--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -139,6 +139,11 @@
     }
 }
 
+static const quarantine_operation_t *quarantine_latest(const quarantine_t *quarantine)
+{
+    return ELMT_FROM_HH(quarantine->operations->hh.tbl, quarantine->operations->hh.tbl->tail);
+}
+
 static bool quarantine_is_listed(const quarantine_operation_t *operation, uint64_t now_ms)
 {
     return operation->quarantined && operation->expires_ms >= now_ms + QUARANTINE_MIN_LISTED_MS;
@@ -151,8 +156,7 @@
         return NULL;
     }
     QuarantinedOperation *list = memory_new(QUARANTINE_MAX_LISTED * sizeof(*list));
-    const quarantine_operation_t *operation =
-        ELMT_FROM_HH(quarantine->operations->hh.tbl, quarantine->operations->hh.tbl->tail);
+    const quarantine_operation_t *operation = quarantine_latest(quarantine);
     while (operation != NULL && *count < QUARANTINE_MAX_LISTED) {
         if (quarantine_is_listed(operation, now_ms)) {
             list[(*count)++] = (QuarantinedOperation){operation->hash, (uint32_t)(operation->expires_ms - now_ms)};
@@ -162,6 +166,23 @@
     return list;
 }
 
+uint64_t *quarantine_list_suspected(const quarantine_t *quarantine, pb_size_t *count)
+{
+    *count = 0;
+    if (quarantine->operations == NULL) {
+        return NULL;
+    }
+    uint64_t *list = memory_new(QUARANTINE_MAX_LISTED * sizeof(*list));
+    const quarantine_operation_t *operation = quarantine_latest(quarantine);
+    while (operation != NULL && *count < QUARANTINE_MAX_LISTED) {
+        if (quarantine_has_one_failure_left(quarantine, operation)) {
+            list[(*count)++] = operation->hash;
+        }
+        operation = operation->hh.prev;
+    }
+    return list;
+}
+
 void quarantine_format(uint64_t operation, char out[QUARANTINE_TEXT_BYTES])
 {
     snprintf(out, QUARANTINE_TEXT_BYTES, "%016" PRIx64, operation);
--- a/src/core/quarantine.h
+++ b/src/core/quarantine.h
@@ -98,6 +98,10 @@
 /** Lists quarantined operations, the latest QUARANTINE_MAX_LISTED of them; the caller frees the result. */
 QuarantinedOperation *quarantine_list(const quarantine_t *quarantine, uint64_t now_ms, pb_size_t *count);
 
+/** Lists operations that one more failure quarantines, the latest QUARANTINE_MAX_LISTED of them; the caller frees the
+ * result. */
+uint64_t *quarantine_list_suspected(const quarantine_t *quarantine, pb_size_t *count);
+
 /** Writes the hash of an operation as in logs. */
 void quarantine_format(uint64_t operation, char out[QUARANTINE_TEXT_BYTES]);
 
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -281,6 +281,9 @@
     frontend->report_interval_ms = totals->report_ms;
     frontend_record_leader_reply(frontend);
     frontend_adopt_quarantine(frontend, totals->quarantined, totals->quarantined_count);
+    for (pb_size_t i = 0; i < totals->suspected_count; i++) {
+        frontend_suspect(frontend, totals->suspected[i]);
+    }
     if (!frontend->counts_known) {
         frontend->counts_known = true;
         frontend_route_waiting(frontend);
--- a/src/proxy/state_host_daemons.c
+++ b/src/proxy/state_host_daemons.c
@@ -173,9 +173,11 @@
     LoadTotals *totals = &frame.payload.load_totals;
     presence_count(&host->presence, now_ms, report->zone, totals);
     totals->quarantined = quarantine_list(&host->quarantine, now_ms, &totals->quarantined_count);
+    totals->suspected = state_host_list_suspected(host, &totals->suspected_count);
     node_send_frame(host->node, from, &frame);
     free(totals->loads);
     free(totals->quarantined);
+    free(totals->suspected);
 }
 
 /* ---- Quotas ----------------------------------------------------------------------------------------- */
--- a/src/proxy/state_host_internal.h
+++ b/src/proxy/state_host_internal.h
@@ -35,6 +35,9 @@
 /** Leader only: logs the versions of services in its list that the log does not have. */
 void state_host_record_versions(struct state_host *host);
 
+/** quarantine_list_suspected() of the logged failures. */
+uint64_t *state_host_list_suspected(const struct state_host *host, pb_size_t *count);
+
 /** Handles a REQUEST_FAILURE. */
 void state_host_handle_failure(struct state_host *host, uint32_t from, const Request *request);
 
--- a/src/proxy/state_host_quarantine.c
+++ b/src/proxy/state_host_quarantine.c
@@ -11,6 +11,11 @@
     return &host->replica.groups[STATE_CONFIG_GROUP].machine.site.failures;
 }
 
+uint64_t *state_host_list_suspected(const struct state_host *host, pb_size_t *count)
+{
+    return quarantine_list_suspected(host_logged_failures(host), count);
+}
+
 /* A gateway that misses the notice learns the operation from the next reply to its load reports. */
 static void host_notify_gateways(struct state_host *host, const QuarantineNotice *notice)
 {
--- a/tests/integration/test_unreported_ends.c
+++ b/tests/integration/test_unreported_ends.c
@@ -25,6 +25,7 @@
     MAX_PARALLEL = 6,
     RESTART_TIMES = sizeof(restart_times_ms) / sizeof(*restart_times_ms),
     PARALLEL_COUNTS = sizeof(parallel_counts) / sizeof(*parallel_counts),
+    KILLED_OPERATIONS = 6, /* both attempts may reach the same server */
     DEFAULT_RESTART_MS = 300,
     RESTART_US = 700000,
     GATEWAY_EXIT_US = 50000,
@@ -120,6 +121,26 @@
 }
 END_TEST
 
+/* Gateways that have just started have seen no failure: the one that is left must not be used by each of them. */
+START_TEST(requests_at_the_same_time_after_a_kill_of_all_daemons_end_at_most_three)
+{
+    char program[32];
+    snprintf(program, sizeof(program), "after-a-kill-%d", _i);
+    site_set_mode(-1, SITE_NORMAL);
+    for (int i = 0; site_exit_count() < MAX_EXITS - 1 && i < ATTEMPTS; i++) {
+        attempt(i % SITE_GATEWAYS, "/once/x", program, ALWAYS);
+        clock_sleep_us(RESTART_US);
+    }
+    ck_assert_int_eq(site_exit_count(), MAX_EXITS - 1);
+    site_restart_all();
+    clock_sleep_us(RESTART_US);
+    run_parallel_attempts("/once/x", program, ALWAYS, SITE_GATEWAYS);
+    printf("%s: %d servers ended\n", program, site_exit_count());
+    fflush(stdout);
+    ck_assert_int_le(site_exit_count(), MAX_EXITS);
+}
+END_TEST
+
 /* Equal requests at the same time that end no server must not wait for each other, nor be refused. */
 START_TEST(equal_requests_at_the_same_time_are_served)
 {
@@ -196,6 +217,8 @@
     tcase_add_unchecked_fixture(tests, site_start, site_stop);
     tcase_add_loop_test(tests, turns_at_the_same_time_end_at_most_three_servers, 0, RESTART_TIMES);
     tcase_add_loop_test(tests, requests_at_the_same_time_end_at_most_three_servers, 0, RESTART_TIMES);
+    tcase_add_loop_test(tests, requests_at_the_same_time_after_a_kill_of_all_daemons_end_at_most_three, 0,
+                        KILLED_OPERATIONS);
     tcase_add_test(tests, equal_requests_at_the_same_time_are_served);
     tcase_add_test(tests, turns_whose_gateways_die_with_their_servers_count);
     tcase_add_test(tests, a_turn_that_loses_two_gateways_is_served);
