--- a/tests/integration/test_unreported_ends.c
+++ b/tests/integration/test_unreported_ends.c
@@ -141,13 +141,24 @@
 }
 END_TEST
 
-/* Equal requests at the same time that end no server must not wait for each other, nor be refused. */
+static double permit_requests(void)
+{
+    double count = 0;
+    for (int i = 0; i < SITE_GATEWAYS; i++) {
+        count += site_metric(site_gateway_daemon(i), "permit_requests_total");
+    }
+    return count;
+}
+
+/* Equal requests at the same time that end no server must not wait for each other, be refused, or ask the leader. */
 START_TEST(equal_requests_at_the_same_time_are_served)
 {
     site_set_mode(-1, SITE_NORMAL);
+    double permits = permit_requests();
     ck_assert_int_eq(run_parallel_attempts("/safe/x", "innocent", 0, MAX_PARALLEL), MAX_PARALLEL);
     ck_assert_int_eq(run_parallel_attempts("/once/x", "innocent", 0, MAX_PARALLEL), MAX_PARALLEL);
     ck_assert_int_eq(run_parallel_attempts("/open/chat/x", "innocent", 0, MAX_EXITS), MAX_EXITS);
+    ck_assert(permit_requests() == permits);
 }
 END_TEST
 
