--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -162,7 +162,7 @@
 /** forward_quarantine.c: operations that the leader lists as quarantined. */
 void frontend_adopt_quarantine(struct frontend *frontend, const QuarantinedOperation *list, size_t count);
 
-/** Records that servers failed under an operation, as the leader says; 0: none. */
+/** forward_permit.c: records that servers failed under an operation, as the leader says; 0: none. */
 void frontend_suspect(struct frontend *frontend, uint64_t operation);
 
 /** Whether it has a configuration and a server list. */
