Quarantine: ends of servers behind proxies count, and dials there are proved

What callers saw: a stream that makes its server exit ended it up to four times within one attempt, nine times in five attempts, where three are allowed. A proxy in front of the server accepts connections while the server is down, and closes them; the server returns under its id.

Cause: a failure is identified by request, incarnation and refused dials. The dial after a broken connection was accepted, which counted as no end.

Change: a new connection that its peer closes within 50 ms, before any request, is a possible end. Evidence in both directions decides; a live server that breaks a stream off still counts once, and its stream stays there.

--- a/src/core/server_table.c
+++ b/src/core/server_table.c
@@ -423,6 +423,15 @@
     }
 }
 
+void server_record_closed_dial(struct server *server, uint64_t now_ms)
+{
+    server->possible_ends++;
+    if (closed_dials_record(&server->closed_dials, now_ms) &&
+        server->full_until_ms < server->closed_dials.held_until_ms) {
+        server->full_until_ms = server->closed_dials.held_until_ms;
+    }
+}
+
 void server_record_unanswered(const struct server_table *table, struct server *server, uint64_t now_ms)
 {
     if (server_has_free_slot(table, server, now_ms)) {
--- a/src/core/server_table.h
+++ b/src/core/server_table.h
@@ -68,6 +68,7 @@
 #include <uthash.h>
 
 #include "control.pb.h"
+#include "core/closed_dials.h"
 #include "core/health.h"
 #include "core/prefix_table.h"
 #include "core/reach.h"
@@ -116,14 +117,15 @@
     uint64_t draining_ms; /**< When server_table_record_drains() first saw that; 0: not yet. */
     bool seen_ready;      /**< server_table_record_drains() has seen it before it was leaving. */
     bool zone_drained;
-    bool starting;             /**< The list reports that it has just started. */
-    uint64_t returned_ms;      /**< When it last became reachable again or its zone was opened; 0: never. */
-    bool logged_starting;      /**< It was last logged as starting. */
-    bool listed;               /**< It is on the current list. */
-    bool in_update;            /**< Its id is in the full list that is being applied. */
-    bool address_reused;       /**< Another server answered at its address. */
-    bool not_listening;        /**< Its address refused a connection: it has ended. */
-    uint32_t refused_dials;    /**< Connections that its address refused. */
+    bool starting;          /**< The list reports that it has just started. */
+    uint64_t returned_ms;   /**< When it last became reachable again or its zone was opened; 0: never. */
+    bool logged_starting;   /**< It was last logged as starting. */
+    bool listed;            /**< It is on the current list. */
+    bool in_update;         /**< Its id is in the full list that is being applied. */
+    bool address_reused;    /**< Another server answered at its address. */
+    bool not_listening;     /**< Its address refused a connection: it has ended. */
+    uint32_t possible_ends; /**< Connections that its address refused, or closed at once. */
+    closed_dials_t closed_dials;
     uint32_t in_flight;        /**< In-flight requests of this gateway. */
     uint32_t other_in_flight;  /**< In-flight requests of other gateways, as last reported. */
     uint32_t other_failures;   /**< Sum of the failure shares seen by other gateways, as last reported. */
@@ -256,6 +258,10 @@
 /** The share seen by this gateway or, if higher, by the others (SERVER_FAILURE_OBSERVERS), in 1 / HEALTH_ONE. */
 uint32_t server_failure_share(const struct server_table *table, const struct server *server, uint64_t now_ms);
 
+/** Records that its address closed a connection at once: it may have ended, and is skipped until a connection to it
+ * stays open (closed_dials.h). */
+void server_record_closed_dial(struct server *server, uint64_t now_ms);
+
 /** The server is skipped for SERVER_FULL_PAUSE_MS; recorded as HEALTH_REFUSED if it has free slots. */
 void server_record_refused(const struct server_table *table, struct server *server, uint64_t now_ms);
 
--- a/src/net/upstream.c
+++ b/src/net/upstream.c
@@ -76,6 +76,16 @@
     }
 }
 
+void upstream_report_closed(const struct upstream_connection *connection)
+{
+    const struct upstream_pool *pool = connection->pool;
+    bool at_once = connection->state == UPSTREAM_IDLE && connection->exchange_count == 0 &&
+                   uv_now(pool->loop) < connection->state_since_ms + UPSTREAM_AT_ONCE_MS;
+    if (at_once && pool->closed_unused != NULL) {
+        pool->closed_unused(pool->probed_context, connection->server->key);
+    }
+}
+
 static enum upstream_result upstream_unsent_result(const struct upstream_exchange *exchange)
 {
     if (exchange->refused) {
@@ -313,6 +323,7 @@
         bool usable =
             now_ms < connection->state_since_ms + connection->idle_timeout_ms && upstream_is_reusable(connection);
         if (!usable) {
+            upstream_report_closed(connection);
             upstream_connection_close(connection);
         } else if (!upstream_has_carried(connection, key)) {
             upstream_unlink_idle(connection);
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -33,6 +33,7 @@
 enum {
     UPSTREAM_CONNECT_MS = 400,     /**< Connect timeout. */
     UPSTREAM_PROBE_MS = 50,        /**< Connect timeout of a probe. */
+    UPSTREAM_AT_ONCE_MS = 50,      /**< A new connection that ends within this time unused was closed at once. */
     UPSTREAM_IDLE_MS = 4000,       /**< Idle timeout if the server sends no Keep-Alive header. */
     UPSTREAM_IDLE_MARGIN_MS = 700, /**< Idle connections are closed this long before the server's timeout. */
     UPSTREAM_RECENT_KEYS = 8,      /**< Exchanges of a connection whose keys are remembered. */
@@ -117,7 +118,9 @@
     uint32_t max_connections;                                  /**< To one server; 0: no limit. */
     upstream_probe_callback probed;                            /**< Callback of upstream_probe(). */
     void (*probe_refused)(void *context, const char *address); /**< Before `probed`, if the connection was refused. */
-    void *probed_context;                                      /**< First argument of `probed` and `probe_refused`. */
+    void (*closed_unused)(void *context, const char *address); /**< A new connection was closed at once by its peer,
+                                                                  before any request. */
+    void *probed_context; /**< First argument of `probed`, `probe_refused` and `closed_unused`. */
     struct upstream_counters counters;
 };
 
--- a/src/net/upstream_internal.h
+++ b/src/net/upstream_internal.h
@@ -42,6 +42,9 @@
 /** Closes a failed connection and ends its exchange: as `sent_result` if bytes of the request may have been sent. */
 void upstream_connection_end(struct upstream_connection *connection, enum upstream_result sent_result);
 
+/** Call before an idle connection that its peer has closed is closed here. */
+void upstream_report_closed(const struct upstream_connection *connection);
+
 /** Like upstream_connection_end() with UPSTREAM_BROKEN. */
 void upstream_connection_fail(struct upstream_connection *connection);
 
--- a/src/net/upstream_response.c
+++ b/src/net/upstream_response.c
@@ -133,6 +133,7 @@
             return;
         }
     }
+    upstream_report_closed(connection);
     upstream_connection_end(connection, reason == UV_ETIMEDOUT ? UPSTREAM_PEER_TIMEOUT : UPSTREAM_BROKEN);
 }
 
--- a/src/proxy/forward_attempt.c
+++ b/src/proxy/forward_attempt.c
@@ -251,9 +251,19 @@
     return server;
 }
 
-static bool forward_may_queue(const struct forward *forward)
+/* Whether its only server is dialled until a connection to it stays open. */
+static bool forward_awaits_bound_server(struct forward *forward)
+{
+    const struct server *bound = forward_bound_server(forward);
+    return bound != NULL && node_now(forward->frontend->node) < bound->closed_dials.held_until_ms;
+}
+
+static bool forward_may_queue(struct forward *forward)
 {
     uint64_t now_ms = node_now(forward->frontend->node);
+    if (forward_awaits_bound_server(forward)) {
+        return true; /* CLOSED_DIALS_MAX bounds the wait */
+    }
     uint64_t waited_ms = forward->queued_ms == 0 ? 0 : now_ms - forward->queued_ms;
     return queue_policy_may_wait(waited_ms, forward->deadline_ms - now_ms);
 }
--- a/src/proxy/forward_quarantine.c
+++ b/src/proxy/forward_quarantine.c
@@ -103,11 +103,11 @@
     forward_after_failure(attempt, attempt->failure);
 }
 
-/* Within one request, a server that broke off several times without having ended counts once. */
+/* Within one request, a server that broke off several times counts once, unless it may have ended in between. */
 static uint64_t forward_failure_id(const struct forward_attempt *attempt)
 {
     uint64_t parts[] = {XXH64(attempt->forward->id, strlen(attempt->forward->id), 0), attempt->server->hash,
-                        attempt->server->refused_dials};
+                        attempt->server->possible_ends};
     return XXH64(parts, sizeof(parts), 0);
 }
 
--- a/src/proxy/forward_response.c
+++ b/src/proxy/forward_response.c
@@ -322,7 +322,7 @@
     attempt->exchange = NULL;
     if (forward_was_not_sent(result)) {
         attempt->server->not_listening = result == UPSTREAM_REFUSED;
-        attempt->server->refused_dials += result == UPSTREAM_REFUSED ? 1 : 0;
+        attempt->server->possible_ends += result == UPSTREAM_REFUSED ? 1 : 0;
         if (result == UPSTREAM_CONNECT_TIMEOUT) {
             frontend_record_connect_timeout(attempt->forward->frontend, attempt->server);
         }
--- a/src/proxy/forward_resume.c
+++ b/src/proxy/forward_resume.c
@@ -108,7 +108,7 @@
     uint32_t backoff_ms = target == RESUME_SAME ? resume_backoff_ms(&stream) : 0;
     bool bound = target == RESUME_SAME && !forward_may_use_another_server(forward);
     bool at_once = target == RESUME_SAME && backoff_ms == 0 && forward_may_send_again(forward) &&
-                   forward_may_send_to(forward, server);
+                   node_now(forward->frontend->node) >= server->full_until_ms && forward_may_send_to(forward, server);
     forward->stream.resumes++;
     forward->stream.resumed_events = forward->stream.event_count;
     forward->frontend->counters.resumes++;
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -342,6 +342,7 @@
         frontend_log_failing(frontend, server);
         forward_log_starting(frontend, server);
         frontend_probe_if_silent(frontend, server);
+        frontend_redial(frontend, server);
     }
     frontend_probe_zones(frontend);
     frontend_log_zone_changes(frontend); /* a new list may have ended an unreachable state */
@@ -412,6 +413,8 @@
                           counters->server_refusals);
     metrics_write_counter(out, "probes_total", "Connections opened to see whether a silent server can be reached.",
                           counters->probes);
+    metrics_write_counter(out, "closed_dials_total", "Connections that servers closed at once, before any request.",
+                          counters->closed_dials);
     metrics_write_counter(out, "servers_reborn_total", "Servers that started again under their id.",
                           counters->server_restarts);
     metrics_write_counter(out, "queued_total", "Requests that waited for a place at a server.", counters->queued);
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -48,6 +48,7 @@
     uint64_t pauses;              /**< Of reading a stream, for a slow caller. */
     uint64_t server_restarts;     /**< Restarts of servers under the same id. */
     uint64_t probes;              /**< Of silent servers. */
+    uint64_t closed_dials;        /**< Connections that servers closed at once. */
     uint64_t queued;              /**< Requests queued; one may count again after its stream was resumed. */
     uint64_t resumes;             /**< Of streams; a stream may be resumed several times. */
     uint64_t resumptions;         /**< Requests that resume a stream of an earlier request. */
@@ -171,10 +172,14 @@
 /** Whether requests may be routed: it is configured and counts_known, or has waited long enough for the latter. */
 bool frontend_may_route(const struct frontend *frontend);
 
-/** frontend_reach.c: dials a server whose connection broke: a refusal shows that it has ended (server.refused_dials),
- * even if it listens again before a request is sent to it. The connection becomes idle, for that request. */
+/** frontend_reach.c: dials a server whose connection broke: a refusal shows that it has ended, and a connection that is
+ * closed at once that it may have (server.possible_ends), even if it listens again before a request is sent to it. The
+ * connection becomes idle, for that request. */
 void frontend_probe_for_end(struct frontend *frontend, const struct server *server);
 
+/** frontend_reach.c: dials a server that has closed a connection at once, when that is due (core/closed_dials.h). */
+void frontend_redial(struct frontend *frontend, struct server *server);
+
 /** For the jitter of Retry-After. */
 uint32_t frontend_random(struct frontend *frontend);
 
--- a/src/proxy/frontend_reach.c
+++ b/src/proxy/frontend_reach.c
@@ -156,11 +156,38 @@
     for (struct server *server = frontend->servers.servers; server != NULL; server = server->hh.next) {
         if (strcmp(server->address, address) == 0) {
             server->not_listening = true;
-            server->refused_dials++;
+            server->possible_ends++;
         }
     }
 }
 
+static void frontend_log_closed_dial(const struct frontend *frontend, const struct server *server)
+{
+    uint64_t now_ms = node_now(frontend->node);
+    uint64_t skipped_ms = server->full_until_ms > now_ms ? server->full_until_ms - now_ms : 0;
+    event_log("server_closes_connections", "{s:s,s:s,s:i,s:I}", "server", server->id, "address", server->address,
+              "count", (int)server->closed_dials.count, "skipped_ms", (json_int_t)skipped_ms);
+}
+
+static void frontend_on_closed_unused(void *context, const char *address)
+{
+    struct frontend *frontend = context;
+    frontend->counters.closed_dials++;
+    for (struct server *server = frontend->servers.servers; server != NULL; server = server->hh.next) {
+        if (strcmp(server->address, address) == 0) {
+            server_record_closed_dial(server, node_now(frontend->node));
+            frontend_log_closed_dial(frontend, server);
+        }
+    }
+}
+
+void frontend_redial(struct frontend *frontend, struct server *server)
+{
+    if (server->listed && closed_dials_take_redial(&server->closed_dials, node_now(frontend->node))) {
+        frontend_probe_for_end(frontend, server);
+    }
+}
+
 void frontend_probe_for_end(struct frontend *frontend, const struct server *server)
 {
     struct address address;
@@ -174,5 +201,6 @@
 {
     frontend->node->upstreams.probed = frontend_on_probed;
     frontend->node->upstreams.probe_refused = frontend_on_probe_refused;
+    frontend->node->upstreams.closed_unused = frontend_on_closed_unused;
     frontend->node->upstreams.probed_context = frontend;
 }
