Memory for requests: full only until requests have ended

Cause: the exact sum is taken before the first refusal and at each review. In between, memory_full refused requests although nothing was held any more.

Change: while memory is full, a request is refused only after a new sum, if a request that had memory has ended since the last one.

--- a/src/proxy/forward.c
+++ b/src/proxy/forward.c
@@ -74,6 +74,7 @@
     if (forward->next != NULL) {
         forward->next->previous = forward->previous;
     }
+    frontend->requests_ended = frontend->requests_ended || forward->admitted;
     frontend->active--;
     frontend->waiting -= forward->phase == FORWARD_WAITING ? 1 : 0;
     frontend->queued -= forward->phase == FORWARD_QUEUED ? 1 : 0;
--- a/src/proxy/forward.h
+++ b/src/proxy/forward.h
@@ -158,6 +158,7 @@
     char *resumes;      /**< DIALECT_RESUMES, or NULL. */
     uint64_t operation; /**< Once `has_operation` is set; see forward_operation(). */
     bool has_operation;
+    bool admitted;              /**< There was memory for it (frontend_memory.h). */
     bool operation_by_contents; /**< Requests of other callers may have the same operation. */
     bool failure_uncounted;     /**< The leader may not have counted all failures: no further server may run it. */
     struct forward_permit permit;
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -92,6 +92,7 @@
     uint32_t queued;          /**< Requests in FORWARD_QUEUED. */
     size_t requests_bytes;    /**< Includes requests that ended since the last exact sum (frontend_memory.h). */
     bool memory_full;         /**< New requests are refused. */
+    bool requests_ended;      /**< Some that were admitted, since the last exact sum. */
     bool ended;               /**< The gateway is about to exit: new requests are refused. */
     bool capacity_freed; /**< Since the queue was last served, an attempt has ended or a start token has arrived. */
     uint64_t loads_reported_ms;
--- a/src/proxy/frontend_memory.c
+++ b/src/proxy/frontend_memory.c
@@ -40,33 +40,42 @@
 
 static void frontend_sum_request_bytes(struct frontend *frontend)
 {
+    frontend->requests_ended = false;
     frontend->requests_bytes = http_listener_unsent_bytes(&frontend->callers); /* unsent data outlives its request */
     for (const struct forward *forward = frontend->forwards; forward != NULL; forward = forward->next) {
         frontend->requests_bytes += frontend_request_bytes(forward);
     }
 }
 
-void frontend_memory_review(struct frontend *frontend)
+/* Hysteresis: full until a quarter of the share is free again. */
+static void frontend_review_requests(struct frontend *frontend)
 {
     size_t share = frontend->node->memory.requests;
     frontend_sum_request_bytes(frontend);
-    /* Hysteresis: full until a quarter of the share is free again. */
     if (frontend->memory_full && frontend->requests_bytes < share - share / 4) {
         frontend_log_memory_full(frontend, false);
     }
+}
+
+void frontend_memory_review(struct frontend *frontend)
+{
+    frontend_review_requests(frontend);
     turn_store_shrink(&frontend->cache, frontend_cache_limit(frontend));
 }
 
-bool frontend_memory_admit(struct frontend *frontend, const struct forward *forward)
+bool frontend_memory_admit(struct frontend *frontend, struct forward *forward)
 {
     size_t share = frontend->node->memory.requests;
     frontend->requests_bytes += frontend_request_bytes(forward);
-    if (share > 0 && frontend->requests_bytes > share && !frontend->memory_full) {
+    if (frontend->memory_full && frontend->requests_ended) {
+        frontend_review_requests(frontend);
+    } else if (share > 0 && frontend->requests_bytes > share && !frontend->memory_full) {
         frontend_sum_request_bytes(frontend); /* ended requests were still counted */
         frontend_log_memory_full(frontend, frontend->requests_bytes > share);
     }
     frontend->counters.memory_refusals += frontend->memory_full ? 1 : 0;
-    return !frontend->memory_full;
+    forward->admitted = !frontend->memory_full;
+    return forward->admitted;
 }
 
 bool frontend_memory_grow(struct frontend *frontend, size_t bytes)
--- a/tests/integration/test_memory.c
+++ b/tests/integration/test_memory.c
@@ -18,6 +18,7 @@
     TURNS = 2400,           /* 140 MB in total, three times the limit */
     TURNS_BETWEEN_KILLS = 60,
     SEQUENTIAL_REQUESTS = 2000, /* about 100 in flight would fill a gateway's memory for requests */
+    ROUNDS = 3,
     CALLERS = 400               /* concurrent; their bodies alone are twice a gateway's memory for requests */
 };
 
@@ -210,6 +211,30 @@
 }
 END_TEST
 
+/* Guards against memory that counts as full after the requests that filled it were answered: until the next review, a
+ * caller was refused although there was room. */
+START_TEST(a_request_is_served_once_memory_is_free)
+{
+    for (int round = 0; round < ROUNDS; round++) {
+        int fds[CALLERS];
+        int counts[600] = {0};
+        site_set_mode(-1, SITE_SILENT);
+        for (int i = 0; i < CALLERS; i++) {
+            fds[i] = send_request(i);
+        }
+        site_set_mode(-1, SITE_NORMAL);
+        for (int i = 0; i < SITE_SERVERS; i++) {
+            site_close_connections(i); /* ends all of them at the same time */
+        }
+        for (int i = 0; i < CALLERS; i++) {
+            counts[site_read_status(fds[i])]++;
+        }
+        ck_assert_int_gt(counts[503], 0);
+        ck_assert(request_is_served(NULL));
+    }
+}
+END_TEST
+
 /* Sends requests one at a time on one connection; returns the number of responses other than 404. */
 static int send_sequentially(int count)
 {
@@ -273,6 +298,7 @@
     tcase_add_unchecked_fixture(gateway, start_limited, site_stop);
     tcase_add_test(gateway, ended_requests_use_no_memory);
     tcase_add_test(gateway, a_gateway_refuses_above_its_memory_limit);
+    tcase_add_test(gateway, a_request_is_served_once_memory_is_free);
     suite_add_tcase(suite, gateway);
     return suite_run_without_fork(suite);
 }
