Tests: releases and hand-overs after cut heads

The mend of responses that end inside their head changed what every caller of http_client_run() sees; two of them were not played: the release of an engine's memory, and the old site of a hand-over.

Change: the emulator's engines have a fault "cut-head"; one test for each.

--- a/src/emulator/engine.h
+++ b/src/emulator/engine.h
@@ -23,7 +23,8 @@
     ENGINE_FAULT_TRUNCATE,     /**< Truncates the answer after `amount` tokens. */
     ENGINE_FAULT_DELAY,        /**< Delays the answer by `amount` ms. */
     ENGINE_FAULT_WRONG_ANSWER, /**< Answers with another request's id and text. */
-    ENGINE_FAULT_REFUSE        /**< Answers 503 with X-Draining. */
+    ENGINE_FAULT_REFUSE,       /**< Answers 503 with X-Draining. */
+    ENGINE_FAULT_CUT_HEAD      /**< Runs nothing, and closes each connection inside the head of a 200. */
 };
 
 struct engine_config {
@@ -89,7 +90,8 @@
 /** Returns the fault of the next request, sets `amount` to its parameter, and counts the request against the limit. */
 enum engine_fault engine_consume_fault(struct engine *engine, uint64_t *amount);
 
-/** Sets the fault of the next `count` requests; of all further ones if `count` is 0 or for ENGINE_FAULT_DIE. */
+/** Sets the fault of the next `count` requests; of all further ones if `count` is 0, or for ENGINE_FAULT_DIE and
+ * ENGINE_FAULT_CUT_HEAD. */
 void engine_set_fault(struct engine *engine, enum engine_fault fault, uint64_t amount, uint64_t count);
 
 #endif
--- a/src/emulator/engine_api.c
+++ b/src/emulator/engine_api.c
@@ -17,6 +17,7 @@
 };
 
 static const char API_CACHE_PATH[] = "/v1/cache";
+static const char API_CUT_HEAD[] = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Le";
 
 struct engine_request {
     struct engine *engine;
@@ -302,7 +303,10 @@
         return API_HANDLED;
     }
     struct engine *engine = &emulator->engines[number];
-    if (engine->fault == ENGINE_FAULT_DIE) {
+    if (engine->fault == ENGINE_FAULT_DIE || engine->fault == ENGINE_FAULT_CUT_HEAD) {
+        if (engine->fault == ENGINE_FAULT_CUT_HEAD) {
+            mg_write(connection, API_CUT_HEAD, sizeof(API_CUT_HEAD) - 1);
+        }
         mg_disable_connection_keep_alive(connection);
         return API_HANDLED;
     }
--- a/src/emulator/site_api.c
+++ b/src/emulator/site_api.c
@@ -202,7 +202,7 @@
 
 static bool control_parse_fault(const char *name, enum engine_fault *fault)
 {
-    static const char *const names[] = {"none", "die", "hang", "slow", "cut", "late", "crossed", "refuse"};
+    static const char *const names[] = {"none", "die", "hang", "slow", "cut", "late", "crossed", "refuse", "cut-head"};
     for (size_t i = 0; name != NULL && i < sizeof(names) / sizeof(names[0]); i++) {
         if (strcmp(names[i], name) == 0) {
             *fault = (enum engine_fault)i;
--- a/tests/integration/test_cut_responses.c
+++ b/tests/integration/test_cut_responses.c
@@ -140,6 +140,23 @@
 }
 END_TEST
 
+/* A program must not be taken over after an old site's response that was cut: the old site may run it on. */
+START_TEST(a_hand_over_fails_after_a_cut_head)
+{
+    char program[32];
+    char old_site[64];
+    char *output = NULL;
+    snprintf(program, sizeof(program), "old-%d", _i);
+    snprintf(old_site, sizeof(old_site), "http://127.0.0.1:%d/old-site", server.port);
+    const char *const run[] = {"handover", "run", program, "--old-site", old_site, NULL};
+    cut_server_respond(&server, cut_server_cut_heads[_i]);
+    int status = fleet_ctl(&fleet, 1, run, &output);
+    ck_assert_msg(status == 1 && strstr(output, "imported") == NULL, "exit %d, %s", status, output);
+    ck_assert_int_eq(atomic_load(&server.requests), 1);
+    free(output);
+}
+END_TEST
+
 /* Tests and the soak must not take a cut response for a whole one either. */
 START_TEST(the_client_of_the_tests_sees_a_cut_head)
 {
@@ -163,6 +180,7 @@
     tcase_add_loop_test(tests, a_repeatable_request_is_repeated_after_a_cut_head, 0, CUT_SERVER_CUT_HEADS);
     tcase_add_test(tests, a_whole_response_is_passed_on);
     tcase_add_loop_test(tests, bankbankctl_fails_after_a_cut_head, 0, CUT_SERVER_CUT_HEADS);
+    tcase_add_loop_test(tests, a_hand_over_fails_after_a_cut_head, 0, CUT_SERVER_CUT_HEADS);
     tcase_add_loop_test(tests, the_client_of_the_tests_sees_a_cut_head, 0, CUT_SERVER_CUT_HEADS);
     suite_add_tcase(suite, tests);
     return suite_run_without_fork(suite);
--- a/tests/integration/test_restart.c
+++ b/tests/integration/test_restart.c
@@ -7,9 +7,12 @@
 #include <sys/wait.h>
 
 #include "../unit/suite.h"
+#include "base/clock.h"
 #include "fleet.h"
 
 static struct fleet fleet;
+enum { RELEASE_ATTEMPTS_US = 1500000 /* several periods of the cache releaser */ };
+
 static char program[128];
 
 static void setup(void)
@@ -192,16 +195,36 @@
 }
 END_TEST
 
-START_TEST(engine_memory_of_an_ended_program_is_released)
+static void end_program(void)
 {
-    free(fleet_expect_answer(&fleet, 1, program, 1, "first"));
-    ck_assert(!no_engine_memory_is_held(NULL));
     char path[256];
     struct fleet_response response;
     snprintf(path, sizeof(path), "/v1/programs/%s", program);
     fleet_request(fleet.daemons[0].caller_port, "DELETE", path, NULL, NULL, &response);
     ck_assert_int_eq(response.status / 100, 2);
     fleet_response_close(&response);
+}
+
+START_TEST(engine_memory_of_an_ended_program_is_released)
+{
+    free(fleet_expect_answer(&fleet, 1, program, 1, "first"));
+    ck_assert(!no_engine_memory_is_held(NULL));
+    end_program();
+    ck_assert(fleet_wait_for(no_engine_memory_is_held, NULL));
+}
+END_TEST
+
+/* Guards against an engine's memory that is held for ever: an engine which closed the connection inside the head of its
+ * response has not confirmed the release, and is asked again. */
+START_TEST(engine_memory_is_released_after_a_cut_head)
+{
+    free(fleet_expect_answer(&fleet, 1, program, 1, "first"));
+    fleet_set_fault(&fleet, "cut-head", 0, 0);
+    end_program();
+    clock_sleep_us(RELEASE_ATTEMPTS_US);
+    ck_assert(!no_engine_memory_is_held(NULL));
+    ck_assert(fleet_metric(&fleet, 1, "bankbank_memory_releases_total") == 0);
+    fleet_set_fault(&fleet, "none", 0, 0);
     ck_assert(fleet_wait_for(no_engine_memory_is_held, NULL));
 }
 END_TEST
@@ -221,6 +244,7 @@
     tcase_add_test(tests, a_hanging_engine_times_out_at_the_policy_limit);
     tcase_add_test(tests, a_refusal_after_a_lost_attempt_is_not_reported_as_not_run);
     tcase_add_test(tests, engine_memory_of_an_ended_program_is_released);
+    tcase_add_test(tests, engine_memory_is_released_after_a_cut_head);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
 }
