Soak: gateways of turns that are killed as their server ends

The soak killed daemons between the attempts at an operation that ends servers, never in one, so that an attempt whose gateway dies before its report was not played, and the planted bug "open attempts not counted" was missed.

The test of stream versions prints what it received where it expects an incomplete response.

--- a/tests/integration/test_stream_versions.c
+++ b/tests/integration/test_stream_versions.c
@@ -60,6 +60,9 @@
     struct site_response response;
     snprintf(stream->id, sizeof(stream->id), "begun-%d", next_number++);
     send_stream(gateway, stream->id, "", CUT_AFTER_MS, &response);
+    if (response.complete) {
+        printf("%s: a complete response, status %d: %s\n", stream->id, response.status, buffer_text(&response.body));
+    }
     ck_assert(!response.complete);
     stream->server = server_of_version(buffer_text(&response.body));
     ck_assert_int_ge(stream->server, 0);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -421,7 +421,7 @@
     poll_for(can_continue(end_ms) ? LONGEST_FAULT_MS : 0);
     for (int i = 0; i < LETHAL_OPERATIONS && can_continue(end_ms); i++) {
         log_fault("lethal requests", fault_count);
-        lethal_requests_run(seed, kill_all_and_settle);
+        lethal_requests_run(seed, kill_all_and_settle, wait_until_settled);
     }
 }
 
