--- a/tests/integration/test_memory.c
+++ b/tests/integration/test_memory.c
@@ -19,7 +19,7 @@
     TURNS_BETWEEN_KILLS = 60,
     SEQUENTIAL_REQUESTS = 2000, /* about 100 in flight would fill a gateway's memory for requests */
     ROUNDS = 3,
-    CALLERS = 400               /* concurrent; their bodies alone are twice a gateway's memory for requests */
+    CALLERS = 400 /* concurrent; their bodies alone are twice a gateway's memory for requests */
 };
 
 static char text[TURN_BYTES + 1];
