--- a/tests/soak/lethal_requests.c
+++ b/tests/soak/lethal_requests.c
@@ -17,8 +17,7 @@
 enum {
     RETRY_MIN_MS = 50, /* plus up to RETRY_EXTRA_MS; servers take longer than the minimum to start again */
     RETRY_EXTRA_MS = 700,
-    KILL_ONE_IN = 3,          /* attempts after which all daemons are killed, on average */
-    GATEWAY_KILLS_ONE_IN = 3, /* operations whose gateways are killed with their servers */
+    KILL_ONE_IN = 3, /* attempts after which all daemons are killed, on average */
     GATEWAY_EXIT_US = 50000,
     GATEWAY_DOWN_MS = 300,
     DISTURBED_MS = 2500, /* how long a fault of a daemon may still affect later requests */
@@ -143,20 +142,31 @@
     return before && lethal_daemons_undisturbed(begin_ms, clock_monotonic_ms(), lethal_gateway);
 }
 
+typedef enum lethal_kind_t { LETHAL_ANY, LETHAL_STREAM_SAME_ID, LETHAL_GATEWAYS_KILLED, LETHAL_KINDS } lethal_kind_t;
+
+/* By turns, so that a few operations are of all kinds. */
+static lethal_kind_t lethal_next_kind(uint64_t *seed)
+{
+    static int next = -1;
+    next = next < 0 ? (int)random_below(seed, LETHAL_KINDS) : (next + 1) % LETHAL_KINDS;
+    return (lethal_kind_t)next;
+}
+
 static lethal_operation_t lethal_choose(uint64_t *seed)
 {
     static const char *const paths[] = {"/once/x", "/safe/x", "/open/chat/x"};
     static int operations;
+    lethal_kind_t kind = lethal_next_kind(seed);
+    bool is_stream = kind == LETHAL_STREAM_SAME_ID || kind == LETHAL_GATEWAYS_KILLED;
     lethal_operation_t operation = {.number = ++operations,
                                     .path = paths[random_below(seed, sizeof(paths) / sizeof(paths[0]))],
                                     .has_program = random_below(seed, 2) == 0,
                                     .keeps_ids = random_below(seed, 2) == 0,
-                                    .kills_gateways = random_below(seed, GATEWAY_KILLS_ONE_IN) == 0,
+                                    .kills_gateways = kind == LETHAL_GATEWAYS_KILLED,
                                     .exits_before = site_exit_count()};
-    if (operation.kills_gateways) {
-        operation.path = "/open/chat/x";
-        operation.has_program = true;
-    }
+    operation.path = is_stream ? "/open/chat/x" : operation.path;
+    operation.has_program = operation.has_program || operation.kills_gateways;
+    operation.keeps_ids = operation.keeps_ids || kind == LETHAL_STREAM_SAME_ID;
     operation.parallel = operation.has_program && !operation.kills_gateways && random_below(seed, 2) == 0;
     return operation;
 }
