--- a/src/core/closed_dials.h
+++ b/src/core/closed_dials.h
@@ -22,8 +22,8 @@
 enum {
     CLOSED_DIALS_MAX = 6,
     CLOSED_DIALS_FIRST_MS = 50,     /**< Time until the next dial; doubles with each. */
-    CLOSED_DIALS_INTERVAL_MS = 400, /**< Most of it. */
-    CLOSED_DIALS_SETTLE_MS = 50,    /**< A connection that stays open for this time is not closed at once. */
+    CLOSED_DIALS_INTERVAL_MS = 400, /**< Upper bound of that time. */
+    CLOSED_DIALS_SETTLE_MS = 50,    /**< As UPSTREAM_AT_ONCE_MS (net/upstream.h). */
     CLOSED_DIALS_LATE_MS = 50       /**< By how much a dial may be late. */
 };
 
