--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -155,6 +155,9 @@
 /** Memory limit of daemons started afterwards; 0: none. */
 void site_limit_memory(int megabytes);
 
+/** Limit on open descriptors of daemons started afterwards; 0: that of the test process. */
+void site_limit_descriptors(int descriptors);
+
 pid_t site_process(int daemon);
 
 /** The daemon must be stopped. */
@@ -250,6 +253,9 @@
 /** Number of connections that clients closed while a server ran a request in mode SITE_SILENT or SITE_SLOW. */
 int site_cancelled_count(void);
 
+/** IP address of a daemon, on which all its ports listen. */
+const char *site_daemon_ip(int daemon);
+
 /** IP address of a gateway for callers, and of a state replica for operators. */
 const char *site_caller_ip(int gateway);
 const char *site_control_ip(int replica);
--- a/tests/integration/support_site.c
+++ b/tests/integration/support_site.c
@@ -50,6 +50,7 @@
 static int site_extra_replicas;
 static bool site_bootstrapped;
 static int site_memory_mb;
+static int site_descriptors;
 static int site_tolerated_zones;
 static int site_server_drain_ms = SITE_SERVER_DRAIN_MS;
 static int site_quarantine_s; /* 0: the default */
@@ -103,6 +104,11 @@
     return (daemon >= SITE_REPLICAS && daemon < SITE_BASE_DAEMONS) || daemon >= SITE_BASE_DAEMONS + site_extra_replicas;
 }
 
+const char *site_daemon_ip(int daemon)
+{
+    return site_ip(daemon);
+}
+
 const char *site_caller_ip(int gateway)
 {
     return site_ip(site_gateway_daemon(gateway));
@@ -173,6 +179,20 @@
     site_memory_mb = megabytes;
 }
 
+void site_limit_descriptors(int descriptors)
+{
+    site_descriptors = descriptors;
+}
+
+/* For the child process before exec. */
+static void site_apply_descriptor_limit(void)
+{
+    struct rlimit limit = {.rlim_cur = (rlim_t)site_descriptors, .rlim_max = (rlim_t)site_descriptors};
+    if (site_descriptors > 0) {
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 /* For the child process before exec. Sets no limit with sanitizers, whose own memory would exceed the limit; the daemon
  * then has the limit in its settings only. */
 static void site_apply_memory_limit(void)
@@ -252,6 +272,7 @@
         prctl(PR_SET_PDEATHSIG, SIGKILL); /* kills the daemon if the test process dies */
         signal(SIGXFSZ, SIG_IGN);         /* makes writes beyond the file size limit fail, as on a full disk */
         site_apply_memory_limit();
+        site_apply_descriptor_limit();
         site_export_settings();
         execl(program, program, "--config", settings, (char *)NULL);
         _exit(127);
