Listener: a body announced over the limit is refused with its head

What callers saw: with a Content-Length over the limit, 100 Continue, and then a 413 only after max-body-bytes had been read, or a 408 after the header timeout.

Cause: http_connection_reserve_memory() counted no body above the limit, and the reader rejects one only once max_body_bytes of it are buffered.

Change: the head decides: 413 at once, no 100 Continue, nothing buffered.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -159,15 +159,26 @@
                            "{\"error\":{\"code\":\"request not received in time\",\"run_state\":\"not-run\"}}");
 }
 
+static bool http_body_length_is_known(const struct http_reader *reader)
+{
+    return (reader->parser.flags & F_CHUNKED) == 0;
+}
+
+static bool http_is_announced_too_large(const struct http_connection *connection, const struct http_reader *reader)
+{
+    uint64_t length = reader->parser.content_length; /* UINT64_MAX: there is no body */
+    return http_body_length_is_known(reader) && length != UINT64_MAX && length > connection->limits.max_body_bytes;
+}
+
 /* Reserves memory for a body before it is read; returns false if max_receiving_bytes does not allow it. */
 static bool http_connection_reserve_memory(struct http_connection *connection, const struct http_reader *reader)
 {
     struct http_listener *listener = connection->listener;
-    bool length_known = (reader->parser.flags & F_CHUNKED) == 0;
+    bool length_known = http_body_length_is_known(reader);
     uint64_t length = length_known ? reader->parser.content_length : connection->limits.max_body_bytes;
     bool no_body = length_known && (length == 0 || length == UINT64_MAX);
-    if (no_body || length > connection->limits.max_body_bytes) {
-        return true; /* there is no body, or it will be rejected as too large */
+    if (no_body) {
+        return true;
     }
     connection->reserved_bytes = (size_t)length;
     listener->reserved_bytes += connection->reserved_bytes;
@@ -183,6 +194,10 @@
 static bool http_on_request_head(void *context, struct http_reader *reader)
 {
     struct http_connection *connection = context;
+    if (http_is_announced_too_large(connection, reader)) {
+        reader->error = HTTP_PARSE_ERROR_BODY_TOO_LARGE;
+        return false;
+    }
     if (!http_connection_reserve_memory(connection, reader)) {
         return false;
     }
