Reader: what follows a head, or exceeds its limit, is not buffered with it

What callers saw: nothing of their own; a gateway ended for lack of memory.

Cause: each read of up to 64 KB was appended to the head as a whole, also bytes of the body, of later requests, or beyond max-header-bytes; the buffer was kept between requests. A connection could hold 64 KB in it that nobody counted.

Change: only the head itself is copied, at most one byte more than its limit; a buffer of more than 2 KB is given back between messages.

--- a/src/net/http_reader.c
+++ b/src/net/http_reader.c
@@ -3,7 +3,12 @@
 #include <string.h>
 #include <strings.h>
 
-enum { HTTP_STATUS_SWITCHING = 101, HTTP_CRLF_BYTES = 2 };
+enum {
+    HTTP_STATUS_SWITCHING = 101,
+    HTTP_CRLF_BYTES = 2,
+    HTTP_BLANK_LINE_BYTES = 4,         /* with the end of the line before it */
+    HTTP_READER_KEPT_HEAD_BYTES = 2048 /* capacity that is kept between messages */
+};
 
 bool http_name_equal(struct view name, const char *text)
 {
@@ -211,7 +216,7 @@
 {
     http_parser_init(&reader->parser, reader->type);
     reader->parser.data = reader;
-    buffer_clear(&reader->head);
+    buffer_clear_and_trim(&reader->head, HTTP_READER_KEPT_HEAD_BYTES);
     reader->head_done = false;
     reader->complete = false;
     reader->header_count = 0;
@@ -246,20 +251,35 @@
     return used;
 }
 
-/* Appends to the head and parses it when complete; returns the number of bytes consumed. */
+/* Position after the blank line that ends the head, in `data`; 0: there is none. */
+static size_t http_head_end(const uint8_t *data, size_t length)
+{
+    const uint8_t *end = memmem(data, length, "\r\n\r\n", HTTP_BLANK_LINE_BYTES);
+    return end == NULL ? 0 : (size_t)(end - data) + HTTP_BLANK_LINE_BYTES;
+}
+
+/* Appends to the head and parses it when complete; returns the number of bytes consumed. Bytes that follow the head, or
+ * exceed its limit, are not buffered. */
 static size_t http_reader_collect_head(struct http_reader *reader, const uint8_t *data, size_t length)
 {
     size_t before = reader->head.length;
-    buffer_append(&reader->head, data, length);
-    size_t from = before < 3 ? 0 : before - 3;
-    const uint8_t *end = memmem(reader->head.data + from, reader->head.length - from, "\r\n\r\n", 4);
-    size_t head_bytes = end == NULL ? reader->head.length : (size_t)(end - reader->head.data) + 4;
+    size_t end = before == 0 ? http_head_end(data, length) : 0;
+    size_t most = before > reader->max_head_bytes ? 0 : reader->max_head_bytes + 1 - before;
+    size_t taken = end > 0 ? end : length;
+    taken = taken < most ? taken : most;
+    buffer_append(&reader->head, data, taken);
+    if (before > 0) {
+        size_t from = before < HTTP_BLANK_LINE_BYTES - 1 ? 0 : before - (HTTP_BLANK_LINE_BYTES - 1);
+        end = http_head_end(reader->head.data + from, reader->head.length - from);
+        end = end == 0 ? 0 : from + end;
+    }
+    size_t head_bytes = end == 0 ? reader->head.length : end;
     if (head_bytes > reader->max_head_bytes) {
         http_reader_fail(reader, HTTP_PARSE_ERROR_HEAD_TOO_LARGE);
         return length;
     }
     reader->head.length = head_bytes;
-    if (end == NULL) {
+    if (end == 0) {
         return length;
     }
     if (!http_parse_head(reader)) {
