Listener: the next request waits until the response before it is taken

What callers saw: a client that sends requests in series and reads no response ended gateways and replicas; the listener for metrics answers 50 bytes with 30 KB.

Cause: a request was answered as soon as the one before it was, whether or not its client took the response; responses accumulated without a bound.

Change: while a response is not taken by the kernel, its connection is neither read nor are buffered requests parsed. A connection holds one response at most. The send timeout (15 s without progress) ends it as before.

--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -58,6 +58,9 @@
 /** The same for a connection that could not be accepted; `error` is of libuv. */
 void http_listener_record_not_accepted(struct http_listener *listener, int error);
 
+/** Reads on, and parses buffered input, once the client has taken all responses. */
+void http_connection_resume(struct http_connection *connection);
+
 /** Starts the timeout of the connection's state anew. */
 void http_connection_restart_timeout(struct http_connection *connection);
 
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -239,7 +239,8 @@
 void http_connection_advance(struct http_connection *connection)
 {
     connection->processing = true;
-    while (connection->state == HTTP_READING && connection->input.length > 0) {
+    while (connection->state == HTTP_READING && connection->input.length > 0 &&
+           http_call_unsent_bytes(&connection->call) == 0) {
         http_connection_raise_limits(connection);
         connection->reader.max_head_bytes = connection->limits.max_head_bytes;
         connection->reader.max_body_bytes = connection->limits.max_body_bytes;
@@ -261,6 +262,13 @@
     connection->processing = false;
 }
 
+void http_connection_resume(struct http_connection *connection)
+{
+    http_connection_restart_timeout(connection);
+    uv_read_start((uv_stream_t *)&connection->socket, connection->socket.alloc_cb, connection->socket.read_cb);
+    http_connection_advance(connection);
+}
+
 /* ---- Receive time ------------------------------------------------------------------------------ */
 
 /* Time for which the latest bytes just read were queued in the kernel; 0 if unknown. */
@@ -362,6 +370,10 @@
     buffer_append(&connection->input, buffer->base, (size_t)nread);
     if (connection->state == HTTP_READING) {
         http_connection_advance(connection);
+        if (connection->state == HTTP_READING && http_call_unsent_bytes(&connection->call) > 0) {
+            uv_read_stop(stream); /* until the client has taken a "100 Continue" */
+            connection->unread_since_ms = uv_now(connection->listener->loop);
+        }
     } else if (connection->input.length > HTTP_LISTENER_PAUSE_READ_BYTES) {
         uv_read_stop(stream);
         connection->unread_since_ms = uv_now(connection->listener->loop);
--- a/src/net/http_response.c
+++ b/src/net/http_response.c
@@ -29,9 +29,16 @@
         http_connection_on_disconnect(connection);
         return;
     }
+    if (connection->state == HTTP_CLOSED) {
+        return;
+    }
     const struct http_handler *handler = &connection->listener->handler;
-    bool drained =
-        status == 0 && connection->state == HTTP_RESPONDING && http_call_unsent_bytes(&connection->call) == 0;
+    bool all_sent = status == 0 && http_call_unsent_bytes(&connection->call) == 0;
+    if (all_sent && connection->state == HTTP_READING) {
+        http_connection_resume(connection);
+        return;
+    }
+    bool drained = all_sent && connection->state == HTTP_RESPONDING;
     if (drained && handler->drained != NULL) {
         handler->drained(handler->context, &connection->call);
     }
@@ -93,6 +100,11 @@
     connection->call.connection = connection;
     connection->call.request = &connection->reader;
     http_reader_reset(&connection->reader);
+    /* The next request waits until its client has taken this response, so that unread ones do not accumulate. */
+    if (http_call_unsent_bytes(&connection->call) > 0) {
+        uv_read_stop((uv_stream_t *)&connection->socket);
+        return;
+    }
     uv_read_start((uv_stream_t *)&connection->socket, connection->socket.alloc_cb, connection->socket.read_cb);
     if (!connection->processing) {
         http_connection_advance(connection);
