JSON of clients: at most 65,536 values and keys

Cause: only the nesting of a text was limited, not the number of its values.

Other texts (machine lists, stored histories) have no such limit.

--- a/src/daemon/chat_request.c
+++ b/src/daemon/chat_request.c
@@ -141,7 +141,7 @@
 static void chat_read_body(struct chat_request *request, struct view body, struct findings *findings)
 {
     struct json_input_error error;
-    request->root = json_input_parse(body, &error);
+    request->root = json_input_parse_client(body, &error);
     if (request->root == NULL) {
         findings_add(findings, "body", "%s", error.text);
         return;
--- a/src/daemon/programs.c
+++ b/src/daemon/programs.c
@@ -164,7 +164,7 @@
 static void programs_create(struct programs_request *request, struct view data)
 {
     struct findings findings = {0};
-    json_t *body = data.length == 0 ? json_object() : json_input_parse(data, NULL);
+    json_t *body = data.length == 0 ? json_object() : json_input_parse_client(data, NULL);
     const Policy *policy = NULL;
     if (!json_is_object(body)) {
         findings_add(&findings, "body", "must be a JSON object");
--- a/tests/unit/http_reader.c
+++ b/tests/unit/http_reader.c
@@ -226,6 +226,30 @@
 }
 END_TEST
 
+/* Guards against a body of a few MB that takes many times its own memory when it is parsed. */
+START_TEST(many_values_of_a_client_are_rejected)
+{
+    struct buffer text = {0};
+    struct json_input_error error;
+    buffer_append(&text, "[0", 2);
+    for (int i = 2; i < JSON_INPUT_CLIENT_VALUES; i++) {
+        buffer_append(&text, ",0", 2);
+    }
+    buffer_append(&text, "]", 1);
+    json_t *root = json_input_parse_client(buffer_view(&text), &error);
+    ck_assert_uint_eq(json_array_size(root), JSON_INPUT_CLIENT_VALUES - 1); /* the array is a value too */
+    json_decref(root);
+    text.length--;
+    buffer_append(&text, ",0]", 3);
+    ck_assert_ptr_null(json_input_parse_client(buffer_view(&text), &error));
+    ck_assert_int_eq(error.kind, JSON_INPUT_TOO_MANY_VALUES);
+    root = json_input_parse(buffer_view(&text), &error);
+    ck_assert_ptr_nonnull(root);
+    json_decref(root);
+    buffer_close(&text);
+}
+END_TEST
+
 static void expect_cookie(const char *expected)
 {
     struct view value = http_reader_cookie(&reader, "key");
@@ -273,6 +297,7 @@
     tcase_add_test(tests, only_complete_events_are_passed_on);
     tcase_add_test(tests, a_cookie_is_found_among_others);
     tcase_add_test(tests, deeply_nested_json_is_rejected);
+    tcase_add_test(tests, many_values_of_a_client_are_rejected);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
 }
