Listeners: what clients hold is counted by shares with limits

What callers saw: a crowd of clients ended a gateway or a replica of 48 MB, or used up its descriptors, so that nobody else was accepted.

Cause: nothing counted connections, heads, unparsed input, what a connection kept after its last response (its body, and up to 64 KB of input), or the capacity of bodies above their length. Nothing limited the number of connections, nor, at the listeners for readiness and metrics, the bodies. A rejected request was discarded as fast as its client sent, for seconds.

Change: http_shares counts, for each listener, connections and their memory in every state, and keeps them to limits: parts of the descriptors and of the memory budget. Who waits longest is turned away first: unused, idle, then slow senders (503, not run); requests being answered never. Lingering connections hold no buffers and have a limit of their own. Bodies are counted with their capacity, until the response unless the handler counts them, and slow ones give way to others. Of a rejected request 1 MB is read at once, then 64 KB a quarter second. New: setting max_connections, log line client_share_full, metrics client_*.

--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -82,6 +82,14 @@
     return buffer->data + buffer->length;
 }
 
+void buffer_set_capacity(struct buffer *buffer, size_t capacity)
+{
+    if (capacity > buffer->capacity) {
+        buffer->data = memory_resize(buffer->data, capacity);
+        buffer->capacity = capacity;
+    }
+}
+
 void buffer_append(struct buffer *buffer, const void *data, size_t length)
 {
     if (length == 0) {
@@ -91,6 +99,15 @@
     buffer->length += length;
 }
 
+void buffer_append_within(struct buffer *buffer, const void *data, size_t length, size_t max_capacity)
+{
+    size_t needed = buffer->length + length;
+    if (needed > buffer->capacity && needed <= max_capacity && needed > max_capacity / 2) {
+        buffer_set_capacity(buffer, max_capacity); /* doubling would exceed it */
+    }
+    buffer_append(buffer, data, length);
+}
+
 void buffer_append_text(struct buffer *buffer, const char *text)
 {
     if (text != NULL) {
--- a/src/base/buffer.h
+++ b/src/base/buffer.h
@@ -30,8 +30,14 @@
 /** Ensures capacity for `extra` more bytes and returns a pointer to the first of them. */
 uint8_t *buffer_reserve(struct buffer *buffer, size_t extra);
 
+/** Grows the capacity to exactly `capacity` bytes, unless it is larger already. */
+void buffer_set_capacity(struct buffer *buffer, size_t capacity);
+
 void buffer_append(struct buffer *buffer, const void *data, size_t length);
 
+/** Like buffer_append(), but grows to a capacity of at most `max_capacity` bytes, or of what is needed. */
+void buffer_append_within(struct buffer *buffer, const void *data, size_t length, size_t max_capacity);
+
 /** Appends a NUL-terminated string without its NUL; NULL appends nothing. */
 void buffer_append_text(struct buffer *buffer, const char *text);
 
--- a/src/core/memory_budget.c
+++ b/src/core/memory_budget.c
@@ -16,6 +16,8 @@
         .cache = memory_share(total, MEMORY_BUDGET_CACHE_PERCENT),
         .requests = memory_share(total, MEMORY_BUDGET_REQUESTS_PERCENT),
         .incoming = memory_share(total, MEMORY_BUDGET_INCOMING_PERCENT),
+        .connections = memory_share(total, MEMORY_BUDGET_CONNECTIONS_PERCENT),
+        .probes = memory_share(total, MEMORY_BUDGET_PROBES_PERCENT),
     };
     return budget;
 }
--- a/src/core/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -9,6 +9,7 @@
  *   log_max    log entries in memory; no entries are accepted above this
  *   state      index of turns and budgets; no turns are started above this
  *   queues     unsent frames, all peers together
+ *   connections, probes   as below; `connections` for those of operators
  *   (rest)     program, libraries, snapshot chunks, texts of one request, allocator
  *
  * While the disk accepts no writes, new entries are also queued in memory twice,
@@ -20,7 +21,9 @@
  *   requests   texts of in-flight requests; requests are refused immediately above this
  *   incoming   request bodies being received, counted by their declared length
  *   queues     as above
- *   (rest)     program, libraries, connections, allocator
+ *   connections  callers' connections, with heads and unparsed input
+ *   probes     the same of the listeners for readiness and for metrics, each
+ *   (rest)     program, libraries, connections to servers, allocator
  */
 #ifndef BANKBANK_CORE_MEMORY_BUDGET_H
 #define BANKBANK_CORE_MEMORY_BUDGET_H
@@ -34,7 +37,9 @@
     MEMORY_BUDGET_QUEUES_PERCENT = 10,
     MEMORY_BUDGET_CACHE_PERCENT = 15,
     MEMORY_BUDGET_REQUESTS_PERCENT = 25,
-    MEMORY_BUDGET_INCOMING_PERCENT = 15
+    MEMORY_BUDGET_INCOMING_PERCENT = 15,
+    MEMORY_BUDGET_CONNECTIONS_PERCENT = 8,
+    MEMORY_BUDGET_PROBES_PERCENT = 2
 };
 
 /** In bytes; the shares are described above. */
@@ -47,6 +52,8 @@
     size_t cache;
     size_t requests;
     size_t incoming;
+    size_t connections;
+    size_t probes;
 } memory_budget_t;
 
 /** If `total` is 0, all shares are 0 and the components use their own defaults. */
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -5,6 +5,7 @@
  *   http_listener.c  accepting, reading requests, timeouts, closing
  *   http_response.c  writing responses
  *   http_end.c       recording ends that leave a request without its response
+ *   http_shares.c    what connections hold, and which are turned away when a share is full
  */
 #ifndef BANKBANK_NET_HTTP_CONNECTION_H
 #define BANKBANK_NET_HTTP_CONNECTION_H
@@ -33,6 +34,11 @@
     uint64_t last_received_ms;  /**< Loop time at which the latest bytes arrived. */
     uint64_t unread_since_ms; /**< Loop time since which the socket was not read; 0: listener->previous_iteration_ms. */
     bool receiving;           /**< Part of a request has arrived. */
+    bool used;                /**< A complete request has arrived. */
+    uint64_t idle_since_ms;   /**< Loop time of its start, or of the end of its last response. */
+    size_t accounted_bytes;   /**< Part of shares.connection_bytes. */
+    size_t discarded_bytes;   /**< Discarded while lingering. */
+    bool discard_paused;      /**< Lingers, and is read once in each sweep only. */
     size_t reserved_bytes;    /**< Memory reserved for the body: its length, or the largest allowed if unknown. */
     bool over_memory_limit;   /**< Rejected: its body would bring the sum of all bodies above max_receiving_bytes. */
     size_t unsent;            /**< Unsent bytes of responses at the last check of timeouts. */
@@ -58,6 +64,33 @@
 /** The same for a connection that could not be accepted; `error` is of libuv. */
 void http_listener_record_not_accepted(struct http_listener *listener, int error);
 
+/** Recomputes what the connection holds (shares.connection_bytes). */
+void http_connection_account(struct http_connection *connection);
+
+/** The connection is closed: it holds nothing. */
+void http_connection_release_accounted(struct http_connection *connection);
+
+/** Turns other connections away until the shares are kept to; false: `newest` must be refused. */
+bool http_connection_make_room(struct http_connection *newest);
+
+/** The same for max_receiving_bytes, which includes what is reserved for the body of `newest`. */
+bool http_connection_make_room_for_body(struct http_connection *newest);
+
+/** The same for a response of `bytes`; false: it must not be sent. */
+bool http_connection_make_room_for_response(struct http_connection *newest, size_t bytes);
+
+/** Sets the state to HTTP_LINGERING; may close another connection that lingers. */
+void http_connection_enter_lingering(struct http_connection *connection);
+
+/** Counts the connection as closed; its state is still the earlier one. */
+void http_connection_leave_pool(struct http_connection *connection);
+
+/** Refuses the request that is being received, or the connection, as not run: 503. */
+void http_connection_refuse_full(struct http_connection *connection);
+
+/** Releases the memory reserved for the body: it is complete, or will not be read. */
+void http_connection_release_memory(struct http_connection *connection);
+
 /** Reads on, and parses buffered input, once the client has taken all responses. */
 void http_connection_resume(struct http_connection *connection);
 
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -13,14 +13,16 @@
 enum {
     HTTP_LISTENER_BACKLOG = 512,
     HTTP_LISTENER_SWEEP_MS = 250,
-    HTTP_LISTENER_READ_BYTES = 1 << 16,
+    HTTP_LISTENER_READ_BYTES = 1 << 16,      /* of a body whose length is known */
+    HTTP_LISTENER_HEAD_READ_BYTES = 1 << 14, /* otherwise, since bytes of later requests stay buffered */
     HTTP_LISTENER_REQUEST_TIMEOUT = 408,
     HTTP_LISTENER_UNAVAILABLE = 503,
     HTTP_LISTENER_LINGER_MS = 1000,       /* time for the client to close after the last response */
     HTTP_LISTENER_STOP_IDLE_MS = 1000,    /* a stopping listener closes connections that are idle for so long */
     HTTP_LISTENER_RECEIVE_SLACK_MS = 100, /* bytes that cannot have been queued longer count as received now */
     HTTP_LISTENER_SEND_TIMEOUT_MS = 15000,
-    HTTP_LISTENER_PAUSE_READ_BYTES = 1 << 16 /* reading pauses above this while a request is being answered */
+    HTTP_LISTENER_PAUSE_READ_BYTES = 1 << 14, /* reading pauses at this while a request is being answered */
+    HTTP_LISTENER_DISCARD_BYTES = 1 << 20     /* of a rejected request; the rest is read once in each sweep */
 };
 
 static const char HTTP_LISTENER_NOT_RUN[] = "X-Run-State: not-run\r\n";
@@ -38,8 +40,7 @@
     free(connection);
 }
 
-/* Releases the memory reserved for the body: it is complete, or will not be read. */
-static void http_connection_release_memory(struct http_connection *connection)
+void http_connection_release_memory(struct http_connection *connection)
 {
     connection->listener->reserved_bytes -= connection->reserved_bytes;
     connection->reserved_bytes = 0;
@@ -64,8 +65,10 @@
     if (late) {
         http_connection_record_end(connection, HTTP_END_LATE_REQUEST);
     }
+    http_connection_leave_pool(connection);
     connection->state = HTTP_CLOSED;
     http_connection_release_memory(connection);
+    http_connection_release_accounted(connection);
     if (connection->previous != NULL) {
         connection->previous->next = connection->next;
     } else {
@@ -82,7 +85,7 @@
     struct http_listener *listener = connection->listener;
     if (connection->state == HTTP_RESPONDING) {
         listener->counters.disconnects++;
-        connection->state = HTTP_LINGERING;
+        http_connection_enter_lingering(connection);
         listener->handler.disconnected(listener->handler.context, &connection->call);
     }
     http_connection_close(connection);
@@ -135,6 +138,12 @@
     http_call_send_response(&connection->call, status, headers, "application/json", view_of_string(body));
 }
 
+void http_connection_refuse_full(struct http_connection *connection)
+{
+    http_connection_refuse(connection, HTTP_LISTENER_UNAVAILABLE, "X-Run-State: not-run\r\nRetry-After: 1\r\n",
+                           "{\"error\":{\"code\":\"too many clients\",\"run_state\":\"not-run\"}}");
+}
+
 static void http_connection_reject(struct http_connection *connection)
 {
     static const int statuses[] = {
@@ -182,11 +191,9 @@
     }
     connection->reserved_bytes = (size_t)length;
     listener->reserved_bytes += connection->reserved_bytes;
-    size_t max_bytes = listener->limits.max_receiving_bytes;
-    bool only_body = listener->reserved_bytes == connection->reserved_bytes; /* a single body is always allowed */
-    connection->over_memory_limit = max_bytes > 0 && listener->reserved_bytes > max_bytes && !only_body;
+    connection->over_memory_limit = !http_connection_make_room_for_body(connection);
     if (length_known && !connection->over_memory_limit) {
-        buffer_reserve(&connection->call.body, connection->reserved_bytes);
+        buffer_set_capacity(&connection->call.body, connection->reserved_bytes);
     }
     return !connection->over_memory_limit;
 }
@@ -212,7 +219,7 @@
 {
     struct http_connection *connection = context;
     (void)reader;
-    buffer_append(&connection->call.body, part.data, part.length);
+    buffer_append_within(&connection->call.body, part.data, part.length, connection->reserved_bytes);
     return true;
 }
 
@@ -229,13 +236,36 @@
     struct http_listener *listener = connection->listener;
     connection->state = HTTP_RESPONDING;
     connection->receiving = false;
+    connection->used = true;
     connection->timeout_deferred = false;
-    http_connection_release_memory(connection);
+    if (listener->handler.accounts_requests) {
+        http_connection_release_memory(connection);
+    }
     connection->call.received_ms = connection->received_ms;
     listener->counters.requests++;
     listener->handler.request(listener->handler.context, &connection->call);
 }
 
+static void http_connection_pause_reading(struct http_connection *connection)
+{
+    uv_read_stop((uv_stream_t *)&connection->socket);
+    connection->unread_since_ms = uv_now(connection->listener->loop);
+}
+
+/* After its buffers have changed. A request that is being answered is not refused; its connection is not read until it
+ * has its response. */
+static void http_connection_keep_to_shares(struct http_connection *connection)
+{
+    if (http_connection_make_room(connection)) {
+        return;
+    }
+    if (connection->state == HTTP_READING && connection->receiving) {
+        http_connection_refuse_full(connection);
+    } else if (connection->state == HTTP_RESPONDING) {
+        http_connection_pause_reading(connection);
+    }
+}
+
 void http_connection_advance(struct http_connection *connection)
 {
     connection->processing = true;
@@ -260,6 +290,9 @@
         connection->receiving = false;
     }
     connection->processing = false;
+    if (connection->state == HTTP_READING || connection->state == HTTP_RESPONDING) {
+        http_connection_keep_to_shares(connection);
+    }
 }
 
 void http_connection_resume(struct http_connection *connection)
@@ -324,15 +357,36 @@
 
 /* ---- Events ------------------------------------------------------------------------------------- */
 
+/* Bytes to read at most, so that few bytes of later requests are buffered. */
+static size_t http_connection_read_bytes(const struct http_connection *connection)
+{
+    const struct http_reader *reader = &connection->reader;
+    switch (connection->state) {
+    case HTTP_RESPONDING:
+        return connection->input.length < HTTP_LISTENER_PAUSE_READ_BYTES
+                   ? HTTP_LISTENER_PAUSE_READ_BYTES - connection->input.length
+                   : 1;
+    case HTTP_READING:
+        if (!reader->head_done || !http_body_length_is_known(reader)) {
+            return HTTP_LISTENER_HEAD_READ_BYTES;
+        }
+        return reader->parser.content_length < HTTP_LISTENER_READ_BYTES ? (size_t)reader->parser.content_length + 1
+                                                                        : HTTP_LISTENER_READ_BYTES;
+    case HTTP_LINGERING:
+    case HTTP_CLOSED: break;
+    }
+    return HTTP_LISTENER_READ_BYTES;
+}
+
 static void http_on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *out)
 {
-    (void)handle;
     (void)suggested;
-    *out = uv_buf_init(http_read_buffer, sizeof(http_read_buffer));
+    *out = uv_buf_init(http_read_buffer, (unsigned)http_connection_read_bytes(handle->data));
 }
 
 /* The rest of a rejected request is discarded for as long as receiving it might have taken: a reset would discard the
- * response that the client has not read yet. */
+ * response that the client has not read yet. Of a long one, little is read at a time, so that it takes no processor
+ * time from others (RFC 9112, 9.6). */
 static void http_connection_discard(struct http_connection *connection, size_t bytes)
 {
     uint64_t lingered_ms = uv_now(connection->listener->loop) - connection->lingering_ms;
@@ -341,6 +395,11 @@
     } else if (lingered_ms < connection->limits.header_timeout_ms) {
         http_connection_restart_timeout(connection);
     }
+    connection->discarded_bytes += bytes;
+    if (connection->discarded_bytes > HTTP_LISTENER_DISCARD_BYTES) {
+        connection->discard_paused = true;
+        uv_read_stop((uv_stream_t *)&connection->socket);
+    }
 }
 
 static void http_on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buffer)
@@ -371,13 +430,14 @@
     if (connection->state == HTTP_READING) {
         http_connection_advance(connection);
         if (connection->state == HTTP_READING && http_call_unsent_bytes(&connection->call) > 0) {
-            uv_read_stop(stream); /* until the client has taken a "100 Continue" */
-            connection->unread_since_ms = uv_now(connection->listener->loop);
+            http_connection_pause_reading(connection); /* until the client has taken a "100 Continue" */
         }
-    } else if (connection->input.length > HTTP_LISTENER_PAUSE_READ_BYTES) {
-        uv_read_stop(stream);
-        connection->unread_since_ms = uv_now(connection->listener->loop);
+        return;
+    }
+    if (connection->input.length >= HTTP_LISTENER_PAUSE_READ_BYTES) {
+        http_connection_pause_reading(connection);
     }
+    http_connection_keep_to_shares(connection);
 }
 
 /* Not reading yet; its socket is not open. */
@@ -406,6 +466,8 @@
     }
     listener->connections = connection;
     listener->counters.accepted++;
+    listener->shares.connections++;
+    connection->idle_since_ms = uv_now(listener->loop);
     return connection;
 }
 
@@ -419,6 +481,9 @@
     }
     uv_tcp_nodelay(&connection->socket, 1);
     uv_read_start((uv_stream_t *)&connection->socket, http_on_alloc, http_on_read);
+    if (!http_connection_make_room(connection)) {
+        http_connection_refuse_full(connection);
+    }
 }
 
 static void http_on_accept(uv_stream_t *stream, int status)
@@ -533,8 +598,15 @@
     struct http_connection *next = NULL;
     for (struct http_connection *connection = listener->connections; connection != NULL; connection = next) {
         next = connection->next;
+        if (connection->state == HTTP_CLOSED) {
+            continue; /* to make room for one that began to linger */
+        }
         http_connection_raise_limits(connection);
         http_connection_update_unsent(connection);
+        http_connection_account(connection);
+        if (connection->discard_paused && connection->state == HTTP_LINGERING && !connection->closed_idle) {
+            uv_read_start((uv_stream_t *)&connection->socket, http_on_alloc, http_on_read);
+        }
         if (http_connection_timed_out(connection, now_ms)) {
             http_connection_end_by_timeout(connection);
         }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -21,6 +21,7 @@
 #include "net/address.h"
 #include "net/http_end.h"
 #include "net/http_reader.h"
+#include "net/http_shares.h"
 
 struct http_connection;
 struct http_listener;
@@ -48,7 +49,9 @@
 };
 
 struct http_handler {
-    void *context; /**< First argument of every callback. */
+    const char *name;       /**< Of the listener, for logs; a string constant, or NULL. */
+    bool accounts_requests; /**< The handler itself counts bodies of requests being answered, and unsent responses. */
+    void *context;          /**< First argument of every callback. */
     /** A complete request was received; it may be answered now or later. */
     void (*request)(void *context, struct http_call *call);
     /** The client disconnected before the response was complete; the call must not be used afterwards. */
@@ -82,11 +85,12 @@
     uv_loop_t *loop;
     struct http_handler handler;
     struct http_limits limits;
-    bool draining;    /**< Connections are closed after their response; never reset. */
-    bool close_after; /**< The same, and may be reset (http_listener_set_close_after()). */
-    bool listening;   /**< The socket is open. */
+    http_shares_t shares; /**< Limits are set after the start; none by default. */
+    bool draining;        /**< Connections are closed after their response; never reset. */
+    bool close_after;     /**< The same, and may be reset (http_listener_set_close_after()). */
+    bool listening;       /**< The socket is open. */
     struct http_connection *connections;
-    size_t reserved_bytes; /**< Memory reserved for bodies being received. */
+    size_t reserved_bytes; /**< Memory reserved for bodies. */
     struct http_listener_counters counters;
 };
 
@@ -115,7 +119,8 @@
  * listener does not accept any more, idle ones that are not closed yet count too. */
 uint32_t http_listener_active_count(const struct http_listener *listener);
 
-/** Sends a complete response; `headers` are lines each ending in CRLF, or NULL. The call is invalid afterwards. */
+/** Sends a complete response; `headers` are lines each ending in CRLF, or NULL. The call is invalid afterwards. If
+ * shares.max_connection_bytes has no room for a long body, the response is a 503 instead. */
 void http_call_send_response(struct http_call *call, int status, const char *headers, const char *content_type,
                              struct view body);
 
--- a/src/net/http_response.c
+++ b/src/net/http_response.c
@@ -9,6 +9,7 @@
 enum {
     HTTP_RESPONSE_IDLE_PERCENT = 80, /* of the idle limit is told to clients: their requests take time to arrive */
     HTTP_RESPONSE_PERCENT = 100,
+    HTTP_RESPONSE_UNAVAILABLE = 503,
     HTTP_RESPONSE_MS_PER_S = 1000
 };
 
@@ -72,12 +73,23 @@
     free(request);
 }
 
+/* No request follows, and the last one has its response. */
+static void http_connection_release_buffers(struct http_connection *connection)
+{
+    http_connection_release_memory(connection);
+    buffer_close(&connection->call.body);
+    buffer_close(&connection->input);
+    http_reader_close(&connection->reader);
+    http_connection_account(connection);
+}
+
 void http_connection_linger(struct http_connection *connection)
 {
-    connection->state = HTTP_LINGERING;
+    http_connection_enter_lingering(connection);
     connection->late_bytes = connection->last_request ? 0 : connection->input.length;
     http_connection_restart_timeout(connection);
     connection->lingering_ms = connection->state_since_ms;
+    http_connection_release_buffers(connection);
     uv_shutdown_t *request = memory_new(sizeof(*request));
     if (uv_shutdown(request, (uv_stream_t *)&connection->socket, http_on_shutdown) != 0) {
         free(request);
@@ -100,9 +112,12 @@
     connection->call.connection = connection;
     connection->call.request = &connection->reader;
     http_reader_reset(&connection->reader);
+    http_connection_release_memory(connection);
+    connection->idle_since_ms = connection->state_since_ms;
     /* The next request waits until its client has taken this response, so that unread ones do not accumulate. */
     if (http_call_unsent_bytes(&connection->call) > 0) {
         uv_read_stop((uv_stream_t *)&connection->socket);
+        http_connection_account(connection);
         return;
     }
     uv_read_start((uv_stream_t *)&connection->socket, connection->socket.alloc_cb, connection->socket.read_cb);
@@ -155,6 +170,12 @@
 {
     struct http_connection *connection = call->connection;
     struct buffer out = {0};
+    if (!http_connection_make_room_for_response(connection, body.length)) {
+        status = HTTP_RESPONSE_UNAVAILABLE;
+        headers = "Retry-After: 1\r\n";
+        content_type = "application/json";
+        body = view_of_string("{\"error\":{\"code\":\"too many clients\"}}");
+    }
     http_write_status(call, status, view_of_string(headers), &out);
     if (content_type != NULL) {
         buffer_printf(&out, "Content-Type: %s\r\n", content_type);
--- a/src/proxy/frontend.c
+++ b/src/proxy/frontend.c
@@ -8,6 +8,7 @@
 #include "base/event_log.h"
 #include "base/message.h"
 #include "core/presence.h"
+#include "proxy/client_limits.h"
 #include "proxy/forward.h"
 #include "proxy/frontend_memory.h"
 #include "proxy/node_metrics.h"
@@ -49,7 +50,7 @@
     struct http_limits limits;
     struct frontend *frontend = memory_new(sizeof(*frontend));
     struct address address;
-    frontend_default_limits(&limits);
+    frontend_default_limits(node, &limits);
     frontend->node = node;
     frontend->jitter_state = node->boot_id;
     frontend->quarantine.max_failures = (uint32_t)node->settings.quarantine_servers;
@@ -66,6 +67,8 @@
     frontend->zone_reach.own_zone = node->settings.zone;
     frontend->servers.zone_reach = node->settings.tolerated_zones > 0 ? &frontend->zone_reach : NULL;
     struct http_handler handler = {
+        .name = "callers",
+        .accounts_requests = true,
         .context = frontend,
         .request = frontend_on_request,
         .disconnected = frontend_on_disconnected,
@@ -79,6 +82,7 @@
         free(frontend);
         return NULL;
     }
+    client_limits_set_callers(node, &frontend->callers.shares);
     return frontend;
 }
 
--- a/src/proxy/frontend.h
+++ b/src/proxy/frontend.h
@@ -141,7 +141,7 @@
 void frontend_confirm_configuration(struct frontend *frontend);
 
 /** frontend_configuration.c: limits until a configuration is active. */
-void frontend_default_limits(struct http_limits *limits);
+void frontend_default_limits(const struct node *node, struct http_limits *limits);
 
 /** frontend_configuration.c. */
 void frontend_configuration_close(struct frontend *frontend);
--- a/src/proxy/frontend_configuration.c
+++ b/src/proxy/frontend_configuration.c
@@ -9,6 +9,7 @@
  */
 #include "base/event_log.h"
 #include "base/message.h"
+#include "proxy/client_limits.h"
 #include "proxy/forward.h"
 #include "proxy/frontend.h"
 
@@ -22,10 +23,11 @@
     FRONTEND_CONFIRM_RETRY_MS = 100    /* delay before the next request */
 };
 
-void frontend_default_limits(struct http_limits *limits)
+void frontend_default_limits(const struct node *node, struct http_limits *limits)
 {
     *limits = (struct http_limits){FRONTEND_DEFAULT_HEAD_BYTES, FRONTEND_DEFAULT_BODY_BYTES,
-                                   FRONTEND_DEFAULT_HEADER_TIMEOUT_MS, FRONTEND_DEFAULT_IDLE_TIMEOUT_MS, 0};
+                                   FRONTEND_DEFAULT_HEADER_TIMEOUT_MS, FRONTEND_DEFAULT_IDLE_TIMEOUT_MS,
+                                   client_limits_bodies_bytes(node)};
 }
 
 static uint64_t frontend_limit_or_default(uint64_t configured, uint64_t fallback)
@@ -38,11 +40,10 @@
     const struct route_limits *limits = &frontend->table->limits;
     frontend->callers.limits.max_head_bytes =
         (size_t)frontend_limit_or_default(limits->max_header_bytes, FRONTEND_DEFAULT_HEAD_BYTES);
-    frontend->callers.limits.max_body_bytes =
-        (size_t)frontend_limit_or_default(limits->max_body_bytes, FRONTEND_DEFAULT_BODY_BYTES);
+    size_t max_body_bytes = (size_t)frontend_limit_or_default(limits->max_body_bytes, FRONTEND_DEFAULT_BODY_BYTES);
+    frontend->callers.limits.max_body_bytes = client_limits_caller_body_bytes(frontend->node, max_body_bytes);
     frontend->callers.limits.header_timeout_ms =
         frontend_limit_or_default(limits->header_timeout_ms, FRONTEND_DEFAULT_HEADER_TIMEOUT_MS);
-    frontend->callers.limits.max_receiving_bytes = frontend->node->memory.incoming;
     frontend->callers.limits.idle_timeout_ms =
         frontend_limit_or_default(limits->idle_timeout_ms, FRONTEND_DEFAULT_IDLE_TIMEOUT_MS) + FRONTEND_IDLE_MARGIN_MS;
 }
--- a/src/proxy/node.c
+++ b/src/proxy/node.c
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/log.h"
+#include "proxy/client_limits.h"
 #include "proxy/frontend.h"
 #include "proxy/node_internal.h"
 #include "proxy/node_metrics.h"
@@ -23,7 +24,6 @@
     NODE_END_MARGIN_MS = 600,    /* before the end of the grace period, requests under way are answered */
     NODE_STOP_MARGIN_MS = 400,   /* the same, the process exits */
     NODE_MAX_HEAD_BYTES = 16 << 10,
-    NODE_MAX_BODY_BYTES = 1 << 16,
     NODE_IDLE_MS = 30000,
     NODE_OK = 200,
     NODE_NOT_READY = 503
@@ -241,20 +241,23 @@
     (void)call;
 }
 
-static bool node_listen(struct node *node, struct http_listener *listener, const char *text,
+static bool node_listen(struct node *node, const char *name, struct http_listener *listener, const char *text,
                         void (*request)(void *, struct http_call *))
 {
-    static const struct http_limits limits = {NODE_MAX_HEAD_BYTES, NODE_MAX_BODY_BYTES, NODE_IDLE_MS, NODE_IDLE_MS, 0};
+    static const struct http_limits limits = {NODE_MAX_HEAD_BYTES, CLIENT_LIMITS_PROBE_BODY_BYTES, NODE_IDLE_MS,
+                                              NODE_IDLE_MS, CLIENT_LIMITS_PROBE_BODIES_BYTES};
     struct address address;
     if (text_or_empty(text)[0] == '\0') {
         return true;
     }
-    struct http_handler handler = {.context = node, .request = request, .disconnected = node_on_disconnect};
+    struct http_handler handler = {
+        .name = name, .context = node, .request = request, .disconnected = node_on_disconnect};
     int result =
         address_parse(text, &address) ? http_listener_start(listener, &node->loop, &address, &handler, &limits) : -1;
     if (result != 0) {
         event_log("listen_failed", "{s:s,s:s}", "address", text, "error", uv_strerror(result));
     }
+    client_limits_set_probes(node, &listener->shares);
     return result == 0;
 }
 
@@ -322,8 +325,8 @@
         return false;
     }
     node_open_timers(node);
-    return node_listen(node, &node->ready, node->settings.ready_address, node_on_ready_request) &&
-           node_listen(node, &node->metrics, node->settings.metrics_address, node_on_metrics_request);
+    return node_listen(node, "readiness", &node->ready, node->settings.ready_address, node_on_ready_request) &&
+           node_listen(node, "metrics", &node->metrics, node->settings.metrics_address, node_on_metrics_request);
 }
 
 static void node_log_line(enum log_level level, const char *part, const char *text)
--- a/src/proxy/node_metrics.c
+++ b/src/proxy/node_metrics.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/process_memory.h"
+#include "proxy/client_limits.h"
 #include "proxy/frontend.h"
 #include "proxy/state_host.h"
 
@@ -81,6 +82,7 @@
     metrics_write_counter(out, "upstream_broken_total", "Requests sent that got no whole answer.", upstreams->broken);
     metrics_write_gauge(out, "memory_resident_bytes", "Resident memory of the process.", process_resident_bytes());
     metrics_write_counter(out, "log_lines_left_out_total", "Log lines left out.", event_log_dropped());
+    client_limits_write_metrics(node, out);
     if (node->frontend != NULL) {
         frontend_write_metrics(node->frontend, out);
     }
--- a/src/proxy/node_settings.c
+++ b/src/proxy/node_settings.c
@@ -19,6 +19,7 @@
     NODE_MAX_START_OVERSHOOT = 100000, /* thousandths */
     NODE_MAX_SLACK = 1000000,
     NODE_MAX_WATCHERS = 100000,
+    NODE_MAX_CONNECTIONS = 1000000,
     NODE_MAX_ZONES = 1000,
     NODE_MAX_PORT = 65535
 };
@@ -89,6 +90,7 @@
      .maximum = NODE_MAX_START_OVERSHOOT},
     NODE_NUMBER(start_slack, 0, NODE_MAX_SLACK),
     NODE_NUMBER(memory_mb, 0, NODE_MAX_MEMORY_MB),
+    NODE_NUMBER(max_connections, 0, NODE_MAX_CONNECTIONS),
     NODE_NUMBER(tolerated_zones, 0, NODE_MAX_ZONES),
     NODE_NUMBER(server_drain_ms, 0, NODE_MAX_DURATION_MS),
     NODE_NUMBER(quarantine_servers, 0, QUARANTINE_MAX_FAILURES),
--- a/src/proxy/node_settings.h
+++ b/src/proxy/node_settings.h
@@ -41,6 +41,7 @@
     uint64_t list_period_ms;  /**< Fetch period of the machine list. */
     uint64_t grace_ms;        /**< Time limit of a graceful stop. */
     uint64_t memory_mb;       /**< Memory that the process may use (core/memory_budget.h); 0: fixed defaults. */
+    uint64_t max_connections; /**< Of callers; 0: a part of the process's descriptors (proxy/client_limits.h). */
     uint64_t tolerated_zones; /**< Zones that may be lost at once; 0: zones are not treated as failure domains. */
     uint64_t
         server_drain_ms; /**< Time for which a draining server may get requests that resume its version's streams. */
--- a/src/proxy/state_host.c
+++ b/src/proxy/state_host.c
@@ -6,14 +6,10 @@
 
 #include "base/event_log.h"
 #include "base/message.h"
+#include "proxy/client_limits.h"
 #include "proxy/node_metrics.h"
 
-enum {
-    STATE_HOST_CONTROL_HEAD_BYTES = 16 << 10,
-    STATE_HOST_CONTROL_BODY_BYTES = 8 << 20,
-    STATE_HOST_CONTROL_TOTAL_BODY_BYTES = 8 << 20,
-    STATE_HOST_CONTROL_TIMEOUT_MS = 30000
-};
+enum { STATE_HOST_CONTROL_HEAD_BYTES = 16 << 10, STATE_HOST_CONTROL_TIMEOUT_MS = 30000 };
 
 struct state_host *state_host_open(struct node *node)
 {
@@ -57,16 +53,18 @@
 
 bool state_host_listen(struct state_host *host)
 {
-    static const struct http_limits limits = {STATE_HOST_CONTROL_HEAD_BYTES, STATE_HOST_CONTROL_BODY_BYTES,
-                                              STATE_HOST_CONTROL_TIMEOUT_MS, STATE_HOST_CONTROL_TIMEOUT_MS,
-                                              STATE_HOST_CONTROL_TOTAL_BODY_BYTES};
+    size_t max_body_bytes = client_limits_operator_body_bytes(host->node);
+    const struct http_limits limits = {STATE_HOST_CONTROL_HEAD_BYTES, max_body_bytes, STATE_HOST_CONTROL_TIMEOUT_MS,
+                                       STATE_HOST_CONTROL_TIMEOUT_MS, max_body_bytes};
     struct address address;
     if (!address_parse(host->node->settings.control_address, &address)) {
         return true;
     }
-    struct http_handler handler = {.context = host, .request = host_on_call, .disconnected = host_on_disconnect};
+    struct http_handler handler = {
+        .name = "operators", .context = host, .request = host_on_call, .disconnected = host_on_disconnect};
     int result = http_listener_start(&host->control, &host->node->loop, &address, &handler, &limits);
     host->serves_control = result == 0;
+    client_limits_set_operators(host->node, &host->control.shares);
     if (result != 0) {
         event_log("listen_failed", "{s:s,s:s}", "address", host->node->settings.control_address, "error",
                   uv_strerror(result));
--- a/tests/integration/test_client_limits.c
+++ b/tests/integration/test_client_limits.c
@@ -9,8 +9,10 @@
 #include <sys/wait.h>
 
 #include "../unit/suite.h"
+#include "base/clock.h"
 #include "crowd.h"
 #include "site.h"
+#include "site_internal.h"
 
 enum {
     MEMORY_LIMIT_MB = 48, /* of each daemon: the smallest machine of a gateway */
@@ -21,6 +23,8 @@
     LINE_BYTES = 16384,     /* of an endless header line */
     HALF_HEAD_BYTES = 8000, /* below max-header-bytes of the configuration */
     MAX_BODY_BYTES = 65536, /* max-body-bytes of the configuration */
+    REFUSED_BODY_BYTES = 1 << 19,
+    PART_DELAY_US = 2000
 };
 
 #define HOST "Host: app.example\r\n"
@@ -217,6 +221,75 @@
 }
 END_TEST
 
+/* ---- Single clients ------------------------------------------------------------------------------- */
+
+/* Sends a request in parts; returns the status of the first response, of which 100 (Continue) is one. */
+static int send_parts(const char *ip, int port, const struct view *parts, int count)
+{
+    int fd = site_connect(ip, port);
+    ck_assert_int_ge(fd, 0);
+    for (int i = 0; i < count; i++) {
+        site_send(fd, (const char *)parts[i].data, parts[i].length);
+        clock_sleep_us(PART_DELAY_US);
+    }
+    return site_read_status(fd);
+}
+
+/* The largest body, as a whole, in chunks and slowly, but in time. */
+START_TEST(the_largest_body_is_served)
+{
+    static uint8_t body[MAX_BODY_BYTES];
+    memset(body, 'c', sizeof(body));
+    struct view whole[] = {
+        TEXT("POST /safe/x HTTP/1.1\r\n" HOST "Bankbank-Request-Id: whole\r\nContent-Length: 65536\r\n\r\n"),
+        {body, sizeof(body)}};
+    ck_assert_int_eq(send_parts(site_caller_ip(0), site_caller_port, whole, 2), 200);
+
+    struct view chunks[MAX_BODY_BYTES / CHUNK_BYTES + 2];
+    int count = 0;
+    chunks[count++] = (struct view)TEXT("POST /safe/x HTTP/1.1\r\n" HOST
+                                        "Bankbank-Request-Id: chunks\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int i = 0; i < MAX_BODY_BYTES / CHUNK_BYTES; i++) {
+        chunks[count++] = (struct view)CHUNK;
+    }
+    chunks[count++] = (struct view)TEXT("0\r\n\r\n");
+    ck_assert_int_eq(send_parts(site_caller_ip(0), site_caller_port, chunks, count), 200);
+
+    enum { SLOW_PARTS = 16 };
+    struct view slow[SLOW_PARTS + 1] = {
+        TEXT("POST /safe/x HTTP/1.1\r\n" HOST "Bankbank-Request-Id: slow\r\nContent-Length: 65536\r\n\r\n")};
+    for (int i = 0; i < SLOW_PARTS; i++) {
+        slow[i + 1] = view_of(body, MAX_BODY_BYTES / SLOW_PARTS);
+    }
+    ck_assert_int_eq(send_parts(site_caller_ip(0), site_caller_port, slow, SLOW_PARTS + 1), 200);
+}
+END_TEST
+
+/* The head tells that the body is too large: no 100 (Continue), and no byte of the body is waited for. */
+START_TEST(a_body_announced_over_the_limit_is_refused_at_once)
+{
+    struct view caller[] = {TEXT(ORDINARY "Content-Length: 65537\r\nExpect: 100-continue\r\n\r\n")};
+    struct view operator_order[] = {
+        TEXT(PUT_CONFIGURATION "Content-Length: 1073741824\r\nExpect: 100-continue\r\n\r\n")};
+    struct view probe[] = {TEXT("POST /metrics HTTP/1.1\r\n" HOST "Content-Length: 65537\r\n\r\n")};
+    ck_assert_int_eq(send_parts(site_caller_ip(0), site_caller_port, caller, 1), 413);
+    ck_assert_int_eq(send_parts(site_control_ip(0), site_control_port, operator_order, 1), 413);
+    ck_assert_int_eq(send_parts(site_caller_ip(0), site_ready_port, probe, 1), 413);
+    ck_assert_int_eq(send_parts(site_caller_ip(0), site_metrics_port, probe, 1), 413);
+}
+END_TEST
+
+/* A client that sends a body over the limit as a whole before it reads gets the refusal. */
+START_TEST(a_refusal_reaches_a_client_that_still_sends)
+{
+    static uint8_t body[REFUSED_BODY_BYTES];
+    struct view parts[] = {TEXT(ORDINARY "Content-Length: 524288\r\n\r\n"), {body, sizeof(body)}};
+    int runs = site_run_count(-1);
+    ck_assert_int_eq(send_parts(site_caller_ip(0), site_caller_port, parts, 2), 413);
+    ck_assert_int_eq(site_run_count(-1), runs);
+}
+END_TEST
+
 /* ---- Fixtures ------------------------------------------------------------------------------------- */
 
 static void start(void)
@@ -278,5 +351,12 @@
     add_case(suite, "metrics of a gateway", metrics_of_a_gateway, PROBE_SCRIPTS);
     add_case(suite, "metrics of a replica", metrics_of_a_replica, PROBE_SCRIPTS);
     add_case(suite, "operators", operators, CONTROL_SCRIPTS);
+    TCase *calm = tcase_create("single clients");
+    tcase_set_timeout(calm, 120);
+    tcase_add_unchecked_fixture(calm, start, stop);
+    tcase_add_test(calm, the_largest_body_is_served);
+    tcase_add_test(calm, a_body_announced_over_the_limit_is_refused_at_once);
+    tcase_add_test(calm, a_refusal_reaches_a_client_that_still_sends);
+    suite_add_tcase(suite, calm);
     return suite_run_without_fork(suite);
 }
--- a/tests/unit/node_settings.c
+++ b/tests/unit/node_settings.c
@@ -73,6 +73,20 @@
 }
 END_TEST
 
+START_TEST(the_number_of_connections_is_checked)
+{
+    load("max_connections: 300\n");
+    ck_assert_uint_eq(findings.count, 0);
+    ck_assert_uint_eq(settings.max_connections, 300);
+    teardown();
+    load("max_connections: 1000001\n");
+    ck_assert_uint_eq(findings.count, 1);
+    teardown();
+    load("max_connections: many\n");
+    ck_assert_uint_eq(findings.count, 1);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("site settings");
@@ -82,6 +96,7 @@
     tcase_add_test(tests, the_environment_adds_settings);
     tcase_add_test(tests, the_second_variable_adds_settings);
     tcase_add_test(tests, an_error_in_the_environment_names_the_variable);
+    tcase_add_test(tests, the_number_of_connections_is_checked);
     suite_add_tcase(suite, tests);
     return suite_run(suite);
 }
