bankbankd: the memory of bodies and the queue of connections have limits

What callers saw: 300 clients that send most of a body of 16 MB each made bankbankd take 1.5 GB; a machine of 256 MB ends it. A client that reads no response held a thread for 20 s for each request that it had sent in series. Refusals of bodies over the limit were lost in a reset.

Cause: the bound was threads times the largest body, twice for a buffer that doubles. A failed write did not end its connection. A connection with unread bytes was closed at once. 512 connections waited for threads at each listener.

Change: a body counts four times in a share (body_memory_bytes, default 128 MB, checked against max_body_bytes) as it grows, the first 64 KB of each excepted; 503 with Retry-After when it is full. A body has 20 s in total. A write that fails ends the connection. Up to 1 MB, for a second, of a refused body is read (RFC 9112, 9.6). The queue takes at most an eighth of the descriptors. A log line a second, metrics.

That a refusal reaches its client there was not tested.

--- a/src/daemon/chat.c
+++ b/src/daemon/chat.c
@@ -176,7 +176,7 @@
         mg_disable_connection_keep_alive(connection);
         http_send_error(connection, &not_ready, "this daemon has no configuration yet");
     } else {
-        enum http_body_result result = http_read_body(connection, limit, &body);
+        enum http_body_result result = http_read_body(connection, limit, &gateway->bodies, &body);
         if (result == HTTP_BODY_OK) {
             chat_serve(call, buffer_view(&body));
         } else {
@@ -188,7 +188,7 @@
     message_free(EntryResult_fields, &call->begin_result);
     message_free(ProgramView_fields, &call->stored_program);
     config_view_unpin(call->view);
-    buffer_close(&body);
+    http_release_body(&gateway->bodies, &body);
     free(call);
     gateway_end_request(gateway);
     return CHAT_HANDLED;
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -15,6 +15,7 @@
     memset(gateway, 0, sizeof(*gateway));
     gateway->settings = settings;
     gateway->control = control;
+    gateway->bodies.max_bytes = settings_body_memory_bytes(settings);
     endpoints_init(&gateway->endpoints);
     pthread_mutex_init(&gateway->tenants_lock, NULL);
 }
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -56,6 +56,7 @@
     struct endpoints endpoints;
     pthread_mutex_t tenants_lock;     /**< Guards `tenants`. */
     struct gateway_tenant *tenants;   /**< Keyed by name. */
+    http_body_share_t bodies;         /**< Memory of the bodies of callers and operators. */
     struct gateway_counters counters; /**< Atomic. */
     long in_flight;                   /**< Requests in flight; atomic. */
     bool draining;                    /**< New requests are refused; atomic. */
--- a/src/daemon/http_servers.c
+++ b/src/daemon/http_servers.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <pthread.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "base/log.h"
 #include "daemon/chat.h"
@@ -13,7 +14,11 @@
 #include "daemon/services.h"
 #include "net/http_framing.h"
 
-enum { HTTP_SERVERS_NUMBER_SIZE = 24 };
+enum {
+    HTTP_SERVERS_NUMBER_SIZE = 24,
+    HTTP_SERVERS_MAX_QUEUE = 512,
+    HTTP_SERVERS_QUEUE_DIVISOR = 8 /* of the descriptors that the process may open; there are two servers */
+};
 
 static const char HTTP_SERVERS_LOG[] = "server";
 
@@ -25,9 +30,22 @@
     return error.status;
 }
 
+/* Accepted connections that wait for a thread; further ones stay in the backlog of the socket. */
+static uint64_t http_servers_queue_length(void)
+{
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+        return HTTP_SERVERS_MAX_QUEUE;
+    }
+    rlim_t part = limit.rlim_cur / HTTP_SERVERS_QUEUE_DIVISOR;
+    return part < HTTP_SERVERS_MAX_QUEUE ? part : HTTP_SERVERS_MAX_QUEUE;
+}
+
 static struct mg_context *http_servers_listen(const char *address, uint64_t threads, struct gateway *gateway)
 {
     char thread_count[HTTP_SERVERS_NUMBER_SIZE];
+    char queue_length[HTTP_SERVERS_NUMBER_SIZE];
+    snprintf(queue_length, sizeof(queue_length), "%" PRIu64, http_servers_queue_length());
     snprintf(thread_count, sizeof(thread_count), "%" PRIu64, threads);
     const char *options[] = {
         "listening_ports",
@@ -45,7 +63,7 @@
         "listen_backlog",
         "1024",
         "connection_queue",
-        "512",
+        queue_length,
         "max_request_size",
         "32768",
         "enable_directory_listing",
--- a/src/daemon/metrics.c
+++ b/src/daemon/metrics.c
@@ -39,6 +39,11 @@
     metrics_write_counter(out, "service_failures_total", "Plain service requests that failed.",
                           counters->service_failures);
     metrics_write_counter(out, "memory_releases_total", "Engine memory releases confirmed.", counters->memory_releases);
+    metrics_write_gauge(out, "body_bytes", "Memory of bodies, each counted several times.",
+                        (double)__atomic_load_n(&gateway->bodies.used, __ATOMIC_RELAXED));
+    metrics_write_gauge(out, "body_bytes_limit", "Most of it.", (double)gateway->bodies.max_bytes);
+    metrics_write_counter(out, "bodies_refused_total", "Bodies that there was no memory for.",
+                          __atomic_load_n(&gateway->bodies.refused, __ATOMIC_RELAXED));
     metrics_write_gauge(out, "requests_in_flight", "Requests being served.", (double)gateway->in_flight);
 }
 
--- a/src/daemon/operator.c
+++ b/src/daemon/operator.c
@@ -96,7 +96,8 @@
         return OPERATOR_HANDLED;
     }
     enum http_body_result result =
-        info->content_length == 0 ? HTTP_BODY_OK : http_read_body(connection, OPERATOR_MAX_BODY_BYTES, &body);
+        info->content_length == 0 ? HTTP_BODY_OK
+                                  : http_read_body(connection, OPERATOR_MAX_BODY_BYTES, &call.gateway->bodies, &body);
     if (type == NULL || strcmp(type, "application/proto") != 0) {
         struct http_error error = {415, "unsupported_media_type", RUN_STATE_NOT_RUN, 0};
         http_send_error(connection, &error, "Content-Type must be application/proto");
@@ -107,6 +108,6 @@
         call.body = buffer_view(&body);
         operator_dispatch(&call, info->local_uri + sizeof(OPERATOR_PATH) - 1);
     }
-    buffer_close(&body);
+    http_release_body(&call.gateway->bodies, &body);
     return OPERATOR_HANDLED;
 }
--- a/src/daemon/programs.c
+++ b/src/daemon/programs.c
@@ -307,14 +307,15 @@
     }
     struct buffer body = {0};
     size_t limit = (size_t)request->gateway->settings->max_body_bytes;
-    enum http_body_result result =
-        info->content_length == 0 ? HTTP_BODY_OK : http_read_body(request->connection, limit, &body);
+    enum http_body_result result = info->content_length == 0
+                                       ? HTTP_BODY_OK
+                                       : http_read_body(request->connection, limit, &request->gateway->bodies, &body);
     if (result == HTTP_BODY_OK) {
         programs_create(request, buffer_view(&body));
     } else {
         http_send_body_error(request->connection, result, limit);
     }
-    buffer_close(&body);
+    http_release_body(&request->gateway->bodies, &body);
 }
 
 int programs_handle(struct mg_connection *connection, void *context)
--- a/src/daemon/services.c
+++ b/src/daemon/services.c
@@ -224,7 +224,7 @@
     call->service = config_view_service(view, name);
     call->repeatable = services_is_repeatable(connection, info->request_method);
     bool has_body = info->content_length > 0 || mg_get_header(connection, "Transfer-Encoding") != NULL;
-    enum http_body_result result = has_body ? http_read_body(connection, limit, &body) : HTTP_BODY_OK;
+    enum http_body_result result = has_body ? http_read_body(connection, limit, &gateway->bodies, &body) : HTTP_BODY_OK;
     call->body = buffer_view(&body);
     if (call->service == NULL) {
         http_send_error(connection, &not_found, "there is no service '%s'", name);
@@ -237,7 +237,7 @@
     buffer_close(&call->response_headers);
     free(call->content_type);
     free(call);
-    buffer_close(&body);
+    http_release_body(&gateway->bodies, &body);
     free(path);
     free(name);
 }
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -6,6 +6,9 @@
 
 #include "base/log.h"
 #include "net/address.h"
+#include "net/http.h"
+
+enum { SETTINGS_BODY_MEMORY_BYTES = 128 << 20 };
 
 static const struct yaml_field settings_replica_fields[] = {
     {.key = "node",
@@ -54,6 +57,7 @@
     SETTING_NUMBER("threads", threads, 4, 4096),
     SETTING_NUMBER("operator_threads", operator_threads, 2, 256),
     SETTING_NUMBER("max_body_bytes", max_body_bytes, 1024, 256 << 20),
+    SETTING_NUMBER("body_memory_bytes", body_memory_bytes, 0, 64ULL << 30),
     SETTING_NUMBER("call_timeout_ms", call_timeout_ms, 100, 3600000),
     SETTING_NUMBER("drain_timeout_ms", drain_timeout_ms, 0, 3600000),
     SETTING_FLAG("allow_anonymous", allow_anonymous),
@@ -158,12 +162,23 @@
     if (settings->heartbeat_ms * 3 > settings->election_timeout_ms) {
         findings_add(findings, location, "heartbeat_ms: must be at most a third of election_timeout_ms");
     }
+    if (settings->body_memory_bytes != 0 && settings->body_memory_bytes < HTTP_BODY_COPIES * settings->max_body_bytes) {
+        findings_add(findings, location, "body_memory_bytes: must be at least %d times max_body_bytes",
+                     HTTP_BODY_COPIES);
+    }
     if (!log_level_parse(settings->log_level, &level)) {
         findings_add(findings, location, "log_level: must be error, warn, info or debug, not '%s'",
                      settings->log_level);
     }
 }
 
+size_t settings_body_memory_bytes(const struct settings *settings)
+{
+    size_t single = HTTP_BODY_COPIES * (size_t)settings->max_body_bytes;
+    size_t fallback = single > SETTINGS_BODY_MEMORY_BYTES ? single : SETTINGS_BODY_MEMORY_BYTES;
+    return settings->body_memory_bytes == 0 ? fallback : (size_t)settings->body_memory_bytes;
+}
+
 void settings_close(struct settings *settings)
 {
     yaml_close(settings_fields, settings);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -38,6 +38,7 @@
     uint64_t threads;             /**< Serve callers; each thread serves one connection at a time. */
     uint64_t operator_threads;    /**< Serve operators; each thread serves one connection at a time. */
     uint64_t max_body_bytes;      /**< Upper limit of a caller's request. */
+    uint64_t body_memory_bytes;   /**< Of all bodies (settings_body_memory_bytes()); 0: the default. */
     uint64_t call_timeout_ms;     /**< Of a call that sets no deadline. */
     uint64_t drain_timeout_ms;    /**< Longest wait for requests in flight at a planned stop. */
     bool allow_anonymous;         /**< Callers without a key belong to the tenant "anonymous". */
@@ -51,6 +52,10 @@
 /** Checks addresses, the log level and conditions that involve several keys; call it after applying the flags. */
 void settings_check(const struct settings *settings, const char *path, struct findings *findings);
 
+/** Memory of all bodies together, each of which counts HTTP_BODY_COPIES times (net/http.h). The default is 128 MB, or
+ * what a single body of max_body_bytes needs. */
+size_t settings_body_memory_bytes(const struct settings *settings);
+
 void settings_close(struct settings *settings);
 
 /** Initial members: the listed replicas that are not spares, or only this daemon if none are listed. */
--- a/src/emulator/emulator.c
+++ b/src/emulator/emulator.c
@@ -13,7 +13,7 @@
 {
     struct buffer body = {0};
     json_t *root = NULL;
-    if (http_read_body(connection, EMULATOR_MAX_BODY_BYTES, &body) == HTTP_BODY_OK) {
+    if (http_read_body(connection, EMULATOR_MAX_BODY_BYTES, NULL, &body) == HTTP_BODY_OK) {
         root = json_input_parse(buffer_view(&body), NULL);
     }
     buffer_close(&body);
--- a/src/emulator/site_api.c
+++ b/src/emulator/site_api.c
@@ -57,7 +57,7 @@
     }
     struct buffer body = {0};
     if (info->content_length > 0) {
-        http_read_body(connection, API_MAX_BODY_BYTES, &body);
+        http_read_body(connection, API_MAX_BODY_BYTES, NULL, &body);
     }
     uint64_t run = backend_record_run(emulator, backend, mg_get_header(connection, "X-Request-Key"));
     clock_sleep_us(backend->delay_us);
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -7,10 +7,16 @@
 
 #include <jansson.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 
 enum {
     HTTP_READ_STEP_BYTES = 1 << 14,
+    HTTP_DISCARD_BYTES = 1 << 20, /* of a refused request, so that no reset overtakes the response */
+    HTTP_DISCARD_MS = 1000,
+    HTTP_SHARE_LOG_INTERVAL_MS = 1000,
+    HTTP_REQUEST_TIMEOUT = 408,
+    HTTP_UNAVAILABLE = 503,
     HTTP_MESSAGE_MAX = 512,
     HTTP_BAD_REQUEST = 400,
     HTTP_LENGTH_REQUIRED = 411,
@@ -23,10 +29,66 @@
     return names[state];
 }
 
-enum http_body_result http_read_body(struct mg_connection *connection, size_t limit, struct buffer *body)
+/* ---- Bodies ------------------------------------------------------------------------------------ */
+
+static size_t http_counted_bytes(size_t capacity)
+{
+    return capacity <= HTTP_BODY_UNCOUNTED_BYTES ? 0 : HTTP_BODY_COPIES * (capacity - HTTP_BODY_UNCOUNTED_BYTES);
+}
+
+static void http_share_log(http_body_share_t *share)
+{
+    uint64_t now_ms = clock_monotonic_ms();
+    uint64_t logged_ms = __atomic_load_n(&share->logged_ms, __ATOMIC_RELAXED);
+    bool due = logged_ms == 0 || now_ms >= logged_ms + HTTP_SHARE_LOG_INTERVAL_MS;
+    if (due &&
+        __atomic_compare_exchange_n(&share->logged_ms, &logged_ms, now_ms, false, __ATOMIC_RELAXED, __ATOMIC_RELAXED)) {
+        log_warn("http", "the memory for bodies is full: %zu of %zu bytes, %llu bodies refused so far",
+                 __atomic_load_n(&share->used, __ATOMIC_RELAXED), share->max_bytes,
+                 (unsigned long long)__atomic_load_n(&share->refused, __ATOMIC_RELAXED));
+    }
+}
+
+/* Grows the buffer to `capacity` bytes; false: the share has no room. */
+static bool http_grow_body(http_body_share_t *share, struct buffer *body, size_t capacity)
+{
+    size_t added = http_counted_bytes(capacity) - http_counted_bytes(body->capacity);
+    if (share != NULL && added > 0) {
+        size_t used = __atomic_add_fetch(&share->used, added, __ATOMIC_ACQ_REL);
+        if (share->max_bytes > 0 && used > share->max_bytes) {
+            __atomic_sub_fetch(&share->used, added, __ATOMIC_ACQ_REL);
+            __atomic_add_fetch(&share->refused, 1, __ATOMIC_RELAXED);
+            http_share_log(share);
+            return false;
+        }
+    }
+    buffer_set_capacity(body, capacity);
+    return true;
+}
+
+void http_release_body(http_body_share_t *share, struct buffer *body)
+{
+    if (share != NULL) {
+        __atomic_sub_fetch(&share->used, http_counted_bytes(body->capacity), __ATOMIC_ACQ_REL);
+    }
+    buffer_close(body);
+}
+
+/* Capacity for at least one step more, of a body of at most `expected` bytes. */
+static size_t http_next_capacity(const struct buffer *body, size_t step, size_t expected)
+{
+    size_t doubled = 2 * body->capacity;
+    size_t needed = body->length + step;
+    size_t capacity = doubled > needed ? doubled : needed;
+    return capacity < expected ? capacity : expected;
+}
+
+enum http_body_result http_read_body(struct mg_connection *connection, size_t limit, http_body_share_t *share,
+                                     struct buffer *body)
 {
     const struct mg_request_info *info = mg_get_request_info(connection);
     const char *encoding = mg_get_header(connection, "Transfer-Encoding");
+    uint64_t deadline_ms = clock_monotonic_ms() + HTTP_BODY_TIMEOUT_MS;
     bool has_length = info->content_length >= 0;
     if (!has_length && encoding == NULL) {
         return HTTP_BODY_NO_LENGTH;
@@ -38,11 +100,18 @@
     int received = 0;
     while (body->length < expected) {
         size_t step = expected - body->length < HTTP_READ_STEP_BYTES ? expected - body->length : HTTP_READ_STEP_BYTES;
-        received = mg_read(connection, buffer_reserve(body, step), step);
+        bool grows = body->length + step > body->capacity;
+        if (grows && !http_grow_body(share, body, http_next_capacity(body, step, expected))) {
+            return HTTP_BODY_NO_MEMORY;
+        }
+        received = mg_read(connection, body->data + body->length, step);
         if (received <= 0) {
             break;
         }
         body->length += (size_t)received;
+        if (body->length < expected && clock_monotonic_ms() > deadline_ms) {
+            return HTTP_BODY_TOO_SLOW;
+        }
     }
     if (!has_length && body->length > limit) {
         return HTTP_BODY_TOO_LARGE;
@@ -52,6 +121,20 @@
     return truncated ? HTTP_BODY_TRUNCATED : HTTP_BODY_OK;
 }
 
+/* Reads a part of a refused body: closing a connection with unread bytes resets it, and its client may lose the
+ * response (RFC 9112, 9.6). */
+static void http_discard_body(struct mg_connection *connection)
+{
+    static __thread char ignored[HTTP_READ_STEP_BYTES];
+    uint64_t deadline_ms = clock_monotonic_ms() + HTTP_DISCARD_MS;
+    size_t discarded = 0;
+    int received = 1;
+    while (received > 0 && discarded < HTTP_DISCARD_BYTES && clock_monotonic_ms() < deadline_ms) {
+        received = mg_read(connection, ignored, sizeof(ignored));
+        discarded += received > 0 ? (size_t)received : 0;
+    }
+}
+
 void http_send_body_error(struct mg_connection *connection, enum http_body_result result, size_t limit)
 {
     struct http_error error = {HTTP_BAD_REQUEST, "body_incomplete", RUN_STATE_NOT_RUN, 0};
@@ -66,10 +149,25 @@
         error.code = "length_required";
         http_send_error(connection, &error, "Content-Length or chunked encoding is required");
         break;
-    default: http_send_error(connection, &error, "the body ended before its announced length"); break;
+    case HTTP_BODY_TOO_SLOW:
+        error.status = HTTP_REQUEST_TIMEOUT;
+        error.code = "body_too_slow";
+        http_send_error(connection, &error, "the body was not received within %d ms", HTTP_BODY_TIMEOUT_MS);
+        break;
+    case HTTP_BODY_NO_MEMORY:
+        error.status = HTTP_UNAVAILABLE;
+        error.code = "memory_full";
+        error.retry_after_s = 1;
+        http_send_error(connection, &error, "there is no memory for the body now");
+        break;
+    case HTTP_BODY_OK:
+    case HTTP_BODY_TRUNCATED: http_send_error(connection, &error, "the body ended before its announced length"); break;
     }
     /* The rest of the body must not be parsed as the next request. */
     mg_disable_connection_keep_alive(connection);
+    if (result == HTTP_BODY_TOO_LARGE || result == HTTP_BODY_NO_MEMORY) {
+        http_discard_body(connection);
+    }
 }
 
 void http_send(struct mg_connection *connection, int status, const char *content_type, const char *headers,
@@ -79,7 +177,9 @@
     buffer_printf(&response, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n%s\r\n", status,
                   mg_get_response_code_text(connection, status), content_type, body.length, text_or_empty(headers));
     buffer_append(&response, body.data, body.length);
-    mg_write(connection, response.data, response.length);
+    if (mg_write(connection, response.data, response.length) != (int)response.length) {
+        mg_disable_connection_keep_alive(connection); /* the client does not read: no further request is served */
+    }
     buffer_close(&response);
 }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -8,6 +8,7 @@
 #define BANKBANK_NET_HTTP_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #include <civetweb.h>
 
@@ -24,9 +25,25 @@
     HTTP_BODY_OK,
     HTTP_BODY_TRUNCATED, /**< The connection ended before Content-Length bytes were read. */
     HTTP_BODY_TOO_LARGE,
-    HTTP_BODY_NO_LENGTH /**< Neither Content-Length nor chunked. */
+    HTTP_BODY_NO_LENGTH, /**< Neither Content-Length nor chunked. */
+    HTTP_BODY_TOO_SLOW,  /**< Not received within HTTP_BODY_TIMEOUT_MS. */
+    HTTP_BODY_NO_MEMORY  /**< The share of all bodies is full. */
 };
 
+enum {
+    HTTP_BODY_TIMEOUT_MS = 20000,
+    HTTP_BODY_UNCOUNTED_BYTES = 1 << 16, /**< Of each body: small ones are received also while the share is full. */
+    HTTP_BODY_COPIES = 4                 /**< A body counts so many times: it is parsed, stored and forwarded. */
+};
+
+/** The memory of all bodies of a server; `used` and the counters are atomic. */
+typedef struct http_body_share_t {
+    size_t max_bytes; /**< 0: no limit. */
+    size_t used;
+    uint64_t refused;   /**< Bodies that found no room. */
+    uint64_t logged_ms; /**< Of the last log line; atomic. */
+} http_body_share_t;
+
 struct http_error {
     int status;
     const char *code; /**< Machine-readable. */
@@ -37,8 +54,13 @@
 /** Value of X-Run-State. */
 const char *http_run_state_name(enum run_state state);
 
-/** Reads the body; returns HTTP_BODY_TOO_LARGE if it exceeds `limit` bytes. */
-enum http_body_result http_read_body(struct mg_connection *connection, size_t limit, struct buffer *body);
+/** Reads the body; returns HTTP_BODY_TOO_LARGE if it exceeds `limit` bytes. Whatever the result, the caller passes the
+ * body to http_release_body(). `share` may be NULL. */
+enum http_body_result http_read_body(struct mg_connection *connection, size_t limit, http_body_share_t *share,
+                                     struct buffer *body);
+
+/** Frees a body, and what it counts in its share. */
+void http_release_body(http_body_share_t *share, struct buffer *body);
 
 /** Sends the error response for a body that could not be read. */
 void http_send_body_error(struct mg_connection *connection, enum http_body_result result, size_t limit);
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -60,6 +60,9 @@
 /** Does not wait until the daemon is ready. */
 void fleet_start_daemon(struct fleet *fleet, uint32_t node);
 
+/** Limit on open descriptors of daemons started afterwards; 0: that of the test process. */
+void fleet_limit_descriptors(int descriptors);
+
 void fleet_wait_ready(const struct fleet *fleet, uint32_t node);
 
 /** Sends a signal that terminates the daemon; returns the status from waitpid(). */
--- a/tests/integration/support_fleet.c
+++ b/tests/integration/support_fleet.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -21,6 +22,12 @@
 enum { FLEET_POLL_US = 20000, FLEET_REQUEST_TIMEOUT_MS = 30000, FLEET_ENGINES = 3, FLEET_MAX_WORDS = 32 };
 
 const char *fleet_build;
+static int fleet_descriptors;
+
+void fleet_limit_descriptors(int descriptors)
+{
+    fleet_descriptors = descriptors;
+}
 
 bool fleet_wait_for(bool (*reached)(void *context), void *context)
 {
@@ -43,12 +50,16 @@
     char output[512];
     snprintf(program, sizeof(program), "%s/%s", fleet_build, name);
     snprintf(output, sizeof(output), "%s/%s", fleet->directory, log);
+    struct rlimit limit = {.rlim_cur = (rlim_t)fleet_descriptors, .rlim_max = (rlim_t)fleet_descriptors};
     pid_t process = fork();
     ck_assert_int_ge(process, 0);
     if (process == 0) {
         int fd = open(output, O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(fd, STDOUT_FILENO);
         dup2(fd, STDERR_FILENO);
+        if (fleet_descriptors > 0) {
+            setrlimit(RLIMIT_NOFILE, &limit);
+        }
         execv(program, arguments);
         _exit(127);
     }
--- a/tests/integration/test_client_limits_fleet.c
+++ b/tests/integration/test_client_limits_fleet.c
@@ -4,7 +4,6 @@
  */
 #include <stdio.h>
 #include <string.h>
-#include <sys/resource.h>
 #include <sys/wait.h>
 
 #include "../unit/suite.h"
@@ -17,8 +16,9 @@
     CLIENTS = 300,             /* more than the daemon has threads and descriptors */
     MAX_BODY_BYTES = 16 << 20, /* default of max_body_bytes */
     FILLER_BYTES = 4 << 20,
-    LINE_BYTES = 4096,
-    CHUNK_BYTES = 4096
+    LINE_BYTES = 1 << 16,
+    HALF_HEAD_BYTES = 4096,
+    CHUNK_BYTES = 1 << 16
 };
 
 #define HOST "Host: x\r\n"
@@ -38,7 +38,7 @@
     }
 
 static uint8_t letters[LINE_BYTES];
-static uint8_t chunk[CHUNK_BYTES + sizeof("1000\r\n\r\n") - 1];
+static uint8_t chunk[CHUNK_BYTES + sizeof("10000\r\n\r\n") - 1];
 static crowd_t crowd;
 static struct fleet fleet;
 
@@ -49,7 +49,7 @@
     {"chunked without end", TEXT(CHAT "Transfer-Encoding: chunked\r\n\r\n"), CHUNK, 2 * MAX_BODY_BYTES, false},
     {"most of a body", TEXT(CHAT "Content-Length: 16777216\r\n\r\n"), LETTERS, MAX_BODY_BYTES - 1, false},
     {"head without end", TEXT("POST /v1/chat/completions HTTP/1.1\r\nX-Line: "), LETTERS, FILLER_BYTES, false},
-    {"half a head", TEXT("POST /v1/chat/completions HTTP/1.1\r\nX-Line: "), LETTERS, LINE_BYTES, false},
+    {"half a head", TEXT("POST /v1/chat/completions HTTP/1.1\r\nX-Line: "), LETTERS, HALF_HEAD_BYTES, false},
     {"silent", TEXT(""), TEXT(""), 0, false},
     {"metrics in series, unread", TEXT(METRICS), TEXT(METRICS), FILLER_BYTES, true},
     {"many small values", TEXT(CHAT "Content-Length: 4194304\r\n\r\n["), TEXT("0,"), FILLER_BYTES - 2, false},
@@ -121,13 +121,12 @@
 
 static void start(void)
 {
-    struct rlimit limit = {.rlim_cur = DESCRIPTOR_LIMIT, .rlim_max = DESCRIPTOR_LIMIT};
     memset(letters, 'a', sizeof(letters));
     memset(chunk, 'b', sizeof(chunk));
-    memcpy(chunk, "1000\r\n", sizeof("1000\r\n") - 1);
+    memcpy(chunk, "10000\r\n", sizeof("10000\r\n") - 1);
     memcpy(chunk + sizeof(chunk) - 2, "\r\n", 2);
+    fleet_limit_descriptors(DESCRIPTOR_LIMIT);
     fleet_start(&fleet, 1);
-    prlimit(fleet.daemons[0].process, RLIMIT_NOFILE, &limit, NULL);
 }
 
 static void stop(void)
