bankbankd: clients that keep threads waiting give way while all are taken

What callers saw: no answer for half a minute and more, beside 300 clients that were silent, paused in a body, sent it a few bytes at a time or read no response.

Cause: CivetWeb serves each connection with a thread, which waits for its client for up to 20 s; 32 or 8 threads were taken by as many such clients, the others queued.

Change: while all threads of a listener are taken, connections are not kept after a response, and every 250 ms those that wait for their client are closed, the longest silent first; what waits, and for how long, is asked of the kernel (TCP_INFO). A request that a handler works on is never touched; in calm nobody is. A body announced longer than any handler reads is refused with its head. Checked again on a duplicate of the descriptor before the close, so that no other connection is hit.

A body that pauses for 1.5 s, one of exactly the limit, and a refusal to a client that still sends pass before and after.

--- a/src/daemon/http_servers.h
+++ b/src/daemon/http_servers.h
@@ -6,10 +6,20 @@
 #define BANKBANK_DAEMON_HTTP_SERVERS_H
 
 #include "daemon/gateway.h"
+#include "daemon/worker.h"
+#include "net/http_clients.h"
+
+/** One server; `context` is NULL if it does not run. */
+struct http_server {
+    struct mg_context *context;
+    struct gateway *gateway;
+    http_clients_t clients;
+    struct worker reliever; /**< Runs http_clients_relieve(). */
+};
 
 struct http_servers {
-    struct mg_context *callers; /**< NULL without the gateway role. */
-    struct mg_context *operators;
+    struct http_server callers; /**< Does not run without the gateway role. */
+    struct http_server operators;
 };
 
 /** Returns false and logs the error on failure. */
--- a/src/daemon/operator.c
+++ b/src/daemon/operator.c
@@ -5,7 +5,7 @@
 
 #include "daemon/operator_internal.h"
 
-enum { OPERATOR_HANDLED = 200, OPERATOR_MAX_BODY_BYTES = 8 << 20 };
+enum { OPERATOR_HANDLED = 200 };
 
 static const char OPERATOR_PATH[] = "/bankbank.v1.OperatorService/";
 
--- a/src/daemon/operator.h
+++ b/src/daemon/operator.h
@@ -8,6 +8,8 @@
 
 #include "daemon/gateway.h"
 
+enum { OPERATOR_MAX_BODY_BYTES = 8 << 20 };
+
 /** CivetWeb request handler of /bankbank.v1.OperatorService/; `context` is the struct gateway. */
 int operator_handle(struct mg_connection *connection, void *context);
 
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "net/http_clients.h"
 
 enum {
     HTTP_READ_STEP_BYTES = 1 << 14,
@@ -83,8 +84,8 @@
     return capacity < expected ? capacity : expected;
 }
 
-enum http_body_result http_read_body(struct mg_connection *connection, size_t limit, http_body_share_t *share,
-                                     struct buffer *body)
+static enum http_body_result http_receive_body(struct mg_connection *connection, size_t limit, http_body_share_t *share,
+                                               struct buffer *body)
 {
     const struct mg_request_info *info = mg_get_request_info(connection);
     const char *encoding = mg_get_header(connection, "Transfer-Encoding");
@@ -121,6 +122,16 @@
     return truncated ? HTTP_BODY_TRUNCATED : HTTP_BODY_OK;
 }
 
+enum http_body_result http_read_body(struct mg_connection *connection, size_t limit, http_body_share_t *share,
+                                     struct buffer *body)
+{
+    http_client_t *client = mg_get_user_connection_data(connection);
+    http_client_begin_body(client);
+    enum http_body_result result = http_receive_body(connection, limit, share, body);
+    bool given_up = http_client_end_body(client);
+    return given_up && result != HTTP_BODY_OK ? HTTP_BODY_TOO_SLOW : result;
+}
+
 /* Reads a part of a refused body: closing a connection with unread bytes resets it, and its client may lose the
  * response (RFC 9112, 9.6). */
 static void http_discard_body(struct mg_connection *connection)
@@ -152,7 +163,7 @@
     case HTTP_BODY_TOO_SLOW:
         error.status = HTTP_REQUEST_TIMEOUT;
         error.code = "body_too_slow";
-        http_send_error(connection, &error, "the body was not received within %d ms", HTTP_BODY_TIMEOUT_MS);
+        http_send_error(connection, &error, "the body was not received in time");
         break;
     case HTTP_BODY_NO_MEMORY:
         error.status = HTTP_UNAVAILABLE;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -26,7 +26,7 @@
     HTTP_BODY_TRUNCATED, /**< The connection ended before Content-Length bytes were read. */
     HTTP_BODY_TOO_LARGE,
     HTTP_BODY_NO_LENGTH, /**< Neither Content-Length nor chunked. */
-    HTTP_BODY_TOO_SLOW,  /**< Not received within HTTP_BODY_TIMEOUT_MS. */
+    HTTP_BODY_TOO_SLOW,  /**< Not received within HTTP_BODY_TIMEOUT_MS, or slowly while all threads are taken. */
     HTTP_BODY_NO_MEMORY  /**< The share of all bodies is full. */
 };
 
--- a/tests/integration/test_client_limits_fleet.c
+++ b/tests/integration/test_client_limits_fleet.c
@@ -4,9 +4,12 @@
  */
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include "../unit/suite.h"
+#include "base/clock.h"
 #include "crowd.h"
 #include "fleet.h"
 
@@ -16,6 +19,9 @@
     CLIENTS = 300,             /* more than the daemon has threads and descriptors */
     MAX_BODY_BYTES = 16 << 20, /* default of max_body_bytes */
     FILLER_BYTES = 4 << 20,
+    REFUSED_BODY_BYTES = 1 << 19,
+    RESPONSE_BYTES = 1024,
+    PAUSE_US = 1500 * 1000, /* longer than HTTP_CLIENTS_SILENT_MS */
     LINE_BYTES = 1 << 16,
     HALF_HEAD_BYTES = 4096,
     CHUNK_BYTES = 1 << 16
@@ -119,6 +125,63 @@
 }
 END_TEST
 
+/* ---- Single clients ------------------------------------------------------------------------------- */
+
+/* Sends a head and `length` bytes of a body; returns the status of the response, 0: none. */
+static int send_body(const char *head, const uint8_t *body, size_t length)
+{
+    struct buffer request = {0};
+    int status = 0;
+    buffer_append_text(&request, head);
+    buffer_append(&request, body, length);
+    char *response = fleet_send_raw(fleet.daemons[0].caller_port, buffer_text(&request), request.length, false);
+    if (sscanf(response, "HTTP/1.1 %d", &status) != 1) {
+        status = 0;
+    }
+    free(response);
+    buffer_close(&request);
+    return status;
+}
+
+/* 400: the body was received, and is no JSON. */
+START_TEST(only_the_limit_is_refused)
+{
+    static uint8_t body[MAX_BODY_BYTES];
+    ck_assert_int_eq(send_body("POST /v1/programs HTTP/1.1\r\n" HOST
+                               "Connection: close\r\nContent-Length: 16777216\r\n\r\n",
+                               body, sizeof(body)),
+                     400);
+    ck_assert_int_eq(send_body("POST /v1/programs HTTP/1.1\r\n" HOST "Content-Length: 16777217\r\n\r\n", NULL, 0), 413);
+}
+END_TEST
+
+/* Guards against refusals that are lost in the reset of a connection with unread bytes. */
+START_TEST(a_refusal_reaches_a_client_that_still_sends)
+{
+    static uint8_t body[REFUSED_BODY_BYTES];
+    ck_assert_int_eq(
+        send_body("POST /v1/programs HTTP/1.1\r\n" HOST "Content-Length: 16777217\r\n\r\n", body, sizeof(body)), 413);
+}
+END_TEST
+
+/* In calm a client may pause in its body. */
+START_TEST(a_pause_in_a_body_is_served)
+{
+    static const char first[] =
+        "POST /v1/programs HTTP/1.1\r\n" HOST "Connection: close\r\nContent-Length: 4\r\n\r\nno";
+    char response[RESPONSE_BYTES] = "";
+    int status = 0;
+    int fd = fleet_connect(fleet.daemons[0].caller_port);
+    ck_assert_int_eq(send(fd, first, sizeof(first) - 1, MSG_NOSIGNAL), sizeof(first) - 1);
+    clock_sleep_us(PAUSE_US);
+    ck_assert_int_eq(send(fd, "ne", 2, MSG_NOSIGNAL), 2);
+    ck_assert_int_gt(recv(fd, response, sizeof(response) - 1, 0), 0);
+    close(fd);
+    ck_assert_int_eq(sscanf(response, "HTTP/1.1 %d", &status), 1);
+    ck_assert_int_eq(status, 400);
+}
+END_TEST
+
 static void start(void)
 {
     memset(letters, 'a', sizeof(letters));
@@ -154,5 +217,12 @@
     tcase_add_loop_test(tests, callers_of_a_fleet, 0, SCRIPTS);
     tcase_add_loop_test(tests, operators_of_a_fleet, 0, SCRIPTS);
     suite_add_tcase(suite, tests);
+    TCase *calm = tcase_create("single clients");
+    tcase_set_timeout(calm, 180);
+    tcase_add_unchecked_fixture(calm, start, stop);
+    tcase_add_test(calm, only_the_limit_is_refused);
+    tcase_add_test(calm, a_refusal_reaches_a_client_that_still_sends);
+    tcase_add_test(calm, a_pause_in_a_body_is_served);
+    suite_add_tcase(suite, calm);
     return suite_run_without_fork(suite);
 }
