--- a/tests/soak/rough_clients.c
+++ b/tests/soak/abusive_clients.c
@@ -1,4 +1,4 @@
-#include "rough_clients.h"
+#include "abusive_clients.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -20,7 +20,7 @@
     PROBE_ONE_IN = 2 /* crowds that meet the listeners for readiness and metrics, on average */
 };
 
-#define HEAD(line) line "Host: app.example\r\nBankbank-Request-Id: rough\r\n"
+#define HEAD(line) line "Host: app.example\r\nBankbank-Request-Id: abusive\r\n"
 #define TEXT(text)                                                                                                     \
     {                                                                                                                  \
         (const uint8_t *)(text), sizeof(text) - 1                                                                      \
@@ -33,10 +33,10 @@
 static uint8_t letters[LINE_BYTES];
 
 static const crowd_script_t scripts[] = {
-    {"announced over the limit", TEXT(HEAD("POST /rough/x HTTP/1.1\r\n") "Content-Length: 1073741824\r\n\r\n"), LETTERS,
-     FILLER_BYTES, false},
-    {"head without end", TEXT(HEAD("POST /rough/x HTTP/1.1\r\n") "X-Line: "), LETTERS, FILLER_BYTES, false},
-    {"half a body", TEXT(HEAD("POST /rough/x HTTP/1.1\r\n") "Content-Length: 4096\r\n\r\n"), LETTERS, LINE_BYTES / 2,
+    {"announced over the limit", TEXT(HEAD("POST /abusive/x HTTP/1.1\r\n") "Content-Length: 1073741824\r\n\r\n"),
+     LETTERS, FILLER_BYTES, false},
+    {"head without end", TEXT(HEAD("POST /abusive/x HTTP/1.1\r\n") "X-Line: "), LETTERS, FILLER_BYTES, false},
+    {"half a body", TEXT(HEAD("POST /abusive/x HTTP/1.1\r\n") "Content-Length: 4096\r\n\r\n"), LETTERS, LINE_BYTES / 2,
      false},
     {"in series, unread", TEXT(HEAD("GET /metrics HTTP/1.1\r\n") "\r\n"),
      TEXT(HEAD("GET /metrics HTTP/1.1\r\n") "\r\n"), FILLER_BYTES, true},
@@ -51,7 +51,7 @@
 static atomic_int played;
 static uint64_t random_state;
 
-static void rough_clients_wait(uint64_t wait_ms)
+static void abusive_clients_wait(uint64_t wait_ms)
 {
     uint64_t end_ms = clock_monotonic_ms() + wait_ms;
     while (!atomic_load(&stopping) && clock_monotonic_ms() < end_ms) {
@@ -59,7 +59,7 @@
     }
 }
 
-static int rough_clients_port(int daemon)
+static int abusive_clients_port(int daemon)
 {
     bool probe = random_below(&random_state, PROBE_ONE_IN) == 0;
     if (daemons_is_replica(daemon)) {
@@ -69,36 +69,36 @@
     return probe ? probe_port : site_caller_port;
 }
 
-static void *rough_clients_run(void *context)
+static void *abusive_clients_run(void *context)
 {
     static crowd_t crowd;
     (void)context;
     while (!atomic_load(&stopping)) {
         int daemon = (int)random_below(&random_state, (uint32_t)daemons_count());
         const crowd_script_t *script = &scripts[random_below(&random_state, SCRIPTS)];
-        crowd_start(&crowd, site_daemon_ip(daemon), rough_clients_port(daemon), script, CLIENTS);
-        rough_clients_wait(PLAY_MS);
+        crowd_start(&crowd, site_daemon_ip(daemon), abusive_clients_port(daemon), script, CLIENTS);
+        abusive_clients_wait(PLAY_MS);
         crowd_stop(&crowd);
         atomic_fetch_add(&played, 1);
-        rough_clients_wait(random_below(&random_state, MAX_PAUSE_MS));
+        abusive_clients_wait(random_below(&random_state, MAX_PAUSE_MS));
     }
     return NULL;
 }
 
-void rough_clients_start(uint64_t seed)
+void abusive_clients_start(uint64_t seed)
 {
     memset(letters, 'a', sizeof(letters));
     random_state = seed;
-    pthread_create(&thread, NULL, rough_clients_run, NULL);
+    pthread_create(&thread, NULL, abusive_clients_run, NULL);
 }
 
-void rough_clients_stop(void)
+void abusive_clients_stop(void)
 {
     atomic_store(&stopping, true);
     pthread_join(thread, NULL);
 }
 
-int rough_clients_count(void)
+int abusive_clients_count(void)
 {
     return atomic_load(&played);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -22,7 +22,7 @@
 #include "faults.h"
 #include "fault_log.h"
 #include "oracle.h"
-#include "rough_clients.h"
+#include "abusive_clients.h"
 
 enum {
     MEMORY_LIMIT_MB = 64, /* of each daemon */
@@ -72,9 +72,9 @@
     site_use_proxies();
     spread_servers();
     callers_start(seed);
-    rough_clients_start(seed);
+    abusive_clients_start(seed);
     faults_run(seed, seconds * 1000);
-    rough_clients_stop();
+    abusive_clients_stop();
     faults_end();
     callers_stop();
     disk_watch_stop();
@@ -87,7 +87,8 @@
            (unsigned long long)seed, faults_count(), (unsigned long long)sum.calls, (unsigned long long)sum.reused,
            (unsigned long long)sum.served, (unsigned long long)sum.refused, (unsigned long long)sum.varied_refused,
            (unsigned long long)sum.turns, (unsigned long long)sum.configurations, (unsigned long long)sum.continued,
-           (unsigned long long)sum.resumed, rough_clients_count(), count_snapshots(), disk_watch_stalls(), violations);
+           (unsigned long long)sum.resumed, abusive_clients_count(), count_snapshots(), disk_watch_stalls(),
+           violations);
     site_stop();
     ck_assert_int_eq(violations, 0);
 }
