Tests: the memory of ThreadSanitizer is not the daemon's

With ThreadSanitizer two cases of integration_test_client_limits_fleet exceeded 256 MB (262 and 267 MB, 85 MB without), for the memory that it keeps for itself. As with AddressSanitizer, the bound on memory is checked in builds without it; all other checks stay. It reported one data race, older than this work: metrics.c reads in_flight without an atomic load. AddressSanitizer reports nothing (callers and operators of the site, all of the fleet).

--- a/tests/integration/test_client_limits_fleet.c
+++ b/tests/integration/test_client_limits_fleet.c
@@ -93,7 +93,7 @@
     int descriptors = crowd_descriptors(process);
     printf("%s: peak %ld kB, %d descriptors\n", name, peak_kb, descriptors);
     fflush(stdout);
-#ifndef __SANITIZE_ADDRESS__ /* which keeps freed memory */
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__) /* whose own memory counts */
     ck_assert_msg(peak_kb < MEMORY_LIMIT_MB * 1024, "%s: peak %ld kB", name, peak_kb);
 #endif
     ck_assert_msg(descriptors < DESCRIPTOR_LIMIT, "%s: %d descriptors", name, descriptors);
