--- a/review/4/case.c
+++ b/review/4/case.c
@@ -19,6 +19,7 @@
     FILL_BYTES = 1000 * 1000, /* below max-body-bytes */
     FILL_TURNS = 60,          /* a storage machine writes a snapshot after about 42 MB of log */
     AWAY_MS = 20000,
+    GAP_MS = 5000, /* after the return of a storage machine; above catch-up-s (4.4 s) */
     CALL_MS = 4000
 };
 
@@ -87,6 +88,7 @@
     dep_end_machine(store, SIGTERM);
     dep_start_machine(store);
     DEP_WAIT(dep_store_is_ready(store), 10000, "a restarted storage machine is ready");
+    dep_record("%s is back", dep_name(store));
 }
 
 static bool all_have_snapshots(void)
@@ -134,6 +136,11 @@
     for (int i = 0; i < DEP_STORES && dep_trouble(); i++) {
         if (i != leader) {
             restart_store(i);
+            uint64_t back_ms = dep_now_ms();
+            while (dep_now_ms() < back_ms + GAP_MS) {
+                ask(1, "/desk/b", "other", NULL, "other work");
+                dep_sleep_ms(500);
+            }
         }
     }
     ask(1, "/desk/b", "other", NULL, "other work");
--- a/review/support-2/deployment.c
+++ b/review/support-2/deployment.c
@@ -630,6 +630,11 @@
     dep_record("start of %s", dep_name(machine));
 }
 
+void dep_set_bootstrapped(bool done)
+{
+    bootstrapped = done;
+}
+
 int dep_signal_machine(int machine, int signal_number)
 {
     dep_record("signal %d to %s", signal_number, dep_name(machine));
--- a/review/support-2/deployment.h
+++ b/review/support-2/deployment.h
@@ -59,6 +59,8 @@
 
 /* ---- Machines ---- */
 void dep_start_machine(int machine);
+/* What `bootstrap` says in the settings of machines that start from now on: true only at the first start. */
+void dep_set_bootstrapped(bool done);
 int dep_signal_machine(int machine, int signal_number); /* for SIGSTOP and SIGCONT */
 int dep_end_machine(int machine, int signal_number);    /* signals and waits; returns the wait status */
 const char *dep_name(int machine);
