--- a/review/support-2/deployment.c
+++ b/review/support-2/deployment.c
@@ -30,6 +30,8 @@
     bool stream;
     bool draining;
     int work_ms;
+    int max_connections; /* 0: no limit */
+    int connections;
 };
 
 char dep_folder[256];
@@ -432,6 +434,7 @@
         buffer[held] = '\0';
     }
     close(accepted->fd);
+    __atomic_sub_fetch(&servers[accepted->server].connections, 1, __ATOMIC_SEQ_CST);
     free(buffer);
     free(accepted);
     return NULL;
@@ -440,12 +443,33 @@
 struct acceptor {
     int listener;
     int server;
+    char ip[24];
 };
 
+static int open_connections(const struct server *server)
+{
+    return __atomic_load_n(&server->connections, __ATOMIC_SEQ_CST);
+}
+
+/* At its limit a server does not listen: the kernel answers further connections with a reset. */
+static void keep_to_limit(struct acceptor *acceptor)
+{
+    struct server *server = &servers[acceptor->server];
+    if (server->max_connections == 0 || open_connections(server) < server->max_connections) {
+        return;
+    }
+    close(acceptor->listener);
+    while (open_connections(server) >= server->max_connections) {
+        dep_sleep_ms(5);
+    }
+    acceptor->listener = listen_on(acceptor->ip, &server->port);
+}
+
 static void *accept_connections(void *argument)
 {
     struct acceptor *acceptor = argument;
     while (true) {
+        keep_to_limit(acceptor);
         int fd = accept4(acceptor->listener, NULL, NULL, SOCK_CLOEXEC);
         if (fd < 0) {
             continue;
@@ -454,11 +478,13 @@
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         struct accepted *accepted = malloc(sizeof(*accepted));
         *accepted = (struct accepted){fd, acceptor->server};
+        __atomic_add_fetch(&servers[acceptor->server].connections, 1, __ATOMIC_SEQ_CST);
         pthread_t thread;
         if (pthread_create(&thread, NULL, serve_connection, accepted) == 0) {
             pthread_detach(thread);
         } else {
             close(fd);
+            __atomic_sub_fetch(&servers[acceptor->server].connections, 1, __ATOMIC_SEQ_CST);
             free(accepted);
         }
     }
@@ -476,6 +502,7 @@
     snprintf(server->service, sizeof(server->service), "%s", service);
     server->stream = stream;
     acceptor->server = number;
+    snprintf(acceptor->ip, sizeof(acceptor->ip), "%s", ip);
     acceptor->listener = listen_on(ip, &server->port);
     snprintf(server->address, sizeof(server->address), "%s:%d", ip, server->port);
     pthread_t thread;
@@ -488,6 +515,32 @@
     servers[server].draining = draining;
 }
 
+void dep_set_max_connections(int server, int most)
+{
+    servers[server].max_connections = most;
+}
+
+const char *dep_server_id(int server)
+{
+    return servers[server].id;
+}
+
+int dep_servers_of(const char *id)
+{
+    unsigned seen = 0;
+    pthread_mutex_lock(&lock);
+    for (int i = 0; i < run_count; i++) {
+        seen |= strcmp(runs[i].id, id) == 0 ? 1U << runs[i].server : 0;
+    }
+    pthread_mutex_unlock(&lock);
+    return __builtin_popcount(seen);
+}
+
+void dep_count_run(int server, const char *id, const char *body, size_t length)
+{
+    record_run(server, id, body, length);
+}
+
 void dep_set_work_ms(int server, int ms)
 {
     servers[server].work_ms = ms;
--- a/review/support-2/deployment.h
+++ b/review/support-2/deployment.h
@@ -18,7 +18,7 @@
     DEP_EDGES = 2,
     DEP_MACHINES = DEP_STORES + DEP_EDGES, /* stores first */
     DEP_MAX_SERVERS = 8,
-    DEP_MAX_RUNS = 200000
+    DEP_MAX_RUNS = 400000
 };
 
 /* Exit status of a script. */
@@ -87,6 +87,12 @@
 int dep_add_server(const char *service, bool stream);
 void dep_set_draining(int server, bool draining);
 void dep_set_work_ms(int server, int ms);   /* before the answer begins */
+/* Connections of all callers together; further ones are reset. Call it before the machines start. */
+void dep_set_max_connections(int server, int most);
+const char *dep_server_id(int server);
+int dep_servers_of(const char *id); /* on how many servers the request began to run */
+/* For dep_on_request: the server begins to run the request. */
+void dep_count_run(int server, const char *id, const char *body, size_t length);
 void dep_set_events(int events, int gap_ms); /* of streams */
 int dep_runs_of(const char *id);            /* how often servers began to run the request */
 const struct dep_run *dep_last_run(const char *id);
