Review: case 4 keeps within retention-s throughout

One of its two conversations now sends each turn at once after the one before; the second turn runs longer than the replicas keep its parent.

--- a/review/support-2/deployment.c
+++ b/review/support-2/deployment.c
@@ -46,6 +46,8 @@
 static int server_count;
 static int stream_events = 8;
 static int stream_gap_ms = 5;
+static int long_events;
+static int long_gap_ms;
 static struct dep_run *runs;
 static int run_count;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -303,6 +305,12 @@
     dep_record("server %s runs %s (%zu bytes)", servers[server].id, id, length);
 }
 
+void dep_set_long_events(int events, int gap_ms)
+{
+    long_events = events;
+    long_gap_ms = gap_ms;
+}
+
 int dep_runs_of(const char *id)
 {
     int count = 0;
@@ -325,7 +333,7 @@
     return found;
 }
 
-static bool answer_stream(int fd, const char *id, int from)
+static bool answer_stream(int fd, const char *id, int from, int events, int gap_ms)
 {
     char head[512];
     int length = snprintf(head, sizeof(head),
@@ -335,10 +343,10 @@
     if (!send_all(fd, head, (size_t)length)) {
         return false;
     }
-    for (int i = from + 1; i <= stream_events; i++) {
+    for (int i = from + 1; i <= events; i++) {
         char event[256];
         char chunk[320];
-        dep_sleep_ms((uint64_t)stream_gap_ms);
+        dep_sleep_ms((uint64_t)gap_ms);
         int bytes = snprintf(event, sizeof(event), "id: %d\ndata: %s-%d\n\n", i, id, i);
         length = snprintf(chunk, sizeof(chunk), "%x\r\n%s\r\n", (unsigned)bytes, event);
         if (!send_all(fd, chunk, (size_t)length)) {
@@ -415,7 +423,11 @@
         dep_sleep_ms((uint64_t)servers[server].work_ms);
     }
     bool resumed = header_value(head, "Last-Event-Id", from, sizeof(from));
-    return servers[server].stream ? answer_stream(fd, id, resumed ? atoi(from) : 0) : answer_plain(fd, id);
+    bool is_long = long_events > 0 && strstr(head, "/long HTTP/1.1") != NULL;
+    return servers[server].stream ? answer_stream(fd, id, resumed ? atoi(from) : 0,
+                                                  is_long ? long_events : stream_events,
+                                                  is_long ? long_gap_ms : stream_gap_ms)
+                                  : answer_plain(fd, id);
 }
 
 static void *serve_connection(void *argument)
--- a/review/support-2/deployment.h
+++ b/review/support-2/deployment.h
@@ -94,6 +94,7 @@
 /* For dep_on_request: the server begins to run the request. */
 void dep_count_run(int server, const char *id, const char *body, size_t length);
 void dep_set_events(int events, int gap_ms); /* of streams */
+void dep_set_long_events(int events, int gap_ms); /* of streams whose path ends with /long */
 int dep_runs_of(const char *id);            /* how often servers began to run the request */
 const struct dep_run *dep_last_run(const char *id);
 /* Called for each connection that is accepted and each request; may be NULL. Returns true if it has handled
